--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+GO ?= go
+GOLANGCI_VERSION := v2.15.0
+GOBIN := $(shell $(GO) env GOPATH)/bin
+GOLANGCI := $(GOBIN)/golangci-lint
+SEED ?= 1
+DURATION ?= 30s
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
+LDFLAGS := -X main.version=$(VERSION)
+# Tests listed in KNOWN-RED.txt are printed and passed over.
+KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
+SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+
+.PHONY: build test lint fmt tools demo soak chaos measure bench generate
+
+build:
+	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
+
+test:
+	@if [ -n "$(KNOWN_RED)" ]; then echo 'known red, passed over:'; cat KNOWN-RED.txt; fi
+	$(GO) test -race -count=1 -timeout 8m $(SKIP) ./...
+
+$(GOLANGCI):
+	$(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+tools: $(GOLANGCI)
+
+lint: tools
+	$(GOLANGCI) fmt --diff ./...
+	$(GOLANGCI) run ./...
+	$(GO) vet ./...
+
+fmt: tools
+	$(GOLANGCI) fmt ./...
+
+generate:
+	protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative internal/peer/forwarder/peer.proto
+
+demo: build
+	./bin/standin demo --binary ./bin/greengagewall --deployment examples/humo-andino
+
+soak:
+	$(GO) run ./cmd/standin soak --seed $(SEED) --duration $(DURATION)
+
+chaos: build
+	./bin/standin chaos --binary ./bin/greengagewall --seed $(SEED) --duration $(DURATION)
+
+measure:
+	$(GO) run ./cmd/standin measure --seed $(SEED)
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem -benchtime 200ms ./...
--- /dev/null
+++ b/internal/codec/encoder/batch.go
@@ -0,0 +1,115 @@
+// Package encoder encodes the records of greengagewall's streams as
+// MessagePack (https://github.com/msgpack/msgpack/blob/master/spec.md).
+package encoder
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// Batch is one record of a partition's stream, written by its owner.
+type Batch struct {
+	Term   modeler.Term       `msgpack:"t"`
+	Author modeler.InstanceID `msgpack:"a"`
+	// Seq counts the batches of a term from 1. Readers drop a batch whose Seq
+	// is not above the last one of the term, so that an append may be repeated
+	// after its answer was lost.
+	Seq      uint64           `msgpack:"s"`
+	Claim    *Claim           `msgpack:"c,omitempty"`
+	Jobs     []modeler.Job    `msgpack:"j,omitempty"`
+	Tasks    []TaskChange     `msgpack:"k,omitempty"`
+	Requests []RequestChange  `msgpack:"q,omitempty"`
+	Cancels  []modeler.JobID  `msgpack:"x,omitempty"`
+	Gifts    []Gift           `msgpack:"g,omitempty"`
+	Records  []modeler.Record `msgpack:"r,omitempty"`
+	Snapshot *Snapshot        `msgpack:"z,omitempty"`
+}
+
+// Claim begins the epoch of the batch's term. Rank k of that epoch belongs to
+// Successors[k-1].
+type Claim struct {
+	Successors []modeler.InstanceID `msgpack:"u,omitempty"`
+}
+
+// TaskChange sets the state of a task.
+type TaskChange struct {
+	Job      modeler.JobID      `msgpack:"j"`
+	Task     modeler.TaskID     `msgpack:"k"`
+	State    modeler.TaskState  `msgpack:"s"`
+	Attempt  int                `msgpack:"a,omitempty"`
+	Endpoint modeler.InstanceID `msgpack:"e,omitempty"`
+	Time     time.Time          `msgpack:"t"`
+	Cause    string             `msgpack:"c,omitempty"`
+}
+
+// RequestState is the state of a non-idempotent request.
+type RequestState string
+
+// The states of a request. Intent is in the log before the request is sent.
+const (
+	RequestIntent  RequestState = "intent"
+	RequestRan     RequestState = "ran"
+	RequestUnknown RequestState = "unknown"
+	RequestVoided  RequestState = "voided"
+)
+
+// RequestChange sets the state of a non-idempotent request.
+type RequestChange struct {
+	Team     modeler.TeamID     `msgpack:"m"`
+	Queue    modeler.QueueID    `msgpack:"q,omitempty"`
+	Request  modeler.RequestID  `msgpack:"r"`
+	State    RequestState       `msgpack:"s"`
+	Endpoint modeler.InstanceID `msgpack:"e,omitempty"`
+	Answer   []byte             `msgpack:"a,omitempty"`
+	Time     time.Time          `msgpack:"t"`
+}
+
+// Gift moves part of a team's allotment to another partition. The giver
+// appends it to its own stream after reducing its allotment; the receiver
+// appends a Gift with Received set to its own stream after reading it.
+type Gift struct {
+	// ID is unique within the giver's stream.
+	ID       string              `msgpack:"i"`
+	From     modeler.PartitionID `msgpack:"f"`
+	To       modeler.PartitionID `msgpack:"o"`
+	Team     modeler.TeamID      `msgpack:"m"`
+	Amount   modeler.Resources   `msgpack:"n"`
+	Received bool                `msgpack:"v,omitempty"`
+}
+
+// Snapshot is the whole state of a partition; it lets a reader start at it
+// after older records have expired.
+type Snapshot struct {
+	// State is the encoding of package replayer.
+	State []byte `msgpack:"s"`
+}
+
+// Publication is one record of the stream "config".
+type Publication struct {
+	// Parent is the offset of the document that this one was made from; -1
+	// for the first.
+	Parent   modeler.Offset   `msgpack:"p"`
+	Document modeler.Document `msgpack:"d"`
+	// Operator names who published, for the audit trail.
+	Operator string    `msgpack:"o,omitempty"`
+	Time     time.Time `msgpack:"t"`
+	// Original is the offset at which the document was accepted when this
+	// record repeats it because the first one is about to expire; -1 if not.
+	Original modeler.Offset `msgpack:"i"`
+}
+
+// Marshal encodes value.
+func Marshal(value any) ([]byte, error) {
+	data, err := msgpack.Marshal(value)
+
+	return data, errors.Wrapf(err, "encode %T", value)
+}
+
+// Unmarshal decodes data into value.
+func Unmarshal(data []byte, value any) error {
+	return errors.Wrapf(msgpack.Unmarshal(data, value), "decode %T", value)
+}
--- /dev/null
+++ b/internal/domain/modeler/messages.go
@@ -0,0 +1,118 @@
+package modeler
+
+import "time"
+
+// SubmitMsg asks the owner of a partition to accept a job. The entry instance
+// has checked the key and the queue, and filled in class, attempts, deadline.
+type SubmitMsg struct {
+	Partition PartitionID `json:"partition"`
+	Job       Job         `json:"job"`
+	// Config is the configuration offset that admission was decided under.
+	Config Offset `json:"config"`
+}
+
+// SubmitReply answers a SubmitMsg after the job is in the log.
+type SubmitReply struct {
+	Job JobID `json:"job"`
+	// Duplicate is set when the request key had been accepted before.
+	Duplicate bool `json:"duplicate,omitempty"`
+	// Head is the digest of the team's last record in the partition.
+	Head string `json:"head"`
+}
+
+// CancelMsg asks for the cancellation of a team's job.
+type CancelMsg struct {
+	Partition PartitionID `json:"partition"`
+	Team      TeamID      `json:"team"`
+	Job       JobID       `json:"job"`
+}
+
+// CallMsg asks the owner of a partition to have a call answered by one of its
+// executors.
+type CallMsg struct {
+	Partition PartitionID `json:"partition"`
+	Team      TeamID      `json:"team"`
+	Queue     QueueID     `json:"queue"`
+	Service   string      `json:"service"`
+	Class     Class       `json:"class"`
+	// Request identifies the call within the team; non-idempotent calls of
+	// the same request are executed at most once.
+	Request    RequestID     `json:"request"`
+	Idempotent bool          `json:"idempotent"`
+	Body       []byte        `json:"body"`
+	Timeout    time.Duration `json:"timeout"`
+	Config     Offset        `json:"config"`
+}
+
+// CallReply is the answer of an executor to a call.
+type CallReply struct {
+	Request  RequestID  `json:"request"`
+	Answer   []byte     `json:"answer"`
+	Endpoint InstanceID `json:"endpoint"`
+	// Duplicate is set when the answer is the recorded one of an earlier call.
+	Duplicate bool `json:"duplicate,omitempty"`
+}
+
+// ResolveMsg asks what became of a call whose answer was lost.
+type ResolveMsg struct {
+	Partition PartitionID `json:"partition"`
+	Team      TeamID      `json:"team"`
+	Request   RequestID   `json:"request"`
+}
+
+// ResolveReply says what became of a call.
+type ResolveReply struct {
+	Request RequestID `json:"request"`
+	Outcome Outcome   `json:"outcome"`
+	Answer  []byte    `json:"answer,omitempty"`
+}
+
+// TaskStatus is the state of one task.
+type TaskStatus struct {
+	Task     TaskID     `json:"task"`
+	State    TaskState  `json:"state"`
+	Attempt  int        `json:"attempt"`
+	Endpoint InstanceID `json:"endpoint,omitempty"`
+	Started  time.Time  `json:"started,omitzero"`
+	Ended    time.Time  `json:"ended,omitzero"`
+	Cause    string     `json:"cause,omitempty"`
+}
+
+// JobStatus is the state of a job and its tasks.
+type JobStatus struct {
+	Job       Job          `json:"job"`
+	Partition PartitionID  `json:"partition"`
+	Tasks     []TaskStatus `json:"tasks"`
+	// Final is set when no task changes any more.
+	Final bool `json:"final"`
+}
+
+// Load is what an owner tells peers about a partition in every heartbeat.
+type Load struct {
+	Partition PartitionID `json:"partition"`
+	Term      Term        `json:"term"`
+	// Ready is set while the owner may start work.
+	Ready    bool      `json:"ready"`
+	Capacity Resources `json:"capacity"`
+	Free     Resources `json:"free"`
+	// Largest is the capacity of the largest endpoint.
+	Largest Resources `json:"largest"`
+	// Queued is the number of queued tasks.
+	Queued int `json:"queued"`
+	// Usage is what each team has running.
+	Usage map[TeamID]Resources `json:"usage,omitempty"`
+	// Idle is what each team's allotment has unused.
+	Idle map[TeamID]Resources `json:"idle,omitempty"`
+	// Services counts the free slots by service; the key "" counts executors
+	// that run every service.
+	Services map[string]int64 `json:"services,omitempty"`
+}
+
+// TokensMsg asks the owner of a partition to give part of a team's idle
+// allotment to another partition.
+type TokensMsg struct {
+	Partition PartitionID `json:"partition"`
+	To        PartitionID `json:"to"`
+	Team      TeamID      `json:"team"`
+	Wanted    Resources   `json:"wanted"`
+}
--- /dev/null
+++ b/internal/domain/modeler/work.go
@@ -0,0 +1,87 @@
+package modeler
+
+import "time"
+
+// WorkKind is one of the kinds of work, each with its own policy.
+type WorkKind string
+
+// The kinds of work.
+const (
+	WorkService   WorkKind = "service"
+	WorkBatch     WorkKind = "batch"
+	WorkAllAtOnce WorkKind = "all-at-once"
+)
+
+// Class orders work by urgency.
+type Class string
+
+// The classes of work, most urgent first.
+const (
+	ClassUrgent   Class = "urgent"
+	ClassStandard Class = "standard"
+	ClassDeferred Class = "deferred"
+)
+
+// Job is a piece of work as it was accepted.
+type Job struct {
+	ID      JobID    `json:"id" msgpack:"i"`
+	Team    TeamID   `json:"team" msgpack:"t"`
+	Queue   QueueID  `json:"queue" msgpack:"q"`
+	Request string   `json:"request,omitempty" msgpack:"r,omitempty"`
+	Kind    WorkKind `json:"kind" msgpack:"k"`
+	Class   Class    `json:"class" msgpack:"c"`
+	// Tasks is the number of equal tasks.
+	Tasks int `json:"tasks" msgpack:"n"`
+	// Needs is what one task declares to use.
+	Needs Resources `json:"needs" msgpack:"d"`
+	// Runtime is the declared run time of one task; it may be far off.
+	Runtime time.Duration `json:"runtime,omitempty" msgpack:"u,omitempty"`
+	// Deadline is when the job must be finished; zero means none.
+	Deadline time.Time `json:"deadline,omitzero" msgpack:"l,omitempty"`
+	// Once forbids a second execution of any task.
+	Once bool `json:"once,omitempty" msgpack:"o,omitempty"`
+	// Attempts bounds how often a task may be started.
+	Attempts int `json:"attempts,omitempty" msgpack:"x,omitempty"`
+	// SameRack asks for all tasks in one rack.
+	SameRack bool `json:"rack,omitempty" msgpack:"w,omitempty"`
+	// Command is opaque to the scheduler and passed to the worker.
+	Command  []string  `json:"command,omitempty" msgpack:"m,omitempty"`
+	Accepted time.Time `json:"accepted" msgpack:"a"`
+}
+
+// TaskState is the state of a task.
+type TaskState string
+
+// The states of a task.
+const (
+	TaskQueued    TaskState = "queued"
+	TaskStarting  TaskState = "starting"
+	TaskRunning   TaskState = "running"
+	TaskFinished  TaskState = "finished"
+	TaskFailed    TaskState = "failed"
+	TaskCancelled TaskState = "cancelled"
+	// TaskUnknown marks a task of which it cannot be said whether it ran.
+	TaskUnknown TaskState = "unknown"
+)
+
+// Final reports whether the state never changes again.
+func (s TaskState) Final() bool {
+	switch s {
+	case TaskFinished, TaskFailed, TaskCancelled, TaskUnknown:
+		return true
+	case TaskQueued, TaskStarting, TaskRunning:
+		return false
+	}
+
+	return false
+}
+
+// Outcome says truthfully whether refused work ran.
+type Outcome string
+
+// The outcomes that an answer may state.
+const (
+	OutcomeNotRun  Outcome = "not run"
+	OutcomeRan     Outcome = "ran"
+	OutcomeUnknown Outcome = "unknown"
+)
--- /dev/null
+++ b/internal/platform/messenger/endpoint.go
@@ -0,0 +1,156 @@
+package messenger
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// Errors that an endpoint answers with. Any other error leaves it open whether
+// the command took effect.
+var (
+	// ErrTerm means that the endpoint has seen a higher term (HTTP 409).
+	ErrTerm = errors.New("endpoint has seen a higher term")
+	// ErrSession means that the session has lapsed or was replaced (HTTP 410).
+	ErrSession = errors.New("session has lapsed")
+	// ErrCapacity means that the endpoint has no room (HTTP 429).
+	ErrCapacity = errors.New("endpoint has no capacity left")
+	// ErrVoided means that the request was voided before it came (HTTP 412).
+	ErrVoided = errors.New("request was voided")
+	// ErrUnsent means that the command did not reach the endpoint.
+	ErrUnsent = errors.New("command was not sent")
+)
+
+// Task is a task as an endpoint knows it.
+type Task struct {
+	ID      modeler.TaskID    `json:"id"`
+	Job     modeler.JobID     `json:"job"`
+	Team    modeler.TeamID    `json:"team"`
+	Attempt int               `json:"attempt"`
+	Needs   modeler.Resources `json:"needs"`
+	Command []string          `json:"command,omitempty"`
+	// Note is opaque to the endpoint: the decision record of the start, so
+	// that the inventory completes the stream after the owner's death.
+	Note    []byte    `json:"note,omitempty"`
+	Started time.Time `json:"started,omitzero"`
+	// Request is set for a call in progress on an executor.
+	Request modeler.RequestID `json:"request,omitempty"`
+	// Throttled is set while the task runs throttled.
+	Throttled bool `json:"throttled,omitempty"`
+}
+
+// Finish tells how a task ended; the endpoint repeats it in every renewal
+// until the owner acknowledged it.
+type Finish struct {
+	Task    modeler.TaskID    `json:"task"`
+	Job     modeler.JobID     `json:"job"`
+	Team    modeler.TeamID    `json:"team"`
+	Attempt int               `json:"attempt"`
+	OK      bool              `json:"ok"`
+	Cause   string            `json:"cause,omitempty"`
+	Started time.Time         `json:"started"`
+	Ended   time.Time         `json:"ended"`
+	Used    modeler.Resources `json:"used,omitzero"`
+	// Checkpointed is set when the task was stopped with a checkpoint and can
+	// continue from it.
+	Checkpointed bool   `json:"checkpointed,omitempty"`
+	Note         []byte `json:"note,omitempty"`
+}
+
+// HelloRequest opens a session.
+type HelloRequest struct {
+	Term  modeler.Term       `json:"term"`
+	Owner modeler.InstanceID `json:"owner"`
+}
+
+// HelloReply grants a session and lists what the endpoint runs.
+type HelloReply struct {
+	Session  modeler.SessionID `json:"session"`
+	Term     modeler.Term      `json:"term"`
+	Capacity modeler.Resources `json:"capacity"`
+	Tasks    []Task            `json:"tasks,omitempty"`
+	Finished []Finish          `json:"finished,omitempty"`
+	Leaving  bool              `json:"leaving,omitempty"`
+}
+
+// RenewRequest renews a session.
+type RenewRequest struct {
+	Term    modeler.Term      `json:"term"`
+	Session modeler.SessionID `json:"session"`
+	// Acknowledged lists the finishes that the owner has recorded.
+	Acknowledged []modeler.TaskID `json:"acknowledged,omitempty"`
+}
+
+// RenewReply reports the endpoint's usage, which lags.
+type RenewReply struct {
+	Usage    modeler.Resources `json:"usage"`
+	Tasks    []modeler.TaskID  `json:"tasks,omitempty"`
+	Finished []Finish          `json:"finished,omitempty"`
+	Leaving  bool              `json:"leaving,omitempty"`
+}
+
+// StartRequest starts a task.
+type StartRequest struct {
+	Term    modeler.Term      `json:"term"`
+	Session modeler.SessionID `json:"session"`
+	Task    Task              `json:"task"`
+}
+
+// TaskRequest stops, checkpoints or throttles a task.
+type TaskRequest struct {
+	Term    modeler.Term      `json:"term"`
+	Session modeler.SessionID `json:"session"`
+	Task    modeler.TaskID    `json:"task"`
+}
+
+// CallRequest has an executor answer a call in one of its slots.
+type CallRequest struct {
+	Term    modeler.Term      `json:"term"`
+	Session modeler.SessionID `json:"session"`
+	Request modeler.RequestID `json:"request"`
+	Team    modeler.TeamID    `json:"team"`
+	Service string            `json:"service"`
+	Body    []byte            `json:"body"`
+}
+
+// CallReply is an executor's answer.
+type CallReply struct {
+	Request modeler.RequestID `json:"request"`
+	Answer  []byte            `json:"answer"`
+}
+
+// VoidRequest forbids the execution of a request that has not been executed.
+type VoidRequest struct {
+	Term    modeler.Term      `json:"term"`
+	Team    modeler.TeamID    `json:"team"`
+	Request modeler.RequestID `json:"request"`
+}
+
+// VoidReply says whether the request had run, and its answer if it had.
+type VoidReply struct {
+	Ran bool `json:"ran"`
+	// Running is set while the request is being executed.
+	Running bool   `json:"running,omitempty"`
+	Answer  []byte `json:"answer,omitempty"`
+}
+
+// Endpoint is a worker or an executor. Start and Call answer after the task
+// is running or the call has ended.
+type Endpoint interface {
+	Hello(ctx context.Context, msg HelloRequest) (HelloReply, error)
+	Renew(ctx context.Context, msg RenewRequest) (RenewReply, error)
+	Start(ctx context.Context, msg StartRequest) error
+	Stop(ctx context.Context, msg TaskRequest) error
+	Checkpoint(ctx context.Context, msg TaskRequest) error
+	Throttle(ctx context.Context, msg TaskRequest) error
+	Call(ctx context.Context, msg CallRequest) (CallReply, error)
+	Void(ctx context.Context, msg VoidRequest) (VoidReply, error)
+}
+
+// Dialer returns the client of an endpoint.
+type Dialer interface {
+	Endpoint(instance modeler.Instance) Endpoint
+}
