Add the runtime of partitions

Cause: an entry instance must own partitions, command endpoints and accept work through the log without two owners acting at once. Change: package elector decides who claims and when; package owner is the pure core of an owned partition with sessions, the majority rule, adoption, intents, calls, gifts and batches; package runner does the I/O; package supervisor runs one runner per partition and implements modeler.Commands and modeler.Queries.

--- /dev/null
+++ b/internal/partition/owner/messages.go
@@ -0,0 +1,237 @@
+package owner
+
+import (
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
+)
+
+// Msg is an input of the core.
+type Msg any
+
+// Waiter identifies a caller that waits for an answer; zero is nobody.
+type Waiter uint64
+
+// TickMsg lets time-driven work proceed.
+type TickMsg struct{}
+
+// ConfigMsg brings the configuration in force.
+type ConfigMsg struct {
+	Document modeler.Document
+	Offset   modeler.Offset
+}
+
+// EndpointsMsg lists the endpoints of the partition.
+type EndpointsMsg struct {
+	Instances []modeler.Instance
+}
+
+// HelloDoneMsg is the result of a HelloCmd.
+type HelloDoneMsg struct {
+	Endpoint modeler.InstanceID
+	Term     modeler.Term
+	Sent     time.Time
+	Reply    messenger.HelloReply
+	Err      error
+}
+
+// RenewDoneMsg is the result of a RenewCmd.
+type RenewDoneMsg struct {
+	Endpoint modeler.InstanceID
+	Request  messenger.RenewRequest
+	Sent     time.Time
+	Reply    messenger.RenewReply
+	Err      error
+}
+
+// StartDoneMsg is the result of a StartCmd.
+type StartDoneMsg struct {
+	Endpoint modeler.InstanceID
+	Request  messenger.StartRequest
+	Err      error
+}
+
+// TaskDoneMsg is the result of a TaskCmd.
+type TaskDoneMsg struct {
+	Endpoint modeler.InstanceID
+	Action   Action
+	Request  messenger.TaskRequest
+	Err      error
+}
+
+// CallDoneMsg is the result of a CallCmd.
+type CallDoneMsg struct {
+	Call   uint64
+	Answer []byte
+	Err    error
+}
+
+// VoidDoneMsg is the result of a VoidCmd.
+type VoidDoneMsg struct {
+	Endpoint modeler.InstanceID
+	Request  messenger.VoidRequest
+	Reply    messenger.VoidReply
+	Err      error
+}
+
+// SubmitMsg is a submission by a waiting caller.
+type SubmitMsg struct {
+	Waiter Waiter
+	modeler.SubmitMsg
+}
+
+// CancelMsg is a cancellation by a waiting caller.
+type CancelMsg struct {
+	Waiter Waiter
+	modeler.CancelMsg
+}
+
+// CallMsg is a call by a waiting caller.
+type CallMsg struct {
+	Waiter Waiter
+	modeler.CallMsg
+}
+
+// ResolveMsg asks what became of a request.
+type ResolveMsg struct {
+	Waiter Waiter
+	modeler.ResolveMsg
+}
+
+// GiveMsg asks for part of an idle allotment.
+type GiveMsg struct {
+	Waiter Waiter
+	modeler.TokensMsg
+}
+
+// AbandonMsg tells that a caller stops waiting. It is answered at once with
+// an outcome that is true at this moment.
+type AbandonMsg struct {
+	Waiter Waiter
+}
+
+// ReadMsg tells that a batch of this owner and term was read back as valid.
+type ReadMsg struct {
+	Seq uint64
+}
+
+// ForeignMsg brings a valid batch of an earlier term that was read after this
+// owner took its term without the log.
+type ForeignMsg struct {
+	Batch encoder.Batch
+}
+
+// LogMsg tells whether the last append was answered in time.
+type LogMsg struct {
+	Down bool
+}
+
+// TermMsg moves an owner that took its term without the log to the term of
+// its claim. Sessions keep the term that they were opened under.
+type TermMsg struct {
+	Term modeler.Term
+	// Seq is the last batch that was written under the term.
+	Seq uint64
+}
+
+// GiftMsg brings a gift that the stream of another partition contains.
+type GiftMsg struct {
+	Gift encoder.Gift
+}
+
+// SnapshotMsg asks for a snapshot in the stream.
+type SnapshotMsg struct {
+	// Prune is the time before which final jobs and requests are forgotten.
+	Prune time.Time
+}
+
+// DrainMsg makes the owner refuse new submissions and calls.
+type DrainMsg struct{}
+
+// LostMsg tells that the partition has another owner. The core then starts
+// nothing and only answers callers.
+type LostMsg struct {
+	// Void is set when a later term was read from the stream without a gap,
+	// so that batches not read before it are certainly without effect.
+	Void bool
+}
+
+// Action is what a TaskCmd does.
+type Action string
+
+// The actions on a running task.
+const (
+	ActionStop       Action = "stop"
+	ActionCheckpoint Action = "checkpoint"
+	ActionThrottle   Action = "throttle"
+)
+
+// Command is an output of the core.
+type Command any
+
+// HelloCmd opens a session.
+type HelloCmd struct {
+	Endpoint modeler.Instance
+	Request  messenger.HelloRequest
+}
+
+// RenewCmd renews a session.
+type RenewCmd struct {
+	Endpoint modeler.Instance
+	Request  messenger.RenewRequest
+}
+
+// StartCmd starts a task.
+type StartCmd struct {
+	Endpoint modeler.Instance
+	Request  messenger.StartRequest
+}
+
+// TaskCmd stops, checkpoints or throttles a task.
+type TaskCmd struct {
+	Endpoint modeler.Instance
+	Action   Action
+	Request  messenger.TaskRequest
+}
+
+// CallCmd sends a call to an executor.
+type CallCmd struct {
+	Endpoint modeler.Instance
+	Call     uint64
+	Request  messenger.CallRequest
+	Timeout  time.Duration
+}
+
+// VoidCmd asks an executor to void a request.
+type VoidCmd struct {
+	Endpoint modeler.Instance
+	Request  messenger.VoidRequest
+}
+
+// AppendCmd appends a batch. The next one follows only after a ReadMsg.
+type AppendCmd struct {
+	Batch encoder.Batch
+	// Snapshot asks the runner to add the state of the stream.
+	Snapshot bool
+}
+
+// AnswerCmd answers a waiting caller with a reply or a refusal.
+type AnswerCmd struct {
+	Waiter Waiter
+	Reply  any
+	Err    *modeler.Refusal
+}
+
+// TokensCmd asks other owners for part of a team's limit.
+type TokensCmd struct {
+	Team   modeler.TeamID
+	Wanted modeler.Resources
+}
+
+// SupersededCmd tells that an endpoint has seen a later term than this
+// owner's.
+type SupersededCmd struct {
+	Endpoint modeler.InstanceID
+}
--- /dev/null
+++ b/internal/partition/owner/submit.go
@@ -0,0 +1,228 @@
+package owner
+
+import (
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/core/scheduler"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+const (
+	// defaultDepth bounds a team's queued jobs on a queue that sets no bound.
+	defaultDepth = 10_000
+	// fullRetry is the hint to callers whose queue is full.
+	fullRetry = 2 * time.Second
+)
+
+// submit accepts a job once it was read back from the stream.
+func (c *Core) submit(msg SubmitMsg) {
+	j := msg.Job
+	if known, ok := c.jobs[j.ID]; ok {
+		if known.Team != j.Team {
+			c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeConflict, 0, "job id %s belongs to another team", j.ID))
+
+			return
+		}
+		c.answer(msg.Waiter, modeler.SubmitReply{Job: j.ID, Duplicate: true, Head: c.journal.heads[j.Team].digest}, nil)
+
+		return
+	}
+	if w, ok := c.submissions[j.ID]; ok {
+		w.waiters = append(w.waiters, msg.Waiter)
+		w.expires = c.now.Add(c.patience)
+		c.journal.waits[msg.Waiter] = w
+
+		return
+	}
+	if refusal := c.refusal(j); refusal != nil {
+		c.answer(msg.Waiter, nil, refusal)
+
+		return
+	}
+	w := &wait{waiters: []Waiter{msg.Waiter}, expires: c.now.Add(c.patience)}
+	w.undo = func() {
+		delete(c.submissions, j.ID)
+		c.team(j.Team).waiting[j.Queue]--
+	}
+	w.done = func(ok bool) { c.submitted(j, w, msg.Waiter, ok) }
+	c.submissions[j.ID] = w
+	c.team(j.Team).waiting[j.Queue]++
+	c.write(item{job: &j, wait: w})
+	c.journal.items = append(c.journal.items, item{of: w, record: c.stamp(modeler.Record{
+		Team: j.Team, Queue: j.Queue, Job: j.ID, Event: modeler.EventAdmitted,
+	})})
+}
+
+// submitted takes a job into the state after it was read back.
+func (c *Core) submitted(j modeler.Job, w *wait, first Waiter, ok bool) {
+	if c.submissions[j.ID] != w {
+		return
+	}
+	delete(c.submissions, j.ID)
+	c.team(j.Team).waiting[j.Queue]--
+	if !ok {
+		return
+	}
+	accepted := c.addJob(j)
+	accepted.released = true
+	c.decide(scheduler.JobMsg{Job: j})
+	for _, waiter := range w.waiters {
+		c.answer(waiter, modeler.SubmitReply{Job: j.ID, Duplicate: waiter != first, Head: c.journal.heads[j.Team].digest}, nil)
+	}
+}
+
+// refusal says why a job is not accepted; nil accepts it.
+func (c *Core) refusal(j modeler.Job) *modeler.Refusal {
+	switch {
+	case c.retired:
+		return modeler.NotRun(modeler.CodeNotOwner, notOwnerRetry, "partition %s has another owner", c.partition)
+	case c.draining:
+		return modeler.NotRun(modeler.CodeDraining, notOwnerRetry, "the owner of partition %s is shutting down", c.partition)
+	case j.Tasks < 1:
+		return modeler.NotRun(modeler.CodeBadRequest, 0, "job %s has no task", j.ID)
+	case c.journal.down || !c.claimed():
+		return modeler.NotRun(modeler.CodeLogDown, logRetry, "partition %s: the log does not answer", c.partition)
+	case c.journal.full():
+		return modeler.NotRun(modeler.CodeLogDown, logRetry, "partition %s: the backlog for the log is full", c.partition)
+	}
+	if refusal := c.limitRefusal(j); refusal != nil {
+		return refusal
+	}
+	if refusal := c.fitRefusal(j); refusal != nil {
+		return refusal
+	}
+	depth := defaultDepth
+	for _, q := range c.document.Queues {
+		if q.Name == j.Queue && q.Depth > 0 {
+			depth = q.Depth
+		}
+	}
+	if c.queued(j.Team, j.Queue) >= depth {
+		return modeler.NotRun(modeler.CodeQueueFull, fullRetry, "team %s has %d jobs on queue %s", j.Team, depth, j.Queue)
+	}
+
+	return nil
+}
+
+// limitRefusal refuses a job that the team's upper limit never allows.
+func (c *Core) limitRefusal(j modeler.Job) *modeler.Refusal {
+	needs := j.Needs
+	if j.Kind == modeler.WorkAllAtOnce {
+		needs = needs.Scale(int64(j.Tasks))
+	}
+	for _, t := range c.document.Teams {
+		if t.Name != j.Team {
+			continue
+		}
+		if !needs.Fits(t.Limit) {
+			return modeler.NotRun(modeler.CodeOverLimit, 0, "job %s needs %s at once; the limit of team %s is %s", j.ID, needs, j.Team, t.Limit)
+		}
+
+		return nil
+	}
+
+	return modeler.NotRun(modeler.CodeWrongTeam, 0, "team %s is not in the configuration", j.Team)
+}
+
+// fitRefusal refuses a job that fits no endpoint of the partition. While the
+// capacity of some endpoints is unknown the refusal invites a repetition.
+func (c *Core) fitRefusal(j modeler.Job) *modeler.Refusal {
+	var room int64
+	var retry time.Duration
+	for _, e := range c.endpoints {
+		if e.instance.Kind != modeler.KindWorker || !e.listed {
+			continue
+		}
+		if !e.raised {
+			retry = logRetry
+
+			continue
+		}
+		room += times(e.capacity, j.Needs)
+	}
+	wanted := int64(1)
+	if j.Kind == modeler.WorkAllAtOnce {
+		wanted = int64(j.Tasks)
+	}
+	if room >= wanted {
+		return nil
+	}
+
+	return modeler.NotRun(modeler.CodeNeverFits, retry,
+		"job %s needs %s for each of %d tasks; the workers of partition %s have room for %d", j.ID, j.Needs, wanted, c.partition, room)
+}
+
+// times returns how often needs fits into capacity.
+func times(capacity, needs modeler.Resources) int64 {
+	const many = 1 << 30
+	count := int64(many)
+	for _, pair := range [...][2]int64{
+		{capacity.Millis, needs.Millis}, {capacity.Memory, needs.Memory},
+		{capacity.Accelerators, needs.Accelerators}, {capacity.Slots, needs.Slots},
+	} {
+		if pair[1] > 0 {
+			count = min(count, max(pair[0], 0)/pair[1])
+		}
+	}
+
+	return count
+}
+
+// queued counts a team's jobs on a queue that are accepted or being accepted
+// and have tasks that wait.
+func (c *Core) queued(team modeler.TeamID, queue modeler.QueueID) int {
+	return c.team(team).waiting[queue]
+}
+
+// cancel cancels a job once the cancellation was read back.
+func (c *Core) cancel(msg CancelMsg) {
+	j, ok := c.jobs[msg.Job]
+	switch {
+	case c.retired:
+		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeNotOwner, notOwnerRetry, "partition %s has another owner", c.partition))
+	case !ok || j.Team != msg.Team:
+		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeUnknownItem, 0, "team %s has no job %s", msg.Team, msg.Job))
+	case j.cancelled || j.open == 0:
+		c.answer(msg.Waiter, nil, nil)
+	case c.journal.down || !c.claimed() || c.journal.full():
+		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeLogDown, logRetry, "partition %s: the log does not answer", c.partition))
+	default:
+		w := &wait{waiters: []Waiter{msg.Waiter}, expires: c.now.Add(c.patience)}
+		w.done = func(ok bool) {
+			if ok {
+				c.cancelled(j)
+				for _, waiter := range w.waiters {
+					c.answer(waiter, nil, nil)
+				}
+			}
+		}
+		c.write(item{cancel: j.ID, wait: w})
+	}
+}
+
+// cancelled carries out a cancellation that is in the stream.
+func (c *Core) cancelled(j *job) {
+	if j.cancelled {
+		return
+	}
+	j.cancelled = true
+	c.record(modeler.Record{Team: j.Team, Queue: j.Queue, Job: j.ID, Event: modeler.EventCancelled})
+	if j.released {
+		c.decide(scheduler.CancelMsg{Job: j.ID})
+	}
+	c.cancelTasks(j)
+}
+
+// cancelTasks ends the queued tasks of a cancelled job and stops the others. A
+// start that was not sent is dropped when its intent is read back.
+func (c *Core) cancelTasks(j *job) {
+	for _, t := range j.tasks {
+		switch {
+		case t.state.Final():
+		case t.at == nil:
+			c.change(t, modeler.TaskCancelled, "cancelled", nil)
+		case t.state == modeler.TaskRunning || t.sent:
+			c.stop(t, ActionStop, "cancelled")
+		}
+	}
+}
--- /dev/null
+++ b/internal/partition/supervisor/cluster_test.go
@@ -0,0 +1,289 @@
+package supervisor
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/partition/owner"
+	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
+)
+
+const gib = 1 << 30
+
+// cluster is a set of entry instances with one log and a few endpoints.
+type cluster struct {
+	t         *testing.T
+	log       *fakeLog
+	endpoints map[modeler.InstanceID]*fakeEndpoint
+	document  modeler.Document
+
+	mu     sync.Mutex
+	nodes  map[modeler.InstanceID]*node
+	places map[modeler.TaskID]map[modeler.InstanceID]bool
+	faults []string
+}
+
+// node is an entry instance.
+type node struct {
+	*Supervisor
+	cluster  *cluster
+	instance modeler.Instance
+	stop     context.CancelFunc
+	// cut keeps the node's messages and heartbeats from arriving.
+	cut, noLog, draining bool
+	heard                time.Time
+}
+
+func newCluster(t *testing.T, workers, executors int) *cluster {
+	c := &cluster{
+		t: t, log: newFakeLog(), endpoints: map[modeler.InstanceID]*fakeEndpoint{},
+		nodes: map[modeler.InstanceID]*node{}, places: map[modeler.TaskID]map[modeler.InstanceID]bool{},
+		document: modeler.Document{
+			Partitions: []modeler.Partition{{Name: "costa-1", Region: "costa", Weight: 1}},
+			Teams: []modeler.Team{{Name: "humo", Share: 1, Limit: modeler.Resources{
+				Millis: 1_000_000, Memory: 1000 * gib, Slots: 1000,
+			}}},
+		},
+	}
+	for i := range workers {
+		c.endpoint(modeler.Instance{
+			ID: modeler.InstanceID(fmt.Sprintf("worker-%d", i)), Kind: modeler.KindWorker, Region: "costa", Rack: "r1",
+		}, modeler.Resources{Millis: 4000, Memory: 16 * gib})
+	}
+	for i := range executors {
+		c.endpoint(modeler.Instance{
+			ID: modeler.InstanceID(fmt.Sprintf("executor-%d", i)), Kind: modeler.KindExecutor, Region: "costa", Rack: "r1",
+		}, modeler.Resources{Slots: 2})
+	}
+
+	return c
+}
+
+func (c *cluster) endpoint(instance modeler.Instance, capacity modeler.Resources) {
+	instance.State = modeler.StateLive
+	instance.Address = netip.MustParseAddrPort("127.0.0.1:1")
+	c.endpoints[instance.ID] = &fakeEndpoint{
+		cluster: c, instance: instance, capacity: capacity,
+		tasks: map[modeler.TaskID]messenger.Task{}, finished: map[modeler.TaskID]messenger.Finish{},
+		calls: map[modeler.RequestID]string{}, voided: map[modeler.RequestID]bool{}, executions: map[string]int{},
+	}
+}
+
+// entered notes that a task runs at an endpoint and checks that it runs
+// nowhere else.
+func (c *cluster) entered(task modeler.TaskID, at modeler.InstanceID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.places[task] == nil {
+		c.places[task] = map[modeler.InstanceID]bool{}
+	}
+	for other := range c.places[task] {
+		if renewed := c.endpoints[other].renewedAt.Load(); time.Since(time.Unix(0, renewed)) > owner.LeaseFor {
+			delete(c.places[task], other)
+		}
+	}
+	c.places[task][at] = true
+	if len(c.places[task]) > 1 {
+		c.faults = append(c.faults, fmt.Sprintf("task %s runs in two places: %v", task, c.places[task]))
+	}
+}
+
+func (c *cluster) left(task modeler.TaskID, at modeler.InstanceID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.places[task], at)
+}
+
+// start starts an entry instance.
+func (c *cluster) start(ctx context.Context, id modeler.InstanceID) *node {
+	n := &node{cluster: c, instance: modeler.Instance{ID: id, Kind: modeler.KindEntry, Region: "costa", State: modeler.StateLive}}
+	n.Supervisor = New(
+		WithSelf(n.instance), WithLog(n), WithDialer(n), WithMembership(n), WithConfiguration(n), WithPeers(n),
+		WithDecider(newFakeDecider),
+		WithLogger(hclog.New(&hclog.LoggerOptions{Name: string(id), Level: hclog.Info, Output: c.t.Output()})),
+		WithViolation(func(invariant, detail string) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.faults = append(c.faults, invariant+": "+detail)
+		}),
+	)
+	c.mu.Lock()
+	c.nodes[id] = n
+	c.mu.Unlock()
+	ctx, n.stop = context.WithCancel(ctx)
+	go n.Run(ctx)
+
+	return n
+}
+
+// kill ends an entry instance at once.
+func (c *cluster) kill(n *node) {
+	n.cutOff(true)
+	n.stop()
+	<-n.Done()
+	c.mu.Lock()
+	delete(c.nodes, n.instance.ID)
+	c.mu.Unlock()
+}
+
+// check fails the test if an invariant was violated.
+func (c *cluster) check() {
+	c.t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, fault := range c.faults {
+		c.t.Error(fault)
+	}
+}
+
+// owner waits until some node owns the partition and may start work.
+func (c *cluster) owner(within time.Duration) *node {
+	c.t.Helper()
+	var found *node
+	c.until(within, "an owner", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, n := range c.nodes {
+			if loads := n.Loads(); !n.cut && len(loads) == 1 && loads[0].Ready {
+				found = n
+			}
+		}
+
+		return found != nil
+	})
+
+	return found
+}
+
+// until waits for a condition.
+func (c *cluster) until(within time.Duration, what string, holds func() bool) {
+	c.t.Helper()
+	for start := time.Now(); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(start) > within {
+			c.t.Fatalf("no %s within %s", what, within)
+		}
+	}
+}
+
+func (n *node) cutOff(cut bool) {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	if n.cut = cut; cut {
+		n.heard = time.Now()
+	}
+}
+
+func (n *node) isCut() bool {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+
+	return n.cut
+}
+
+func (n *node) logCut() bool {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+
+	return n.cut || n.noLog
+}
+
+// Append implements messenger.Log.
+func (n *node) Append(ctx context.Context, stream string, data []byte) (modeler.Offset, error) {
+	if n.logCut() {
+		<-ctx.Done()
+
+		return 0, ctx.Err()
+	}
+
+	return n.cluster.log.Append(ctx, stream, data)
+}
+
+// Read implements messenger.Log.
+func (n *node) Read(ctx context.Context, stream string, from modeler.Offset, limit int, wait time.Duration) (messenger.Page, error) {
+	if n.logCut() {
+		<-ctx.Done()
+
+		return messenger.Page{}, ctx.Err()
+	}
+
+	return n.cluster.log.Read(ctx, stream, from, limit, wait)
+}
+
+// Endpoint implements messenger.Dialer.
+func (n *node) Endpoint(instance modeler.Instance) messenger.Endpoint {
+	if n.isCut() {
+		return &fakeEndpoint{cluster: n.cluster, silent: true}
+	}
+
+	return n.cluster.endpoints[instance.ID]
+}
+
+// Peers implements modeler.Membership.
+func (n *node) Peers() []modeler.Peer {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	var peers []modeler.Peer
+	for id, other := range n.cluster.nodes {
+		if id == n.instance.ID {
+			continue
+		}
+		heard := time.Now()
+		if other.cut {
+			heard = other.heard
+		} else if n.cut {
+			heard = n.heard
+		}
+		peers = append(peers, modeler.Peer{Instance: other.instance, Heard: heard, Draining: other.draining, Loads: other.Loads()})
+	}
+
+	return peers
+}
+
+// Endpoints implements modeler.Membership.
+func (n *node) Endpoints() []modeler.Instance {
+	instances := make([]modeler.Instance, 0, len(n.cluster.endpoints))
+	for _, e := range n.cluster.endpoints {
+		instances = append(instances, e.instance)
+	}
+
+	return instances
+}
+
+// InForce implements modeler.Configuration.
+func (n *node) InForce() (modeler.Document, modeler.Offset, bool) { return n.cluster.document, 1, true }
+
+// HandOver implements Peers.
+func (n *node) HandOver(ctx context.Context, peer modeler.InstanceID, partition modeler.PartitionID) error {
+	n.cluster.mu.Lock()
+	other := n.cluster.nodes[peer]
+	n.cluster.mu.Unlock()
+	if other == nil {
+		return errDown
+	}
+
+	return other.TakeOver(ctx, partition)
+}
+
+// RequestTokens implements Peers.
+func (n *node) RequestTokens(ctx context.Context, msg modeler.TokensMsg) error {
+	n.cluster.mu.Lock()
+	nodes := make([]*node, 0, len(n.cluster.nodes))
+	for _, other := range n.cluster.nodes {
+		nodes = append(nodes, other)
+	}
+	n.cluster.mu.Unlock()
+	for _, other := range nodes {
+		if err := other.GiveTokens(ctx, msg); err == nil {
+			return nil
+		}
+	}
+
+	return errDown
+}
--- /dev/null
+++ b/internal/partition/supervisor/decider.go
@@ -0,0 +1,6 @@
+package supervisor
+
+import "gitlab.com/greengagewall/greengagewall/internal/partition/owner"
+
+// newDecider returns the decision core of a new owner.
+func newDecider() owner.Decider { return nil }
--- /dev/null
+++ b/internal/partition/supervisor/failure_test.go
@@ -0,0 +1,237 @@
+package supervisor
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// refusalOf returns the refusal in an error.
+func refusalOf(t *testing.T, err error) *modeler.Refusal {
+	t.Helper()
+	var refusal *modeler.Refusal
+	if !errors.As(err, &refusal) {
+		t.Fatalf("error is %v, want a refusal", err)
+	}
+
+	return refusal
+}
+
+// executions counts how often a task or request was executed anywhere.
+func (c *cluster) executions(item string) int {
+	count := 0
+	for _, e := range c.endpoints {
+		e.mu.Lock()
+		count += e.executions[item]
+		e.mu.Unlock()
+	}
+
+	return count
+}
+
+// trio starts three entry instances and returns the owner.
+func (c *cluster) trio(ctx context.Context) *node {
+	for _, id := range []modeler.InstanceID{"a", "b", "c"} {
+		c.start(ctx, id)
+	}
+
+	return c.owner(3 * time.Second)
+}
+
+// TestTakeover_KeepsWork guards against work that is lost or run twice when
+// its owner dies, and against a takeover that takes longer than 5 s.
+func TestTakeover_KeepsWork(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T) {
+		c := newCluster(t, 4, 0)
+		first := c.trio(ctx)
+		if _, err := first.Submit(ctx, submission("j1", 20)); err != nil {
+			t.Fatal(err)
+		}
+		c.until(2*time.Second, "running tasks", func() bool { return states(first, "j1")[modeler.TaskRunning] == 16 })
+		c.kill(first)
+		second := c.owner(5 * time.Second)
+		for range 2 {
+			c.until(3*time.Second, "running tasks", func() bool { return states(second, "j1")[modeler.TaskRunning] > 0 })
+			c.finishAll()
+			time.Sleep(time.Second)
+		}
+		c.until(3*time.Second, "finished job", func() bool { return states(second, "j1")[modeler.TaskFinished] == 20 })
+		for i := range 20 {
+			if got := c.executions(string(modeler.TaskID("j1/" + itoa(i)))); got != 1 {
+				t.Errorf("task %d was executed %d times", i, got)
+			}
+		}
+		c.check()
+	})
+}
+
+// TestTakeover_UnreachableEndpoint guards against tasks that are started a
+// second time while an endpoint that nobody reaches still runs them.
+func TestTakeover_UnreachableEndpoint(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T) {
+		c := newCluster(t, 4, 0)
+		first := c.trio(ctx)
+		if _, err := first.Submit(ctx, submission("j1", 8)); err != nil {
+			t.Fatal(err)
+		}
+		c.until(2*time.Second, "running tasks", func() bool { return states(first, "j1")[modeler.TaskRunning] == 8 })
+		c.endpoints["worker-0"].setFaults(true, false)
+		c.kill(first)
+		second := c.owner(5 * time.Second)
+		if _, err := second.Submit(ctx, submission("j2", 1)); err != nil {
+			t.Fatal(err)
+		}
+		c.until(time.Second, "start of work accepted after the takeover", func() bool { return states(second, "j2")[modeler.TaskRunning] == 1 })
+		c.until(15*time.Second, "restart of the lost tasks", func() bool {
+			return c.executions("j1/0") == 2 && states(second, "j1")[modeler.TaskRunning] == 8
+		})
+		c.check()
+	})
+}
+
+// TestOwner_CutOff guards against an owner that goes on starting work after
+// another instance has taken over, and against starts on both sides.
+func TestOwner_CutOff(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T) {
+		c := newCluster(t, 4, 0)
+		first := c.trio(ctx)
+		if _, err := first.Submit(ctx, submission("j1", 24)); err != nil {
+			t.Fatal(err)
+		}
+		first.cutOff(true)
+		second := c.owner(5 * time.Second)
+		c.until(2*time.Second, "running tasks", func() bool { return states(second, "j1")[modeler.TaskRunning] == 16 })
+		first.cutOff(false)
+		time.Sleep(3 * time.Second)
+		if first.Ownership()[0].Owner != second.instance.ID || len(first.Loads()) != 0 {
+			t.Errorf("the old owner still holds the partition: %+v", first.Ownership())
+		}
+		c.finishAll()
+		time.Sleep(time.Second)
+		c.finishAll()
+		c.until(3*time.Second, "finished job", func() bool { return states(second, "j1")[modeler.TaskFinished] == 24 })
+		c.check()
+	})
+}
+
+// TestEndpoint_Silent guards against a restart before the task lease of a
+// silent endpoint has ended, and against a lease that is never given up
+// because lost answers keep it alive.
+func TestEndpoint_Silent(t *testing.T) {
+	for name, mute := range map[string]bool{"silent": false, "mute": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(ctx context.Context, t *testing.T) {
+				c := newCluster(t, 3, 0)
+				n := c.start(ctx, "a")
+				c.owner(3 * time.Second)
+				if _, err := n.Submit(ctx, submission("j1", 4)); err != nil {
+					t.Fatal(err)
+				}
+				c.until(time.Second, "running tasks", func() bool { return states(n, "j1")[modeler.TaskRunning] == 4 })
+				c.endpoints["worker-0"].setFaults(!mute, mute)
+				c.until(15*time.Second, "restart", func() bool {
+					return c.executions("j1/0") == 2 && states(n, "j1")[modeler.TaskRunning] == 4
+				})
+				c.endpoints["worker-0"].setFaults(false, false)
+				time.Sleep(3 * time.Second)
+				c.check()
+			})
+		})
+	}
+}
+
+// TestLog_Outage guards against work that stops with the log, against a false
+// "not run", and against a backlog that is lost.
+func TestLog_Outage(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T) {
+		c := newCluster(t, 2, 1)
+		n := c.start(ctx, "a")
+		c.owner(3 * time.Second)
+		if _, err := n.Submit(ctx, submission("j1", 10)); err != nil {
+			t.Fatal(err)
+		}
+		c.until(time.Second, "running tasks", func() bool { return states(n, "j1")[modeler.TaskRunning] == 8 })
+		c.log.set(true)
+		c.finishAll()
+		c.until(time.Second, "starts without the log", func() bool { return c.executions("j1/9") == 1 })
+		_, err := n.Submit(ctx, submission("j2", 1))
+		if got := refusalOf(t, err); got.Outcome != modeler.OutcomeNotRun || got.Code != modeler.CodeLogDown {
+			t.Errorf("submission during the outage: %v", got)
+		}
+		if _, err := n.Call(ctx, modeler.CallMsg{
+			Partition: "costa-1", Team: "humo", Service: "air", Request: "r1", Idempotent: true, Timeout: time.Second,
+		}); err != nil {
+			t.Errorf("idempotent call during the outage: %v", err)
+		}
+		time.Sleep(10 * time.Minute)
+		c.finishAll()
+		c.log.set(false)
+		c.until(3*time.Second, "finished job", func() bool { return states(n, "j1")[modeler.TaskFinished] == 10 })
+		if _, found := n.Job("humo", "j2"); found {
+			t.Error("a job that was refused as not run is in the log")
+		}
+		c.check()
+	})
+}
+
+// TestLog_LostAnswers guards against a batch that counts twice or not at all
+// when the log's answer was lost, and against a false outcome when the log
+// goes down with an append under way.
+func TestLog_LostAnswers(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T) {
+		c := newCluster(t, 2, 0)
+		n := c.start(ctx, "a")
+		c.owner(3 * time.Second)
+		c.log.mu.Lock()
+		c.log.lose = 3
+		c.log.mu.Unlock()
+		if _, err := n.Submit(ctx, submission("j1", 2)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		c.log.set(true)
+		_, err := n.Submit(ctx, submission("j2", 1))
+		got := refusalOf(t, err)
+		if got.Outcome != modeler.OutcomeUnknown || got.Code != modeler.CodeLostAnswer {
+			t.Errorf("submission whose append is open: %v", got)
+		}
+		c.log.set(false)
+		if again, err := n.Submit(ctx, submission("j2", 1)); err != nil || !again.Duplicate {
+			t.Errorf("repeated submission: %+v, %v", again, err)
+		}
+		c.until(time.Second, "running tasks", func() bool { return c.executions("j1/0")+c.executions("j1/1")+c.executions("j2/0") == 3 })
+		c.check()
+	})
+}
+
+// TestTakeover_WithoutLog guards against a partition without an owner when its
+// owner dies during a log outage.
+func TestTakeover_WithoutLog(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T) {
+		c := newCluster(t, 3, 0)
+		first := c.trio(ctx)
+		if _, err := first.Submit(ctx, submission("j1", 14)); err != nil {
+			t.Fatal(err)
+		}
+		c.until(time.Second, "running tasks", func() bool { return states(first, "j1")[modeler.TaskRunning] == 12 })
+		c.log.set(true)
+		c.kill(first)
+		second := c.owner(5 * time.Second)
+		c.finishAll()
+		c.until(3*time.Second, "starts without the log", func() bool { return c.executions("j1/12") == 1 && c.executions("j1/13") == 1 })
+		_, err := second.Submit(ctx, submission("j2", 1))
+		if got := refusalOf(t, err); got.Outcome != modeler.OutcomeNotRun {
+			t.Errorf("submission without the log: %v", got)
+		}
+		c.finishAll()
+		c.log.set(false)
+		c.until(5*time.Second, "finished job", func() bool { return states(second, "j1")[modeler.TaskFinished] == 14 })
+		if _, err := second.Submit(ctx, submission("j2", 1)); err != nil {
+			t.Errorf("submission after the outage: %v", err)
+		}
+		c.check()
+	})
+}
