Add stand-ins for the log, the list, endpoints and connections

Tests, demo and chaos runs need a platform that can fail on request. Each stand-in takes its failures through POST /control/...: outages, latency, answers lost after the effect, frozen and dying endpoints, cut, frozen and silent connections. Endpoints keep ledgers for verification outside the product.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -2,6 +2,47 @@
 // chaos and measuring runs that use them.
 package main
 
-import "fmt"
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() { fmt.Println("standin") }
+	"github.com/alexflint/go-arg"
+)
+
+// version is set by the linker.
+var version = "dev"
+
+type arguments struct {
+	Log     *logCommand     `arg:"subcommand:log" help:"stand in for the platform's log"`
+	List    *listCommand    `arg:"subcommand:list" help:"stand in for the platform's instance list"`
+	Workers *workersCommand `arg:"subcommand:workers" help:"stand in for workers or executors"`
+	Relay   *relayCommand   `arg:"subcommand:relay" help:"forward TCP connections and disturb them"`
+}
+
+// Version implements arg.Versioned.
+func (arguments) Version() string { return "standin " + version }
+
+// runner is a subcommand.
+type runner interface {
+	run(ctx context.Context) error
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	command, ok := parser.Subcommand().(runner)
+	if !ok {
+		parser.WriteHelp(os.Stderr)
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command.run(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/standin/lister/list_test.go
@@ -0,0 +1,24 @@
+package lister
+
+import (
+	"testing"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// Guards against a list that does not lag, which real ones do.
+func TestLag(t *testing.T) {
+	list := New(time.Second)
+	begin := time.Unix(0, 0)
+	list.Put(begin, modeler.Instance{ID: "a"})
+	list.Remove(begin.Add(time.Second), "a")
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 0}, {time.Second, 1}, {1900 * time.Millisecond, 1}, {2 * time.Second, 0}} {
+		if got := len(list.Instances(begin.Add(c.after))); got != c.want {
+			t.Errorf("after %s: %d instances, want %d", c.after, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/lister/server.go
@@ -0,0 +1,67 @@
+package lister
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/standin/injector"
+)
+
+// Settings is the body of POST /control/settings.
+type Settings struct {
+	Lag injector.Span `json:"lag"`
+}
+
+// Server serves a list by the protocol of section 4.2 of the design page.
+type Server struct {
+	list   *List
+	faults *injector.Injector
+	router chi.Router
+}
+
+// NewServer returns the HTTP handler of list. POST /control/instances adds or
+// replaces instances, DELETE /control/instances/{id} removes one, POST
+// /control/settings sets the lag and POST /control/faults switches failures.
+func NewServer(list *List) *Server {
+	s := &Server{list: list, faults: injector.New(), router: chi.NewRouter()}
+	s.router.Post("/control/faults", s.faults.ServeHTTP)
+	s.router.Post("/control/settings", s.settings)
+	s.router.Post("/control/instances", s.put)
+	s.router.Delete("/control/instances/{id}", s.remove)
+	s.router.With(s.faults.Wrap).Get("/v1/instances", s.instances)
+
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+func (s *Server) settings(w http.ResponseWriter, r *http.Request) {
+	var settings Settings
+	if err := injector.Decode(w, r, &settings); err != nil {
+		return
+	}
+	s.list.SetLag(time.Duration(settings.Lag))
+	injector.Encode(w, struct{}{})
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	var instances []modeler.Instance
+	if err := injector.Decode(w, r, &instances); err != nil {
+		return
+	}
+	s.list.Put(time.Now(), instances...)
+	injector.Encode(w, struct{}{})
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	s.list.Remove(time.Now(), modeler.InstanceID(chi.URLParam(r, "id")))
+	injector.Encode(w, struct{}{})
+}
+
+func (s *Server) instances(w http.ResponseWriter, _ *http.Request) {
+	injector.Encode(w, s.list.Instances(time.Now()))
+}
--- /dev/null
+++ b/internal/standin/relayer/relay.go
@@ -0,0 +1,104 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/standin/injector"
+)
+
+// AddRequest is the body of POST /control/routes.
+type AddRequest struct {
+	Name string `json:"name"`
+	// Listen is the address to listen on; its port may be 0.
+	Listen netip.AddrPort `json:"listen"`
+	Target netip.AddrPort `json:"target"`
+}
+
+// AddReply answers an AddRequest.
+type AddReply struct {
+	Address netip.AddrPort `json:"address"`
+}
+
+// Relay holds named routes.
+type Relay struct {
+	mu     sync.Mutex
+	routes map[string]*Route
+}
+
+// New returns a relay without routes.
+func New() *Relay { return &Relay{routes: make(map[string]*Route)} }
+
+// Add starts a route.
+func (r *Relay) Add(ctx context.Context, msg AddRequest) (netip.AddrPort, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.routes[msg.Name] != nil {
+		return netip.AddrPort{}, errors.Errorf("route %q exists", msg.Name)
+	}
+	route, err := Listen(ctx, msg.Listen, msg.Target)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	r.routes[msg.Name] = route
+
+	return route.Address(), nil
+}
+
+// Set changes the settings of a route.
+func (r *Relay) Set(name string, settings Settings) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	route := r.routes[name]
+	if route == nil {
+		return errors.Errorf("no route %q", name)
+	}
+
+	return route.Set(settings)
+}
+
+// Close ends every route.
+func (r *Relay) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, route := range r.routes {
+		route.Close()
+	}
+}
+
+// Router serves the control of the relay: POST /control/routes with an
+// AddRequest, and POST /control/routes/{name} with Settings.
+func (r *Relay) Router() http.Handler {
+	router := chi.NewRouter()
+	router.Post("/control/routes", func(w http.ResponseWriter, req *http.Request) {
+		var msg AddRequest
+		if err := injector.Decode(w, req, &msg); err != nil {
+			return
+		}
+		address, err := r.Add(req.Context(), msg)
+		answer(w, AddReply{Address: address}, err)
+	})
+	router.Post("/control/routes/{name}", func(w http.ResponseWriter, req *http.Request) {
+		var settings Settings
+		if err := injector.Decode(w, req, &settings); err != nil {
+			return
+		}
+		answer(w, struct{}{}, r.Set(chi.URLParam(req, "name"), settings))
+	})
+
+	return router
+}
+
+func answer(w http.ResponseWriter, reply any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+
+		return
+	}
+	injector.Encode(w, reply)
+}
--- /dev/null
+++ b/internal/standin/relayer/route_test.go
@@ -0,0 +1,93 @@
+package relayer
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+func echoRoute(t *testing.T) *Route {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	route, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort(listener.Addr().String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		route.Close()
+		_ = listener.Close()
+	})
+
+	return route
+}
+
+// echoes reports whether a byte comes back.
+func echoes(c net.Conn) bool {
+	_ = c.SetDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := c.Write([]byte("x")); err != nil {
+		return false
+	}
+	n, _ := c.Read(make([]byte, 1))
+
+	return n == 1
+}
+
+func dial(t *testing.T, route *Route) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", route.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+
+	return c
+}
+
+// Guards against a disturbance that is not there, which would make a chaos run
+// prove nothing.
+func TestModes(t *testing.T) {
+	route := echoRoute(t)
+	for _, c := range []struct {
+		mode             Mode
+		open, fresh, own bool
+	}{
+		{ModePass, true, true, true},
+		{ModeSilence, false, true, false},
+		{ModeFreeze, false, false, true},
+		{ModeCut, false, false, false},
+	} {
+		open := dial(t, route)
+		if !echoes(open) {
+			t.Fatalf("%q: route does not forward before the mode is set", c.mode)
+		}
+		if err := route.Set(Settings{Mode: c.mode}); err != nil {
+			t.Fatal(err)
+		}
+		if got := echoes(open); got != c.open {
+			t.Errorf("%q: open connection echoes: %v, want %v", c.mode, got, c.open)
+		}
+		if got := echoes(dial(t, route)); got != c.fresh {
+			t.Errorf("%q: new connection echoes: %v, want %v", c.mode, got, c.fresh)
+		}
+		if err := route.Set(Settings{}); err != nil {
+			t.Fatal(err)
+		}
+		if got := echoes(open); got != c.own {
+			t.Errorf("%q: open connection echoes after the mode: %v, want %v", c.mode, got, c.own)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/worker/worker_test.go
@@ -0,0 +1,225 @@
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/platform/connector"
+	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
+	"gitlab.com/greengagewall/greengagewall/internal/standin/injector"
+)
+
+type nowhere struct{}
+
+func (nowhere) Put(context.Context, ...modeler.Instance) error   { return nil }
+func (nowhere) Remove(context.Context, modeler.InstanceID) error { return nil }
+
+func newEndpoint(capacity modeler.Resources) *Endpoint {
+	e := NewEndpoint(modeler.Instance{ID: "e"}, capacity, Settings{}, &Ledger{}, newStore())
+	e.Up()
+
+	return e
+}
+
+var (
+	first  = modeler.NewTerm(1, 0)
+	second = modeler.NewTerm(2, 0)
+	core   = modeler.Resources{Millis: 1000}
+)
+
+func hello(t *testing.T, e *Endpoint, term modeler.Term) modeler.SessionID {
+	t.Helper()
+	reply, err := e.Hello(messenger.HelloRequest{Term: term, Owner: modeler.InstanceID(term.String())})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return reply.Session
+}
+
+func start(term modeler.Term, session modeler.SessionID, id string, command ...string) messenger.StartRequest {
+	return messenger.StartRequest{Term: term, Session: session, Task: messenger.Task{
+		ID: modeler.TaskID(id), Attempt: 1, Needs: core, Command: command,
+	}}
+}
+
+func want(t *testing.T, what string, got, want error) {
+	t.Helper()
+	if !errors.Is(got, want) {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+func count(e *Endpoint) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return len(e.tasks)
+}
+
+func kinds(e *Endpoint) []Kind {
+	events := e.ledger.Events(0)
+	kinds := make([]Kind, len(events))
+	for i, event := range events {
+		kinds[i] = event.Kind
+	}
+
+	return kinds
+}
+
+// Guards against an endpoint that obeys an owner whose term or session is over.
+func TestTermsAndSessions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEndpoint(core)
+		old := hello(t, e, first)
+		want(t, "start", e.Start(start(first, old, "a", "run", "10s")), nil)
+		want(t, "repeated start", e.Start(start(first, old, "a", "run", "10s")), nil)
+		want(t, "start over capacity", e.Start(start(first, old, "b")), messenger.ErrCapacity)
+		time.Sleep(sessionLapse + time.Millisecond)
+		want(t, "start in a lapsed session", e.Start(start(first, old, "b")), messenger.ErrSession)
+		_, err := e.Renew(messenger.RenewRequest{Term: first, Session: old})
+		want(t, "renewal of a lapsed session", err, messenger.ErrSession)
+		session := hello(t, e, second)
+		_, err = e.Hello(messenger.HelloRequest{Term: first, Owner: "1.0"})
+		want(t, "hello with a lower term", err, messenger.ErrTerm)
+		want(t, "stop with a lower term", e.Stop(messenger.TaskRequest{Term: first, Session: old, Task: "a"}), messenger.ErrTerm)
+		want(t, "stop", e.Stop(messenger.TaskRequest{Term: second, Session: session, Task: "a"}), nil)
+		want(t, "start of an ended attempt", e.Start(start(second, session, "a")), nil)
+		if diff := cmp.Diff([]Kind{KindUp, KindHello, KindStart, KindHello, KindEnd}, kinds(e)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// Guards against work that outlives its task lease, and against a finish that
+// is not repeated until it is acknowledged.
+func TestLeaseAndFinishes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEndpoint(core)
+		session := hello(t, e, first)
+		want(t, "start", e.Start(start(first, session, "a", "serve")), nil)
+		for range 9 {
+			time.Sleep(time.Second)
+			if _, err := e.Renew(messenger.RenewRequest{Term: first, Session: session}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if n := count(e); n != 1 {
+			t.Fatalf("%d tasks run while the lease is renewed, want 1", n)
+		}
+		time.Sleep(taskLease - time.Millisecond)
+		if n := count(e); n != 1 {
+			t.Fatalf("%d tasks run at the end of the lease, want 1", n)
+		}
+		time.Sleep(2 * time.Millisecond)
+		if n := count(e); n != 0 {
+			t.Fatalf("%d tasks run after the lease, want 0", n)
+		}
+		session = hello(t, e, second)
+		for _, n := range []int{1, 1, 0} {
+			msg := messenger.RenewRequest{Term: second, Session: session}
+			if n == 0 {
+				msg.Acknowledged = []modeler.TaskID{"a"}
+			}
+			reply, err := e.Renew(msg)
+			if err != nil || len(reply.Finished) != n {
+				t.Errorf("got %d finishes and error %v, want %d", len(reply.Finished), err, n)
+			}
+		}
+	})
+}
+
+// Guards against a call that runs after its request was voided, and against a
+// void that denies a call that ran.
+func TestCallsAndVoids(t *testing.T) {
+	host := NewHost(Spec{
+		Kind: modeler.KindExecutor, Count: 1, Zone: "z", Address: netip.MustParseAddr("127.0.0.1"),
+		Capacity: modeler.Resources{Slots: 1}, Settings: Settings{Service: 20 * time.Millisecond},
+	}, nowhere{})
+	if err := host.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	defer host.Close()
+	instance := host.Instances()[0]
+	client := connector.NewDialer().Endpoint(instance)
+	greeting, err := client.Hello(t.Context(), messenger.HelloRequest{Term: first, Owner: "o"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	msg := messenger.CallRequest{
+		Term: first, Session: greeting.Session, Request: "r", Team: "t", Service: "s", Body: []byte("body"),
+	}
+	reply, err := client.Call(t.Context(), msg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var echo Echo
+	if err := json.Unmarshal(reply.Answer, &echo); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(Echo{Service: "s", Team: "t", Request: "r", Body: []byte("body"), Endpoint: instance.ID}, echo); diff != "" {
+		t.Error(diff)
+	}
+	void, err := client.Void(t.Context(), messenger.VoidRequest{Term: first, Team: "t", Request: "r"})
+	if err != nil || !void.Ran || string(void.Answer) != string(reply.Answer) {
+		t.Errorf("void after the call: got %+v, %v", void, err)
+	}
+	void, err = client.Void(t.Context(), messenger.VoidRequest{Term: first, Team: "t", Request: "v"})
+	if err != nil || void.Ran || void.Running {
+		t.Errorf("void before the call: got %+v, %v", void, err)
+	}
+	msg.Request = "v"
+	_, err = client.Call(t.Context(), msg)
+	want(t, "call after the void", err, messenger.ErrVoided)
+}
+
+// Guards against lost answers that take no effect, and against a host that
+// keeps state across a crash of an endpoint.
+func TestLostAnswersAndCrash(t *testing.T) {
+	host := NewHost(Spec{
+		Kind: modeler.KindWorker, Count: 1, Zone: "z", Address: netip.MustParseAddr("127.0.0.1"), Capacity: core,
+	}, nowhere{})
+	if err := host.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	defer host.Close()
+	instance := host.Instances()[0]
+	client := connector.NewDialer().Endpoint(instance)
+	greeting, err := client.Hello(t.Context(), messenger.HelloRequest{Term: first, Owner: "o"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	host.served[instance.ID].faults.Set(injector.Faults{Lose: 1})
+	err = client.Start(t.Context(), start(first, greeting.Session, "a", "serve"))
+	if err == nil || errors.Is(err, messenger.ErrUnsent) {
+		t.Errorf("start whose answer was lost: got %v, want an error that leaves the outcome open", err)
+	}
+	control := httptest.NewServer(host.Router())
+	defer control.Close()
+	for _, action := range []string{"die", "revive"} {
+		resp, err := http.Post(control.URL+"/control/endpoints/"+string(instance.ID)+"/"+action, "", nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("%s: %v, %v", action, resp, err)
+		}
+		_ = resp.Body.Close()
+	}
+	greeting, err = client.Hello(t.Context(), messenger.HelloRequest{Term: first, Owner: "o"})
+	if err != nil || len(greeting.Tasks) != 0 {
+		t.Errorf("hello after the crash: got %+v, %v", greeting, err)
+	}
+	e := host.served[instance.ID].endpoint
+	wanted := []Kind{KindUp, KindHello, KindStart, KindEnd, KindDown, KindUp, KindHello}
+	if diff := cmp.Diff(wanted, kinds(e)); diff != "" {
+		t.Error(diff)
+	}
+}
