Add the first version of the decision core

Cause: the partition owner needs a core that decides which task starts where. Change: ledger of resources with a segment tree over free amounts, weighted dominant-resource shares with upper limits, and a scheduler that handles every message: classes, limits, first fit, atomic all-at-once jobs, quarantine, attempts and notes. EndedMsg gets an Attempt, so that a repeated report of an earlier start is ignored.

--- /dev/null
+++ b/internal/core/scheduler/choose.go
@@ -0,0 +1,136 @@
+package scheduler
+
+import (
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/core/accountant"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// sized returns what an endpoint is charged for a task of j.
+func (s *Scheduler) sized(j *job) modeler.Resources { return j.Needs }
+
+// choose returns the position for the next task of j, or -1 if none has room.
+func (s *Scheduler) choose(j *job, by scorer, now time.Time) int {
+	needs := s.sized(j)
+	if s.isUnfit(needs) {
+		return -1
+	}
+	if s.settings.Choice == ChoiceTwo {
+		if at := s.chooseOfTwo(j, needs); at >= 0 {
+			return at
+		}
+	}
+	search := search{by: by, needs: needs, avoid: j.tasks[j.waiting[0]].avoid, best: -1, fallback: -1}
+	from := 0
+	if by.scattered() && s.settings.Choice == ChoiceScored {
+		from = s.random.IntN(max(s.ledger.Positions(), 1))
+	}
+	s.scan(&search, j, from, s.ledger.Positions(), now)
+	if search.seen < s.settings.Candidates {
+		s.scan(&search, j, 0, from, now)
+	}
+	if search.best < 0 {
+		search.best = search.fallback
+	}
+	if search.best < 0 && !search.refused {
+		s.unfit = append(s.unfit, needs)
+	}
+
+	return search.best
+}
+
+// search is the state of a search for an endpoint.
+type search struct {
+	by    scorer
+	needs modeler.Resources
+	// avoid is the endpoint where the task failed last; it becomes fallback
+	// if it has room.
+	avoid, fallback int
+	best, seen      int
+	least           float64
+	// refused is set if a reservation kept an endpoint from the task.
+	refused bool
+}
+
+// scan compares endpoints with room at positions from up to below to.
+func (s *Scheduler) scan(c *search, j *job, from, to int, now time.Time) {
+	for at := s.ledger.Next(from, c.needs); at >= 0 && at < to; at = s.ledger.Next(at+1, c.needs) {
+		if !s.permitted(j, at, now) {
+			c.refused = true
+
+			continue
+		}
+		if at == c.avoid {
+			c.fallback = at
+
+			continue
+		}
+		score := c.by.score(s.ledger.Node(at), c.needs)
+		if c.best < 0 || score < c.least {
+			c.best, c.least = at, score
+		}
+		if c.seen++; c.seen >= s.settings.Candidates {
+			return
+		}
+	}
+}
+
+// chooseOfTwo returns the emptier of two endpoints with room, each found from
+// a random position, or -1.
+func (s *Scheduler) chooseOfTwo(j *job, needs modeler.Resources) int {
+	best := -1
+	var least float64
+	for range 2 {
+		at := s.ledger.Next(s.random.IntN(max(s.ledger.Positions(), 1)), needs)
+		if at < 0 || at == j.tasks[j.waiting[0]].avoid {
+			continue
+		}
+		if score := (spread{}).score(s.ledger.Node(at), needs); best < 0 || score < least {
+			best, least = at, score
+		}
+	}
+
+	return best
+}
+
+// isUnfit reports whether needs are known to fit nowhere. The list of what did
+// not fit holds until something is released.
+func (s *Scheduler) isUnfit(needs modeler.Resources) bool {
+	if s.unfitRelease != s.ledger.Releases() {
+		s.unfit, s.unfitRelease = s.unfit[:0], s.ledger.Releases()
+	}
+	if !s.ledger.MayFit(needs) {
+		return true
+	}
+	for _, known := range s.unfit {
+		if known.Fits(needs) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// fits reports whether one task of j fits an endpoint at all.
+func (s *Scheduler) fits(j *job) bool { return s.ledger.FitsEmpty(j.Needs) }
+
+// capacityFor counts how many tasks of j all endpoints would hold if empty.
+func (s *Scheduler) capacityFor(j *job) int {
+	best, sum := 0, 0
+	for _, rack := range s.ledger.Racks() {
+		inRack := 0
+		for _, at := range rack.Members {
+			inRack += accountant.Copies(j.Needs, s.ledger.Node(at).Capacity)
+		}
+		best, sum = max(best, inRack), sum+inRack
+		if best >= j.Tasks || (!j.SameRack && sum >= j.Tasks) {
+			return j.Tasks
+		}
+	}
+	if j.SameRack {
+		return best
+	}
+
+	return sum
+}
--- /dev/null
+++ b/internal/core/scheduler/job.go
@@ -0,0 +1,132 @@
+package scheduler
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/core/sharer"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// TaskName returns the id of the task with the given index, from 0, of a job.
+func TaskName(job modeler.JobID, index int) modeler.TaskID {
+	return modeler.TaskID(string(job) + "/" + strconv.Itoa(index))
+}
+
+// ParseTask splits a task id into the job and the task's index.
+func ParseTask(id modeler.TaskID) (modeler.JobID, int, bool) {
+	cut := strings.LastIndexByte(string(id), '/')
+	if cut < 0 {
+		return "", 0, false
+	}
+	index, err := strconv.Atoi(string(id[cut+1:]))
+	if err != nil || index < 0 {
+		return "", 0, false
+	}
+
+	return modeler.JobID(id[:cut]), index, true
+}
+
+// task is the state of one task of a job.
+type task struct {
+	state modeler.TaskState
+	// starts counts the starts, including those that were refunded.
+	starts int
+	// used counts the starts that count against the job's attempts.
+	used int
+	// at is the position of the endpoint; slot is the task's place in the
+	// list of tasks there.
+	at, slot int
+	charged  modeler.Resources
+	queued   time.Time
+	started  time.Time
+	// avoid is the position of the endpoint of the last failed start, or -1.
+	avoid int
+	// progress is the run time that checkpoints have kept.
+	progress time.Duration
+	// stopped is when the task was told to stop; stage counts how far the
+	// order has been escalated.
+	stopped time.Time
+	stage   stage
+}
+
+// stage is how far the preemption of a task has gone.
+type stage int
+
+const (
+	stageNone stage = iota
+	stageCheckpoint
+	stageThrottle
+	stageStop
+)
+
+// job is the state of an accepted job that is not final.
+type job struct {
+	modeler.Job
+	// seq orders jobs by arrival.
+	seq   uint64
+	team  *sharer.Team
+	line  *line
+	queue *history
+	kind  policy
+	tasks []task
+	// waiting lists the indexes of the queued tasks, next one first.
+	waiting   []int
+	running   int
+	live      int
+	band      band
+	cancelled bool
+	// cause is the last one that the team was told.
+	cause string
+	// blocked is since when the job has been waiting for room, zero if not.
+	blocked time.Time
+	// reserved is the reservation held for the job.
+	reserved *reservation
+}
+
+// ref identifies a task.
+type ref struct {
+	job   *job
+	index int
+}
+
+// task returns the task that r identifies.
+func (r ref) task() *task { return &r.job.tasks[r.index] }
+
+// attempts returns how often a task of the job may be started.
+func (j *job) attempts() int {
+	if j.Once {
+		return 1
+	}
+	if j.Attempts > 0 {
+		return j.Attempts
+	}
+
+	return defaultAttempts
+}
+
+// width returns how many tasks must be placed together.
+func (j *job) width() int {
+	if j.Kind == modeler.WorkAllAtOnce {
+		return len(j.waiting)
+	}
+
+	return 1
+}
+
+// before orders the jobs of a team within a band.
+func (j *job) before(o *job) bool {
+	if a, b := j.Kind == modeler.WorkService, o.Kind == modeler.WorkService; a != b {
+		return a
+	}
+	if !j.Deadline.Equal(o.Deadline) {
+		if j.Deadline.IsZero() || o.Deadline.IsZero() {
+			return o.Deadline.IsZero()
+		}
+
+		return j.Deadline.Before(o.Deadline)
+	}
+
+	return j.seq < o.seq
+}
--- /dev/null
+++ b/internal/core/scheduler/line.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import (
+	"container/heap"
+
+	"github.com/google/btree"
+
+	"gitlab.com/greengagewall/greengagewall/internal/core/sharer"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// band is the urgency that work is served by; lower bands are served first.
+type band int
+
+const (
+	bandUrgent band = iota
+	// bandDanger is work whose deadline is in danger.
+	bandDanger
+	bandStandard
+	bandDeferred
+	bands
+)
+
+// treeDegree keeps a node of a waiting line within a few cache lines.
+const treeDegree = 16
+
+// line is the waiting work of one team.
+type line struct {
+	team  *sharer.Team
+	order int
+	jobs  [bands]*btree.BTreeG[*job]
+	// least is a lower bound of the needs of the jobs in each band.
+	least [bands]modeler.Resources
+	// present is set while the line is in the scheduler's list of the band.
+	present [bands]bool
+	// asked limits the rate at which more of the upper limit is asked for.
+	asked stamp
+}
+
+func newLine(team *sharer.Team, order int, less func(a, b *job) bool) *line {
+	l := &line{team: team, order: order}
+	for b := range l.jobs {
+		l.jobs[b] = btree.NewG(treeDegree, less)
+	}
+
+	return l
+}
+
+// add queues a job in its band.
+func (l *line) add(j *job) {
+	tree := l.jobs[j.band]
+	if tree.Len() == 0 {
+		l.least[j.band] = j.Needs
+	} else {
+		l.least[j.band] = l.least[j.band].Min(j.Needs)
+	}
+	tree.ReplaceOrInsert(j)
+}
+
+// remove takes a job out of its band.
+func (l *line) remove(j *job) { l.jobs[j.band].Delete(j) }
+
+// head returns up to limit jobs of a band in order of service.
+func (l *line) head(b band, limit int, into []*job) []*job {
+	l.jobs[b].Ascend(func(j *job) bool {
+		into = append(into, j)
+
+		return len(into) < limit
+	})
+
+	return into
+}
+
+// contender is a line that takes part in a pass over a band.
+type contender struct {
+	line *line
+	// jobs are those that the pass looks at, from the first untried one.
+	jobs []*job
+	key  float64
+}
+
+// contest is a heap of contenders, the next to serve first.
+type contest []*contender
+
+func (c contest) Len() int { return len(c) }
+
+func (c contest) Less(i, j int) bool {
+	if c[i].key != c[j].key {
+		return c[i].key < c[j].key
+	}
+
+	return c[i].line.order < c[j].line.order
+}
+
+func (c contest) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+
+// Push implements heap.Interface.
+func (c *contest) Push(x any) { *c = append(*c, x.(*contender)) }
+
+// Pop implements heap.Interface.
+func (c *contest) Pop() any {
+	last := (*c)[len(*c)-1]
+	*c = (*c)[:len(*c)-1]
+
+	return last
+}
+
+// settle restores the order after the key of the first contender changed.
+func (c *contest) settle() { heap.Fix(c, 0) }
+
+// drop removes the first contender.
+func (c *contest) drop() { heap.Pop(c) }
--- a/internal/core/scheduler/messages.go
+++ b/internal/core/scheduler/messages.go
@@ -59,6 +59,9 @@
 // EndedMsg tells that a started task no longer runs.
 type EndedMsg struct {
 	Task modeler.TaskID
+	// Attempt is the start that ended; zero means the present one. The end of
+	// an earlier start is ignored, since endpoints repeat their reports.
+	Attempt int
 	// Result is what became of the task.
 	Result Result
 	Cause  string
--- /dev/null
+++ b/internal/core/scheduler/settings.go
@@ -0,0 +1,106 @@
+package scheduler
+
+import "time"
+
+// Order says which team is served next within a band of urgency.
+type Order int
+
+// The orders of service.
+const (
+	// OrderShare serves the team with the lowest weighted dominant share.
+	OrderShare Order = iota
+	// OrderArrival serves jobs as they came, whatever their team.
+	OrderArrival
+)
+
+// Choice says which of the endpoints with room gets a task.
+type Choice int
+
+// The ways to choose an endpoint.
+const (
+	// ChoiceFirst takes the first endpoint with room.
+	ChoiceFirst Choice = iota
+	// ChoiceScored compares several endpoints with room by the task's policy.
+	ChoiceScored
+	// ChoiceTwo takes the emptier of two random endpoints with room.
+	ChoiceTwo
+)
+
+// Settings selects the parts of the decision core, so that measurements can
+// compare whole policies in one run.
+type Settings struct {
+	Order  Order
+	Choice Choice
+	// Bands serves work by class, and work whose deadline is in danger before
+	// other work of its class.
+	Bands bool
+	// Reserve holds capacity for jobs that wait for room.
+	Reserve bool
+	// Preempt makes room for urgent work by preempting batch work.
+	Preempt bool
+	// Reclaim makes room for teams below their share by preempting batch work
+	// of teams above theirs.
+	Reclaim bool
+	// Deadlines orders batch work by deadline and raises work in danger.
+	Deadlines bool
+	// Quarantine closes workers that fail every task.
+	Quarantine bool
+	// Scan bounds the jobs of one team that a pass looks at.
+	Scan int
+	// Candidates bounds the endpoints compared for one task.
+	Candidates int
+	// Seed seeds the random choice of endpoints.
+	Seed uint64
+}
+
+// Full returns the settings of the product.
+func Full() Settings {
+	return Settings{
+		Order: OrderShare, Choice: ChoiceScored, Bands: true, Reserve: true, Preempt: true, Reclaim: true,
+		Deadlines: true, Quarantine: true, Scan: 16, Candidates: 8, Seed: 1,
+	}
+}
+
+// Previous returns the first simple version of the core: classes, limits and
+// shares with first fit, and nothing that looks ahead or preempts.
+func Previous() Settings {
+	return Settings{Order: OrderShare, Choice: ChoiceFirst, Bands: true, Scan: 16, Candidates: 1, Seed: 1}
+}
+
+// FirstCome returns the baseline that serves jobs as they came by first fit.
+func FirstCome() Settings {
+	return Settings{Order: OrderArrival, Choice: ChoiceFirst, Scan: 16, Candidates: 1, Seed: 1}
+}
+
+// RandomOfTwo returns the baseline that serves jobs as they came and takes the
+// emptier of two random endpoints.
+func RandomOfTwo() Settings {
+	return Settings{Order: OrderArrival, Choice: ChoiceTwo, Scan: 16, Candidates: 2, Seed: 1}
+}
+
+// PlainFair returns the baseline that serves the team with the lowest share,
+// without classes, reservations or preemption.
+func PlainFair() Settings {
+	return Settings{Order: OrderShare, Choice: ChoiceFirst, Scan: 16, Candidates: 1, Seed: 1}
+}
+
+// Option changes the settings of a scheduler.
+type Option func(*Settings)
+
+// WithSettings replaces all settings.
+func WithSettings(settings Settings) Option {
+	return func(s *Settings) { *s = settings }
+}
+
+// WithSeed seeds the random choices.
+func WithSeed(seed uint64) Option {
+	return func(s *Settings) { s.Seed = seed }
+}
+
+const (
+	// defaultAttempts bounds the starts of a task whose job gives no bound.
+	defaultAttempts = 3
+	// tickEvery is the time between periodic reviews of shares, deadlines,
+	// reservations and preemptions.
+	tickEvery = time.Second
+)
