Add the HTTP API, dispatcher, forwarder and gossiper of entry instances

Cause: callers and other entry instances had no way in.

Change: add the router, authenticator, admitter and dispatcher, the gRPC forwarder with connections that fail after 2 s of silence, and the gossiper, which keeps the membership and pulls newer configurations.

Result: go test -race of the six packages passes.

--- /dev/null
+++ b/internal/entry/authenticator/authenticator.go
@@ -0,0 +1,150 @@
+// Package authenticator finds the team of a bearer key in the configuration in
+// force.
+package authenticator
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+const (
+	// Stale is the age of the last confirmation of the configuration from
+	// which on keys are refused, so that a withdrawn key stops working.
+	Stale = 5 * time.Second
+	// shortest and longest bound the length of a key in bytes.
+	shortest = 8
+	longest  = 512
+)
+
+// Freshness tells whether the configuration in force is the newest.
+type Freshness interface {
+	// Fresh returns the time since the configuration was confirmed.
+	Fresh(now time.Time) (age time.Duration, ok bool)
+	// Majority reports contact with a majority of the listed entry instances.
+	Majority(now time.Time) bool
+}
+
+// Authenticator checks keys. It is safe for concurrent use.
+type Authenticator struct {
+	config    modeler.Configuration
+	freshness Freshness
+	now       func() time.Time
+	cache     atomic.Pointer[index]
+}
+
+// index holds the decoded digests of one configuration.
+type index struct {
+	offset modeler.Offset
+	keys   []key
+}
+
+type key struct {
+	digest    [sha256.Size]byte
+	team      modeler.TeamID
+	withdrawn bool
+}
+
+// New returns an Authenticator.
+func New(config modeler.Configuration, freshness Freshness) *Authenticator {
+	return &Authenticator{config: config, freshness: freshness, now: time.Now}
+}
+
+// Team returns the team of the Authorization header's bearer key (RFC 6750).
+// Errors are of type *modeler.Refusal.
+func (a *Authenticator) Team(header string) (modeler.TeamID, error) {
+	secret, err := parse(header)
+	if err != nil {
+		return "", err
+	}
+	doc, offset, ok := a.config.InForce()
+	if !ok {
+		return "", modeler.NotRun(modeler.CodeStaleConfig, time.Second, "this instance has no configuration yet")
+	}
+	if err := a.fresh(); err != nil {
+		return "", err
+	}
+
+	return a.index(doc, offset).find(sha256.Sum256([]byte(secret)))
+}
+
+// parse returns the key in header.
+func parse(header string) (string, error) {
+	scheme, secret, ok := strings.Cut(header, " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return "", modeler.NotRun(modeler.CodeBadKey, 0, "header Authorization must be \"Bearer <key>\"")
+	}
+	if len(secret) < shortest || len(secret) > longest {
+		return "", modeler.NotRun(modeler.CodeBadKey, 0, "a key has %d to %d characters, not %d", shortest, longest, len(secret))
+	}
+	for _, r := range secret {
+		if r <= ' ' || r > '~' {
+			return "", modeler.NotRun(modeler.CodeBadKey, 0, "a key has printable ASCII characters only")
+		}
+	}
+
+	return secret, nil
+}
+
+// fresh refuses when the configuration was not confirmed recently. Contact with
+// a majority of the entry instances is enough, because an outage of the log
+// that all of them see also keeps operators from publishing.
+func (a *Authenticator) fresh() error {
+	now := a.now()
+	age, ok := a.freshness.Fresh(now)
+	if ok && age < Stale || a.freshness.Majority(now) {
+		return nil
+	}
+	if !ok {
+		return modeler.NotRun(modeler.CodeStaleConfig, time.Second, "the configuration was never confirmed by the log")
+	}
+
+	return modeler.NotRun(modeler.CodeStaleConfig, time.Second,
+		"the configuration was confirmed by the log %s ago; keys are accepted up to %s", age.Round(time.Millisecond), Stale)
+}
+
+func (a *Authenticator) index(doc modeler.Document, offset modeler.Offset) *index {
+	if cached := a.cache.Load(); cached != nil && cached.offset == offset {
+		return cached
+	}
+	made := &index{offset: offset}
+	for _, team := range doc.Teams {
+		for _, k := range team.Keys {
+			entry := key{team: team.Name, withdrawn: k.Withdrawn}
+			digest, err := hex.DecodeString(k.Digest)
+			if err != nil || copy(entry.digest[:], digest) != sha256.Size || len(digest) != sha256.Size {
+				continue
+			}
+			made.keys = append(made.keys, entry)
+		}
+	}
+	a.cache.Store(made)
+
+	return made
+}
+
+// find compares digest with every key, so that the time taken does not depend
+// on which one matches. A digest that is withdrawn anywhere is refused.
+func (i *index) find(digest [sha256.Size]byte) (modeler.TeamID, error) {
+	var team modeler.TeamID
+	var found, withdrawn bool
+	for n := range i.keys {
+		if subtle.ConstantTimeCompare(i.keys[n].digest[:], digest[:]) == 1 {
+			team, found = i.keys[n].team, true
+			withdrawn = withdrawn || i.keys[n].withdrawn
+		}
+	}
+	switch {
+	case !found:
+		return "", modeler.NotRun(modeler.CodeUnknownKey, 0, "the key belongs to no team")
+	case withdrawn:
+		return "", modeler.NotRun(modeler.CodeWithdrawnKey, 0, "the key of team %s was withdrawn", team)
+	}
+
+	return team, nil
+}
--- /dev/null
+++ b/internal/entry/router/access.go
@@ -0,0 +1,86 @@
+package router
+
+import (
+	"net/http"
+	"slices"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// noConfiguration refuses while this instance has no configuration.
+func noConfiguration() error {
+	return modeler.NotRun(modeler.CodeStaleConfig, pollInterval, "this instance has no configuration yet")
+}
+
+// queue returns the configuration and the queue named name.
+func (r *Router) queue(name modeler.QueueID) (modeler.Document, modeler.Queue, error) {
+	doc, _, ok := r.config.InForce()
+	if !ok {
+		return doc, modeler.Queue{}, noConfiguration()
+	}
+	for _, q := range doc.Queues {
+		if q.Name == name {
+			return doc, q, nil
+		}
+	}
+
+	return doc, modeler.Queue{}, modeler.NotRun(modeler.CodeUnknownQueue, 0, "no queue %q", name)
+}
+
+// team returns the team that a command on queue is charged to: the key's, or
+// the queue's own if the queue is open and there is no key. A key that does
+// not work is refused even on an open queue.
+func (r *Router) team(req *http.Request, queue modeler.Queue) (modeler.TeamID, error) {
+	header := req.Header.Get("Authorization")
+	if header == "" && queue.Open {
+		return queue.Team, nil
+	}
+	team, err := r.authenticator.Team(header)
+	if err != nil {
+		return "", err
+	}
+	if !admits(queue, team) {
+		return "", modeler.NotRun(modeler.CodeWrongTeam, 0, "queue %s does not admit team %s", queue.Name, team)
+	}
+
+	return team, nil
+}
+
+// admits reports whether queue takes work of team.
+func admits(queue modeler.Queue, team modeler.TeamID) bool {
+	return len(queue.Teams) == 0 || slices.Contains(queue.Teams, team) || queue.Open && queue.Team == team
+}
+
+// readers returns the teams whose items a query may see: the key's, or those
+// of open queues if there is no key. Items of open queues are found by whoever
+// knows their id.
+func (r *Router) readers(req *http.Request) (teams []modeler.TeamID, anonymous bool, err error) {
+	if header := req.Header.Get("Authorization"); header != "" {
+		team, err := r.authenticator.Team(header)
+
+		return []modeler.TeamID{team}, false, err
+	}
+	doc, _, ok := r.config.InForce()
+	if !ok {
+		return nil, true, noConfiguration()
+	}
+	for _, q := range doc.Queues {
+		if q.Open && !slices.Contains(teams, q.Team) {
+			teams = append(teams, q.Team)
+		}
+	}
+	if len(teams) == 0 {
+		_, err := r.authenticator.Team("")
+
+		return nil, true, err
+	}
+
+	return teams, true, nil
+}
+
+// isOpen reports whether queue takes work without a key.
+func (r *Router) isOpen(name modeler.QueueID) bool {
+	_, queue, err := r.queue(name)
+
+	return err == nil && queue.Open
+}
--- /dev/null
+++ b/internal/entry/router/commands.go
@@ -0,0 +1,254 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/entry/admitter"
+	"gitlab.com/greengagewall/greengagewall/internal/entry/dispatcher"
+)
+
+const (
+	// defaultAttempts bounds the starts of a task on a queue that sets no bound.
+	defaultAttempts = 3
+	mediaOctets     = "application/octet-stream"
+)
+
+// submit serves POST /v1/jobs.
+func (r *Router) submit(w http.ResponseWriter, req *http.Request) {
+	job, err := r.readJob(w, req)
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	ticket, err := r.admitter.Admit(admitter.Request{Team: job.Team, Class: job.Class, Timeout: submitTimeout})
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	ctx, cancel := context.WithTimeout(req.Context(), submitTimeout)
+	defer cancel()
+	reply, err := r.dispatcher.Submit(ctx, job)
+	ticket.Done(asRefusal(err))
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	w.Header().Set(HeaderKey, job.Request)
+	w.Header().Set("Location", "/v1/jobs/"+string(reply.Job))
+	status := http.StatusCreated
+	if reply.Duplicate {
+		status = http.StatusOK
+	}
+	r.answer(w, status, reply)
+}
+
+// readJob decodes and checks a job and fills in what its queue decides.
+func (r *Router) readJob(w http.ResponseWriter, req *http.Request) (modeler.Job, error) {
+	var body JobRequest
+	if err := decode(w, req, &body); err != nil {
+		return modeler.Job{}, err
+	}
+	if err := body.check(r.now()); err != nil {
+		return modeler.Job{}, err
+	}
+	key, err := requestKey(req, false)
+	if err != nil {
+		return modeler.Job{}, err
+	}
+	doc, queue, err := r.queue(body.Queue)
+	if err != nil {
+		return modeler.Job{}, err
+	}
+	team, err := r.team(req, queue)
+	if err != nil {
+		return modeler.Job{}, err
+	}
+	job := r.makeJob(body, queue, team, key)
+	if known, ok := r.queries.Job(team, job.ID); ok {
+		return job, sameWork(known.Job, job)
+	}
+	if err := checkLimit(doc, job); err != nil {
+		return modeler.Job{}, err
+	}
+
+	return job, r.dispatcher.CheckFit(job)
+}
+
+func (r *Router) makeJob(body JobRequest, queue modeler.Queue, team modeler.TeamID, key string) modeler.Job {
+	job := modeler.Job{
+		ID: dispatcher.JobID(team, key), Team: team, Queue: queue.Name, Request: key,
+		Kind: queue.Kind, Class: queue.Class, Tasks: max(body.Tasks, 1), Needs: body.Needs,
+		Runtime: time.Duration(body.Runtime), Deadline: body.Deadline, Once: body.Once,
+		Attempts: queue.Attempts, SameRack: body.Rack, Command: body.Command, Accepted: r.now(),
+	}
+	if job.Attempts == 0 {
+		job.Attempts = defaultAttempts
+	}
+	if body.Attempts > 0 {
+		job.Attempts = min(job.Attempts, body.Attempts)
+	}
+	if job.Deadline.IsZero() && queue.Within > 0 {
+		job.Deadline = job.Accepted.Add(queue.Within)
+	}
+
+	return job
+}
+
+// sameWork refuses a request key that was used for another job, because the
+// caller would be told that its job was accepted.
+func sameWork(known, job modeler.Job) error {
+	if known.Queue == job.Queue && known.Tasks == job.Tasks && known.Needs == job.Needs &&
+		known.Once == job.Once && slices.Equal(known.Command, job.Command) {
+		return nil
+	}
+
+	return modeler.NotRun(modeler.CodeConflict, 0, "request key %q was used for another job, %s", job.Request, known.ID)
+}
+
+// checkLimit refuses a job of which the team's upper limit never lets a task,
+// or for an all-at-once job every task together, run.
+func checkLimit(doc modeler.Document, job modeler.Job) error {
+	needs := job.Needs
+	if job.Kind == modeler.WorkAllAtOnce {
+		needs = needs.Scale(int64(job.Tasks))
+	}
+	for _, team := range doc.Teams {
+		if team.Name == job.Team && !needs.Fits(team.Limit) {
+			return modeler.NotRun(modeler.CodeOverLimit, 0,
+				"%s at once is above the upper limit of team %s, %s", needs, team.Name, team.Limit)
+		}
+	}
+
+	return nil
+}
+
+// cancel serves DELETE /v1/jobs/{id}.
+func (r *Router) cancel(w http.ResponseWriter, req *http.Request) {
+	team, err := r.authenticator.Team(req.Header.Get("Authorization"))
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	// Cancellations come in bursts and must not be shed before the work that
+	// they end; they count as the most urgent class.
+	ticket, err := r.admitter.Admit(admitter.Request{Team: team, Class: modeler.ClassUrgent, Timeout: submitTimeout})
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	ctx, cancel := context.WithTimeout(req.Context(), submitTimeout)
+	defer cancel()
+	err = r.dispatcher.Cancel(ctx, team, modeler.JobID(chi.URLParam(req, "id")))
+	ticket.Done(asRefusal(err))
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// call serves POST /v1/services/{service}/calls. The body is opaque and goes to
+// the executor; its answer is returned as it is.
+func (r *Router) call(w http.ResponseWriter, req *http.Request) {
+	msg, err := r.readCall(w, req)
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	w.Header().Set(HeaderKey, string(msg.Request))
+	ticket, err := r.admitter.Admit(admitter.Request{Lane: msg.Service, Team: msg.Team, Class: msg.Class, Timeout: msg.Timeout})
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	ctx, cancel := context.WithTimeout(req.Context(), msg.Timeout)
+	defer cancel()
+	reply, err := r.dispatcher.Call(ctx, msg)
+	ticket.Done(asRefusal(err))
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	w.Header().Set("Content-Type", mediaOctets)
+	w.Header().Set(HeaderEndpoint, string(reply.Endpoint))
+	if reply.Duplicate {
+		w.Header().Set(HeaderDuplicate, "true")
+	}
+	if _, err := w.Write(reply.Answer); err != nil {
+		r.logger.Debug("caller is gone", "error", err)
+	}
+}
+
+// readCall checks a call and fills in what its service decides.
+func (r *Router) readCall(w http.ResponseWriter, req *http.Request) (modeler.CallMsg, error) {
+	doc, _, ok := r.config.InForce()
+	if !ok {
+		return modeler.CallMsg{}, noConfiguration()
+	}
+	name := chi.URLParam(req, "service")
+	at := slices.IndexFunc(doc.Services, func(s modeler.Service) bool { return s.Name == name })
+	if at < 0 {
+		return modeler.CallMsg{}, modeler.NotRun(modeler.CodeUnknownItem, 0, "no service %q", name)
+	}
+	service := doc.Services[at]
+	_, queue, err := r.queue(service.Queue)
+	if err != nil {
+		return modeler.CallMsg{}, err
+	}
+	team, err := r.team(req, queue)
+	if err != nil {
+		return modeler.CallMsg{}, err
+	}
+	key, err := requestKey(req, !service.Idempotent)
+	if err != nil {
+		return modeler.CallMsg{}, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, bodyLimit))
+	if err != nil {
+		return modeler.CallMsg{}, bodyError(err)
+	}
+	timeout := service.Timeout
+	if timeout <= 0 {
+		timeout = callTimeout
+	}
+
+	return modeler.CallMsg{
+		Team: team, Queue: queue.Name, Service: name, Class: queue.Class, Request: modeler.RequestID(key),
+		Idempotent: service.Idempotent, Body: body, Timeout: timeout,
+	}, nil
+}
+
+// publish serves PUT /v1/config.
+func (r *Router) publish(w http.ResponseWriter, req *http.Request) {
+	var body ConfigRequest
+	if err := decode(w, req, &body); err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	ctx, cancel := context.WithTimeout(req.Context(), submitTimeout)
+	defer cancel()
+	offset, err := r.publisher.Publish(ctx, body.Parent, body.Document)
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	r.answer(w, http.StatusOK, ConfigReply{Offset: offset})
+}
--- /dev/null
+++ b/internal/entry/router/queries.go
@@ -0,0 +1,259 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// followLag is how long a query for an unknown job waits for this instance to
+// read the job from its partition's stream: a caller that asks another instance
+// right after its submission must not be told that the job does not exist.
+const followLag = 500 * time.Millisecond
+
+// RequestReply answers GET /v1/requests/{id}.
+type RequestReply struct {
+	modeler.ResolveReply
+	Records []modeler.Record `json:"records,omitempty"`
+}
+
+// OffsetReply is an entry of the answer to GET /v1/config/offsets.
+type OffsetReply struct {
+	Instance modeler.InstanceID `json:"instance"`
+	// Offset is the offset in force, -1 before the first one.
+	Offset modeler.Offset `json:"offset"`
+	// Heard is the time of the last heartbeat; it is absent for the instance
+	// that answers.
+	Heard time.Time `json:"heard,omitzero"`
+}
+
+// StateReply answers GET /v1/state.
+type StateReply struct {
+	Instance  modeler.Instance    `json:"instance"`
+	Ready     bool                `json:"ready"`
+	Draining  bool                `json:"draining"`
+	Config    modeler.Offset      `json:"config"`
+	Ownership []modeler.Ownership `json:"ownership"`
+	// Loads describes the partitions that this instance owns.
+	Loads []modeler.Load `json:"loads"`
+	Peers []modeler.Peer `json:"peers"`
+	// Endpoints counts the listed workers and executors.
+	Endpoints int `json:"endpoints"`
+}
+
+// job serves GET /v1/jobs/{id}[?wait=10s].
+func (r *Router) job(w http.ResponseWriter, req *http.Request) {
+	teams, anonymous, err := r.readers(req)
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	wait, err := waitOf(req)
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	id := modeler.JobID(chi.URLParam(req, "id"))
+	status, ok := r.await(req.Context(), wait, func() (modeler.JobStatus, bool) {
+		for _, team := range teams {
+			status, ok := r.queries.Job(team, id)
+			if ok && (!anonymous || r.isOpen(status.Job.Queue)) {
+				return status, true
+			}
+		}
+
+		return modeler.JobStatus{}, false
+	})
+	if !ok {
+		r.problem(w, modeler.NotRun(modeler.CodeUnknownItem, 0, "no job %q", id))
+
+		return
+	}
+	r.answer(w, http.StatusOK, status)
+}
+
+// waitOf returns the parameter wait.
+func waitOf(req *http.Request) (time.Duration, error) {
+	text := req.URL.Query().Get("wait")
+	if text == "" {
+		return 0, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > longestWait {
+		return 0, modeler.NotRun(modeler.CodeBadRequest, 0, "wait is %q; it must be a duration up to %s", text, longestWait)
+	}
+
+	return wait, nil
+}
+
+// await looks for a job until it is final, wait has passed or the caller is
+// gone.
+func (r *Router) await(ctx context.Context, wait time.Duration, look func() (modeler.JobStatus, bool)) (modeler.JobStatus, bool) {
+	ctx, cancel := context.WithTimeout(ctx, max(wait, followLag))
+	defer cancel()
+	started := time.Now()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		status, ok := look()
+		if ok && (status.Final || time.Since(started) >= wait) {
+			return status, true
+		}
+		select {
+		case <-ctx.Done():
+			return look()
+		case <-ticker.C:
+		}
+	}
+}
+
+// records serves GET /v1/jobs/{id}/records and /v1/requests/{id}/records.
+func (r *Router) records(w http.ResponseWriter, req *http.Request) {
+	teams, anonymous, err := r.readers(req)
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	id := chi.URLParam(req, "id")
+	for _, team := range teams {
+		if records := r.queries.Records(team, id); len(records) > 0 && (!anonymous || r.isOpen(records[0].Queue)) {
+			r.answer(w, http.StatusOK, records)
+
+			return
+		}
+	}
+	r.problem(w, modeler.NotRun(modeler.CodeUnknownItem, 0, "no records of %q", id))
+}
+
+// resolve serves GET /v1/requests/{id}. It asks the owner, which may void the
+// request, so it needs the key of the team.
+func (r *Router) resolve(w http.ResponseWriter, req *http.Request) {
+	teams, anonymous, err := r.readers(req)
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	id := chi.URLParam(req, "id")
+	team := teams[0]
+	if anonymous {
+		var ok bool
+		if team, ok = r.openRequest(teams, id); !ok {
+			r.problem(w, modeler.NotRun(modeler.CodeUnknownItem, 0, "no request %q on an open queue", id))
+
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(req.Context(), submitTimeout)
+	defer cancel()
+	reply, err := r.dispatcher.Resolve(ctx, team, modeler.RequestID(id))
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	r.answer(w, http.StatusOK, RequestReply{ResolveReply: reply, Records: r.queries.Records(team, id)})
+}
+
+// openRequest returns the team of a request on an open queue.
+func (r *Router) openRequest(teams []modeler.TeamID, id string) (modeler.TeamID, bool) {
+	for _, team := range teams {
+		if records := r.queries.Records(team, id); len(records) > 0 && r.isOpen(records[0].Queue) {
+			return team, true
+		}
+	}
+
+	return "", false
+}
+
+// export serves GET /v1/records.
+func (r *Router) export(w http.ResponseWriter, req *http.Request) {
+	team, err := r.authenticator.Team(req.Header.Get("Authorization"))
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	r.answer(w, http.StatusOK, r.queries.Export(team))
+}
+
+// configuration serves GET /v1/config.
+func (r *Router) configuration(w http.ResponseWriter, _ *http.Request) {
+	doc, offset, ok := r.config.InForce()
+	if !ok {
+		r.problem(w, noConfiguration())
+
+		return
+	}
+	r.answer(w, http.StatusOK, ConfigReply{Offset: offset, Document: &doc})
+}
+
+// offsets serves GET /v1/config/offsets.
+func (r *Router) offsets(w http.ResponseWriter, _ *http.Request) {
+	peers := r.membership.Peers()
+	replies := make([]OffsetReply, 0, 1+len(peers))
+	replies = append(replies, OffsetReply{Instance: r.self.ID, Offset: r.offset()})
+	for _, peer := range peers {
+		offset := peer.Config
+		if peer.Heard.IsZero() {
+			offset = -1
+		}
+		replies = append(replies, OffsetReply{Instance: peer.Instance.ID, Offset: offset, Heard: peer.Heard})
+	}
+	r.answer(w, http.StatusOK, replies)
+}
+
+func (r *Router) offset() modeler.Offset {
+	if _, offset, ok := r.config.InForce(); ok {
+		return offset
+	}
+
+	return -1
+}
+
+// state serves GET /v1/state.
+func (r *Router) state(w http.ResponseWriter, _ *http.Request) {
+	r.answer(w, http.StatusOK, StateReply{
+		Instance: r.self, Ready: r.unready() == "", Draining: r.draining(), Config: r.offset(),
+		Ownership: r.queries.Ownership(), Loads: r.queries.Loads(),
+		Peers: r.membership.Peers(), Endpoints: len(r.membership.Endpoints()),
+	})
+}
+
+// healthz serves GET /healthz: the process serves requests.
+func (r *Router) healthz(w http.ResponseWriter, _ *http.Request) {
+	r.answer(w, http.StatusOK, map[string]string{"status": "ok"})
+}
+
+// readyz serves GET /readyz: the load balancer may send requests here.
+func (r *Router) readyz(w http.ResponseWriter, _ *http.Request) {
+	if reason := r.unready(); reason != "" {
+		r.answer(w, http.StatusServiceUnavailable, map[string]string{"status": "not ready", "reason": reason})
+
+		return
+	}
+	r.answer(w, http.StatusOK, map[string]string{"status": "ready"})
+}
+
+// unready returns why this instance is not ready; empty if it is.
+func (r *Router) unready() string {
+	var reasons []string
+	if r.draining() {
+		reasons = append(reasons, "draining")
+	}
+	if _, _, ok := r.config.InForce(); !ok {
+		reasons = append(reasons, "no configuration")
+	} else if !r.dispatcher.Owned() {
+		reasons = append(reasons, "a partition has no known owner")
+	}
+
+	return strings.Join(reasons, ", ")
+}
--- /dev/null
+++ b/internal/entry/router/router_test.go
@@ -0,0 +1,249 @@
+package router
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/entry/admitter"
+	"gitlab.com/greengagewall/greengagewall/internal/entry/authenticator"
+	"gitlab.com/greengagewall/greengagewall/internal/entry/dispatcher"
+)
+
+// world implements every interface that the router and the dispatcher need; it
+// owns all partitions.
+type world struct {
+	modeler.Commands
+	doc       modeler.Document
+	loads     []modeler.Load
+	submitted []modeler.Job
+	called    []modeler.CallMsg
+	status    modeler.JobStatus
+	known     bool
+	stale     bool
+}
+
+func digest(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+
+	return hex.EncodeToString(sum[:])
+}
+
+func newWorld() *world {
+	large := modeler.Resources{Millis: 16_000, Memory: 64 << 30}
+
+	return &world{
+		doc: modeler.Document{
+			Partitions: []modeler.Partition{{Name: "costa-1", Region: "costa"}, {Name: "sierra-1", Region: "sierra"}},
+			Teams: []modeler.Team{
+				{Name: "apchf", Limit: large.Scale(10), Keys: []modeler.Key{
+					{Digest: digest("apchf-secret")}, {Digest: digest("apchf-old-key"), Withdrawn: true},
+				}},
+				{Name: "visitors", Limit: large},
+			},
+			Queues: []modeler.Queue{
+				{Name: "forecasts", Kind: modeler.WorkBatch, Class: modeler.ClassUrgent, Within: time.Minute},
+				{Name: "gangs", Kind: modeler.WorkAllAtOnce, Class: modeler.ClassStandard},
+				{Name: "lookups", Kind: modeler.WorkService, Class: modeler.ClassUrgent, Open: true, Team: "visitors"},
+				{Name: "private", Kind: modeler.WorkBatch, Class: modeler.ClassDeferred, Teams: []modeler.TeamID{"other"}},
+			},
+			Services: []modeler.Service{
+				{Name: "quality", Queue: "lookups", Idempotent: true}, {Name: "recall", Queue: "forecasts"},
+			},
+		},
+		loads: []modeler.Load{
+			{Partition: "costa-1", Term: 256, Ready: true, Largest: large, Capacity: large.Scale(4), Services: map[string]int64{"": 8}},
+			{Partition: "sierra-1", Term: 256, Ready: true, Largest: large, Capacity: large.Scale(4), Services: map[string]int64{"": 8}},
+		},
+	}
+}
+
+func (w *world) InForce() (modeler.Document, modeler.Offset, bool) { return w.doc, 7, true }
+func (w *world) Fresh(time.Time) (time.Duration, bool)             { return time.Second, !w.stale }
+func (w *world) Majority(time.Time) bool                           { return false }
+func (w *world) Peers() []modeler.Peer                             { return nil }
+func (w *world) Endpoints() []modeler.Instance                     { return nil }
+func (w *world) Loads() []modeler.Load                             { return w.loads }
+func (w *world) Ownership() []modeler.Ownership                    { return nil }
+func (w *world) Records(modeler.TeamID, string) []modeler.Record   { return nil }
+func (w *world) To(modeler.InstanceID) (modeler.Commands, bool)    { return w, true }
+func (w *world) Export(modeler.TeamID) map[modeler.PartitionID][]modeler.Record {
+	return map[modeler.PartitionID][]modeler.Record{}
+}
+
+func (w *world) Job(team modeler.TeamID, job modeler.JobID) (modeler.JobStatus, bool) {
+	return w.status, w.known && w.status.Job.Team == team && w.status.Job.ID == job
+}
+
+func (w *world) Submit(_ context.Context, msg modeler.SubmitMsg) (modeler.SubmitReply, error) {
+	w.submitted = append(w.submitted, msg.Job)
+
+	return modeler.SubmitReply{Job: msg.Job.ID, Head: "00"}, nil
+}
+
+func (w *world) Call(_ context.Context, msg modeler.CallMsg) (modeler.CallReply, error) {
+	w.called = append(w.called, msg)
+
+	return modeler.CallReply{Request: msg.Request, Answer: append([]byte("answer to "), msg.Body...), Endpoint: "x1"}, nil
+}
+
+func (w *world) Publish(_ context.Context, parent modeler.Offset, _ modeler.Document) (modeler.Offset, error) {
+	if parent != 7 {
+		return 0, modeler.NotRun(modeler.CodeConflict, 0, "offset 7 is in force, not %d", parent)
+	}
+
+	return 8, nil
+}
+
+func (w *world) router() *Router {
+	return New(
+		WithQueries(w), WithMembership(w), WithConfiguration(w), WithPublisher(w),
+		WithAuthenticator(authenticator.New(w, w)), WithAdmitter(admitter.New()),
+		WithDispatcher(dispatcher.New(dispatcher.WithOwners(w), dispatcher.WithMembership(w),
+			dispatcher.WithQueries(w), dispatcher.WithConfiguration(w), dispatcher.WithBudget(admitter.NewBudget()))),
+		WithClock(func() time.Time { return time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC) }),
+	)
+}
+
+// send makes a request; line is "METHOD path" and headers alternate names and
+// values.
+func (w *world) send(line, body string, headers ...string) *httptest.ResponseRecorder {
+	method, path, _ := strings.Cut(line, " ")
+	req := httptest.NewRequest(method, path, strings.NewReader(body))
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	recorder := httptest.NewRecorder()
+	w.router().ServeHTTP(recorder, req)
+
+	return recorder
+}
+
+const (
+	goodKey = "Bearer apchf-secret"
+	oneTask = `{"queue":"forecasts","needs":{"millis":1000,"memory":1024}}`
+)
+
+// TestRouter_Refusals guards against bad input that is accepted, answered with
+// the wrong code, or refused with an outcome other than "not run".
+func TestRouter_Refusals(t *testing.T) {
+	cases := []struct{ name, line, key, body string }{
+		{"malformed key", "POST /v1/jobs", "Basic xyz", oneTask},
+		{"missing key", "POST /v1/jobs", "", oneTask},
+		{"short key", "POST /v1/jobs", "Bearer abc", oneTask},
+		{"unknown key", "POST /v1/jobs", "Bearer nobody-has-this", oneTask},
+		{"withdrawn key", "POST /v1/jobs", "Bearer apchf-old-key", oneTask},
+		{"withdrawn key on an open queue", "POST /v1/services/quality/calls", "Bearer apchf-old-key", ""},
+		{"queue of another team", "POST /v1/jobs", goodKey, `{"queue":"private","needs":{"millis":1}}`},
+		{"unknown queue", "POST /v1/jobs", goodKey, `{"queue":"nowhere","needs":{"millis":1}}`},
+		{"unknown field", "POST /v1/jobs", goodKey, `{"queue":"forecasts","cpu":1}`},
+		{"two values", "POST /v1/jobs", goodKey, oneTask + "{}"},
+		{"no needs", "POST /v1/jobs", goodKey, `{"queue":"forecasts"}`},
+		{"past deadline", "POST /v1/jobs", goodKey, `{"queue":"forecasts","needs":{"millis":1},"deadline":"2026-12-31T23:00:00Z"}`},
+		{"task larger than any endpoint", "POST /v1/jobs", goodKey, `{"queue":"forecasts","needs":{"millis":16001}}`},
+		{"all-at-once job that never fits", "POST /v1/jobs", goodKey, `{"queue":"gangs","tasks":5,"needs":{"millis":16000}}`},
+		{"all-at-once job above the limit", "POST /v1/jobs", goodKey, `{"queue":"gangs","tasks":11,"needs":{"millis":16000}}`},
+		{"product beyond 64 bits", "POST /v1/jobs", goodKey, `{"queue":"gangs","tasks":9000,"needs":{"memory":9007199254740992}}`},
+		{"too many tasks", "POST /v1/jobs", goodKey, `{"queue":"forecasts","tasks":10001,"needs":{"millis":1}}`},
+		{"body over the limit", "POST /v1/jobs", goodKey, `{"queue":"` + strings.Repeat("x", bodyLimit) + `"}`},
+		{"call body over the limit", "POST /v1/services/quality/calls", goodKey, strings.Repeat("x", bodyLimit+1)},
+		{"non-idempotent call without a key", "POST /v1/services/recall/calls", goodKey, "lot 7"},
+		{"unknown service", "POST /v1/services/none/calls", goodKey, ""},
+		{"unknown job", "GET /v1/jobs/j-1", goodKey, ""},
+		{"bad wait", "GET /v1/jobs/j-1?wait=soon", goodKey, ""},
+		{"wrong parent", "PUT /v1/config", "", `{"parent":6,"document":{}}`},
+		{"wrong method", "PATCH /v1/jobs", goodKey, ""},
+		{"unknown path", "GET /v2/jobs", goodKey, ""},
+	}
+	var out strings.Builder
+	for _, c := range cases {
+		w := newWorld()
+		got := w.send(c.line, c.body, "Authorization", c.key)
+		fmt.Fprintf(&out, "%s: %s", c.name, got.Body)
+		if len(w.submitted)+len(w.called) > 0 {
+			t.Errorf("%s: work was dispatched", c.name)
+		}
+		if mediaType := got.Header().Get("Content-Type"); mediaType != ProblemType {
+			t.Errorf("%s: media type %q", c.name, mediaType)
+		}
+	}
+	goldie.New(t).Assert(t, "refusals", []byte(out.String()))
+}
+
+// TestRouter_StaleConfiguration guards against accepting keys that may have
+// been withdrawn, and against refusing open queues for that reason.
+func TestRouter_StaleConfiguration(t *testing.T) {
+	w := newWorld()
+	w.stale = true
+	if got := w.send("POST /v1/jobs", oneTask, "Authorization", goodKey); got.Code != http.StatusServiceUnavailable {
+		t.Errorf("job with a key: status %d", got.Code)
+	}
+	if got := w.send("POST /v1/services/quality/calls", "lima"); got.Code != http.StatusOK || got.Body.String() != "answer to lima" {
+		t.Errorf("open call: status %d, body %q", got.Code, got.Body)
+	}
+	if team := w.called[0].Team; team != "visitors" {
+		t.Errorf("open call is charged to %q", team)
+	}
+}
+
+// TestRouter_Submit guards against a job that loses what its queue decides or
+// that gets a new id when it is submitted again.
+func TestRouter_Submit(t *testing.T) {
+	w := newWorld()
+	for range 2 {
+		got := w.send("POST /v1/jobs", oneTask, "Authorization", goodKey, HeaderKey, "run-1")
+		if got.Code != http.StatusCreated {
+			t.Fatalf("status %d: %s", got.Code, got.Body)
+		}
+	}
+	job := w.submitted[0]
+	if w.submitted[1].ID != job.ID {
+		t.Errorf("ids %s and %s of one request key", job.ID, w.submitted[1].ID)
+	}
+	if job.Class != modeler.ClassUrgent || job.Attempts != defaultAttempts || !job.Deadline.Equal(job.Accepted.Add(time.Minute)) {
+		t.Errorf("queue defaults are missing: %+v", job)
+	}
+	w.known, w.status = true, modeler.JobStatus{Job: job, Partition: "costa-1", Final: true}
+	other := `{"queue":"forecasts","needs":{"millis":2000}}`
+	if got := w.send("POST /v1/jobs", other, "Authorization", goodKey, HeaderKey, "run-1"); got.Code != http.StatusConflict {
+		t.Errorf("other job under the same key: status %d", got.Code)
+	}
+	got := w.send("GET /v1/jobs/"+string(job.ID)+"?wait=5s", "", "Authorization", goodKey)
+	var status modeler.JobStatus
+	if err := json.Unmarshal(got.Body.Bytes(), &status); err != nil || !status.Final {
+		t.Errorf("status %s, error %v", got.Body, err)
+	}
+	if got := w.send("GET /v1/jobs/"+string(job.ID), ""); got.Code != http.StatusNotFound {
+		t.Errorf("job of a team was shown without its key: status %d", got.Code)
+	}
+}
+
+// TestRouter_Ready guards against traffic to an instance that cannot route it.
+func TestRouter_Ready(t *testing.T) {
+	w := newWorld()
+	if got := w.send("GET /readyz", ""); got.Code != http.StatusOK {
+		t.Errorf("status %d: %s", got.Code, got.Body)
+	}
+	w.loads = w.loads[:1]
+	if got := w.send("GET /readyz", ""); got.Code != http.StatusServiceUnavailable {
+		t.Errorf("without an owner: status %d", got.Code)
+	}
+	for _, path := range []string{"/healthz", "/debug/vars", "/v1/state", "/v1/config", "/v1/config/offsets"} {
+		if got := w.send("GET "+path, ""); got.Code != http.StatusOK {
+			t.Errorf("%s: status %d", path, got.Code)
+		}
+	}
+	if got := w.send("PUT /v1/config", `{"parent":7,"document":{"cell":"humo-andino"}}`); got.Code != http.StatusOK {
+		t.Errorf("publish: status %d: %s", got.Code, got.Body)
+	}
+}
--- /dev/null
+++ b/internal/peer/forwarder/forwarder_test.go
@@ -0,0 +1,225 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// owner answers commands as the test says.
+type owner struct {
+	modeler.Commands
+	submit atomic.Value // of type submit
+	taken  modeler.PartitionID
+}
+
+type submit func(ctx context.Context, msg modeler.SubmitMsg) (modeler.SubmitReply, error)
+
+func answering(s submit) *owner {
+	o := &owner{}
+	o.submit.Store(s)
+
+	return o
+}
+
+func (o *owner) Submit(ctx context.Context, msg modeler.SubmitMsg) (modeler.SubmitReply, error) {
+	return o.submit.Load().(submit)(ctx, msg)
+}
+
+func (o *owner) TakeOver(_ context.Context, partition modeler.PartitionID) error {
+	o.taken = partition
+
+	return nil
+}
+
+type directory netip.AddrPort
+
+func (d directory) Address(modeler.InstanceID) (netip.AddrPort, bool) { return netip.AddrPort(d), true }
+
+// serve starts a server for commands and returns its address.
+func serve(t *testing.T, commands modeler.Commands) (*Server, netip.AddrPort) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(commands, nil)
+	go func() { _ = server.Run(listener) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		server.Stop(ctx)
+		<-server.Done()
+	})
+
+	return server, listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func connect(t *testing.T, address netip.AddrPort) modeler.Commands {
+	t.Helper()
+	pool := NewPool()
+	t.Cleanup(pool.Close)
+	commands, ok := New(WithPool(pool), WithDirectory(directory(address))).To("owner")
+	if !ok {
+		t.Fatal("no commands")
+	}
+
+	return commands
+}
+
+// TestForward_RoundTrip guards against fields lost in the encoding of commands,
+// answers and refusals.
+func TestForward_RoundTrip(t *testing.T) {
+	sent := modeler.SubmitMsg{Partition: "costa-1", Config: 9, Job: modeler.Job{
+		ID: "j-1", Tasks: 3, Needs: modeler.Resources{Millis: 5}, Runtime: time.Minute,
+		Deadline: time.Unix(1_800_000_000, 5), Command: []string{"a", "b"},
+	}}
+	refusal := modeler.NotRun(modeler.CodeQueueFull, time.Second, "queue is full")
+	o := answering(func(_ context.Context, msg modeler.SubmitMsg) (modeler.SubmitReply, error) {
+		if diff := cmp.Diff(sent, msg); diff != "" {
+			t.Error(diff)
+		}
+
+		return modeler.SubmitReply{Job: "j-1", Head: "ff"}, nil
+	})
+	_, address := serve(t, o)
+	commands := connect(t, address)
+	reply, err := commands.Submit(context.Background(), sent)
+	if err != nil || reply.Head != "ff" {
+		t.Errorf("got %v, %v", reply, err)
+	}
+	o.submit.Store(submit(func(context.Context, modeler.SubmitMsg) (modeler.SubmitReply, error) {
+		return modeler.SubmitReply{}, refusal
+	}))
+	_, err = commands.Submit(context.Background(), sent)
+	if diff := cmp.Diff(error(refusal), err); diff != "" {
+		t.Error(diff)
+	}
+	if err := commands.TakeOver(context.Background(), "sierra-1"); err != nil || o.taken != "sierra-1" {
+		t.Errorf("take over: %v, %q", err, o.taken)
+	}
+}
+
+// TestForward_Outcome guards against "not run" for a command that reached its
+// owner, and against "unknown" for one that certainly did not.
+func TestForward_Outcome(t *testing.T) {
+	var server *Server
+	o := &owner{}
+	server, address := serve(t, o)
+	commands := connect(t, address)
+	outcome := func(name string, want modeler.Outcome, timeout time.Duration) {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		_, err := commands.Submit(ctx, modeler.SubmitMsg{Partition: "costa-1"})
+		refusal := new(modeler.Refusal)
+		if !errors.As(err, &refusal) || refusal.Outcome != want {
+			t.Errorf("%s: got %v, want outcome %q", name, err, want)
+		}
+	}
+	o.submit.Store(submit(func(ctx context.Context, _ modeler.SubmitMsg) (modeler.SubmitReply, error) {
+		<-ctx.Done()
+
+		return modeler.SubmitReply{}, modeler.NotRun(modeler.CodeInternal, 0, "too late to be heard")
+	}))
+	outcome("deadline", modeler.OutcomeUnknown, 100*time.Millisecond)
+	o.submit.Store(submit(func(context.Context, modeler.SubmitMsg) (modeler.SubmitReply, error) {
+		go server.grpc.Stop()
+		time.Sleep(200 * time.Millisecond)
+
+		return modeler.SubmitReply{}, nil
+	}))
+	outcome("connection lost", modeler.OutcomeUnknown, 5*time.Second)
+	outcome("connection refused", modeler.OutcomeNotRun, 5*time.Second)
+}
+
+// TestPool_SilentConnection guards against a command that hangs on a connection
+// which accepts data and never answers, and against never dialling again.
+func TestPool_SilentConnection(t *testing.T) {
+	o := answering(func(context.Context, modeler.SubmitMsg) (modeler.SubmitReply, error) {
+		return modeler.SubmitReply{Job: "j-1"}, nil
+	})
+	_, backend := serve(t, o)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go relay(listener, backend.String())
+	commands := connect(t, listener.Addr().(*net.TCPAddr).AddrPort())
+	submit := func() (time.Duration, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+		defer cancel()
+		started := time.Now()
+		_, err := commands.Submit(ctx, modeler.SubmitMsg{})
+
+		return time.Since(started), err
+	}
+	took, err := submit()
+	refusal := new(modeler.Refusal)
+	if !errors.As(err, &refusal) || refusal.Outcome != modeler.OutcomeUnknown || took > Silence+time.Second {
+		t.Errorf("silent connection: %v after %s", err, took)
+	}
+	if _, err := submit(); err != nil {
+		t.Errorf("after dialling again: %v", err)
+	}
+}
+
+// relay passes connections on; the first falls silent when the client has sent
+// more than its preface of a few dozen bytes.
+func relay(listener net.Listener, backend string) {
+	for first := true; ; first = false {
+		client, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp", backend)
+		if err != nil {
+			return
+		}
+		quiet := make(chan struct{})
+		go func() {
+			buffer := make([]byte, 1<<16)
+			for total := 0; ; {
+				n, err := client.Read(buffer)
+				if err != nil {
+					_ = server.Close()
+
+					return
+				}
+				if total += n; first && total > 100 {
+					select {
+					case <-quiet:
+					default:
+						close(quiet)
+					}
+
+					continue
+				}
+				_, _ = server.Write(buffer[:n])
+			}
+		}()
+		go func() {
+			buffer := make([]byte, 1<<16)
+			for {
+				n, err := server.Read(buffer)
+				if err != nil {
+					return
+				}
+				select {
+				case <-quiet:
+				default:
+					_, _ = client.Write(buffer[:n])
+				}
+			}
+		}()
+	}
+}
