Add the follower of the configuration stream

Cause: instances need the document in force, and operators a publication whose outcome is certain, although the log loses answers and old records.

Change: fold of the stream by the parent rule with rules for a reader that starts at the oldest retained record; publication with read-back; repetition before expiry; freshness.

--- /dev/null
+++ b/internal/config/follower/options.go
@@ -0,0 +1,57 @@
+package follower
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
+)
+
+// Option changes a setting of a Follower.
+type Option func(*Follower)
+
+// WithLog sets the platform's log. It is required.
+func WithLog(log messenger.Log) Option { return func(f *Follower) { f.log = log } }
+
+// WithLogger sets the logger; the default discards everything.
+func WithLogger(logger hclog.Logger) Option { return func(f *Follower) { f.logger = logger } }
+
+// WithClock sets the source of the present time; the default is time.Now. Ages
+// are differences of its readings, so it should be monotonic.
+func WithClock(now func() time.Time) Option { return func(f *Follower) { f.now = now } }
+
+// WithRetention tells how long the log retains a record. A document is
+// published again when its record is a third of that age; zero, the default,
+// disables this.
+func WithRetention(retention time.Duration) Option {
+	return func(f *Follower) { f.retention = retention }
+}
+
+// WithSettle bounds how long Publish tries to learn what became of an append;
+// the default is 5 s.
+func WithSettle(settle time.Duration) Option { return func(f *Follower) { f.settle = settle } }
+
+// WithPoll sets how long a read waits for a new record (default 500 ms) and
+// the pause after a failed read (default 200 ms).
+func WithPoll(wait, pause time.Duration) Option {
+	return func(f *Follower) { f.wait, f.pause = wait, pause }
+}
+
+// WithJitter sets the source of the random factor in [0, 1) that spreads the
+// repetitions of several instances; the default is math/rand.
+func WithJitter(jitter func() float64) Option { return func(f *Follower) { f.jitter = jitter } }
+
+// defaults are the settings before any option.
+func defaults() *Follower {
+	return &Follower{
+		logger: hclog.NewNullLogger(),
+		now:    time.Now,
+		jitter: rand.Float64,
+		settle: 5 * time.Second,
+		wait:   500 * time.Millisecond,
+		pause:  200 * time.Millisecond,
+		done:   make(chan struct{}),
+	}
+}
--- /dev/null
+++ b/internal/config/follower/state.go
@@ -0,0 +1,149 @@
+package follower
+
+import (
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
+)
+
+// none is the parent of the first document and the offset before there is one.
+const none modeler.Offset = -1
+
+// accepted is the document in force at a position of the stream.
+type accepted struct {
+	doc    modeler.Document
+	offset modeler.Offset
+	// parent is the offset of the document that this one replaced. For a
+	// document known from a repetition only it equals offset.
+	parent   modeler.Offset
+	operator string
+	// time is when the publication was made, renewed the log's time of the
+	// last record that holds the document.
+	time, renewed time.Time
+}
+
+// state is the fold of the stream "config" up to next. It is plain data; it
+// does no I/O and reads no clock.
+type state struct {
+	// start is the oldest offset that this reader could read without a gap.
+	// Documents below it may have been accepted unseen.
+	start modeler.Offset
+	next  modeler.Offset
+	// current is nil before the first valid publication.
+	current *accepted
+}
+
+// EntryMsg is a record of the stream; it follows the one at state.next.
+type EntryMsg struct {
+	Entry messenger.Entry
+}
+
+// TruncatedMsg tells that the records below First are no longer retained.
+type TruncatedMsg struct {
+	First modeler.Offset
+}
+
+// verdict tells what a record did.
+type verdict int
+
+const (
+	verdictNone verdict = iota
+	verdictAccepted
+	verdictRepeated
+	verdictVoid
+	verdictMalformed
+)
+
+// update folds one message and returns the new state.
+func (s state) update(msg any) (state, verdict) {
+	switch msg := msg.(type) {
+	case TruncatedMsg:
+		if msg.First > s.next {
+			s.start, s.next = msg.First, msg.First
+		}
+
+		return s, verdictNone
+	case EntryMsg:
+		if msg.Entry.Offset < s.next {
+			return s, verdictNone
+		}
+		s.next = msg.Entry.Offset + 1
+
+		return s.fold(msg.Entry)
+	}
+
+	return s, verdictNone
+}
+
+// fold judges the record of a publication.
+func (s state) fold(entry messenger.Entry) (state, verdict) {
+	var pub encoder.Publication
+	if err := encoder.Unmarshal(entry.Data, &pub); err != nil {
+		return s, verdictMalformed
+	}
+	if pub.Original != none {
+		return s.repeat(pub, entry)
+	}
+	if !s.follows(pub.Parent) {
+		return s, verdictVoid
+	}
+	s.current = &accepted{
+		doc: pub.Document, offset: entry.Offset, parent: pub.Parent,
+		operator: pub.Operator, time: pub.Time, renewed: entry.Time,
+	}
+
+	return s, verdictAccepted
+}
+
+// repeat judges a repetition. An instance repeats only a document that it held
+// in force, so that a repetition proves that its original was valid.
+func (s state) repeat(pub encoder.Publication, entry messenger.Entry) (state, verdict) {
+	if s.current != nil && s.current.offset == pub.Original {
+		renewed := *s.current
+		renewed.renewed = entry.Time
+		s.current = &renewed
+
+		return s, verdictRepeated
+	}
+	if !s.unseen(pub.Original) || pub.Original < 0 {
+		return s, verdictVoid
+	}
+	s.current = &accepted{
+		doc: pub.Document, offset: pub.Original, parent: pub.Original,
+		operator: pub.Operator, time: pub.Time, renewed: entry.Time,
+	}
+
+	return s, verdictAccepted
+}
+
+// follows reports whether a publication with this parent is valid here.
+func (s state) follows(parent modeler.Offset) bool {
+	switch {
+	case s.current != nil && s.current.offset == parent:
+		return true
+	case s.current == nil && s.start == 0:
+		return parent == none
+	}
+
+	return s.unseen(parent)
+}
+
+// unseen reports whether offset was in force before the first record that this
+// reader read, and supersedes what the reader took for the document in force.
+// Publishers append only to a parent that was in force, so a reader that
+// starts in the middle of the stream can take a parent as proof. A document
+// taken from a publication whose parent was not read may have lost a race
+// against an unread one; proof of a document between its parent and itself
+// shows that it did.
+func (s state) unseen(offset modeler.Offset) bool {
+	if offset >= s.start {
+		return false
+	}
+	if s.current == nil || offset > s.current.offset {
+		return true
+	}
+
+	return s.current.parent < offset && offset < s.current.offset
+}
