Add parsing, merging, checking and diffing of the configuration

Cause: operators keep a base file and overlays and need every fault with its place before anything is published.

Change: strict parser over the YAML syntax tree, merger with conflicts between overlays, semantic checker, field diff, renderer; declared jobs in modeler.Document; examples of both users.

Result: both examples load, merge, check and render back to the same document; golden tests list the faults with file, line and column.

--- /dev/null
+++ b/internal/config/checker/checker.go
@@ -0,0 +1,203 @@
+// Package checker checks what a document means: that everything it refers to
+// exists and that its amounts make sense. Instances apply it to every document
+// that an operator publishes, whether or not it came from checked files.
+package checker
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// Problem is one fault of a document.
+type Problem struct {
+	// Path names the part at fault, such as queues/lookups/team.
+	Path   string `json:"path"`
+	Reason string `json:"reason"`
+}
+
+// String formats the problem as one line.
+func (p Problem) String() string { return p.Path + ": " + p.Reason }
+
+// Problems is the error that holds every fault that was found.
+type Problems []Problem
+
+// Error implements error; it lists one problem a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+
+	return strings.Join(lines, "\n")
+}
+
+// maxWeight keeps the arithmetic of limits within its bounds.
+const maxWeight = 1000
+
+var digestForm = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// Check returns every fault of doc as Problems, or nil.
+func Check(doc modeler.Document) error {
+	c := &check{doc: doc, teams: map[modeler.TeamID]bool{}, queues: map[modeler.QueueID]modeler.Queue{}}
+	c.expectf(doc.Cell != "", "cell", "the cell needs a name")
+	c.expectf(len(doc.Partitions) > 0, "partitions", "at least one partition is needed")
+	c.expectf(len(doc.Teams) > 0, "teams", "at least one team is needed")
+	c.partitions()
+	c.allTeams()
+	c.allQueues()
+	c.services()
+	c.jobs()
+	if len(c.problems) == 0 {
+		return nil
+	}
+
+	return c.problems
+}
+
+// check holds the state of one check.
+type check struct {
+	doc      modeler.Document
+	teams    map[modeler.TeamID]bool
+	queues   map[modeler.QueueID]modeler.Queue
+	problems Problems
+}
+
+// expectf adds a problem unless ok.
+func (c *check) expectf(ok bool, path, format string, args ...any) {
+	if !ok {
+		c.problems = append(c.problems, Problem{Path: path, Reason: fmt.Sprintf(format, args...)})
+	}
+}
+
+// unique adds a problem for every empty or repeated name of a list.
+func unique[T any](c *check, list []T, path string, name func(T) string) {
+	seen := map[string]bool{}
+	for _, item := range list {
+		key := name(item)
+		c.expectf(key != "", path, "an entry has no name")
+		c.expectf(!seen[key], path+"/"+key, "the name is used twice")
+		seen[key] = true
+	}
+}
+
+// partitions checks names, regions and weights.
+func (c *check) partitions() {
+	unique(c, c.doc.Partitions, "partitions", func(p modeler.Partition) string { return string(p.Name) })
+	for _, p := range c.doc.Partitions {
+		path := "partitions/" + string(p.Name)
+		c.expectf(p.Region != "", path+"/region", "a partition needs a region")
+		c.expectf(p.Weight >= 1 && p.Weight <= maxWeight, path+"/weight", "weight %d is out of range 1 to %d", p.Weight, maxWeight)
+	}
+}
+
+// allTeams checks shares, limits and keys.
+func (c *check) allTeams() {
+	unique(c, c.doc.Teams, "teams", func(t modeler.Team) string { return string(t.Name) })
+	digests := map[string]string{}
+	for _, t := range c.doc.Teams {
+		c.teams[t.Name] = true
+		path := "teams/" + string(t.Name)
+		c.expectf(t.Share > 0, path+"/share", "share %d is not positive", t.Share)
+		c.amount(t.Limit, path+"/limit", "the limit")
+		c.expectf(t.Limit.Slots > 0 || t.Limit.Millis > 0 && t.Limit.Memory > 0, path+"/limit",
+			"the limit admits no work: it needs slots for calls, or processors and memory for jobs")
+		unique(c, t.Keys, path+"/keys", func(k modeler.Key) string { return k.Name })
+		for _, k := range t.Keys {
+			where := path + "/keys/" + k.Name
+			c.expectf(digestForm.MatchString(k.Digest), where+"/digest", "the digest is not a SHA-256 digest in lower-case hexadecimal")
+			if first, double := digests[k.Digest]; double {
+				c.expectf(false, where+"/digest", "the digest is also that of %s", first)
+			}
+			digests[k.Digest] = where
+		}
+	}
+}
+
+// amount checks that no component is negative.
+func (c *check) amount(r modeler.Resources, path, what string) {
+	ok := r.Millis >= 0 && r.Memory >= 0 && r.Accelerators >= 0 && r.Slots >= 0
+	c.expectf(ok, path, "%s has a negative component", what)
+}
+
+// allQueues checks kinds, classes, references and objectives.
+func (c *check) allQueues() {
+	unique(c, c.doc.Queues, "queues", func(q modeler.Queue) string { return string(q.Name) })
+	kinds := []modeler.WorkKind{modeler.WorkService, modeler.WorkBatch, modeler.WorkAllAtOnce}
+	classes := []modeler.Class{modeler.ClassUrgent, modeler.ClassStandard, modeler.ClassDeferred}
+	for _, q := range c.doc.Queues {
+		c.queues[q.Name] = q
+		path := "queues/" + string(q.Name)
+		c.expectf(slices.Contains(kinds, q.Kind), path+"/kind", "kind %q is unknown", q.Kind)
+		c.expectf(slices.Contains(classes, q.Class), path+"/class", "class %q is unknown", q.Class)
+		c.expectf(!q.Open || q.Team != "", path+"/team", "an open queue needs the team that its work is charged to")
+		c.expectf(q.Open || q.Team == "", path+"/team", "only an open queue names the team that its work is charged to")
+		c.expectf(q.Team == "" || c.teams[q.Team], path+"/team", "team %q is not declared", q.Team)
+		for _, name := range q.Teams {
+			c.expectf(c.teams[name], path+"/teams", "team %q is not declared", name)
+		}
+		c.expectf(q.Depth >= 0, path+"/depth", "depth %d is negative", q.Depth)
+		c.expectf(q.Attempts >= 0, path+"/attempts", "attempts %d is negative", q.Attempts)
+		c.expectf(q.Within >= 0, path+"/within", "within %s is negative", q.Within)
+		c.objective(q.Objective, path+"/objective")
+	}
+}
+
+// objective checks that both parts are set or none.
+func (c *check) objective(o modeler.Objective, path string) {
+	if o == (modeler.Objective{}) {
+		return
+	}
+	c.expectf(o.Wait > 0, path+"/wait", "wait %s is not positive", o.Wait)
+	c.expectf(o.Target > 0 && o.Target < 1, path+"/target", "target %v is not between 0 and 1", o.Target)
+}
+
+// services checks references and timeouts.
+func (c *check) services() {
+	unique(c, c.doc.Services, "services", func(s modeler.Service) string { return s.Name })
+	for _, s := range c.doc.Services {
+		path := "services/" + s.Name
+		queue, ok := c.queues[s.Queue]
+		c.expectf(ok, path+"/queue", "queue %q is not declared", s.Queue)
+		c.expectf(!ok || queue.Kind == modeler.WorkService, path+"/queue", "queue %q is of kind %s, not service", s.Queue, queue.Kind)
+		c.expectf(s.Timeout > 0 && s.Timeout <= time.Hour, path+"/timeout", "timeout %s is out of range 0s to 1h", s.Timeout)
+	}
+}
+
+// jobs checks the declared jobs.
+func (c *check) jobs() {
+	unique(c, c.doc.Jobs, "jobs", func(j modeler.Template) string { return j.Name })
+	for _, j := range c.doc.Jobs {
+		path := "jobs/" + j.Name
+		queue, ok := c.queues[j.Queue]
+		c.expectf(ok, path+"/queue", "queue %q is not declared", j.Queue)
+		c.expectf(!ok || queue.Kind != modeler.WorkService, path+"/queue", "queue %q takes calls, not jobs", j.Queue)
+		c.expectf(c.teams[j.Team], path+"/team", "team %q is not declared", j.Team)
+		admitted := len(queue.Teams) == 0 || slices.Contains(queue.Teams, j.Team)
+		c.expectf(!ok || admitted, path+"/team", "queue %q does not admit team %q", j.Queue, j.Team)
+		c.expectf(j.Tasks > 0, path+"/tasks", "tasks %d is not positive", j.Tasks)
+		c.amount(j.Needs, path+"/needs", "the amount")
+		c.expectf(!j.Needs.Zero(), path+"/needs", "the job needs nothing")
+		c.fits(j, path)
+		_, err := j.Deadline.At(time.Time{}.Add(time.Hour))
+		c.expectf(err == nil, path+"/deadline", "%v", err)
+	}
+}
+
+// fits checks that the limit of the team lets the job run at all: one task at
+// a time, or all of them for an all-at-once job.
+func (c *check) fits(j modeler.Template, path string) {
+	needs, what := j.Needs, "one task needs"
+	if c.queues[j.Queue].Kind == modeler.WorkAllAtOnce {
+		needs, what = needs.Scale(int64(j.Tasks)), "all tasks together need"
+	}
+	for _, t := range c.doc.Teams {
+		if t.Name == j.Team {
+			c.expectf(needs.Fits(t.Limit), path+"/needs", "%s more than the limit of team %q", what, j.Team)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/differ/differ_test.go
@@ -0,0 +1,35 @@
+package differ_test
+
+import (
+	"slices"
+	"testing"
+
+	"gitlab.com/greengagewall/greengagewall/internal/config/differ"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// TestReinstated guards against a publication from old files that lets a
+// withdrawn key work again unnoticed.
+func TestReinstated(t *testing.T) {
+	with := func(keys ...modeler.Key) modeler.Document {
+		return modeler.Document{Teams: []modeler.Team{{Name: "a", Keys: keys}}}
+	}
+	from := with(modeler.Key{Name: "one", Digest: "1", Withdrawn: true}, modeler.Key{Name: "two", Digest: "2", Withdrawn: true},
+		modeler.Key{Name: "three", Digest: "3"})
+	to := with(modeler.Key{Name: "one", Digest: "1"})
+	if got := differ.Reinstated(from, to); !slices.Equal(got, []string{"teams/a/keys/one", "teams/a/keys/two"}) {
+		t.Errorf("got %v", got)
+	}
+	if got := differ.Reinstated(from, from); got != nil {
+		t.Errorf("got %v for no change", got)
+	}
+}
+
+// TestDiffIgnoresOrder guards against a diff that is full of moved entries.
+func TestDiffIgnoresOrder(t *testing.T) {
+	from := modeler.Document{Queues: []modeler.Queue{{Name: "a"}, {Name: "b", Depth: 1}}}
+	to := modeler.Document{Queues: []modeler.Queue{{Name: "b", Depth: 1}, {Name: "a"}}}
+	if got := differ.Text(differ.Diff(from, to)); got != "no changes\n" {
+		t.Error(got)
+	}
+}
--- /dev/null
+++ b/internal/config/merger/document.go
@@ -0,0 +1,77 @@
+package merger
+
+import (
+	"gitlab.com/greengagewall/greengagewall/internal/config/parser"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// document converts a merged file. A partition without a weight gets 1, a job
+// without tasks one task.
+func document(file parser.File) modeler.Document {
+	doc := modeler.Document{Cell: file.Cell.Value}
+	for _, p := range file.Partitions {
+		doc.Partitions = append(doc.Partitions, modeler.Partition{
+			Name: modeler.PartitionID(p.Name.Value), Region: p.Region.Value, Weight: max(p.Weight.Value, 1),
+		})
+	}
+	for _, t := range file.Teams {
+		doc.Teams = append(doc.Teams, team(t))
+	}
+	for _, q := range file.Queues {
+		doc.Queues = append(doc.Queues, queue(q))
+	}
+	for _, s := range file.Services {
+		doc.Services = append(doc.Services, modeler.Service{
+			Name: s.Name.Value, Queue: modeler.QueueID(s.Queue.Value),
+			Idempotent: s.Idempotent.Value, Timeout: s.Timeout.Value,
+		})
+	}
+	for _, j := range file.Jobs {
+		doc.Jobs = append(doc.Jobs, template(j))
+	}
+
+	return doc
+}
+
+// amount converts a set of resources.
+func amount(a parser.Amount) modeler.Resources {
+	return modeler.Resources{
+		Millis: a.Millis.Value, Memory: a.Memory.Value, Accelerators: a.Accelerators.Value, Slots: a.Slots.Value,
+	}
+}
+
+// team converts a team and its keys.
+func team(t parser.Team) modeler.Team {
+	converted := modeler.Team{Name: modeler.TeamID(t.Name.Value), Share: t.Share.Value, Limit: amount(t.Limit)}
+	for _, k := range t.Keys {
+		converted.Keys = append(converted.Keys, modeler.Key{
+			Name: k.Name.Value, Digest: k.Digest.Value, Withdrawn: k.Withdrawn.Value,
+		})
+	}
+
+	return converted
+}
+
+// queue converts a queue.
+func queue(q parser.Queue) modeler.Queue {
+	converted := modeler.Queue{
+		Name: modeler.QueueID(q.Name.Value), Kind: modeler.WorkKind(q.Kind.Value), Class: modeler.Class(q.Class.Value),
+		Open: q.Open.Value, Team: modeler.TeamID(q.Team.Value),
+		Depth: int(q.Depth.Value), Attempts: int(q.Attempts.Value), Within: q.Within.Value,
+		Objective: modeler.Objective{Wait: q.Wait.Value, Target: q.Target.Value},
+	}
+	for _, name := range q.Teams.Value {
+		converted.Teams = append(converted.Teams, modeler.TeamID(name))
+	}
+
+	return converted
+}
+
+// template converts a declared job.
+func template(j parser.Job) modeler.Template {
+	return modeler.Template{
+		Name: j.Name.Value, Team: modeler.TeamID(j.Team.Value), Queue: modeler.QueueID(j.Queue.Value),
+		Tasks: max(int(j.Tasks.Value), 1), Needs: amount(j.Needs), Runtime: j.Runtime.Value,
+		Deadline: j.Deadline.Value, Rack: j.Rack.Value, Once: j.Once.Value, Command: j.Command.Value,
+	}
+}
--- /dev/null
+++ b/internal/config/parser/parser_test.go
@@ -0,0 +1,126 @@
+package parser_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"gitlab.com/greengagewall/greengagewall/internal/config/parser"
+)
+
+// faulty holds every kind of fault that the parser reports.
+const faulty = `cell: Humo Andino
+partitions:
+  - name: costa-1
+    region: costa
+    weight: 0
+  - name: costa-1
+    region: costa
+    color: red
+teams:
+  - name: forecasts
+    share: -3
+    limit: {processors: 0.0005, memory: 64GB, accelerators: 1.5, slots: many}
+    keys:
+      - name: first
+        digest: DEADBEEF
+        withdrawn: maybe
+  - share: 5
+    limit: 7
+queues:
+  - name: plumes
+    name: plumes
+    kind: burst
+    class: urgent
+    depth: 0
+    within: 3 days
+    objective: {wait: 2.5, target: 1.0}
+    teams: forecasts
+services:
+  - name: lookup
+    queue: plumes
+    idempotent: yes
+    timeout: -2s
+jobs:
+  - name: nightly
+    team: forecasts
+    queue: plumes
+    needs: {processors: 1, memory: 64}
+    runtime: 1h
+    deadline: 25:00
+  - &anchor
+    name: [a]
+`
+
+// TestProblems guards against a fault that is not reported, or reported at the
+// wrong line or column.
+func TestProblems(t *testing.T) {
+	_, err := parser.ParseBase("base.yaml", []byte(faulty))
+	goldie.New(t).Assert(t, "problems", []byte(err.Error()+"\n"))
+}
+
+// TestOverlayProblems guards against an overlay that changes what only the
+// base file may set.
+func TestOverlayProblems(t *testing.T) {
+	_, err := parser.ParseOverlay("costa.yaml", []byte(`cell: other
+partitions:
+  - name: costa-1
+    region: sierra
+teams:
+  - name: forecasts
+    keys: [{name: first, digest: 00}]
+  - share: 4
+queues:
+  - name: plumes
+    kind: batch
+`))
+	goldie.New(t).Assert(t, "overlay", []byte(err.Error()+"\n"))
+}
+
+// TestSyntax guards against files that are no single YAML document and are
+// taken for an empty configuration.
+func TestSyntax(t *testing.T) {
+	for text, want := range map[string]string{
+		"":                          "f:1:1: the file must hold exactly one YAML document",
+		"cell: a\n---\ncell: b":     "f:1:1: the file must hold exactly one YAML document",
+		"cell: [a":                  "f:1:7: ",
+		"- a":                       "f:1:1: the file must be a mapping",
+		"cell: a\n\tteams: []":      "f:2:1: ",
+		"cell: *a":                  "f:1:",
+		strings.Repeat("#", 17<<20): "f:1:1: the file is larger than 16 MiB",
+	} {
+		_, err := parser.ParseBase("f", []byte(text))
+		var problems parser.Problems
+		if !errors.As(err, &problems) || !strings.HasPrefix(problems[0].String(), want) {
+			t.Errorf("%.20q: got %v, want %q", text, err, want)
+		}
+	}
+}
+
+// TestQuantities guards against quantities that are rounded or misread.
+func TestQuantities(t *testing.T) {
+	for text, want := range map[string]int64{"0.5": 500, "16": 16000, "0.001": 1, "NaN": -1, "-1": -1, "0x10": -1, "1e999": -1} {
+		if got, err := parser.Processors(text); (err != nil) != (want < 0) || err == nil && got != want {
+			t.Errorf("processors %s: got %d (%v), want %d", text, got, err, want)
+		}
+	}
+	for text, want := range map[string]int64{
+		"64GiB": 64 << 30, "1.5KiB": 1536, "0.0001KiB": -1, "1gib": -1, "64": -1, "9999999TiB": -1, "2 GiB": -1,
+	} {
+		if got, err := parser.Memory(text); (err != nil) != (want < 0) || err == nil && got != want {
+			t.Errorf("memory %s: got %d (%v), want %d", text, got, err, want)
+		}
+	}
+	for _, text := range []string{"0s", "5", "1000h", "24:00", "06:00 Nowhere/City", "06:00 Local", "6:00"} {
+		if got, err := parser.Deadline(text); err == nil {
+			t.Errorf("deadline %s: got %+v", text, got)
+		}
+	}
+	for _, text := range []string{"8h", "1h30m", "2.5s", "06:00", "06:00 America/Lima"} {
+		if got, err := parser.Deadline(text); err != nil || parser.FormatDeadline(got) != text {
+			t.Errorf("deadline %s: got %s (%v)", text, parser.FormatDeadline(got), err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/parser/reader.go
@@ -0,0 +1,253 @@
+package parser
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// Field is a value that a file sets or leaves out.
+type Field[T any] struct {
+	Value T
+	Set   bool
+	At    Position
+}
+
+// reader walks the syntax tree of one file and collects its problems.
+type reader struct {
+	file     string
+	overlay  bool
+	problems Problems
+	// field is the field that is being read.
+	field string
+}
+
+// entry describes one field of a mapping.
+type entry struct {
+	name string
+	read func(ast.Node)
+	// need makes the field required in a base file.
+	need bool
+	// fixed forbids the field in an overlay.
+	fixed bool
+}
+
+// at returns the position of a node. The token of a mapping is that of its
+// first colon, so its first key is taken instead.
+func (r *reader) at(node ast.Node) Position {
+	if mapping, ok := node.(*ast.MappingNode); ok && len(mapping.Values) > 0 && !mapping.IsFlowStyle {
+		node = mapping.Values[0].Key
+	}
+	if pair, ok := node.(*ast.MappingValueNode); ok {
+		node = pair.Key
+	}
+	position := Position{File: r.file, Line: 1, Column: 1}
+	if node == nil || node.GetToken() == nil || node.GetToken().Position == nil {
+		return position
+	}
+	position.Line, position.Column = node.GetToken().Position.Line, node.GetToken().Position.Column
+
+	return position
+}
+
+// failf adds a problem at a position.
+func (r *reader) failf(at Position, format string, args ...any) {
+	r.problems = append(r.problems, Problem{At: at, Reason: fmt.Sprintf(format, args...)})
+}
+
+// mapping reads the fields of a mapping; what names it in problems.
+func (r *reader) mapping(node ast.Node, what string, entries []entry) {
+	var pairs []*ast.MappingValueNode
+	switch node := node.(type) {
+	case *ast.MappingNode:
+		pairs = node.Values
+	case *ast.MappingValueNode:
+		pairs = []*ast.MappingValueNode{node}
+	default:
+		r.failf(r.at(node), "%s must be a mapping", what)
+
+		return
+	}
+	seen := map[string]bool{}
+	for _, pair := range pairs {
+		r.pair(pair, what, entries, seen)
+	}
+	for _, e := range entries {
+		if e.need && !r.overlay && !seen[e.name] {
+			r.failf(r.at(node), "%s needs the field %q", what, e.name)
+		}
+	}
+}
+
+// pair reads one field of a mapping.
+func (r *reader) pair(pair *ast.MappingValueNode, what string, entries []entry, seen map[string]bool) {
+	key := pair.Key.String()
+	at := r.at(pair)
+	i := slices.IndexFunc(entries, func(e entry) bool { return e.name == key })
+	switch {
+	case i < 0:
+		r.failf(at, "%s has no field %q; its fields are %s", what, key, names(entries))
+	case seen[key]:
+		r.failf(at, "%s has the field %q twice", what, key)
+	case r.overlay && entries[i].fixed:
+		r.failf(at, "an overlay cannot change the field %q of %s", key, what)
+	default:
+		r.field = key
+		entries[i].read(pair.Value)
+	}
+	seen[key] = true
+}
+
+// names lists the names of the fields of a mapping.
+func names(entries []entry) string {
+	list := make([]string, len(entries))
+	for i, e := range entries {
+		list[i] = e.name
+	}
+
+	return strings.Join(list, ", ")
+}
+
+// sequence reads every item of a list.
+func (r *reader) sequence(node ast.Node, what string, read func(ast.Node)) {
+	list, ok := node.(*ast.SequenceNode)
+	if !ok {
+		r.failf(r.at(node), "%s must be a list", what)
+
+		return
+	}
+	for _, item := range list.Values {
+		read(item)
+	}
+}
+
+// scalar returns the text of a scalar node.
+func (r *reader) scalar(node ast.Node) (string, bool) {
+	switch node := node.(type) {
+	case *ast.StringNode:
+		return node.Value, true
+	case *ast.LiteralNode, *ast.NullNode, *ast.AnchorNode, *ast.AliasNode, *ast.TagNode:
+		return "", false
+	case ast.ScalarNode:
+		return node.GetToken().Value, true
+	}
+
+	return "", false
+}
+
+// value returns a function that reads a scalar into field with convert.
+func value[T any](r *reader, field *Field[T], convert func(string) (T, error)) func(ast.Node) {
+	return func(node ast.Node) {
+		at := r.at(node)
+		text, ok := r.scalar(node)
+		if !ok {
+			r.failf(at, "%s: a single value is needed here", r.field)
+
+			return
+		}
+		converted, err := convert(text)
+		if err != nil {
+			r.failf(at, "%s: %v", r.field, err)
+
+			return
+		}
+		*field = Field[T]{Value: converted, Set: true, At: at}
+	}
+}
+
+// values returns a function that reads a list of scalars into field.
+func values[T any](r *reader, field *Field[[]T], what string, convert func(string) (T, error)) func(ast.Node) {
+	return func(node ast.Node) {
+		field.Set, field.At, field.Value = true, r.at(node), []T{}
+		r.sequence(node, what, func(item ast.Node) {
+			var one Field[T]
+			value(r, &one, convert)(item)
+			field.Value = append(field.Value, one.Value)
+		})
+	}
+}
+
+// items returns a function that reads a list of named mappings.
+func items[T any](r *reader, list *[]T, what string, read func(ast.Node) T, name func(T) Field[string]) func(ast.Node) {
+	return func(node ast.Node) {
+		seen := map[string]Position{}
+		r.sequence(node, what+"s", func(item ast.Node) {
+			one := read(item)
+			*list = append(*list, one)
+			key := name(one)
+			if first, double := seen[key.Value]; double && key.Set {
+				r.failf(key.At, "%s %q is declared twice, first at line %d", what, key.Value, first.Line)
+			}
+			if !key.Set && r.overlay {
+				r.failf(r.at(item), "%s needs the field %q", what, nameField)
+			}
+			seen[key.Value] = key.At
+		})
+	}
+}
+
+// integer returns a conversion that accepts whole numbers from low to high.
+func integer(low, high int64) func(string) (int64, error) {
+	return func(text string) (int64, error) {
+		number, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("%q is not a whole number", text)
+		}
+		if number < low || number > high {
+			return 0, fmt.Errorf("%d is out of range %d to %d", number, low, high)
+		}
+
+		return number, nil
+	}
+}
+
+// fraction accepts a number above 0 and below 1.
+func fraction(text string) (float64, error) {
+	number, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%q is not a number", text)
+	}
+	if !(number > 0 && number < 1) {
+		return 0, fmt.Errorf("%s is out of range: it must be above 0 and below 1", text)
+	}
+
+	return number, nil
+}
+
+// truth accepts true and false.
+func truth(text string) (bool, error) {
+	switch text {
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	}
+
+	return false, fmt.Errorf("%q is neither true nor false", text)
+}
+
+// label accepts a name of lower-case letters, digits and hyphens.
+func label(text string) (string, error) {
+	if !nameForm.MatchString(text) {
+		return "", fmt.Errorf("%q is not a name: use up to 63 lower-case letters, digits and hyphens", text)
+	}
+
+	return text, nil
+}
+
+// text accepts anything.
+func text(text string) (string, error) { return text, nil }
+
+// oneOf returns a conversion that accepts the given words.
+func oneOf(words ...string) func(string) (string, error) {
+	return func(text string) (string, error) {
+		if !slices.Contains(words, text) {
+			return "", fmt.Errorf("%q is not one of %s", text, strings.Join(words, ", "))
+		}
+
+		return text, nil
+	}
+}
--- /dev/null
+++ b/internal/config/renderer/renderer.go
@@ -0,0 +1,164 @@
+// Package renderer writes a document as a base file.
+package renderer
+
+import (
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/config/parser"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// file mirrors the format of the base file.
+type file struct {
+	Cell       string      `yaml:"cell"`
+	Partitions []partition `yaml:"partitions"`
+	Teams      []team      `yaml:"teams"`
+	Queues     []queue     `yaml:"queues"`
+	Services   []service   `yaml:"services,omitempty"`
+	Jobs       []job       `yaml:"jobs,omitempty"`
+}
+
+type partition struct {
+	Name   string `yaml:"name"`
+	Region string `yaml:"region"`
+	Weight int64  `yaml:"weight"`
+}
+
+type amount struct {
+	Processors   quantity `yaml:"processors,omitempty"`
+	Memory       quantity `yaml:"memory,omitempty"`
+	Accelerators int64    `yaml:"accelerators,omitempty"`
+	Slots        int64    `yaml:"slots,omitempty"`
+}
+
+type key struct {
+	Name      string `yaml:"name"`
+	Digest    string `yaml:"digest"`
+	Withdrawn bool   `yaml:"withdrawn,omitempty"`
+}
+
+type team struct {
+	Name  string `yaml:"name"`
+	Share int64  `yaml:"share"`
+	Limit amount `yaml:"limit,flow"`
+	Keys  []key  `yaml:"keys,omitempty"`
+}
+
+type objective struct {
+	Wait   quantity `yaml:"wait"`
+	Target float64  `yaml:"target"`
+}
+
+type queue struct {
+	Name      string           `yaml:"name"`
+	Kind      modeler.WorkKind `yaml:"kind"`
+	Class     modeler.Class    `yaml:"class"`
+	Open      bool             `yaml:"open,omitempty"`
+	Team      modeler.TeamID   `yaml:"team,omitempty"`
+	Teams     []modeler.TeamID `yaml:"teams,omitempty,flow"`
+	Depth     int              `yaml:"depth,omitempty"`
+	Attempts  int              `yaml:"attempts,omitempty"`
+	Within    quantity         `yaml:"within,omitempty"`
+	Objective *objective       `yaml:"objective,omitempty,flow"`
+}
+
+type service struct {
+	Name       string          `yaml:"name"`
+	Queue      modeler.QueueID `yaml:"queue"`
+	Idempotent bool            `yaml:"idempotent"`
+	Timeout    quantity        `yaml:"timeout"`
+}
+
+type job struct {
+	Name     string          `yaml:"name"`
+	Team     modeler.TeamID  `yaml:"team"`
+	Queue    modeler.QueueID `yaml:"queue"`
+	Tasks    int             `yaml:"tasks"`
+	Needs    amount          `yaml:"needs,flow"`
+	Runtime  quantity        `yaml:"runtime"`
+	Deadline quantity        `yaml:"deadline,omitempty"`
+	Rack     bool            `yaml:"rack,omitempty"`
+	Once     bool            `yaml:"once,omitempty"`
+	Command  []string        `yaml:"command,omitempty,flow"`
+}
+
+// quantity is text that is written without quotes.
+type quantity string
+
+// MarshalYAML implements yaml.BytesMarshaler.
+func (q quantity) MarshalYAML() ([]byte, error) { return []byte(q), nil }
+
+// Render writes doc in the format of the base file, so that parsing and
+// merging the result without overlays gives doc again.
+func Render(doc modeler.Document) ([]byte, error) {
+	out := file{Cell: doc.Cell}
+	for _, p := range doc.Partitions {
+		out.Partitions = append(out.Partitions, partition{Name: string(p.Name), Region: p.Region, Weight: p.Weight})
+	}
+	for _, t := range doc.Teams {
+		out.Teams = append(out.Teams, renderTeam(t))
+	}
+	for _, q := range doc.Queues {
+		out.Queues = append(out.Queues, renderQueue(q))
+	}
+	for _, s := range doc.Services {
+		out.Services = append(out.Services, service{
+			Name: s.Name, Queue: s.Queue, Idempotent: s.Idempotent, Timeout: quantity(parser.FormatDuration(s.Timeout)),
+		})
+	}
+	for _, j := range doc.Jobs {
+		out.Jobs = append(out.Jobs, renderJob(j))
+	}
+	data, err := yaml.MarshalWithOptions(out, yaml.IndentSequence(true))
+
+	return data, errors.Wrap(err, "render configuration")
+}
+
+// renderAmount converts a set of resources.
+func renderAmount(r modeler.Resources) amount {
+	out := amount{Accelerators: r.Accelerators, Slots: r.Slots}
+	if r.Millis > 0 {
+		out.Processors = quantity(parser.FormatProcessors(r.Millis))
+	}
+	if r.Memory > 0 {
+		out.Memory = quantity(parser.FormatMemory(r.Memory))
+	}
+
+	return out
+}
+
+// renderTeam converts a team and its keys.
+func renderTeam(t modeler.Team) team {
+	out := team{Name: string(t.Name), Share: t.Share, Limit: renderAmount(t.Limit)}
+	for _, k := range t.Keys {
+		out.Keys = append(out.Keys, key(k))
+	}
+
+	return out
+}
+
+// renderQueue converts a queue.
+func renderQueue(q modeler.Queue) queue {
+	out := queue{
+		Name: string(q.Name), Kind: q.Kind, Class: q.Class, Open: q.Open, Team: q.Team, Teams: q.Teams,
+		Depth: q.Depth, Attempts: q.Attempts,
+	}
+	if q.Within > 0 {
+		out.Within = quantity(parser.FormatDuration(q.Within))
+	}
+	if q.Objective != (modeler.Objective{}) {
+		out.Objective = &objective{Wait: quantity(parser.FormatDuration(q.Objective.Wait)), Target: q.Objective.Target}
+	}
+
+	return out
+}
+
+// renderJob converts a declared job.
+func renderJob(j modeler.Template) job {
+	return job{
+		Name: j.Name, Team: j.Team, Queue: j.Queue, Tasks: j.Tasks, Needs: renderAmount(j.Needs),
+		Runtime: quantity(parser.FormatDuration(j.Runtime)), Deadline: quantity(parser.FormatDeadline(j.Deadline)),
+		Rack: j.Rack, Once: j.Once, Command: j.Command,
+	}
+}
--- a/internal/domain/modeler/document.go
+++ b/internal/domain/modeler/document.go
@@ -10,6 +10,7 @@
 	Teams      []Team      `json:"teams"`
 	Queues     []Queue     `json:"queues"`
 	Services   []Service   `json:"services,omitempty"`
+	Jobs       []Template  `json:"jobs,omitempty"`
 }
 
 // Partition groups endpoints of a region under one owner.
--- /dev/null
+++ b/internal/domain/modeler/template_test.go
@@ -0,0 +1,29 @@
+package modeler
+
+import (
+	"testing"
+	"time"
+)
+
+// TestDeadlineAt guards against a morning deadline on the wrong day or an hour
+// off after the clocks change.
+func TestDeadlineAt(t *testing.T) {
+	morning := Deadline{Clock: "06:30", Zone: "America/Winnipeg"}
+	for now, want := range map[string]string{
+		"2026-03-07T13:00:00Z": "2026-03-08T11:30:00Z",
+		"2026-03-07T12:00:00Z": "2026-03-07T12:30:00Z",
+		"2026-12-31T12:30:00Z": "2027-01-01T12:30:00Z",
+	} {
+		at, err := time.Parse(time.RFC3339, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := morning.At(at)
+		if err != nil || got.UTC().Format(time.RFC3339) != want {
+			t.Errorf("at %s: got %v (%v), want %s", now, got.UTC(), err, want)
+		}
+	}
+	if _, err := (Deadline{Clock: "06:30", Zone: "Nowhere"}).At(time.Now()); err == nil {
+		t.Error("an unknown time zone was accepted")
+	}
+}
