Add the operator commands for configuration and keys

Cause: operators need to check, compare and publish files, see conflicts and lags, and change keys without losing each other's changes.

Change: check, render, diff, publish, offsets and key commands; the follower refuses a faulty document with bad-config.

Result: golden tests against a stand-in API pass, among them a conflict, a publication without an answer and old files that would undo a withdrawal.

--- /dev/null
+++ b/internal/cli/commander/config_client.go
@@ -0,0 +1,165 @@
+// Package commander holds the subcommands of greengagewall.
+package commander
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// Exit codes of the operator commands.
+const (
+	exitOK = 0
+	// exitDiffers means that the answer is no: the documents differ, or an
+	// offset is not in force everywhere yet.
+	exitDiffers = 1
+	// exitFault means faulty files or a refusal; nothing was changed.
+	exitFault    = 2
+	exitConflict = 3
+	// exitUnknown means that a change may have taken effect.
+	exitUnknown = 4
+)
+
+// operatorHeader names the operator of a publication for the audit trail.
+const operatorHeader = "Greengagewall-Operator"
+
+// answerLimit bounds an answer in bytes; exports are the largest.
+const answerLimit = 1 << 30
+
+// Env is what an operator command uses of its surroundings.
+type Env struct {
+	Out, Err io.Writer
+	Client   *http.Client
+	Now      func() time.Time
+	// Sleep pauses for a duration or until ctx ends.
+	Sleep func(ctx context.Context, pause time.Duration)
+}
+
+// Target names the entry instance that a command talks to.
+type Target struct {
+	Server string `arg:"--server,env:GREENGAGEWALL_SERVER" default:"http://127.0.0.1:8080" help:"URL of an entry instance or of the load balancer"`
+}
+
+// inForce is the answer to GET and PUT /v1/config.
+type inForce struct {
+	Offset   modeler.Offset   `json:"offset"`
+	Document modeler.Document `json:"document,omitzero"`
+	Operator string           `json:"operator,omitempty"`
+	Time     time.Time        `json:"time,omitzero"`
+}
+
+// refusalBody is a refusal as application/problem+json (RFC 9457).
+type refusalBody struct {
+	Outcome modeler.Outcome `json:"outcome"`
+	Code    modeler.Code    `json:"code"`
+	Detail  string          `json:"detail"`
+	Retry   string          `json:"retry"`
+}
+
+// get reads path into value.
+func (t Target) get(ctx context.Context, env Env, path, key string, value any) error {
+	header := http.Header{}
+	if key != "" {
+		header.Set("Authorization", "Bearer "+key)
+	}
+
+	return t.send(ctx, env, http.MethodGet, path, header, nil, value)
+}
+
+// send sends a request and decodes its answer into value. A refusal is
+// returned as *modeler.Refusal.
+func (t Target) send(ctx context.Context, env Env, method, path string, header http.Header, body, value any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(t.Server, "/")+path, bytes.NewReader(data))
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	req.Header = header
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := env.Client.Do(req)
+	if err != nil {
+		return lost(method, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit))
+	if err != nil {
+		return lost(method, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refusal(method, resp.Status, answer)
+	}
+
+	return errors.Wrap(json.Unmarshal(answer, value), "decode answer")
+}
+
+// lost turns a failed exchange into a refusal. Only a connection that was
+// never made proves that a command was not carried out.
+func lost(method string, err error) error {
+	var op *net.OpError
+	if method == http.MethodGet || errors.As(err, &op) && op.Op == "dial" {
+		return modeler.NotRun(modeler.CodeTimeout, time.Second, "%v", err)
+	}
+
+	return modeler.Unknown(modeler.CodeLostAnswer, time.Second, "%v", err)
+}
+
+// refusal decodes the body of a refusal. An answer that is none comes from
+// something between, such as the load balancer, and proves nothing.
+func refusal(method, status string, body []byte) error {
+	var problem refusalBody
+	if err := json.Unmarshal(body, &problem); err != nil || problem.Outcome == "" {
+		if method == http.MethodGet {
+			return modeler.NotRun(modeler.CodeInternal, time.Second, "the answer was %s", status)
+		}
+
+		return modeler.Unknown(modeler.CodeLostAnswer, time.Second, "the answer was %s", status)
+	}
+	retry, _ := time.ParseDuration(problem.Retry)
+
+	return &modeler.Refusal{Outcome: problem.Outcome, Code: problem.Code, Detail: problem.Detail, Retry: retry}
+}
+
+// current returns the document in force; its offset is -1 if there is none.
+func (t Target) current(ctx context.Context, env Env) (inForce, error) {
+	var reply inForce
+	err := t.get(ctx, env, "/v1/config", "", &reply)
+	if isCode(err, modeler.CodeStaleConfig) {
+		return inForce{Offset: -1}, nil
+	}
+
+	return reply, err
+}
+
+// isCode reports whether err is a refusal with this code.
+func isCode(err error, code modeler.Code) bool {
+	var refused *modeler.Refusal
+
+	return errors.As(err, &refused) && refused.Code == code
+}
+
+// exitOf returns the exit code for an error.
+func exitOf(err error) int {
+	var refused *modeler.Refusal
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &refused) && refused.Outcome == modeler.OutcomeUnknown:
+		return exitUnknown
+	case isCode(err, modeler.CodeConflict):
+		return exitConflict
+	}
+
+	return exitFault
+}
--- /dev/null
+++ b/internal/cli/commander/config_offsets.go
@@ -0,0 +1,117 @@
+package commander
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// pollPause is the pause between two looks at the offsets.
+const pollPause = 200 * time.Millisecond
+
+// OffsetsCmd shows the offset in force at each instance.
+type OffsetsCmd struct {
+	Target
+	Format
+	Offset *int64        `arg:"--offset" help:"offset to wait for (default: the highest)"`
+	Wait   time.Duration `arg:"--wait" help:"wait up to this long until the offset is in force everywhere"`
+}
+
+// instanceOffset is an entry of the answer to GET /v1/config/offsets.
+type instanceOffset struct {
+	Instance modeler.InstanceID `json:"instance"`
+	Offset   modeler.Offset     `json:"offset"`
+	Heard    time.Time          `json:"heard,omitzero"`
+}
+
+// offsetsReply is the JSON form of the offsets.
+type offsetsReply struct {
+	Offset modeler.Offset `json:"offset"`
+	// Everywhere tells whether every instance has the offset or a higher one.
+	Everywhere bool             `json:"everywhere"`
+	Instances  []instanceOffset `json:"instances"`
+}
+
+// Run prints the offsets; its exit code is 1 while some instance lags.
+func (c *OffsetsCmd) Run(ctx context.Context, env Env) (int, error) {
+	if err := c.check(); err != nil {
+		return exitFault, err
+	}
+	target := modeler.Offset(-1)
+	if c.Offset != nil {
+		target = modeler.Offset(*c.Offset)
+	}
+
+	return c.await(ctx, env, c.Format, target, c.Wait)
+}
+
+// await looks at the offsets until target is in force everywhere or wait has
+// passed, and prints the last look. A negative target stands for the highest
+// offset of the first look.
+func (t Target) await(ctx context.Context, env Env, format Format, target modeler.Offset, wait time.Duration) (int, error) {
+	end := env.Now().Add(wait)
+	for {
+		reply, err := t.offsets(ctx, env, target)
+		if err != nil && (wait <= 0 || !env.Now().Before(end)) {
+			return exitOf(err), err
+		}
+		if err == nil {
+			target = reply.Offset
+		}
+		if err == nil && (reply.Everywhere || !env.Now().Before(end)) {
+			if err := format.write(env.Out, reply, func(w io.Writer) error { return reply.text(w, env.Now()) }); err != nil {
+				return exitFault, err
+			}
+			if reply.Everywhere {
+				return exitOK, nil
+			}
+
+			return exitDiffers, nil
+		}
+		if env.Sleep(ctx, pollPause); ctx.Err() != nil {
+			return exitFault, ctx.Err()
+		}
+	}
+}
+
+// offsets reads the offsets and compares them with target.
+func (t Target) offsets(ctx context.Context, env Env, target modeler.Offset) (offsetsReply, error) {
+	reply := offsetsReply{Offset: target, Everywhere: true}
+	if err := t.get(ctx, env, "/v1/config/offsets", "", &reply.Instances); err != nil {
+		return reply, err
+	}
+	if target < 0 {
+		for _, instance := range reply.Instances {
+			reply.Offset = max(reply.Offset, instance.Offset)
+		}
+	}
+	for _, instance := range reply.Instances {
+		reply.Everywhere = reply.Everywhere && instance.Offset >= reply.Offset
+	}
+
+	return reply, nil
+}
+
+// text prints the offsets for people.
+func (r offsetsReply) text(w io.Writer, now time.Time) error {
+	p := printer{w: w}
+	for _, instance := range r.Instances {
+		p.printf("%-24s %8d", instance.Instance, instance.Offset)
+		if !instance.Heard.IsZero() {
+			p.printf("  heard %s ago", now.Sub(instance.Heard).Round(time.Millisecond))
+		}
+		if instance.Offset < r.Offset {
+			p.printf("  behind")
+		}
+		p.printf("\n")
+	}
+	if r.Everywhere {
+		p.printf("offset %d is in force everywhere\n", r.Offset)
+	} else {
+		p.printf("offset %d is not in force everywhere\n", r.Offset)
+	}
+
+	return p.err
+}
--- /dev/null
+++ b/internal/cli/commander/config_publish.go
@@ -0,0 +1,131 @@
+package commander
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/config/differ"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// Operator names who publishes.
+type Operator struct {
+	Operator string `arg:"--operator,env:GREENGAGEWALL_OPERATOR" help:"name for the audit trail; the user's name by default"`
+}
+
+// name returns the operator's name.
+func (o Operator) name() string {
+	if o.Operator != "" {
+		return o.Operator
+	}
+
+	return os.Getenv("USER")
+}
+
+// PublishCmd publishes the files.
+type PublishCmd struct {
+	Source
+	Target
+	Format
+	Operator
+	Parent    *int64        `arg:"--parent" help:"offset that the files were made from; refuse if another is in force (default: the one in force now)"`
+	Reinstate bool          `arg:"--reinstate" help:"publish although withdrawn keys would be admitted again or dropped"`
+	Wait      time.Duration `arg:"--wait" help:"wait up to this long until the document is in force everywhere"`
+}
+
+// publishReply is the JSON form of a publication.
+type publishReply struct {
+	Parent  modeler.Offset  `json:"parent"`
+	Offset  modeler.Offset  `json:"offset"`
+	Changes []differ.Change `json:"changes"`
+}
+
+// publishRequest is the body of PUT /v1/config.
+type publishRequest struct {
+	Parent   modeler.Offset   `json:"parent"`
+	Document modeler.Document `json:"document"`
+}
+
+// publish sends a document.
+func (t Target) publish(
+	ctx context.Context, env Env, operator string, parent modeler.Offset, doc modeler.Document,
+) (modeler.Offset, error) {
+	header := http.Header{}
+	if operator != "" {
+		header.Set(operatorHeader, operator)
+	}
+	var reply inForce
+	err := t.send(ctx, env, http.MethodPut, "/v1/config", header, publishRequest{Parent: parent, Document: doc}, &reply)
+
+	return reply.Offset, err
+}
+
+// Run publishes the files on top of the document in force. On a conflict it
+// shows what the other publication changed.
+func (c *PublishCmd) Run(ctx context.Context, env Env) (int, error) {
+	if err := c.check(); err != nil {
+		return exitFault, err
+	}
+	result, err := c.load()
+	if err != nil {
+		return exitFault, err
+	}
+	current, err := c.current(ctx, env)
+	if err != nil {
+		return exitOf(err), err
+	}
+	parent := current.Offset
+	if c.Parent != nil {
+		parent = modeler.Offset(*c.Parent)
+	}
+	if lost := differ.Reinstated(current.Document, result.Document); len(lost) > 0 && !c.Reinstate {
+		return exitFault, errors.Errorf(
+			"the files would admit or drop withdrawn keys (%s); nothing was published. Mark them withdrawn in the files, or give --reinstate",
+			strings.Join(lost, ", "))
+	}
+	offset, err := c.publish(ctx, env, c.name(), parent, result.Document)
+	if isCode(err, modeler.CodeConflict) {
+		return exitConflict, c.conflict(ctx, env, current, err)
+	}
+	if err != nil {
+		return exitOf(err), err
+	}
+	reply := publishReply{Parent: parent, Offset: offset, Changes: differ.Diff(current.Document, result.Document)}
+	err = c.write(env.Out, reply, func(w io.Writer) error {
+		p := printer{w: w}
+		p.printf("%spublished at offset %d\n", differ.Text(reply.Changes), offset)
+
+		return p.err
+	})
+	if err != nil || c.Wait <= 0 {
+		return exitOf(err), err
+	}
+
+	return c.await(ctx, env, c.Format, offset, c.Wait)
+}
+
+// conflict prints what is in force now and what changed since this command
+// read the configuration.
+func (c *PublishCmd) conflict(ctx context.Context, env Env, before inForce, cause error) error {
+	now, err := c.current(ctx, env)
+	if err != nil {
+		return cause
+	}
+	p := printer{w: env.Err}
+	p.printf("conflict: nothing was published\noffset %d is in force", now.Offset)
+	if now.Operator != "" {
+		p.printf(", published by %s at %s", now.Operator, now.Time.UTC().Format(time.RFC3339))
+	}
+	p.printf("\n")
+	if now.Offset != before.Offset {
+		p.printf("changed since offset %d:\n%s", before.Offset, differ.Text(differ.Diff(before.Document, now.Document)))
+	}
+
+	return cause
+}
--- /dev/null
+++ b/internal/cli/commander/config_query.go
@@ -0,0 +1,149 @@
+package commander
+
+import (
+	"context"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/config/differ"
+	"gitlab.com/greengagewall/greengagewall/internal/config/parser"
+	"gitlab.com/greengagewall/greengagewall/internal/config/renderer"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// CheckCmd checks configuration files without an instance.
+type CheckCmd struct {
+	Source
+	Format
+}
+
+// checkReply is the JSON form of a check.
+type checkReply struct {
+	Valid    bool            `json:"valid"`
+	Problems parser.Problems `json:"problems"`
+	Cell     string          `json:"cell,omitempty"`
+	Teams    int             `json:"teams"`
+	Queues   int             `json:"queues"`
+	Services int             `json:"services"`
+	Jobs     int             `json:"jobs"`
+}
+
+// Run prints every fault of the files and returns exit code 2 if there is any.
+func (c *CheckCmd) Run(_ context.Context, env Env) (int, error) {
+	if err := c.check(); err != nil {
+		return exitFault, err
+	}
+	result, err := c.load()
+	var problems parser.Problems
+	if err != nil && !errors.As(err, &problems) {
+		return exitFault, err
+	}
+	doc := result.Document
+	reply := checkReply{
+		Valid: err == nil, Problems: append(parser.Problems{}, problems...), Cell: doc.Cell,
+		Teams: len(doc.Teams), Queues: len(doc.Queues), Services: len(doc.Services), Jobs: len(doc.Jobs),
+	}
+	err = c.write(env.Out, reply, func(w io.Writer) error {
+		p := printer{w: w}
+		for _, problem := range problems {
+			p.printf("%s\n", problem)
+		}
+		if !reply.Valid {
+			p.printf("%d problems\n", len(problems))
+		} else {
+			p.printf("%s: %d partitions, %d teams, %d queues, %d services, %d jobs: valid\n",
+				doc.Cell, len(doc.Partitions), reply.Teams, reply.Queues, reply.Services, reply.Jobs)
+		}
+
+		return p.err
+	})
+	if err != nil || !reply.Valid {
+		return exitFault, err
+	}
+
+	return exitOK, nil
+}
+
+// RenderCmd prints the merged configuration.
+type RenderCmd struct {
+	Source
+	Format
+}
+
+// Run prints the document in the format of the base file, or as JSON in the
+// format of the API.
+func (c *RenderCmd) Run(_ context.Context, env Env) (int, error) {
+	if err := c.check(); err != nil {
+		return exitFault, err
+	}
+	result, err := c.load()
+	if err != nil {
+		return exitFault, err
+	}
+
+	return exitOK, c.write(env.Out, result.Document, func(w io.Writer) error {
+		data, err := renderer.Render(result.Document)
+		if err != nil {
+			return err
+		}
+		_, err = w.Write(data)
+
+		return errors.Wrap(err, "write configuration")
+	})
+}
+
+// DiffCmd compares the files with the document in force.
+type DiffCmd struct {
+	Source
+	Target
+	Format
+}
+
+// diffReply is the JSON form of a diff.
+type diffReply struct {
+	// Offset is the offset in force that the files are compared with.
+	Offset  modeler.Offset  `json:"offset"`
+	Changes []differ.Change `json:"changes"`
+	// Reinstated lists withdrawn keys that the files would admit again.
+	Reinstated []string `json:"reinstated,omitempty"`
+}
+
+// Run prints what publishing the files would change; its exit code is 1 if
+// that is anything.
+func (c *DiffCmd) Run(ctx context.Context, env Env) (int, error) {
+	if err := c.check(); err != nil {
+		return exitFault, err
+	}
+	result, err := c.load()
+	if err != nil {
+		return exitFault, err
+	}
+	current, err := c.current(ctx, env)
+	if err != nil {
+		return exitFault, err
+	}
+	reply := diffReply{
+		Offset: current.Offset, Changes: differ.Diff(current.Document, result.Document),
+		Reinstated: differ.Reinstated(current.Document, result.Document),
+	}
+	if err := c.write(env.Out, reply, reply.text); err != nil {
+		return exitFault, err
+	}
+	if len(reply.Changes) > 0 {
+		return exitDiffers, nil
+	}
+
+	return exitOK, nil
+}
+
+// text prints the diff for people.
+func (r diffReply) text(w io.Writer) error {
+	p := printer{w: w}
+	p.printf("compared with offset %d\n%s", r.Offset, differ.Text(r.Changes))
+	for _, key := range r.Reinstated {
+		p.printf("warning: %s is withdrawn, and the files would admit it or drop it\n", key)
+	}
+
+	return p.err
+}
--- /dev/null
+++ b/internal/cli/commander/config_test.go
@@ -0,0 +1,247 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/sebdah/goldie/v2"
+
+	"gitlab.com/greengagewall/greengagewall/internal/config/checker"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// api is a stand-in for the configuration part of the HTTP API.
+type api struct {
+	doc      modeler.Document
+	offset   modeler.Offset
+	operator string
+	// before runs once, before the next publication.
+	before func()
+	// lag is how often the second instance reports an old offset.
+	lag int
+	// drop makes the next publication take effect without an answer.
+	drop bool
+}
+
+func (a *api) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	switch req.Method + " " + req.URL.Path {
+	case "GET /v1/config":
+		if a.offset < 0 {
+			refuse(w, http.StatusServiceUnavailable, modeler.CodeStaleConfig, "no configuration")
+
+			return
+		}
+		reply(w, inForce{Offset: a.offset, Document: a.doc, Operator: a.operator, Time: time.Unix(1_700_000_000, 0)})
+	case "PUT /v1/config":
+		a.publish(w, req)
+	case "GET /v1/config/offsets":
+		second := a.offset
+		if a.lag--; a.lag >= 0 {
+			second--
+		}
+		reply(w, []instanceOffset{{Instance: "entry-1", Offset: a.offset}, {Instance: "entry-2", Offset: second}})
+	default:
+		refuse(w, http.StatusNotFound, modeler.CodeUnknownItem, req.URL.Path)
+	}
+}
+
+func (a *api) publish(w http.ResponseWriter, req *http.Request) {
+	if before := a.before; before != nil {
+		a.before = nil
+		before()
+	}
+	var body publishRequest
+	if err := json.NewDecoder(req.Body).Decode(&body); err != nil {
+		refuse(w, http.StatusBadRequest, modeler.CodeBadRequest, err.Error())
+	} else if body.Parent != a.offset {
+		refuse(w, http.StatusConflict, modeler.CodeConflict, "another document is in force")
+	} else {
+		a.doc, a.offset, a.operator = body.Document, a.offset+1, req.Header.Get(operatorHeader)
+		if a.drop {
+			panic(http.ErrAbortHandler)
+		}
+		reply(w, inForce{Offset: a.offset})
+	}
+}
+
+func reply(w http.ResponseWriter, body any) { _ = json.NewEncoder(w).Encode(body) }
+
+func refuse(w http.ResponseWriter, status int, code modeler.Code, detail string) {
+	w.WriteHeader(status)
+	reply(w, refusalBody{Outcome: modeler.OutcomeNotRun, Code: code, Detail: detail})
+}
+
+// program is a command line of the operator commands.
+type program struct {
+	Check   *CheckCmd   `arg:"subcommand:check"`
+	Render  *RenderCmd  `arg:"subcommand:render"`
+	Diff    *DiffCmd    `arg:"subcommand:diff"`
+	Publish *PublishCmd `arg:"subcommand:publish"`
+	Offsets *OffsetsCmd `arg:"subcommand:offsets"`
+	Key     *KeyCmd     `arg:"subcommand:key"`
+}
+
+// session runs command lines against an api.
+type session struct {
+	t      *testing.T
+	api    *api
+	server *httptest.Server
+	now    time.Time
+}
+
+func newSession(t *testing.T) *session {
+	s := &session{t: t, api: &api{offset: -1}, now: time.Unix(1_700_000_100, 0)}
+	s.server = httptest.NewServer(s.api)
+	t.Cleanup(s.server.Close)
+
+	return s
+}
+
+// run returns the exit code and everything that was printed.
+func (s *session) run(line string) (int, string) {
+	s.t.Helper()
+	var args program
+	parser, err := arg.NewParser(arg.Config{}, &args)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if err := parser.Parse(strings.Fields(line)); err != nil {
+		s.t.Fatal(err)
+	}
+	var out bytes.Buffer
+	env := Env{
+		Out: &out, Err: &out, Client: s.server.Client(), Now: func() time.Time { return s.now },
+		Sleep: func(_ context.Context, pause time.Duration) { s.now = s.now.Add(pause) },
+	}
+	exit, err := parser.Subcommand().(interface {
+		Run(ctx context.Context, env Env) (int, error)
+	}).Run(context.Background(), env)
+	if err != nil {
+		out.WriteString("error: " + err.Error() + "\n")
+	}
+
+	return exit, out.String()
+}
+
+// wants runs a line and checks its exit code.
+func (s *session) wants(exit int, line string) string {
+	s.t.Helper()
+	got, out := s.run(line + " --server " + s.server.URL)
+	if got != exit {
+		s.t.Fatalf("%s: exit %d, want %d\n%s", line, got, exit, out)
+	}
+
+	return "$ " + line + "\n" + out
+}
+
+const humo = "--deployment ../../../examples/humo-andino"
+
+// TestOperatorCommands guards against commands that publish something else
+// than they show, or hide a conflict or a lag.
+func TestOperatorCommands(t *testing.T) {
+	s := newSession(t)
+	var out strings.Builder
+	step := func(exit int, line string) { out.WriteString(s.wants(exit, line)) }
+	first := s.wants(exitOK, "publish "+humo+" --site costa --operator amy")
+	if !strings.HasSuffix(first, "published at offset 0\n") || checker.Check(s.api.doc) != nil {
+		t.Fatalf("not published: %s", first)
+	}
+	step(exitDiffers, "diff "+humo)
+	step(exitDiffers, "diff "+humo+" --output json")
+	s.api.before = func() {
+		s.api.doc.Cell, s.api.operator = "other", "bob"
+		s.api.offset++
+	}
+	step(exitConflict, "publish "+humo+" --operator amy")
+	s.api.doc.Cell = "humo-andino"
+	step(exitConflict, "publish "+humo+" --parent 0")
+	s.api.lag = 2
+	step(exitOK, "publish "+humo+" --operator amy --wait 5s")
+	step(exitOK, "diff "+humo)
+	s.api.lag = 100
+	step(exitDiffers, "offsets --wait 1s")
+	s.api.lag = 0
+	step(exitOK, "offsets --output json")
+	goldie.New(t).Assert(t, "operator", []byte(out.String()))
+}
+
+// TestKeys guards against a withdrawal that loses another operator's change,
+// and against a publication from old files that undoes the withdrawal.
+func TestKeys(t *testing.T) {
+	s := newSession(t)
+	s.wants(exitOK, "publish "+humo)
+	var out strings.Builder
+	step := func(exit int, line string) { out.WriteString(s.wants(exit, line)) }
+	s.api.before = func() {
+		s.api.doc.Partitions[0].Weight = 9
+		s.api.offset++
+	}
+	step(exitOK, "key withdraw health lima")
+	if s.api.doc.Partitions[0].Weight != 9 || !s.api.doc.Teams[2].Keys[0].Withdrawn {
+		t.Errorf("got %+v", s.api.doc)
+	}
+	digest := strings.Repeat("ab", 32)
+	step(exitOK, "key grant health piura --digest "+digest+" --output json")
+	step(exitFault, "key grant health piura --digest "+digest)
+	step(exitFault, "key grant schools second --digest "+digest)
+	step(exitFault, "key withdraw health nobody")
+	step(exitFault, "key withdraw nobody lima")
+	step(exitFault, "publish "+humo)
+	goldie.New(t).Assert(t, "keys", []byte(out.String()))
+	s.wants(exitOK, "publish "+humo+" --reinstate")
+	_, text := s.run("key new health")
+	if parts := strings.Fields(text); len(parts) != 4 || !strings.HasPrefix(parts[1], "ggw_health_") || len(parts[3]) != 64 {
+		t.Errorf("new key: %q", text)
+	}
+}
+
+// TestLostPublication guards against a publication without an answer that is
+// reported as not carried out.
+func TestLostPublication(t *testing.T) {
+	s := newSession(t)
+	s.api.drop = true
+	s.wants(exitUnknown, "publish "+humo)
+	s.server.Close()
+	s.wants(exitFault, "publish "+humo)
+}
+
+// TestCheckFiles guards against faulty files that pass, and against faults
+// without a place.
+func TestCheckFiles(t *testing.T) {
+	s := newSession(t)
+	var out strings.Builder
+	for _, line := range []string{"check " + humo, "check --deployment ../../../examples/brine-ledger --output json"} {
+		exit, text := s.run(line)
+		out.WriteString(text)
+		if exit != exitOK {
+			t.Errorf("%s: exit %d", line, exit)
+		}
+	}
+	base, err := os.ReadFile("../../../examples/humo-andino/base.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "base.yaml")
+	faulty := strings.ReplaceAll(string(base), "queue: lookups", "queue: lookup")
+	if err := os.WriteFile(path, []byte(strings.ReplaceAll(faulty, "team: public", "team: nobody")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	exit, text := s.run("check --base " + path)
+	out.WriteString(strings.ReplaceAll(text, path, "base.yaml"))
+	if exit != exitFault {
+		t.Errorf("exit %d for faulty files", exit)
+	}
+	_, text = s.run("render --deployment ../../../examples/brine-ledger")
+	out.WriteString(text)
+	goldie.New(t).Assert(t, "files", []byte(out.String()))
+}
--- a/internal/config/follower/follower.go
+++ b/internal/config/follower/follower.go
@@ -36,6 +36,7 @@
 	logger    hclog.Logger
 	now       func() time.Time
 	jitter    func() float64
+	check     func(modeler.Document) error
 	retention time.Duration
 	settle    time.Duration
 	wait      time.Duration
--- a/internal/config/follower/follower_test.go
+++ b/internal/config/follower/follower_test.go
@@ -131,6 +131,7 @@
 	return New(append([]Option{
 		WithLog(x.log), WithClock(x.now), WithSettle(300 * time.Millisecond),
 		WithPoll(time.Millisecond, time.Millisecond), WithJitter(func() float64 { return 0 }),
+		WithCheck(func(modeler.Document) error { return nil }),
 	}, opts...)...)
 }
 
@@ -244,6 +245,14 @@
 	}
 }
 
+// TestFaultyDocument guards against a document that passes the API although it
+// has faults.
+func TestFaultyDocument(t *testing.T) {
+	x := newFixture(t)
+	_, err := New(WithLog(x.log)).Publish(context.Background(), none, modeler.Document{Cell: "empty"})
+	x.refused(err, modeler.CodeBadConfig, modeler.OutcomeNotRun)
+}
+
 // TestOfferNeverLowers guards against a peer that takes an instance back to an
 // older configuration, in which a withdrawn key works again.
 func TestOfferNeverLowers(t *testing.T) {
--- a/internal/config/follower/options.go
+++ b/internal/config/follower/options.go
@@ -6,6 +6,8 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"gitlab.com/greengagewall/greengagewall/internal/config/checker"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
 )
 
@@ -43,12 +45,19 @@
 // repetitions of several instances; the default is math/rand.
 func WithJitter(jitter func() float64) Option { return func(f *Follower) { f.jitter = jitter } }
 
+// WithCheck sets the check of a document before it is published; the default is
+// checker.Check. A document that fails is refused with the code bad-config.
+func WithCheck(check func(modeler.Document) error) Option {
+	return func(f *Follower) { f.check = check }
+}
+
 // defaults are the settings before any option.
 func defaults() *Follower {
 	return &Follower{
 		logger: hclog.NewNullLogger(),
 		now:    time.Now,
 		jitter: rand.Float64,
+		check:  checker.Check,
 		settle: 5 * time.Second,
 		wait:   500 * time.Millisecond,
 		pause:  200 * time.Millisecond,
--- a/internal/config/follower/publish.go
+++ b/internal/config/follower/publish.go
@@ -30,7 +30,7 @@
 
 // Publish appends doc as the successor of the document at parent (-1 for the
 // first) and returns its offset after reading it back as valid. Its errors are
-// of type *modeler.Refusal: conflict when another document came first,
+// of type *modeler.Refusal: bad-config when doc has a fault, conflict when another document came first,
 // log-down when certainly nothing was appended, lost-answer with the outcome
 // unknown when the record could not be read back in time.
 func (f *Follower) Publish(ctx context.Context, parent modeler.Offset, doc modeler.Document) (modeler.Offset, error) {
@@ -41,6 +41,9 @@
 func (f *Follower) PublishAs(
 	ctx context.Context, operator string, parent modeler.Offset, doc modeler.Document,
 ) (modeler.Offset, error) {
+	if err := f.check(doc); err != nil {
+		return none, modeler.NotRun(modeler.CodeBadConfig, 0, "%v", err)
+	}
 	ctx, cancel := context.WithTimeout(ctx, f.settle)
 	defer cancel()
 	f.publishing.Lock()
