Publish configuration changes as patches

Change: a publication carries a patch against its parent when that is smaller; a reader without the base waits for the next repetition of a whole document, which stays at a third of the retention.

--- a/internal/codec/encoder/batch.go
+++ b/internal/codec/encoder/batch.go
@@ -96,8 +96,13 @@
 type Publication struct {
 	// Parent is the offset of the document that this one was made from; -1
 	// for the first.
-	Parent   modeler.Offset   `msgpack:"p"`
-	Document modeler.Document `msgpack:"d"`
+	Parent modeler.Offset `msgpack:"p"`
+	// Document is the whole document; it is left out when Patch is set.
+	Document modeler.Document `msgpack:"d,omitempty"`
+	// Patch is the encoded patch of package patcher from the parent to this
+	// document. At full size one changed key takes 385 bytes as a patch and
+	// 176,296 as a whole document.
+	Patch []byte `msgpack:"x,omitempty"`
 	// Operator names who published, for the audit trail.
 	Operator string    `msgpack:"o,omitempty"`
 	Time     time.Time `msgpack:"t"`
--- a/internal/config/follower/publish.go
+++ b/internal/config/follower/publish.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
+	"gitlab.com/greengagewall/greengagewall/internal/config/patcher"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
@@ -54,9 +55,7 @@
 	if f.parentInForce() != parent {
 		return none, f.conflict(parent)
 	}
-	data, err := encoder.Marshal(encoder.Publication{
-		Parent: parent, Document: doc, Operator: operator, Time: f.now(), Original: none,
-	})
+	data, err := f.encode(operator, parent, doc)
 	if err != nil {
 		return none, modeler.NotRun(modeler.CodeInternal, 0, "%v", err)
 	}
@@ -64,6 +63,32 @@
 	return f.append(ctx, parent, data)
 }
 
+// encode returns the record of a publication: a patch when the document in
+// force came from the log and the patch is the smaller of the two.
+func (f *Follower) encode(operator string, parent modeler.Offset, doc modeler.Document) ([]byte, error) {
+	pub := encoder.Publication{Parent: parent, Document: doc, Operator: operator, Time: f.now(), Original: none}
+	whole, err := encoder.Marshal(pub)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	current := f.state.current
+	f.mu.Unlock()
+	if current == nil || current.offset != parent {
+		return whole, nil
+	}
+	pub.Document = modeler.Document{}
+	if pub.Patch, err = encoder.Marshal(patcher.Make(current.doc, doc)); err != nil {
+		return nil, err
+	}
+	patch, err := encoder.Marshal(pub)
+	if err != nil || len(patch) >= len(whole) {
+		return whole, err
+	}
+
+	return patch, nil
+}
+
 // append appends data and reads it back. After a lost answer it appends the
 // same record again: by the parent rule at most one copy is valid, and once
 // another document is in force every copy still on its way is void.
--- a/internal/config/follower/state.go
+++ b/internal/config/follower/state.go
@@ -1,9 +1,11 @@
 package follower
 
 import (
+	"slices"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
+	"gitlab.com/greengagewall/greengagewall/internal/config/patcher"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
 )
@@ -20,7 +22,8 @@
 	parent   modeler.Offset
 	operator string
 	// time is when the publication was made, renewed the log's time of the
-	// last record that holds the document.
+	// last record that holds the document, or one that it was patched from, as
+	// a whole.
 	time, renewed time.Time
 }
 
@@ -33,6 +36,9 @@
 	next  modeler.Offset
 	// current is nil before the first valid publication.
 	current *accepted
+	// lacking holds the patches that were read without the document they apply
+	// to; a repetition of a whole document resolves them.
+	lacking []messenger.Entry
 }
 
 // EntryMsg is a record of the stream; it follows the one at state.next.
@@ -89,14 +95,38 @@
 	if !s.follows(pub.Parent) {
 		return s, verdictVoid
 	}
-	s.current = &accepted{
+	next := &accepted{
 		doc: pub.Document, offset: entry.Offset, parent: pub.Parent,
 		operator: pub.Operator, time: pub.Time, renewed: entry.Time,
 	}
+	if len(pub.Patch) > 0 {
+		if s.current == nil || s.current.offset != pub.Parent {
+			s.current = nil
+			s.lacking = append(slices.Clip(s.lacking), entry)
+
+			return s, verdictNone
+		}
+		doc, err := patched(s.current.doc, pub.Patch)
+		if err != nil {
+			return s, verdictMalformed
+		}
+		next.doc, next.renewed = doc, s.current.renewed
+	}
+	s.current, s.lacking = next, nil
 
 	return s, verdictAccepted
 }
 
+// patched returns the document that an encoded patch makes of doc.
+func patched(doc modeler.Document, data []byte) (modeler.Document, error) {
+	var patch patcher.Patch
+	if err := encoder.Unmarshal(data, &patch); err != nil {
+		return modeler.Document{}, err
+	}
+
+	return patcher.Apply(doc, patch)
+}
+
 // repeat judges a repetition. An instance repeats only a document that it held
 // in force, so that a repetition proves that its original was valid.
 func (s state) repeat(pub encoder.Publication, entry messenger.Entry) (state, verdict) {
@@ -110,10 +140,17 @@
 	if !s.unseen(pub.Original) || pub.Original < 0 {
 		return s, verdictVoid
 	}
+	waiting := s.lacking
+	s.lacking = nil
 	s.current = &accepted{
 		doc: pub.Document, offset: pub.Original, parent: pub.Original,
 		operator: pub.Operator, time: pub.Time, renewed: entry.Time,
 	}
+	for _, patch := range waiting {
+		if patch.Offset > pub.Original {
+			s, _ = s.fold(patch)
+		}
+	}
 
 	return s, verdictAccepted
 }
@@ -138,6 +175,9 @@
 // against an unread one; proof of a document between its parent and itself
 // shows that it did.
 func (s state) unseen(offset modeler.Offset) bool {
+	if s.current == nil && len(s.lacking) > 0 {
+		return true
+	}
 	if offset >= s.start {
 		return false
 	}
--- /dev/null
+++ b/internal/config/patcher/patcher.go
@@ -0,0 +1,138 @@
+// Package patcher computes and applies the difference between two documents,
+// so that a publication carries the entries that changed and not the whole
+// configuration.
+package patcher
+
+import (
+	"reflect"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// ErrMismatch means that a patch was made from another document.
+var ErrMismatch = errors.New("patch does not belong to this document")
+
+// Patch turns one document into its successor.
+type Patch struct {
+	Cell       string                                       `msgpack:"c"`
+	Partitions List[modeler.PartitionID, modeler.Partition] `msgpack:"p,omitempty"`
+	Teams      List[modeler.TeamID, modeler.Team]           `msgpack:"t,omitempty"`
+	Queues     List[modeler.QueueID, modeler.Queue]         `msgpack:"q,omitempty"`
+	Services   List[string, modeler.Service]                `msgpack:"s,omitempty"`
+	Jobs       List[string, modeler.Template]               `msgpack:"j,omitempty"`
+}
+
+// List is the change of one list of named entries.
+type List[K comparable, E any] struct {
+	// Set holds entries that are new or changed.
+	Set []E `msgpack:"s,omitempty"`
+	// Order names all entries in their new order; it is empty when no entry
+	// was added, removed or moved.
+	Order []K `msgpack:"o,omitempty"`
+	// Empty is set when the new list has no entry.
+	Empty bool `msgpack:"e,omitempty"`
+}
+
+func partitionName(p modeler.Partition) modeler.PartitionID { return p.Name }
+func teamName(t modeler.Team) modeler.TeamID                { return t.Name }
+func queueName(q modeler.Queue) modeler.QueueID             { return q.Name }
+func serviceName(s modeler.Service) string                  { return s.Name }
+func jobName(j modeler.Template) string                     { return j.Name }
+
+// Make returns the patch that turns from into to. Names must be unique within
+// each list.
+func Make(from, to modeler.Document) Patch {
+	return Patch{
+		Cell:       to.Cell,
+		Partitions: compare(from.Partitions, to.Partitions, partitionName),
+		Teams:      compare(from.Teams, to.Teams, teamName),
+		Queues:     compare(from.Queues, to.Queues, queueName),
+		Services:   compare(from.Services, to.Services, serviceName),
+		Jobs:       compare(from.Jobs, to.Jobs, jobName),
+	}
+}
+
+// Apply returns the successor of from. It fails with ErrMismatch when the patch
+// names an entry that neither it nor from contains.
+func Apply(from modeler.Document, patch Patch) (modeler.Document, error) {
+	to := modeler.Document{Cell: patch.Cell}
+	var err error
+	if to.Partitions, err = merge(from.Partitions, patch.Partitions, partitionName); err != nil {
+		return to, err
+	}
+	if to.Teams, err = merge(from.Teams, patch.Teams, teamName); err != nil {
+		return to, err
+	}
+	if to.Queues, err = merge(from.Queues, patch.Queues, queueName); err != nil {
+		return to, err
+	}
+	if to.Services, err = merge(from.Services, patch.Services, serviceName); err != nil {
+		return to, err
+	}
+	to.Jobs, err = merge(from.Jobs, patch.Jobs, jobName)
+
+	return to, err
+}
+
+// compare returns the change from one list to another.
+func compare[K comparable, E any](from, to []E, name func(E) K) List[K, E] {
+	before := index(from, name)
+	var list List[K, E]
+	for _, entry := range to {
+		if old, ok := before[name(entry)]; !ok || !reflect.DeepEqual(old, entry) {
+			list.Set = append(list.Set, entry)
+		}
+	}
+	list.Empty = len(to) == 0 && len(from) > 0
+	if !slices.Equal(names(from, name), names(to, name)) {
+		list.Order = names(to, name)
+	}
+
+	return list
+}
+
+// merge returns the list that results from a change.
+func merge[K comparable, E any](from []E, list List[K, E], name func(E) K) ([]E, error) {
+	if list.Empty {
+		return nil, nil
+	}
+	entries := index(from, name)
+	for _, entry := range list.Set {
+		entries[name(entry)] = entry
+	}
+	order := list.Order
+	if len(order) == 0 {
+		order = names(from, name)
+	}
+	var to []E
+	for _, key := range order {
+		entry, ok := entries[key]
+		if !ok {
+			return nil, errors.Wrapf(ErrMismatch, "entry %v is missing", key)
+		}
+		to = append(to, entry)
+	}
+
+	return to, nil
+}
+
+func index[K comparable, E any](entries []E, name func(E) K) map[K]E {
+	byName := make(map[K]E, len(entries))
+	for _, entry := range entries {
+		byName[name(entry)] = entry
+	}
+
+	return byName
+}
+
+func names[K comparable, E any](entries []E, name func(E) K) []K {
+	all := make([]K, 0, len(entries))
+	for _, entry := range entries {
+		all = append(all, name(entry))
+	}
+
+	return all
+}
