Run partitions with the real scheduler and bound renewals by the majority

Change: the supervisor uses scheduler.New by default. An endpoint is made known before its tasks are adopted. Spent attempts follow the scheduler's note. An owner without a majority stops renewing after Ls. A start that the endpoint answered with an error of its own uses up an attempt. Load.Largest is the componentwise maximum.

--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -1,10 +1,13 @@
 package owner
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
 	"gitlab.com/greengagewall/greengagewall/internal/core/scheduler"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
@@ -95,10 +98,16 @@
 		if listed[t.id] || !t.sent {
 			continue
 		}
-		if t.state == modeler.TaskStarting && !t.job.Once && t.session != 0 {
-			c.refuse(t, "the start did not reach the endpoint")
-		} else {
+		switch {
+		case t.state != modeler.TaskStarting || t.job.Once || t.session == 0:
 			c.lapse(t, "not in the endpoint's inventory")
+		case t.doubt != nil && !errors.Is(t.doubt, context.DeadlineExceeded):
+			// The endpoint answered with an error of its own, such as a command
+			// that it does not know. The attempt counts, so that such a task
+			// is not started for ever.
+			c.lapse(t, t.doubt.Error())
+		default:
+			c.refuse(t, "the start did not reach the endpoint")
 		}
 	}
 	c.teamsDirty = true
--- a/internal/partition/owner/call.go
+++ b/internal/partition/owner/call.go
@@ -227,6 +227,7 @@
 	c.team(entry.msg.Team).free(modeler.Resources{Slots: 1})
 	entry.at = nil
 	if lost && e.state != endpointGone {
+		e.contact = c.now
 		e.strangers[modeler.TaskID(entry.msg.Request)] = stranger{team: entry.msg.Team, needs: modeler.Resources{Slots: 1}, since: c.now}
 		e.renew = e.state == endpointOpen
 		c.teamsDirty = true
--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -44,8 +44,8 @@
 	raised bool
 	// fresh is when the last answered hello or renewal was sent.
 	fresh time.Time
-	// contact is the latest time at which an attempt may have extended the
-	// task leases.
+	// contact is the latest time at which a renewal or a start may have
+	// reached the endpoint and extended a task lease. A hello extends none.
 	contact time.Time
 	// silent is when the session was lost.
 	silent time.Time
@@ -193,32 +193,20 @@
 	return end.Add(LeaseFor + leaseMargin), true
 }
 
-// hello opens a session unless an attempt is open, too recent, or would keep
-// leases alive that have to end.
+// hello opens a session unless an attempt is open or too recent.
 func (c *Core) hello(e *endpoint, pause time.Duration) {
 	if e.busy || !e.known || c.now.Sub(e.sent) < pause {
 		return
 	}
-	since := e.silent
-	if e.state == endpointNew {
-		since = c.majorityAt
-	}
-	waits := e.state == endpointNew || e.state == endpointLapsed
-	if waits && !since.IsZero() && c.now.Sub(since) > tryFor && c.mayHold(e) {
-		return
-	}
 	e.busy, e.sent = true, c.now
 	c.emit(HelloCmd{Endpoint: e.instance, Request: messenger.HelloRequest{Term: c.term, Owner: c.self}})
 }
 
-// mayHold reports whether an endpoint may run work whose lease has to end.
-func (c *Core) mayHold(e *endpoint) bool {
-	return !e.idle() || e.state == endpointNew && !c.released
-}
-
-// renew renews the session when it is due.
+// renew renews the session when it is due. An owner that has lost its majority
+// stops renewing: a later owner counts on it that the leases at endpoints that
+// only the earlier one reaches end Lc + 2*Ls + Lt after its own majority.
 func (c *Core) renew(e *endpoint) {
-	if e.busy || c.now.Sub(e.sent) < renewEvery {
+	if e.busy || c.now.Sub(e.sent) < renewEvery || c.now.Sub(c.readyAt) > SessionFor {
 		return
 	}
 	e.busy, e.sent = true, c.now
@@ -242,9 +230,6 @@
 		return
 	}
 	e.busy = false
-	if !errors.Is(msg.Err, messenger.ErrUnsent) {
-		e.contact = c.now
-	}
 	if msg.Err != nil {
 		if errors.Is(msg.Err, messenger.ErrTerm) && msg.Term == c.term {
 			c.emit(SupersededCmd{Endpoint: e.instance.ID})
@@ -256,9 +241,11 @@
 	e.session, e.term, e.raised, e.renew = msg.Reply.Session, msg.Term, true, false
 	e.fresh, e.capacity = msg.Sent, msg.Reply.Capacity
 	e.leaving = e.leaving || msg.Reply.Leaving
+	// The decider must know the endpoint before it hears of tasks there.
+	c.tell(e)
 	c.adopt(e, msg.Reply)
-	c.tickTakeover()
 	c.tell(e)
+	c.tickTakeover()
 }
 
 // renewed takes the result of a renewal.
@@ -268,7 +255,7 @@
 		return
 	}
 	e.busy = false
-	if !errors.Is(msg.Err, messenger.ErrUnsent) {
+	if !certain(msg.Err) {
 		e.contact = c.now
 	}
 	if e.state != endpointOpen || e.session != msg.Request.Session {
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -26,10 +26,6 @@
 	renewEvery = 300 * time.Millisecond
 	// helloEvery is the pace of attempts at an endpoint that does not answer.
 	helloEvery = time.Second
-	// tryFor bounds the attempts at a silent endpoint that holds work. An
-	// attempt whose answer is lost extends the task leases there, so the
-	// attempts must end before the leases can be counted as lapsed.
-	tryFor = FreshFor + 2*SessionFor
 	// leaseMargin covers the rates of two clocks and the timer of the endpoint.
 	leaseMargin = 500 * time.Millisecond
 	// decideBudget bounds the starts of one pass.
@@ -75,6 +71,8 @@
 	// majorityAt is when a majority of the endpoints was first raised to a
 	// term of this owner; zero before.
 	majorityAt time.Time
+	// readyAt is when the owner last held fresh renewals of a majority.
+	readyAt time.Time
 	// released is set once no endpoint can run work that this owner does not
 	// know of.
 	released   bool
@@ -198,6 +196,9 @@
 	if c.retired {
 		return
 	}
+	if c.Ready() {
+		c.readyAt = c.now
+	}
 	for _, e := range c.endpoints {
 		c.tickEndpoint(e)
 	}
--- a/internal/partition/owner/resolve.go
+++ b/internal/partition/owner/resolve.go
@@ -193,8 +193,8 @@
 		load.Free = load.Free.Add(atLeastZero(e.capacity.Sub(e.used())))
 		if e.instance.Kind == modeler.KindExecutor {
 			load.Services[e.instance.Service] += max(e.slots(), 0)
-		} else if e.capacity.Millis > load.Largest.Millis || e.capacity.Millis == load.Largest.Millis && e.capacity.Memory > load.Largest.Memory {
-			load.Largest = e.capacity
+		} else {
+			load.Largest = largest(load.Largest, e.capacity)
 		}
 	}
 	for id, t := range c.teams {
@@ -208,3 +208,13 @@
 
 	return load
 }
+
+// largest returns the componentwise maximum. An endpoint with accelerators may
+// have fewer processors than another one; a job that needs either must not be
+// turned away by a partition that has both.
+func largest(a, b modeler.Resources) modeler.Resources {
+	return modeler.Resources{
+		Millis: max(a.Millis, b.Millis), Memory: max(a.Memory, b.Memory),
+		Accelerators: max(a.Accelerators, b.Accelerators), Slots: max(a.Slots, b.Slots),
+	}
+}
--- a/internal/partition/owner/result.go
+++ b/internal/partition/owner/result.go
@@ -25,6 +25,9 @@
 
 // certain reports whether an error means that the command had no effect.
 func certain(err error) bool {
+	if err == nil {
+		return false
+	}
 	for _, target := range []error{
 		messenger.ErrUnsent, messenger.ErrSession, messenger.ErrTerm, messenger.ErrCapacity, messenger.ErrVoided,
 	} {
@@ -46,6 +49,9 @@
 		return
 	}
 	e := t.at
+	if !certain(msg.Err) {
+		e.contact = c.now
+	}
 	switch {
 	case msg.Err == nil:
 		c.running(t, c.now)
@@ -59,6 +65,7 @@
 		}
 		c.refuse(t, msg.Err.Error())
 	default:
+		t.doubt = msg.Err
 		e.renew = e.state == endpointOpen
 	}
 	c.tell(e)
@@ -120,7 +127,7 @@
 
 // conclude decides what the end of a task means.
 func (c *Core) conclude(t *task, f messenger.Finish, w *wait) {
-	msg := scheduler.EndedMsg{Task: t.id, Result: scheduler.ResultFailed, Cause: f.Cause, Used: f.Used, Checkpointed: f.Checkpointed}
+	msg := scheduler.EndedMsg{Task: t.id, Attempt: t.attempt - t.base, Result: scheduler.ResultFailed, Cause: f.Cause, Used: f.Used, Checkpointed: f.Checkpointed}
 	state, event := modeler.TaskQueued, modeler.EventQueued
 	switch {
 	case f.OK:
@@ -175,7 +182,7 @@
 	c.noteTask(t, modeler.EventLapsed, cause)
 	record := c.taskRecord(t, modeler.EventUnknown, cause, "the task may have run and is not started again")
 	c.unplace(t)
-	msg := scheduler.EndedMsg{Task: t.id, Result: scheduler.ResultRequeue, Cause: cause}
+	msg := scheduler.EndedMsg{Task: t.id, Attempt: t.attempt - t.base, Result: scheduler.ResultRequeue, Cause: cause}
 	if t.job.Once {
 		msg.Result = scheduler.ResultUnknown
 	}
--- a/internal/partition/owner/work.go
+++ b/internal/partition/owner/work.go
@@ -40,6 +40,8 @@
 	sent bool
 	// launched is set while a task that may run only once may have run.
 	launched bool
+	// doubt is the error of a start that may have taken effect.
+	doubt error
 	// confirmed is when the owner learned that the task runs.
 	confirmed time.Time
 	started   time.Time
@@ -90,7 +92,7 @@
 
 // place notes that a task is or may be at an endpoint.
 func (c *Core) place(t *task, e *endpoint) {
-	t.at, t.session, t.sent, t.missed = e, 0, false, 0
+	t.at, t.session, t.sent, t.missed, t.doubt = e, 0, false, 0, nil
 	t.stop, t.stopSent, t.why = "", time.Time{}, ""
 	e.tasks[t.id] = t
 	c.tally(t.job, -1)
@@ -262,7 +264,7 @@
 	default:
 		t.state = modeler.TaskQueued
 	}
-	c.ended(t, scheduler.EndedMsg{Task: t.id, Result: scheduler.ResultRefused, Cause: cause})
+	c.ended(t, scheduler.EndedMsg{Task: t.id, Attempt: t.attempt - t.base, Result: scheduler.ResultRefused, Cause: cause})
 }
 
 // running notes that the endpoint runs the task.
--- a/internal/partition/supervisor/decider.go
+++ b/internal/partition/supervisor/decider.go
@@ -1,6 +1,9 @@
 package supervisor
 
-import "gitlab.com/greengagewall/greengagewall/internal/partition/owner"
+import (
+	"gitlab.com/greengagewall/greengagewall/internal/core/scheduler"
+	"gitlab.com/greengagewall/greengagewall/internal/partition/owner"
+)
 
 // newDecider returns the decision core of a new owner.
-func newDecider() owner.Decider { return nil }
+func newDecider() owner.Decider { return scheduler.New() }
