--- a/internal/partition/supervisor/cluster_test.go
+++ b/internal/partition/supervisor/cluster_test.go
@@ -38,6 +38,10 @@
 	// cut keeps the node's messages and heartbeats from arriving.
 	cut, noLog, draining bool
 	heard                time.Time
+	// reach limits the endpoints that a cut-off node still reaches.
+	reach map[modeler.InstanceID]bool
+	// lost are endpoints that the node does not reach.
+	lost map[modeler.InstanceID]bool
 }
 
 func newCluster(t *testing.T, workers, executors int) *cluster {
@@ -191,11 +195,11 @@
 	}
 }
 
-func (n *node) isCut() bool {
+func (n *node) isCut(endpoint modeler.InstanceID) bool {
 	n.cluster.mu.Lock()
 	defer n.cluster.mu.Unlock()
 
-	return n.cut
+	return n.cut && !n.reach[endpoint] || n.lost[endpoint]
 }
 
 func (n *node) logCut() bool {
@@ -229,7 +233,7 @@
 
 // Endpoint implements messenger.Dialer.
 func (n *node) Endpoint(instance modeler.Instance) messenger.Endpoint {
-	if n.isCut() {
+	if n.isCut(instance.ID) {
 		return &fakeEndpoint{cluster: n.cluster, silent: true}
 	}
 
--- a/internal/partition/supervisor/failure_test.go
+++ b/internal/partition/supervisor/failure_test.go
@@ -117,6 +117,35 @@
 	})
 }
 
+// TestOwner_MinorityKeepsNothingAlive guards against an old owner that goes on
+// renewing the leases at an endpoint that only it reaches, while the new owner
+// counts them as ended.
+func TestOwner_MinorityKeepsNothingAlive(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T) {
+		c := newCluster(t, 5, 0)
+		first := c.trio(ctx)
+		if _, err := first.Submit(ctx, submission("j1", 10)); err != nil {
+			t.Fatal(err)
+		}
+		c.until(2*time.Second, "running tasks", func() bool { return states(first, "j1")[modeler.TaskRunning] == 10 })
+		host := c.host("j1/0")
+		c.mu.Lock()
+		first.reach = map[modeler.InstanceID]bool{host.instance.ID: true}
+		for _, n := range c.nodes {
+			if n != first {
+				n.lost = map[modeler.InstanceID]bool{host.instance.ID: true}
+			}
+		}
+		c.mu.Unlock()
+		first.cutOff(true)
+		second := c.owner(5 * time.Second)
+		c.until(15*time.Second, "restart of the lost tasks", func() bool {
+			return c.executions("j1/0") == 2 && states(second, "j1")[modeler.TaskRunning] == 10
+		})
+		c.check()
+	})
+}
+
 // TestEndpoint_Silent guards against a restart before the task lease of a
 // silent endpoint has ended, and against a lease that is never given up
 // because lost answers keep it alive.
