--- a/internal/partition/elector/elector_test.go
+++ b/internal/partition/elector/elector_test.go
@@ -16,7 +16,7 @@
 }
 
 func views(now time.Time, owner modeler.InstanceID, instances ...modeler.Instance) []View {
-	var all []View
+	all := make([]View, 0, len(instances))
 	for _, self := range instances {
 		view := View{Self: self, Partition: modeler.Partition{Name: "costa-1", Region: "costa"}, Owner: owner, Term: modeler.NewTerm(3, 0)}
 		for _, other := range instances {
@@ -46,7 +46,7 @@
 			}
 		}
 	}
-	var order []time.Duration
+	order := make([]time.Duration, 0, len(first))
 	for _, at := range first {
 		order = append(order, at)
 	}
@@ -99,7 +99,7 @@
 // TestSuccessors_NamesLivePeers guards against successors that are dead, too
 // many, or not in the order in which they would claim.
 func TestSuccessors_NamesLivePeers(t *testing.T) {
-	var instances []modeler.Instance
+	instances := make([]modeler.Instance, 0, 9)
 	for i := range 9 {
 		instances = append(instances, instance(modeler.InstanceID(fmt.Sprintf("i%d", i)), "costa"))
 	}
--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -126,7 +126,7 @@
 
 		return
 	}
-	if ok && t.at == nil && !t.state.Final() && found.Attempt >= t.attempt && !t.job.Once {
+	if ok && t.at == nil && !t.state.Final() && found.Attempt >= t.attempt {
 		c.adoptUnrecorded(t, e, found)
 
 		return
@@ -137,7 +137,10 @@
 	strangers[found.ID] = stranger{team: found.Team, needs: found.Needs, since: c.now}
 	// Before the claim is in the log, the job may be in a part of the stream
 	// that was not read.
-	if ok || c.claimed() {
+	known := ok || c.claimed()
+	// A task that may run only once is left to its end: stopping it would not
+	// undo what it has done.
+	if once := ok && t.job.Once && !t.job.cancelled; known && !once {
 		c.emit(TaskCmd{Endpoint: e.instance, Action: ActionStop, Request: taskRequest(e, found.ID)})
 	}
 }
@@ -360,12 +363,16 @@
 }
 
 // foreignTask takes over what an earlier owner wrote about a task, unless this
-// owner has the task somewhere.
+// owner has the task at an endpoint. A start that waits for its intent was not
+// sent and gives way: the earlier owner may have run the task.
 func (c *Core) foreignTask(change encoder.TaskChange) {
 	t, ok := c.tasks[change.Task]
-	if !ok || t.at != nil || t.state.Final() {
+	if !ok || t.at != nil && t.sent || t.state.Final() {
 		return
 	}
+	if t.at != nil {
+		c.refuse(t, "an earlier owner has started the task")
+	}
 	t.attempt = max(t.attempt, change.Attempt)
 	state := change.State
 	if t.job.Once && (state == modeler.TaskStarting || state == modeler.TaskRunning) {
--- a/internal/partition/owner/journal.go
+++ b/internal/partition/owner/journal.go
@@ -64,8 +64,10 @@
 	inFlight bool
 	sealed   time.Time
 	snapshot bool
-	down     bool
-	heads    map[modeler.TeamID]head
+	// raise is a claim of the next epoch that is to be written.
+	raise *encoder.Claim
+	down  bool
+	heads map[modeler.TeamID]head
 	// waits finds the wait of a caller.
 	waits map[Waiter]*wait
 }
@@ -105,12 +107,19 @@
 // seal hands the next batch to the log when the last one was read back.
 func (c *Core) seal() {
 	j := &c.journal
-	if j.inFlight || len(j.items) == 0 && !j.snapshot || c.now.Sub(j.sealed) < sealEvery {
+	if j.inFlight || len(j.items) == 0 && !j.snapshot && j.raise == nil || c.now.Sub(j.sealed) < sealEvery {
 		return
 	}
 	if !c.claimed() {
 		return
 	}
+	if j.raise != nil {
+		claim := encoder.Batch{Term: modeler.NewTerm(c.term.Epoch()+1, 0), Author: c.self, Seq: 1, Claim: j.raise}
+		j.raise, j.inFlight, j.sealed = nil, true, c.now
+		c.emit(AppendCmd{Batch: claim})
+
+		return
+	}
 	count := min(len(j.items), maxItems)
 	j.seq++
 	batch := encoder.Batch{Term: c.term, Author: c.self, Seq: j.seq}
@@ -123,6 +132,12 @@
 	j.snapshot = false
 }
 
+// changeTerm takes the term of a claim of this owner that was read back.
+func (c *Core) changeTerm(msg TermMsg) {
+	c.term, c.journal.seq = msg.Term, msg.Seq
+	c.journal.inFlight, c.journal.raise = false, nil
+}
+
 // claimed reports whether the owner's term was claimed in the log. A term
 // taken by rank writes nothing until it is replaced by a claim.
 func (c *Core) claimed() bool { return c.term.Rank() == 0 }
--- a/internal/partition/owner/messages.go
+++ b/internal/partition/owner/messages.go
@@ -136,6 +136,12 @@
 	Seq uint64
 }
 
+// RaiseMsg makes an owner claim the next epoch while it goes on working. It
+// is answered by a TermMsg once the claim was read back.
+type RaiseMsg struct {
+	Successors []modeler.InstanceID
+}
+
 // GiftMsg brings a gift that the stream of another partition contains.
 type GiftMsg struct {
 	Gift encoder.Gift
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
 	"gitlab.com/greengagewall/greengagewall/internal/core/scheduler"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/partition/replayer"
@@ -156,7 +157,9 @@
 	case LogMsg:
 		c.logState(msg)
 	case TermMsg:
-		c.term, c.journal.seq = msg.Term, msg.Seq
+		c.changeTerm(msg)
+	case RaiseMsg:
+		c.journal.raise = &encoder.Claim{Successors: msg.Successors}
 	case GiftMsg:
 		c.receive(msg.Gift)
 	case SnapshotMsg:
--- a/internal/partition/owner/result.go
+++ b/internal/partition/owner/result.go
@@ -103,7 +103,7 @@
 	// A success counts although the task was already queued again, and so
 	// does any end of a task that an earlier owner started.
 	unplaced := t.at == nil && !t.state.Final() && f.Attempt >= t.attempt && f.Attempt > 0
-	if !here && (!unplaced || t.job.released && !f.OK) {
+	if !here && (!unplaced || t.job.released && !f.OK && !t.job.Once) {
 		e.acknowledge(f.Task)
 
 		return
--- a/internal/partition/runner/claim.go
+++ b/internal/partition/runner/claim.go
@@ -81,7 +81,6 @@
 func (r *Runner) own(ctx context.Context, term modeler.Term, seq uint64) {
 	r.set.Logger.Info("owning partition", "partition", r.set.Partition.Name, "term", term)
 	r.core = owner.New(r.set.Self.ID, term, seq, r.state, owner.WithDecider(r.set.Decider()), owner.WithViolation(r.violation))
-	r.snapshot = r.set.Clock()
 	r.update(ctx, r.core, owner.ConfigMsg{Document: r.view.document, Offset: r.view.config})
 	r.update(ctx, r.core, owner.EndpointsMsg{Instances: r.view.endpoints})
 	r.update(ctx, r.core, owner.TickMsg{})
@@ -132,6 +131,10 @@
 			r.lose(ctx, false)
 			r.claim = nil
 		}
+		// The first record counts as a snapshot: it begins the stream.
+		if valid && (batch.Snapshot != nil || r.snapshot.IsZero()) {
+			r.snapshot = entry.Time
+		}
 		if valid {
 			r.consider(ctx, batch)
 		}
@@ -165,6 +168,22 @@
 	}
 }
 
+// raise moves the owner to a later epoch, because an endpoint has seen a later
+// term than this one: that of an instance that could not reach the log or that
+// owned the endpoint for another partition. An owner that cannot claim gives
+// up instead.
+func (r *Runner) raise(ctx context.Context, cmd owner.SupersededCmd) {
+	now := r.set.Clock()
+	r.set.Logger.Warn("endpoint has seen a later term", "partition", r.set.Partition.Name, "endpoint", cmd.Endpoint, "term", r.core.Term())
+	stuck := !r.core.Ready() && r.follow.silent(now, elector.LogPatience)
+	if r.draining.Load() || r.claim != nil || stuck {
+		r.lose(ctx, false)
+
+		return
+	}
+	r.update(ctx, r.core, owner.RaiseMsg{Successors: elector.Successors(r.electorView(), now)})
+}
+
 // won takes over the partition under a claim that is in the log.
 func (r *Runner) won(ctx context.Context, batch encoder.Batch) {
 	if r.core != nil {
--- a/internal/partition/runner/runner.go
+++ b/internal/partition/runner/runner.go
@@ -29,6 +29,8 @@
 	viewEvery = 200 * time.Millisecond
 	// loadEvery is the pace at which the load for heartbeats is computed.
 	loadEvery = 100 * time.Millisecond
+	// snapshotPause is the time that a snapshot is given to reach the stream.
+	snapshotPause = 10 * time.Second
 	// maxAsked bounds the requests of callers that wait for the core.
 	maxAsked = 4096
 	// maxEvents bounds the results and stream records that wait for the core.
@@ -54,8 +56,10 @@
 	Dialer        messenger.Dialer
 	Membership    modeler.Membership
 	Configuration modeler.Configuration
-	Logger        hclog.Logger
-	Clock         func() time.Time
+	// Endpoints returns the endpoints of a partition.
+	Endpoints func(partition modeler.PartitionID) []modeler.Instance
+	Logger    hclog.Logger
+	Clock     func() time.Time
 	// Decider makes the decision core of a new owner.
 	Decider func() owner.Decider
 	// Retention is how long the log keeps records. A snapshot is appended
@@ -98,14 +102,17 @@
 	state *replayer.State
 
 	// The fields below belong to the loop.
-	core     *owner.Core
-	retired  []*owner.Core
-	elector  elector.Elector
-	claim    *claim
-	view     view
+	core    *owner.Core
+	retired []*owner.Core
+	elector elector.Elector
+	claim   *claim
+	view    view
+	// snapshot is the time of the last snapshot in the stream.
 	snapshot time.Time
-	loaded   time.Time
-	tasks    sync.WaitGroup
+	// asking is when a snapshot was last asked for.
+	asking time.Time
+	loaded time.Time
+	tasks  sync.WaitGroup
 }
 
 // view is what the loop last saw of configuration and endpoints.
@@ -277,12 +284,7 @@
 	if changed {
 		r.view.ok, r.view.document, r.view.config = true, doc, offset
 	}
-	r.view.endpoints = r.view.endpoints[:0:0]
-	for _, instance := range r.set.Membership.Endpoints() {
-		if elector.PartitionOf(r.view.document, instance) == r.set.Partition.Name {
-			r.view.endpoints = append(r.view.endpoints, instance)
-		}
-	}
+	r.view.endpoints = r.set.Endpoints(r.set.Partition.Name)
 	if r.core == nil {
 		return
 	}
@@ -307,10 +309,10 @@
 
 // takeSnapshot asks for a snapshot every third of the retention.
 func (r *Runner) takeSnapshot(ctx context.Context, now time.Time) {
-	if r.core == nil || now.Sub(r.snapshot) < r.set.Retention/3 {
+	if now.Sub(r.snapshot) < r.set.Retention/3 || now.Sub(r.asking) < snapshotPause {
 		return
 	}
-	r.snapshot = now
+	r.asking = now
 	before := now.Add(-r.set.Retention)
 	r.mu.Lock()
 	r.state.Prune(before)
@@ -336,8 +338,7 @@
 		}
 	case owner.SupersededCmd:
 		if core == r.core {
-			r.set.Logger.Warn("endpoint has seen a later term", "partition", r.set.Partition.Name, "endpoint", cmd.Endpoint, "term", core.Term())
-			r.lose(ctx, false)
+			r.raise(ctx, cmd)
 		}
 	default:
 		r.tasks.Add(1)
--- a/internal/partition/supervisor/cluster_test.go
+++ b/internal/partition/supervisor/cluster_test.go
@@ -98,15 +98,15 @@
 	}
 }
 
-// host returns the endpoint that runs a task.
-func (c *cluster) host(task modeler.TaskID) *fakeEndpoint {
+// host returns the endpoint that runs the first task of job j1.
+func (c *cluster) host() *fakeEndpoint {
 	c.t.Helper()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id := range c.places[task] {
+	for id := range c.places["j1/0"] {
 		return c.endpoints[id]
 	}
-	c.t.Fatalf("task %s runs nowhere", task)
+	c.t.Fatal("the first task of j1 runs nowhere")
 
 	return nil
 }
--- a/internal/partition/supervisor/failure_test.go
+++ b/internal/partition/supervisor/failure_test.go
@@ -78,7 +78,7 @@
 			t.Fatal(err)
 		}
 		c.until(2*time.Second, "running tasks", func() bool { return states(first, "j1")[modeler.TaskRunning] == 8 })
-		c.host("j1/0").setFaults(true, false)
+		c.host().setFaults(true, false)
 		c.kill(first)
 		second := c.owner(5 * time.Second)
 		if _, err := second.Submit(ctx, submission("j2", 1)); err != nil {
@@ -128,7 +128,7 @@
 			t.Fatal(err)
 		}
 		c.until(2*time.Second, "running tasks", func() bool { return states(first, "j1")[modeler.TaskRunning] == 10 })
-		host := c.host("j1/0")
+		host := c.host()
 		c.mu.Lock()
 		first.reach = map[modeler.InstanceID]bool{host.instance.ID: true}
 		for _, n := range c.nodes {
@@ -160,7 +160,7 @@
 					t.Fatal(err)
 				}
 				c.until(time.Second, "running tasks", func() bool { return states(n, "j1")[modeler.TaskRunning] == 4 })
-				faulty := c.host("j1/0")
+				faulty := c.host()
 				faulty.setFaults(!mute, mute)
 				c.until(15*time.Second, "restart", func() bool {
 					return c.executions("j1/0") == 2 && states(n, "j1")[modeler.TaskRunning] == 4
--- a/internal/partition/supervisor/fakes_test.go
+++ b/internal/partition/supervisor/fakes_test.go
@@ -102,6 +102,8 @@
 	// executions counts the executions of tasks and calls.
 	executions map[string]int
 	callTime   time.Duration
+	// runFor ends tasks with success after this time; zero leaves them running.
+	runFor time.Duration
 }
 
 // lapse applies the endpoint's own clock; the caller holds the lock.
@@ -247,10 +249,24 @@
 	e.tasks[msg.Task.ID] = msg.Task
 	e.executions[string(msg.Task.ID)]++
 	e.cluster.entered(msg.Task.ID, e.instance.ID)
+	if e.runFor > 0 {
+		time.AfterFunc(e.runFor, func() { e.complete(msg.Task) })
+	}
 
 	return nil
 }
 
+// complete ends an attempt of a task with success if it still runs.
+func (e *fakeEndpoint) complete(task messenger.Task) {
+	e.mu.Lock()
+	e.lapse()
+	found, ok := e.tasks[task.ID]
+	e.mu.Unlock()
+	if ok && found.Attempt == task.Attempt {
+		e.end(task.ID, true, "")
+	}
+}
+
 // end ends a task as its own process would.
 func (e *fakeEndpoint) end(id modeler.TaskID, ok bool, cause string) {
 	e.mu.Lock()
--- a/internal/partition/supervisor/once_test.go
+++ b/internal/partition/supervisor/once_test.go
@@ -82,7 +82,7 @@
 			t.Fatal(err)
 		}
 		c.until(time.Second, "running tasks", func() bool { return states(first, "j1")[modeler.TaskRunning] == 1 })
-		c.host("j1/0").setFaults(true, false)
+		c.host().setFaults(true, false)
 		c.kill(first)
 		second := c.owner(5 * time.Second)
 		c.until(15*time.Second, "unknown tasks", func() bool { return states(second, "j1")[modeler.TaskUnknown] == 1 })
--- a/internal/partition/supervisor/supervisor.go
+++ b/internal/partition/supervisor/supervisor.go
@@ -38,6 +38,7 @@
 	peers    Peers
 	done     chan struct{}
 	draining atomic.Bool
+	layout   layout
 
 	mu      sync.RWMutex
 	runners map[modeler.PartitionID]*running
@@ -111,7 +112,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.set.Gifts = s.gifts
+	s.set.Gifts, s.set.Endpoints = s.gifts, s.endpointsOf
 	if s.peers != nil {
 		s.set.Tokens = s.peers
 	}
--- a/internal/partition/supervisor/supervisor_test.go
+++ b/internal/partition/supervisor/supervisor_test.go
@@ -16,9 +16,9 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		// The goroutines must end also when the test fails, or synctest waits
-		// for them and hides the reason.
-		defer synctest.Wait()
+		// The goroutines must end also when the test fails, or synctest reports
+		// a deadlock and hides the reason.
+		defer time.Sleep(time.Minute)
 		defer cancel()
 		test(ctx, t)
 	})
