Give up a partition when another owner may have worked in it

Cause: with endpoint restarts, cancellations and drains among the random faults, an owner that was passed over during a log outage claimed the next epoch with its old state, and an owner after a takeover kept a task where only the stream had it although another endpoint ran a later attempt. A claim that arrives while the owner has no majority starts it anew. A later attempt found at an endpoint replaces a place that only the stream has.

--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -126,6 +126,9 @@
 
 		return
 	}
+	if ok {
+		c.giveWay(t, e, found.Attempt)
+	}
 	if ok && t.at == nil && !t.state.Final() && found.Attempt >= t.attempt {
 		c.adoptUnrecorded(t, e, found)
 
@@ -145,6 +148,15 @@
 	}
 }
 
+// giveWay takes a task from the endpoint where only the stream has it, if
+// another endpoint shows a later attempt: the earlier owner started that one
+// when the first had ended, and died before it wrote so.
+func (c *Core) giveWay(t *task, e *endpoint, attempt int) {
+	if t.at != nil && t.at != e && t.confirmed.IsZero() && attempt > t.attempt {
+		c.unplace(t)
+	}
+}
+
 // adoptUnrecorded takes over a task that an earlier owner started without the
 // stream saying so. The record of that decision is in the task's note.
 func (c *Core) adoptUnrecorded(t *task, e *endpoint, found messenger.Task) {
@@ -248,6 +260,22 @@
 	return 2*fresh > listed
 }
 
+// tickRefused reacts to endpoints that have seen a later term. An owner that
+// keeps its majority long enough for a later owner to show claims the next
+// epoch and works on; any other gives up, because a later owner may have
+// changed what runs where.
+func (c *Core) tickRefused() {
+	switch {
+	case c.refusedAt.IsZero():
+	case !c.Ready():
+		c.refusedAt = time.Time{}
+		c.emit(SupersededCmd{Endpoint: c.refused})
+	case c.now.Sub(c.refusedAt) > 2*FreshFor:
+		c.refusedAt = time.Time{}
+		c.emit(RaiseCmd{Endpoint: c.refused})
+	}
+}
+
 // count returns how many listed endpoints satisfy test, and how many are
 // listed.
 func (c *Core) count(test func(*endpoint) bool) (satisfied, listed int) {
--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -232,7 +232,10 @@
 	e.busy = false
 	if msg.Err != nil {
 		if errors.Is(msg.Err, messenger.ErrTerm) && msg.Term == c.term {
-			c.emit(SupersededCmd{Endpoint: e.instance.ID})
+			c.refused = e.instance.ID
+			if c.refusedAt.IsZero() {
+				c.refusedAt = c.now
+			}
 		}
 
 		return
--- a/internal/partition/owner/messages.go
+++ b/internal/partition/owner/messages.go
@@ -236,8 +236,14 @@
 	Wanted modeler.Resources
 }
 
-// SupersededCmd tells that an endpoint has seen a later term than this
-// owner's.
+// SupersededCmd tells that an endpoint has seen a later term and that the
+// owner has no majority; it is to give up the partition.
 type SupersededCmd struct {
 	Endpoint modeler.InstanceID
 }
+
+// RaiseCmd tells that an endpoint has seen a later term although the owner has
+// kept its majority; it is to claim the next epoch.
+type RaiseCmd struct {
+	Endpoint modeler.InstanceID
+}
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -74,6 +74,10 @@
 	majorityAt time.Time
 	// readyAt is when the owner last held fresh renewals of a majority.
 	readyAt time.Time
+	// refusedAt is since when endpoints refuse the present term; refused is
+	// one of them.
+	refusedAt time.Time
+	refused   modeler.InstanceID
 	// released is set once no endpoint can run work that this owner does not
 	// know of.
 	released   bool
@@ -206,6 +210,7 @@
 		c.tickEndpoint(e)
 	}
 	c.tickTakeover()
+	c.tickRefused()
 	c.expireWaits()
 	c.expireCalls()
 	if c.teamsDirty {
--- a/internal/partition/owner/result.go
+++ b/internal/partition/owner/result.go
@@ -99,6 +99,7 @@
 	if e.finishing[f.Task] == f.Attempt && f.Attempt != 0 {
 		return
 	}
+	c.giveWay(t, e, f.Attempt)
 	here := t.at == e && t.attempt == f.Attempt
 	// A success counts although the task was already queued again, and so
 	// does any end of a task that an earlier owner started.
--- a/internal/partition/owner/work.go
+++ b/internal/partition/owner/work.go
@@ -93,6 +93,7 @@
 // place notes that a task is or may be at an endpoint.
 func (c *Core) place(t *task, e *endpoint) {
 	t.at, t.session, t.sent, t.missed, t.doubt = e, 0, false, 0, nil
+	t.confirmed = time.Time{}
 	t.stop, t.stopSent, t.why = "", time.Time{}, ""
 	e.tasks[t.id] = t
 	c.tally(t.job, -1)
--- a/internal/partition/runner/claim.go
+++ b/internal/partition/runner/claim.go
@@ -169,23 +169,22 @@
 }
 
 // raise moves the owner to a later epoch, because an endpoint has seen a later
-// term than this one: that of an instance that could not reach the log or that
-// owned the endpoint for another partition. An owner that cannot claim gives
-// up instead.
-func (r *Runner) raise(ctx context.Context, cmd owner.SupersededCmd) {
-	now := r.set.Clock()
+// term than this one: that of an instance that raised no majority, or that
+// owned the endpoint for another partition.
+func (r *Runner) raise(ctx context.Context, cmd owner.RaiseCmd) {
 	r.set.Logger.Warn("endpoint has seen a later term", "partition", r.set.Partition.Name, "endpoint", cmd.Endpoint, "term", r.core.Term())
-	stuck := !r.core.Ready() && r.follow.silent(now, elector.LogPatience)
-	if r.draining.Load() || r.claim != nil || stuck {
-		r.lose(ctx, false)
-
-		return
+	if !r.draining.Load() && r.claim == nil {
+		r.update(ctx, r.core, owner.RaiseMsg{Successors: elector.Successors(r.electorView(), r.set.Clock())})
 	}
-	r.update(ctx, r.core, owner.RaiseMsg{Successors: elector.Successors(r.electorView(), now)})
 }
 
-// won takes over the partition under a claim that is in the log.
+// won takes over the partition under a claim that is in the log. An owner that
+// has its majority goes on under the new term; one that has not starts anew,
+// because another owner may have worked in the meantime.
 func (r *Runner) won(ctx context.Context, batch encoder.Batch) {
+	if r.core != nil && !r.core.Ready() {
+		r.lose(ctx, true)
+	}
 	if r.core != nil {
 		r.update(ctx, r.core, owner.TermMsg{Term: batch.Term, Seq: batch.Seq})
 
--- a/internal/partition/runner/runner.go
+++ b/internal/partition/runner/runner.go
@@ -337,6 +337,11 @@
 			r.hand(cmd)
 		}
 	case owner.SupersededCmd:
+		if core == r.core {
+			r.set.Logger.Warn("superseded", "partition", r.set.Partition.Name, "endpoint", cmd.Endpoint, "term", core.Term())
+			r.lose(ctx, false)
+		}
+	case owner.RaiseCmd:
 		if core == r.core {
 			r.raise(ctx, cmd)
 		}
