--- /dev/null
+++ b/internal/report/burner/tally_test.go
@@ -0,0 +1,42 @@
+package burner_test
+
+import (
+	"testing"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/report/burner"
+)
+
+// TestTally guards against calls that are counted twice or lost where the fine
+// buckets meet the coarse ones, and against the counts of another team.
+func TestTally(t *testing.T) {
+	clock := now
+	tally := burner.NewTally(func() time.Time { return clock })
+	const minutes = 30 * 60
+	for range minutes {
+		tally.Observe("forecasts", "plumes", true)
+		tally.Observe("health", "plumes", false)
+		clock = clock.Add(time.Minute)
+	}
+	for offset := range 20 {
+		var good, bad int64
+		hour := 0
+		for _, outcome := range tally.Outcomes("forecasts") {
+			good, bad = good+outcome.Good, bad+outcome.Bad
+			if age := clock.Sub(outcome.Time); age < 30*time.Minute {
+				hour += int(outcome.Good)
+			}
+		}
+		if good != minutes || bad != 0 {
+			t.Fatalf("after %d minutes: %d good and %d bad, want %d and 0", offset, good, bad, minutes)
+		}
+		if want := 30 - offset; hour != want {
+			t.Fatalf("after %d minutes: %d in half an hour, want %d", offset, hour, want)
+		}
+		clock = clock.Add(time.Minute)
+	}
+	clock = clock.Add(burner.Period)
+	if got := tally.Outcomes("forecasts"); len(got) != 0 {
+		t.Fatalf("got %d outcomes after the period", len(got))
+	}
+}
