--- /dev/null
+++ b/internal/cli/commander/config_measures.go
@@ -0,0 +1,80 @@
+package commander
+
+import (
+	"context"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/report/reporter"
+)
+
+// MeasuresCmd reports the four measures of a running system.
+type MeasuresCmd struct {
+	Target
+	Exports
+	Format
+	Interval time.Duration `arg:"--interval" default:"1s" help:"time over which the control cost is measured"`
+}
+
+// looked is an instance whose cost is measured.
+type looked struct {
+	id     modeler.InstanceID
+	target Target
+	vars   reporter.Vars
+	err    error
+}
+
+// Run prints the measures. Waiting times need --key or --records; without
+// them that table is empty.
+func (c *MeasuresCmd) Run(ctx context.Context, env Env) (int, error) {
+	if err := c.check(); err != nil {
+		return exitFault, err
+	}
+	current, err := c.current(ctx, env)
+	if err != nil {
+		return exitOf(err), err
+	}
+	var state reporter.State
+	if err := c.get(ctx, env, "/v1/state", "", &state); err != nil {
+		return exitOf(err), err
+	}
+	records, _, err := c.records(ctx, env, c.Target)
+	if err != nil {
+		return exitOf(err), err
+	}
+	costs := c.costs(ctx, env, state)
+	measures := reporter.Compute(current.Document, state, reporter.Waits(records), costs, env.Now())
+
+	return exitOK, c.write(env.Out, measures, measures.Text)
+}
+
+// costs looks twice at every instance, the interval apart.
+func (c *MeasuresCmd) costs(ctx context.Context, env Env, state reporter.State) []reporter.Cost {
+	instances := make([]looked, 0, 1+len(state.Peers))
+	instances = append(instances, looked{id: state.Instance.ID, target: c.Target})
+	for _, peer := range state.Peers {
+		instances = append(instances, looked{
+			id: peer.Instance.ID, target: Target{Server: "http://" + peer.Instance.Address.String()},
+		})
+	}
+	for i := range instances {
+		instances[i].err = instances[i].target.get(ctx, env, "/debug/vars", "", &instances[i].vars)
+	}
+	begin := env.Now()
+	env.Sleep(ctx, c.Interval)
+	costs := make([]reporter.Cost, 0, len(instances))
+	for _, before := range instances {
+		var after reporter.Vars
+		if before.err == nil {
+			before.err = before.target.get(ctx, env, "/debug/vars", "", &after)
+		}
+		if before.err != nil {
+			costs = append(costs, reporter.Cost{Instance: before.id, Error: before.err.Error()})
+
+			continue
+		}
+		costs = append(costs, reporter.CostOf(before.id, before.vars, after, env.Now().Sub(begin)))
+	}
+
+	return costs
+}
--- /dev/null
+++ b/internal/cli/commander/config_report.go
@@ -0,0 +1,128 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/report/burner"
+)
+
+// ReportCmd holds the reports.
+type ReportCmd struct {
+	Burn     *BurnCmd     `arg:"subcommand:burn" help:"use of the error budgets of the service levels"`
+	Measures *MeasuresCmd `arg:"subcommand:measures" help:"waiting time, packing, control cost and shares of a running system"`
+}
+
+// Run runs the chosen report.
+func (c *ReportCmd) Run(ctx context.Context, env Env) (int, error) {
+	switch {
+	case c.Burn != nil:
+		return c.Burn.Run(ctx, env)
+	case c.Measures != nil:
+		return c.Measures.Run(ctx, env)
+	}
+
+	return exitFault, errors.New("give burn or measures")
+}
+
+// Exports names where decision records come from. Each team's records need a
+// key of that team.
+type Exports struct {
+	Key     []string `arg:"--key,separate,env:GREENGAGEWALL_KEY" help:"secret of a team whose records are read from the server; may be repeated"`
+	Records []string `arg:"--records,separate" help:"file with exported records, instead of the server; may be repeated"`
+}
+
+// records reads all records, and the outcomes of calls where the server has
+// them.
+func (e Exports) records(ctx context.Context, env Env, target Target) ([]modeler.Record, []burner.Outcome, error) {
+	var records []modeler.Record
+	var outcomes []burner.Outcome
+	take := func(export map[modeler.PartitionID][]modeler.Record) {
+		for _, list := range export {
+			records = append(records, list...)
+		}
+	}
+	for _, path := range e.Records {
+		data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+		if err != nil {
+			return nil, nil, errors.Wrap(err, "read records")
+		}
+		var export map[modeler.PartitionID][]modeler.Record
+		if err := json.Unmarshal(data, &export); err != nil {
+			return nil, nil, errors.Wrapf(err, "%s is not an export of records", path)
+		}
+		take(export)
+	}
+	for _, key := range e.Key {
+		var export map[modeler.PartitionID][]modeler.Record
+		if err := target.get(ctx, env, "/v1/records", key, &export); err != nil {
+			return nil, nil, err
+		}
+		take(export)
+		var calls []burner.Outcome
+		if err := target.get(ctx, env, "/v1/outcomes", key, &calls); err != nil && !isCode(err, modeler.CodeUnknownItem) {
+			return nil, nil, err
+		}
+		outcomes = append(outcomes, calls...)
+	}
+
+	return records, outcomes, nil
+}
+
+// BurnCmd reports the use of the error budgets.
+type BurnCmd struct {
+	Source
+	Target
+	Exports
+	Output string     `arg:"--output" default:"text" help:"text, json or html"`
+	At     *time.Time `arg:"--at" help:"time of the report in RFC 3339 (default: now)"`
+}
+
+// Run prints the report. The objectives come from the files if any are given,
+// else from the configuration in force.
+func (c *BurnCmd) Run(ctx context.Context, env Env) (int, error) {
+	if c.Output != "html" && (Format{c.Output}).check() != nil {
+		return exitFault, errors.Errorf("--output is %q; it must be text, json or html", c.Output)
+	}
+	if len(c.Key)+len(c.Records) == 0 {
+		return exitFault, errors.New("give --key or --records")
+	}
+	doc, err := c.document(ctx, env)
+	if err != nil {
+		return exitOf(err), err
+	}
+	records, outcomes, err := c.records(ctx, env, c.Target)
+	if err != nil {
+		return exitOf(err), err
+	}
+	now := env.Now()
+	if c.At != nil {
+		now = *c.At
+	}
+	report := burner.Compute(doc, append(outcomes, burner.FromRecords(doc, records, now)...), now)
+	if c.Output == "html" {
+		return exitOK, report.HTML(env.Out)
+	}
+
+	return exitOK, Format{c.Output}.write(env.Out, report, report.Text)
+}
+
+// document returns the configuration that the objectives are taken from.
+func (c *BurnCmd) document(ctx context.Context, env Env) (modeler.Document, error) {
+	if c.Deployment != "" || c.Base != "" {
+		result, err := c.load()
+
+		return result.Document, err
+	}
+	current, err := c.current(ctx, env)
+	if err == nil && current.Offset < 0 {
+		err = modeler.NotRun(modeler.CodeStaleConfig, time.Second, "no configuration is in force; give --deployment or --base")
+	}
+
+	return current.Document, err
+}
--- a/internal/cli/commander/config_test.go
+++ b/internal/cli/commander/config_test.go
@@ -89,6 +89,7 @@
 	Publish *PublishCmd `arg:"subcommand:publish"`
 	Offsets *OffsetsCmd `arg:"subcommand:offsets"`
 	Key     *KeyCmd     `arg:"subcommand:key"`
+	Report  *ReportCmd  `arg:"subcommand:report"`
 }
 
 // session runs command lines against an api.
