Confirm freshness through the follower and report origins

Cause: the configuration follower keeps the proof of freshness itself, and readiness depended on reachable owners, so that one takeover made every instance unready at once.

Change: heartbeats confirm through Config.Confirm; readiness needs known owners only; publications carry the operator's name; owners can be asked for tokens through the dispatcher.

Result: go test -race of the gossiper and of internal/entry passes.

--- a/internal/entry/dispatcher/table.go
+++ b/internal/entry/dispatcher/table.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
@@ -82,8 +83,9 @@
 	return !peer.Heard.IsZero() && now.Sub(peer.Heard) < suspected
 }
 
-// Owned reports whether every partition of the configuration has an owner that
-// can be reached.
+// Owned reports whether the owner of every partition of the configuration is
+// known. It need not be reachable: an instance is as ready as any other while
+// a partition is between owners.
 func (d *Dispatcher) Owned() bool {
 	doc, _, ok := d.config.InForce()
 	if !ok {
@@ -91,10 +93,22 @@
 	}
 	routes := d.routes()
 	for _, p := range doc.Partitions {
-		if !routes[p.Name].alive {
+		if _, ok := routes[p.Name]; !ok {
 			return false
 		}
 	}
 
 	return true
 }
+
+// RequestTokens asks the present owner of msg.Partition for part of a team's
+// allotment. It does not wait for an owner: the asker has others to ask.
+func (d *Dispatcher) RequestTokens(ctx context.Context, msg modeler.TokensMsg) error {
+	if route, ok := d.routes()[msg.Partition]; ok && route.alive {
+		if owner, ok := d.owners.To(route.owner); ok {
+			return owner.GiveTokens(ctx, msg)
+		}
+	}
+
+	return modeler.NotRun(modeler.CodeNoOwner, time.Second, "partition %s has no reachable owner", msg.Partition)
+}
--- a/internal/entry/router/body.go
+++ b/internal/entry/router/body.go
@@ -24,9 +24,11 @@
 	mostTasks = 10_000
 )
 
-// The names of the headers that identify a request and its executor.
+// The names of the headers that identify a request, its executor, and the
+// operator who publishes a configuration.
 const (
 	HeaderKey       = "Idempotency-Key"
+	HeaderOperator  = "Greengagewall-Operator"
 	HeaderEndpoint  = "Greengagewall-Endpoint"
 	HeaderDuplicate = "Greengagewall-Duplicate"
 )
@@ -75,6 +77,10 @@
 	Offset modeler.Offset `json:"offset"`
 	// Document is absent in the answer to PUT.
 	Document *modeler.Document `json:"document,omitempty"`
+	// Operator and Time tell who published the document and when; they are
+	// absent when this instance got it from a peer.
+	Operator string    `json:"operator,omitempty"`
+	Time     time.Time `json:"time,omitzero"`
 }
 
 // decode reads a JSON body strictly into value.
--- a/internal/entry/router/commands.go
+++ b/internal/entry/router/commands.go
@@ -244,7 +244,7 @@
 	}
 	ctx, cancel := context.WithTimeout(req.Context(), submitTimeout)
 	defer cancel()
-	offset, err := r.publisher.Publish(ctx, body.Parent, body.Document)
+	offset, err := r.publisher.PublishAs(ctx, req.Header.Get(HeaderOperator), body.Parent, body.Document)
 	if err != nil {
 		r.problem(w, err)
 
--- a/internal/entry/router/queries.go
+++ b/internal/entry/router/queries.go
@@ -193,7 +193,8 @@
 
 		return
 	}
-	r.answer(w, http.StatusOK, ConfigReply{Offset: offset, Document: &doc})
+	operator, at := r.publisher.Origin()
+	r.answer(w, http.StatusOK, ConfigReply{Offset: offset, Document: &doc, Operator: operator, Time: at})
 }
 
 // offsets serves GET /v1/config/offsets.
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -46,15 +46,19 @@
 	Resolve(ctx context.Context, team modeler.TeamID, request modeler.RequestID) (modeler.ResolveReply, error)
 	// CheckFit refuses a job that no partition can ever hold.
 	CheckFit(job modeler.Job) error
-	// Owned reports whether every partition has a reachable owner.
+	// Owned reports whether the owner of every partition is known.
 	Owned() bool
 }
 
 // Publisher publishes configurations.
 type Publisher interface {
-	// Publish returns after the document is in the log and valid. Errors are
-	// of type *modeler.Refusal, with the code conflict or log-down.
-	Publish(ctx context.Context, parent modeler.Offset, document modeler.Document) (modeler.Offset, error)
+	// PublishAs returns after the document is in the log and valid. Errors are
+	// of type *modeler.Refusal, with the code bad-config, conflict, log-down or
+	// lost-answer.
+	PublishAs(ctx context.Context, operator string, parent modeler.Offset, document modeler.Document) (modeler.Offset, error)
+	// Origin tells who published the document in force and when; both are zero
+	// when it came from a peer.
+	Origin() (operator string, at time.Time)
 }
 
 // Router implements http.Handler.
--- a/internal/peer/gossiper/gossiper.go
+++ b/internal/peer/gossiper/gossiper.go
@@ -23,8 +23,12 @@
 	// Fresh returns the time since the configuration in force was confirmed
 	// by the log; ok is unset if it never was.
 	Fresh(now time.Time) (age time.Duration, ok bool)
-	// Offer proposes a configuration of a peer; a lower offset is ignored.
-	Offer(offset modeler.Offset, document modeler.Document)
+	// Confirm takes over that a peer with the configuration offset in force
+	// had it confirmed age ago. It has no effect above the own offset.
+	Confirm(offset modeler.Offset, age time.Duration)
+	// Offer proposes a configuration of a peer and reports whether it is now
+	// in force; a lower offset is ignored.
+	Offer(offset modeler.Offset, document modeler.Document) bool
 }
 
 // Dialer opens connections to peers.
@@ -161,22 +165,7 @@
 
 // Fresh returns the time since the configuration in force was confirmed by the
 // log, directly or through a peer. ok is unset if it never was.
-func (g *Gossiper) Fresh(now time.Time) (age time.Duration, ok bool) {
-	age, ok = g.config.Fresh(now)
-	_, offset, _ := g.config.InForce()
-	g.mu.RLock()
-	defer g.mu.RUnlock()
-	for _, l := range g.links {
-		if l.confirmed.IsZero() || l.confirmedAt > offset {
-			continue
-		}
-		if other := now.Sub(l.confirmed); !ok || other < age {
-			age, ok = other, true
-		}
-	}
-
-	return age, ok
-}
+func (g *Gossiper) Fresh(now time.Time) (age time.Duration, ok bool) { return g.config.Fresh(now) }
 
 // Majority reports whether this instance is in contact with a majority of the
 // listed live entry instances, itself included. It is false before the list
--- a/internal/peer/gossiper/link.go
+++ b/internal/peer/gossiper/link.go
@@ -23,10 +23,6 @@
 	// opened is when the present connection was last known to work or was
 	// dialled.
 	opened time.Time
-	// confirmed is when the peer's configuration confirmedAt was known to be
-	// the newest in the log, by the clock of this instance.
-	confirmed   time.Time
-	confirmedAt modeler.Offset
 }
 
 // run sends heartbeats until ctx ends.
@@ -58,14 +54,14 @@
 	}
 	l.answered, l.opened = sent, time.Now()
 	l.peer.Instance.ID = modeler.InstanceID(reply.GetId())
-	// The age is counted from the sending of the heartbeat, so that the time
-	// the answer took never makes a confirmation look newer than it is.
-	l.confirmed, l.confirmedAt = time.Time{}, modeler.Offset(reply.GetConfig())
-	if reply.GetFresh() >= 0 {
-		l.confirmed = sent.Add(-time.Duration(reply.GetFresh()) * time.Millisecond)
-	}
 	l.heard(reply)
 	g.mu.Unlock()
+	if reply.GetFresh() >= 0 {
+		// The age is counted from the sending of the heartbeat, so that the
+		// time the answer took never makes a confirmation look newer than it is.
+		age := time.Duration(reply.GetFresh())*time.Millisecond + time.Since(sent)
+		g.config.Confirm(modeler.Offset(reply.GetConfig()), age)
+	}
 	g.compare(l.address, modeler.Offset(reply.GetConfig()))
 }
 
