--- /dev/null
+++ b/internal/proof/launcher/cluster.go
@@ -0,0 +1,265 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/standin/lister"
+	"gitlab.com/greengagewall/greengagewall/internal/standin/relayer"
+)
+
+// loopback is where everything listens.
+var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
+// Settings describe a cluster.
+type Settings struct {
+	// Binary is the product, Standin the binary with the stand-ins.
+	Binary, Standin string
+	Regions         []string
+	// Entries, Workers and Executors are counts in each region.
+	Entries, Workers, Executors int
+	Cores, Memory, Accelerators int64
+	// ServiceTime is the duration of a call.
+	ServiceTime time.Duration
+	// Relay puts a relay before the log, the endpoints and the entry instances.
+	Relay bool
+}
+
+// Entry is an entry instance, which may be started several times.
+type Entry struct {
+	Name         string
+	Region, Zone string
+	Listen, Peer netip.AddrPort
+	// log and list are the addresses that it is told.
+	log, list netip.AddrPort
+	mu        sync.Mutex
+	process   *Process
+}
+
+// Process returns the present process.
+func (e *Entry) Process() *Process {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.process
+}
+
+// Host is a process with endpoints.
+type Host struct {
+	Region  string
+	Kind    modeler.InstanceKind
+	Control netip.AddrPort
+	// Endpoints are those of the start; replacements come later.
+	Endpoints []modeler.Instance
+}
+
+// Cluster is a platform of stand-ins with entry instances.
+type Cluster struct {
+	Launcher *Launcher
+	Settings Settings
+	Log      netip.AddrPort
+	List     netip.AddrPort
+	Relay    netip.AddrPort
+	Entries  []*Entry
+	Hosts    []*Host
+}
+
+// Start starts the stand-ins and the entry instances.
+func Start(ctx context.Context, launcher *Launcher, settings Settings) (*Cluster, error) {
+	c := &Cluster{Launcher: launcher, Settings: settings}
+	for _, step := range []func(context.Context) error{c.startPlatform, c.startHosts, c.startEntries} {
+		if err := step(ctx); err != nil {
+			return nil, err
+		}
+	}
+
+	return c, nil
+}
+
+func (c *Cluster) standin(ctx context.Context, name string, args ...string) (netip.AddrPort, error) {
+	args = append(args, "--listen", netip.AddrPortFrom(loopback, 0).String())
+	p, err := c.Launcher.Start(name, c.Settings.Standin, args...)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+
+	return p.Address(ctx)
+}
+
+func (c *Cluster) startPlatform(ctx context.Context) error {
+	var err error
+	if c.Log, err = c.standin(ctx, "log", "log"); err != nil {
+		return err
+	}
+	if c.List, err = c.standin(ctx, "list", "list"); err != nil {
+		return err
+	}
+	if c.Settings.Relay {
+		c.Relay, err = c.standin(ctx, "relay", "relay")
+	}
+
+	return err
+}
+
+func (c *Cluster) startHosts(ctx context.Context) error {
+	for _, region := range c.Settings.Regions {
+		if err := c.startHost(ctx, region, modeler.KindWorker, c.Settings.Workers); err != nil {
+			return err
+		}
+		if err := c.startHost(ctx, region, modeler.KindExecutor, c.Settings.Executors); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func (c *Cluster) startHost(ctx context.Context, region string, kind modeler.InstanceKind, count int) error {
+	s := c.Settings
+	args := []string{
+		"workers", "--list", c.List.String(), "--kind", string(kind), "--count", strconv.Itoa(count),
+		"--region", region, "--zone", region + "-a", "--cores", strconv.FormatInt(s.Cores, 10),
+		"--memory", strconv.FormatInt(s.Memory, 10), "--accelerators", strconv.FormatInt(s.Accelerators, 10),
+		"--service-time", s.ServiceTime.String(),
+	}
+	control, err := c.standin(ctx, region+"-"+string(kind)+"s", args...)
+	if err != nil {
+		return err
+	}
+	host := &Host{Region: region, Kind: kind, Control: control}
+	if err := Get(ctx, control, "/control/endpoints", &host.Endpoints); err != nil {
+		return err
+	}
+	c.Hosts = append(c.Hosts, host)
+
+	return nil
+}
+
+func (c *Cluster) startEntries(ctx context.Context) error {
+	zones := []string{"a", "b"}
+	instances := make([]modeler.Instance, 0, len(c.Settings.Regions)*c.Settings.Entries)
+	for _, region := range c.Settings.Regions {
+		for n := range c.Settings.Entries {
+			entry, err := c.newEntry(ctx, region, region+"-"+zones[n%len(zones)], n)
+			if err != nil {
+				return err
+			}
+			c.Entries = append(c.Entries, entry)
+			instances = append(instances, modeler.Instance{
+				ID: modeler.InstanceID(entry.Name), Kind: modeler.KindEntry, Region: region, Zone: entry.Zone,
+				Address: entry.Listen, Peer: entry.Peer, State: modeler.StateLive,
+			})
+		}
+	}
+	if err := lister.NewClient(c.List).Put(ctx, instances...); err != nil {
+		return err
+	}
+	for _, entry := range c.Entries {
+		if c.Relay.IsValid() {
+			if err := c.relayEntry(ctx, entry); err != nil {
+				return err
+			}
+		}
+		if err := c.StartEntry(entry); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func (c *Cluster) newEntry(ctx context.Context, region, zone string, n int) (*Entry, error) {
+	entry := &Entry{Name: fmt.Sprintf("%s-entry-%d", region, n), Region: region, Zone: zone, log: c.Log, list: c.List}
+	for _, address := range []*netip.AddrPort{&entry.Listen, &entry.Peer} {
+		var err error
+		if *address, err = freePort(ctx); err != nil {
+			return nil, err
+		}
+	}
+
+	return entry, nil
+}
+
+// relayEntry lets an entry instance reach everything but the list through
+// routes of its own, named after it.
+func (c *Cluster) relayEntry(ctx context.Context, entry *Entry) error {
+	rewrite := make(map[netip.AddrPort]netip.AddrPort)
+	add := func(kind, name string, target netip.AddrPort) error {
+		address, err := c.route(ctx, Route(entry.Name, kind, name), target)
+		rewrite[target] = address
+
+		return err
+	}
+	for _, other := range c.Entries {
+		if other == entry {
+			continue
+		}
+		if err := add("peer", other.Name, other.Peer); err != nil {
+			return err
+		}
+	}
+	for _, host := range c.Hosts {
+		for _, endpoint := range host.Endpoints {
+			if err := add("endpoint", string(endpoint.ID), endpoint.Address); err != nil {
+				return err
+			}
+		}
+	}
+	var reply lister.ViewReply
+	if err := Post(ctx, c.List, "/control/views", lister.ViewRequest{Rewrite: rewrite}, &reply); err != nil {
+		return err
+	}
+	entry.list = reply.Address
+	var err error
+	entry.log, err = c.route(ctx, Route(entry.Name, "log", ""), c.Log)
+
+	return err
+}
+
+// Route names the route from an entry instance to a log, peer or endpoint; a
+// name of "*" stands for all.
+func Route(entry, kind, name string) string { return entry + ":" + kind + ":" + name }
+
+// route adds a route of the relay to target.
+func (c *Cluster) route(ctx context.Context, name string, target netip.AddrPort) (netip.AddrPort, error) {
+	var reply relayer.AddReply
+	msg := relayer.AddRequest{Name: name, Listen: netip.AddrPortFrom(loopback, 0), Target: target}
+	err := Post(ctx, c.Relay, "/control/routes", msg, &reply)
+
+	return reply.Address, err
+}
+
+// StartEntry starts an entry instance that does not run.
+func (c *Cluster) StartEntry(entry *Entry) error {
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	if entry.process != nil && entry.process.Alive() {
+		return errors.Errorf("%s runs already", entry.Name)
+	}
+	process, err := c.Launcher.Start(entry.Name, c.Settings.Binary, "serve",
+		"--listen", entry.Listen.String(), "--peer", entry.Peer.String(), "--region", entry.Region,
+		"--zone", entry.Zone, "--log", entry.log.String(), "--list", entry.list.String())
+	entry.process = process
+
+	return err
+}
+
+// freePort returns a port that was free a moment ago.
+func freePort(ctx context.Context) (netip.AddrPort, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", netip.AddrPortFrom(loopback, 0).String())
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer func() { _ = listener.Close() }()
+
+	return netip.ParseAddrPort(listener.Addr().String())
+}
--- /dev/null
+++ b/internal/proof/launcher/process.go
@@ -0,0 +1,162 @@
+// Package launcher starts the processes of demo and chaos runs: stand-ins and
+// entry instances. The product itself starts no process.
+package launcher
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// readyTimeout bounds the start of a stand-in.
+	readyTimeout = 10 * time.Second
+	// stopTimeout is how long a process may take to stop before it is killed.
+	stopTimeout = 5 * time.Second
+	// listening is the line that a stand-in prints with its address.
+	listening = "listening "
+)
+
+// Process is a started program. Its output goes to a file.
+type Process struct {
+	Name    string
+	command *exec.Cmd
+	done    chan struct{}
+	address chan netip.AddrPort
+}
+
+// Launcher starts processes and ends all of them.
+type Launcher struct {
+	dir       string
+	mu        sync.Mutex
+	processes []*Process
+	starts    map[string]int
+}
+
+// New returns a launcher that keeps the output of processes in dir.
+func New(dir string) *Launcher { return &Launcher{dir: dir, starts: make(map[string]int)} }
+
+// Start starts a program. The kernel kills it when this process dies, so that
+// none is left behind.
+func (l *Launcher) Start(name, binary string, args ...string) (*Process, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.starts[name]++
+	file, err := os.Create(filepath.Join(l.dir, fmt.Sprintf("%s.%d.log", name, l.starts[name])))
+	if err != nil {
+		return nil, err
+	}
+	//nolint:gosec,noctx // a proof run starts the binaries that it is told to prove and ends them itself
+	command := exec.Command(binary, args...)
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	command.Stderr = file
+	output, err := command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := command.Start(); err != nil {
+		_ = file.Close()
+
+		return nil, errors.Wrap(err, name)
+	}
+	p := &Process{Name: name, command: command, done: make(chan struct{}), address: make(chan netip.AddrPort, 1)}
+	l.processes = append(l.processes, p)
+	go p.run(output, file)
+
+	return p, nil
+}
+
+// run copies the output and waits for the end.
+func (p *Process) run(output io.Reader, file *os.File) {
+	defer close(p.done)
+	scanner := bufio.NewScanner(output)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if text, ok := strings.CutPrefix(line, listening); ok {
+			if address, err := netip.ParseAddrPort(text); err == nil {
+				select {
+				case p.address <- address:
+				default:
+				}
+			}
+		}
+		_, _ = fmt.Fprintln(file, line)
+	}
+	_ = p.command.Wait()
+	_ = file.Close()
+}
+
+// Address waits for the address that a stand-in prints.
+func (p *Process) Address(ctx context.Context) (netip.AddrPort, error) {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	select {
+	case address := <-p.address:
+		return address, nil
+	case <-p.done:
+		return netip.AddrPort{}, errors.Errorf("%s ended before it listened", p.Name)
+	case <-ctx.Done():
+		return netip.AddrPort{}, errors.Wrap(ctx.Err(), p.Name)
+	}
+}
+
+// Alive reports whether the process has not ended.
+func (p *Process) Alive() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Pause stops the process without its knowledge.
+func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
+
+// Stop asks the process to end, and kills it if it does not within timeout.
+func (p *Process) Stop(timeout time.Duration) {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(timeout):
+		p.Kill()
+	}
+}
+
+func (p *Process) signal(signal syscall.Signal) {
+	if p.Alive() {
+		_ = p.command.Process.Signal(signal)
+	}
+}
+
+// Close ends every process that was started.
+func (l *Launcher) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var group sync.WaitGroup
+	for _, p := range l.processes {
+		group.Go(func() { p.Stop(stopTimeout) })
+	}
+	group.Wait()
+}
--- a/internal/standin/lister/server.go
+++ b/internal/standin/lister/server.go
@@ -24,11 +24,13 @@
 
 // NewServer returns the HTTP handler of list. POST /control/instances adds or
 // replaces instances, DELETE /control/instances/{id} removes one, POST
-// /control/settings sets the lag and POST /control/faults switches failures.
+// /control/settings sets the lag, POST /control/views opens a further address
+// with a view, and POST /control/faults switches failures.
 func NewServer(list *List) *Server {
 	s := &Server{list: list, faults: injector.New(), router: chi.NewRouter()}
 	s.router.Post("/control/faults", s.faults.ServeHTTP)
 	s.router.Post("/control/settings", s.settings)
+	s.router.Post("/control/views", s.view)
 	s.router.Post("/control/instances", s.put)
 	s.router.Delete("/control/instances/{id}", s.remove)
 	s.router.With(s.faults.Wrap).Get("/v1/instances", s.instances)
--- a/internal/standin/relayer/relay.go
+++ b/internal/standin/relayer/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 
 	"github.com/go-chi/chi/v5"
@@ -50,16 +51,27 @@
 	return route.Address(), nil
 }
 
-// Set changes the settings of a route.
+// Set changes the settings of a route, or of every route whose name begins
+// with what stands before a final "*".
 func (r *Relay) Set(name string, settings Settings) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	route := r.routes[name]
-	if route == nil {
+	prefix, wildcard := strings.CutSuffix(name, "*")
+	found := false
+	for known, route := range r.routes {
+		if known != name && (!wildcard || !strings.HasPrefix(known, prefix)) {
+			continue
+		}
+		found = true
+		if err := route.Set(settings); err != nil {
+			return err
+		}
+	}
+	if !found {
 		return errors.Errorf("no route %q", name)
 	}
 
-	return route.Set(settings)
+	return nil
 }
 
 // Close ends every route.
@@ -72,7 +84,8 @@
 }
 
 // Router serves the control of the relay: POST /control/routes with an
-// AddRequest, and POST /control/routes/{name} with Settings.
+// AddRequest, and POST /control/routes/{name} with Settings, where a name may
+// end in "*".
 func (r *Relay) Router() http.Handler {
 	router := chi.NewRouter()
 	router.Post("/control/routes", func(w http.ResponseWriter, req *http.Request) {
--- a/internal/standin/worker/command.go
+++ b/internal/standin/worker/command.go
@@ -16,16 +16,22 @@
 	fail bool
 }
 
-// parse reads ["run", "200ms"], ["fail", "50ms"] or ["serve"].
+// parse reads ["run", "200ms"], ["fail", "50ms"] or ["serve"]. Further words
+// are labels for whoever reads the ledger. Any other command runs for
+// defaultRun.
 func parse(command []string) (work, error) {
 	if len(command) == 0 {
 		return work{run: defaultRun}, nil
 	}
-	if command[0] == "serve" && len(command) == 1 {
+	switch command[0] {
+	case "serve":
 		return work{}, nil
+	case "run", "fail":
+	default:
+		return work{run: defaultRun}, nil
 	}
-	if (command[0] != "run" && command[0] != "fail") || len(command) != 2 {
-		return work{}, errors.Errorf("unknown command %q", command)
+	if len(command) < 2 {
+		return work{}, errors.Errorf("command %q has no duration", command)
 	}
 	run, err := time.ParseDuration(command[1])
 	if err != nil {
