Add demo and chaos runs with real processes

The demo and the chaos run start the stand-ins and six entry instances, send work through the HTTP API and compare the endpoints' ledgers with the callers' answers.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,6 +20,8 @@
 	List    *listCommand    `arg:"subcommand:list" help:"stand in for the platform's instance list"`
 	Workers *workersCommand `arg:"subcommand:workers" help:"stand in for workers or executors"`
 	Relay   *relayCommand   `arg:"subcommand:relay" help:"forward TCP connections and disturb them"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"show every kind of work on a small cluster"`
+	Chaos   *chaosCommand   `arg:"subcommand:chaos" help:"run a cluster with faults and verify it"`
 }
 
 // Version implements arg.Versioned.
--- /dev/null
+++ b/cmd/standin/proof.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/proof/breaker"
+	"gitlab.com/greengagewall/greengagewall/internal/proof/demonstrator"
+)
+
+type demoCommand struct {
+	Binary     string `arg:"--binary,required" help:"path of greengagewall"`
+	Deployment string `arg:"--deployment,required" help:"directory with base.yaml, overlays and keys.txt"`
+}
+
+func (c *demoCommand) run(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+
+	return demonstrator.Run(ctx, demonstrator.Settings{
+		Binary: c.Binary, Standin: self, Deployment: c.Deployment, Out: os.Stdout,
+	})
+}
+
+type chaosCommand struct {
+	Binary   string        `arg:"--binary,required" help:"path of greengagewall"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"seed of the faults and the load"`
+	Duration time.Duration `arg:"--duration" default:"30s" help:"time with faults; settling comes on top"`
+	Keep     bool          `arg:"--keep" help:"keep the output of the processes"`
+}
+
+func (c *chaosCommand) run(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+
+	return breaker.Run(ctx, breaker.Settings{
+		Binary: c.Binary, Standin: self, Seed: c.Seed, Duration: c.Duration, Keep: c.Keep, Out: os.Stdout,
+	})
+}
--- a/internal/proof/caller/caller.go
+++ b/internal/proof/caller/caller.go
@@ -64,18 +64,6 @@
 	Command []string          `json:"command"`
 }
 
-// ConfigRequest is the body of PUT /v1/config.
-type ConfigRequest struct {
-	Parent   modeler.Offset   `json:"parent"`
-	Document modeler.Document `json:"document"`
-}
-
-// ConfigReply answers PUT and GET /v1/config.
-type ConfigReply struct {
-	Offset   modeler.Offset   `json:"offset"`
-	Document modeler.Document `json:"document"`
-}
-
 // Client sends requests to entry instances.
 type Client struct {
 	http *http.Client
--- /dev/null
+++ b/internal/proof/demonstrator/report.go
@@ -0,0 +1,115 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/proof/verifier"
+)
+
+// conclude prints the table and one explanation, and verifies the ledgers.
+func (d *demo) conclude(ctx context.Context) error {
+	wrong := d.printTable()
+	if err := d.explain(ctx); err != nil {
+		return err
+	}
+	report, err := d.verify(ctx)
+	if err != nil {
+		return err
+	}
+	d.printf("\nledgers of the endpoints: %d checks, %d violations\n", report.Total(), len(report.Violations))
+	for _, name := range verifier.Checks() {
+		d.printf("  %-34s %6d\n", name, report.Counts[name])
+	}
+	for _, violation := range report.Violations {
+		d.printf("violation: %s\n", violation)
+	}
+	if wrong > 0 || !report.OK() {
+		return errors.Errorf("%d wrong answers, %d violations, %d checks", wrong, len(report.Violations), report.Total())
+	}
+
+	return nil
+}
+
+// printTable prints what each caller got and returns the number of wrong
+// answers.
+func (d *demo) printTable() int {
+	writer := tabwriter.NewWriter(d.settings.Out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(writer, "\nwork\trequests\tright\tright answer\twait p50\twait p99\twait max")
+	wrong := 0
+	for _, r := range d.rows {
+		wrong += r.requests - r.right
+		_, _ = fmt.Fprintf(writer, "%s\t%d\t%d\t%s\t%s\t%s\t%s\n",
+			r.what, r.requests, r.right, r.answer, percentile(r.waits, 50), percentile(r.waits, 99), percentile(r.waits, 100))
+	}
+	_ = writer.Flush()
+	for _, r := range d.rows {
+		for _, fault := range r.faults {
+			d.printf("wrong: %s: %s\n", r.what, fault)
+		}
+	}
+
+	return wrong
+}
+
+func percentile(waits []time.Duration, percent int) time.Duration {
+	if len(waits) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(waits))
+
+	return sorted[(len(sorted)-1)*percent/100].Round(100 * time.Microsecond)
+}
+
+// explain prints the records of the all-at-once job.
+func (d *demo) explain(ctx context.Context) error {
+	team := d.team("forecasts", "plumes")
+	for _, entry := range d.cluster.Entries {
+		if !entry.Process().Alive() {
+			continue
+		}
+		output, err := d.product(ctx, "explain", "--server", "http://"+entry.Listen.String(), "--key", team.Secret, d.explained)
+		if err != nil {
+			return errors.Wrap(err, strings.TrimSpace(output))
+		}
+		d.printf("\n$ greengagewall explain %s\n%s", d.explained, output)
+
+		return nil
+	}
+
+	return errors.New("no entry instance runs")
+}
+
+// verify compares the ledgers with the callers' answers.
+func (d *demo) verify(ctx context.Context) (*verifier.Report, error) {
+	limits, err := d.limits(ctx)
+	if err != nil {
+		return nil, err
+	}
+	events, err := d.cluster.Ledgers(ctx)
+	if err != nil {
+		return nil, err
+	}
+
+	return verifier.Verify(verifier.Evidence{
+		Events: events, Limits: limits, Calls: d.recorder.Calls(), Jobs: d.recorder.Jobs(),
+	}), nil
+}
+
+// limits returns the upper limits of the published configuration.
+func (d *demo) limits(ctx context.Context) (map[modeler.TeamID]modeler.Resources, error) {
+	doc, err := d.cluster.Config(ctx)
+	limits := make(map[modeler.TeamID]modeler.Resources)
+	for _, team := range doc.Document.Teams {
+		limits[team.Name] = team.Limit
+	}
+
+	return limits, err
+}
--- /dev/null
+++ b/internal/proof/demonstrator/steps.go
@@ -0,0 +1,262 @@
+package demonstrator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/proof/caller"
+)
+
+// The sizes of the work.
+const (
+	lookups       = 300
+	publicLookups = 30
+	lookupCallers = 12
+	batchTasks    = 240
+	plumeTasks    = 6
+	ensembleTasks = 8
+	// tries bounds the attempts of one request; with the pauses in between
+	// they outlast a takeover.
+	tries = 15
+)
+
+var (
+	lookup = caller.Service{Name: "air-quality", Idempotent: true}
+	public = caller.Service{Name: "air-quality-public", Idempotent: true}
+	alert  = caller.Service{Name: "health-alert"}
+)
+
+// row is a line of the table.
+type row struct {
+	what     string
+	requests int
+	right    int
+	answer   string
+	waits    []time.Duration
+	faults   []string
+}
+
+// add counts a request; a reason says why its answer is wrong.
+func (r *row) add(waited time.Duration, reason string) {
+	r.requests++
+	r.waits = append(r.waits, waited)
+	if reason == "" {
+		r.right++
+
+		return
+	}
+	r.faults = append(r.faults, reason)
+}
+
+// perform sends all work, with the failure of an owner on the way.
+func (d *demo) perform(ctx context.Context) error {
+	steps := []func(context.Context) row{
+		d.lookups, d.publicLookups, d.alerts, d.withdrawn, d.overLimit, d.neverFits, d.batch, d.plumes, d.ensemble,
+	}
+	rows := make([]row, len(steps))
+	var group sync.WaitGroup
+	for i, step := range steps {
+		group.Go(func() { rows[i] = step(ctx) })
+	}
+	time.Sleep(time.Second)
+	err := d.killOwner(ctx)
+	group.Wait()
+	d.rows = rows
+
+	return err
+}
+
+// killOwner kills the entry instance that owns a partition.
+func (d *demo) killOwner(ctx context.Context) error {
+	owners := d.cluster.Owners(ctx)
+	names := make([]modeler.PartitionID, 0, len(owners))
+	for name := range owners {
+		names = append(names, name)
+	}
+	if len(names) == 0 {
+		return errors.New("no partition has an owner")
+	}
+	slices.Sort(names)
+	entry := owners[names[0]]
+	entry.Process().Kill()
+	d.printf("killed %s, the owner of partition %s (kill -9)\n", entry.Name, names[0])
+
+	return nil
+}
+
+// calls sends calls of a service from several callers at once.
+func (d *demo) calls(ctx context.Context, what string, team caller.Team, service caller.Service, n int) row {
+	r := row{what: what, answer: "answered"}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for c := range lookupCallers {
+		group.Go(func() {
+			for i := c; i < n; i += lookupCallers {
+				key := fmt.Sprintf("%s-%s-%d", service.Name, team.Name, i)
+				result := d.recorder.Call(ctx, team, service, key, fmt.Appendf(nil, "station %d", i), tries)
+				reason := ""
+				if !result.Last.OK() {
+					reason = refusal(result.Last)
+				}
+				mu.Lock()
+				r.add(result.Waited, reason)
+				mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+
+	return r
+}
+
+func (d *demo) lookups(ctx context.Context) row {
+	return d.calls(ctx, "service calls (air-quality)", d.team("health", "lima"), lookup, lookups)
+}
+
+func (d *demo) publicLookups(ctx context.Context) row {
+	return d.calls(ctx, "service calls without a key", caller.Team{Name: "public"}, public, publicLookups)
+}
+
+// alerts sends each non-idempotent request twice with the same key.
+func (d *demo) alerts(ctx context.Context) row {
+	r := row{what: "non-idempotent call, sent twice", answer: "ran once"}
+	team := d.team("health", "cusco")
+	for i := range 5 {
+		key := fmt.Sprintf("alert-%d", i)
+		var bodies [2][]byte
+		for n := range bodies {
+			result := d.recorder.Call(ctx, team, alert, key, []byte("evacuate"), tries)
+			reason := ""
+			if !result.Last.OK() {
+				reason = refusal(result.Last)
+			}
+			r.add(result.Waited, reason)
+			bodies[n] = result.Last.Body
+		}
+		if string(bodies[0]) != string(bodies[1]) {
+			r.right--
+			r.faults = append(r.faults, key+": the second answer differs")
+		}
+	}
+
+	return r
+}
+
+func refusal(a caller.Answer) string {
+	return fmt.Sprintf("status %d, %s, %s: %s", a.Status, a.Outcome, a.Code, a.Detail)
+}
+
+// expect reports why an answer is not the wanted refusal of work not run.
+func expect(a caller.Answer, code modeler.Code) string {
+	if a.Outcome == modeler.OutcomeNotRun && a.Code == code {
+		return ""
+	}
+
+	return refusal(a)
+}
+
+func (d *demo) withdrawn(ctx context.Context) row {
+	r := row{what: "withdrawn key", answer: "refused, not run"}
+	_, result := d.submit(ctx, "forecasts", "retired", "withdrawn", "plumes", 1, 1000, "100ms")
+	r.add(result.Waited, expect(result.Last, modeler.CodeWithdrawnKey))
+
+	return r
+}
+
+func (d *demo) overLimit(ctx context.Context) row {
+	r := row{what: "above the team's upper limit", answer: "refused, not run"}
+	_, result := d.submit(ctx, "reanalyses", "archive", "over-limit", "ensembles", 100, 16000, "100ms")
+	r.add(result.Waited, expect(result.Last, modeler.CodeOverLimit))
+
+	return r
+}
+
+func (d *demo) neverFits(ctx context.Context) row {
+	r := row{what: "larger than any worker", answer: "refused, not run"}
+	_, result := d.submit(ctx, "reanalyses", "archive", "never-fits", "reanalyses", 1, 17000, "100ms")
+	r.add(result.Waited, expect(result.Last, modeler.CodeNeverFits))
+
+	return r
+}
+
+func (d *demo) batch(ctx context.Context) row {
+	return d.job(ctx, "batch run", "reanalyses", "archive", "reanalyses", batchTasks, 2000, "400ms")
+}
+
+func (d *demo) plumes(ctx context.Context) row {
+	return d.job(ctx, "urgent job", "forecasts", "plumes", "plumes", plumeTasks, 4000, "300ms")
+}
+
+func (d *demo) ensemble(ctx context.Context) row {
+	return d.job(ctx, "all-at-once job", "forecasts", "plumes", "ensembles", ensembleTasks, 8000, "2s")
+}
+
+// submit hands in a job whose tasks run for run.
+func (d *demo) submit(
+	ctx context.Context, team, key, name, queue string, tasks int, millis int64, run string,
+) (caller.SubmitReply, caller.Result) {
+	gang := queue == "ensembles"
+
+	return d.recorder.Submit(ctx, d.team(team, key), name, caller.JobRequest{
+		Queue: modeler.QueueID(queue), Tasks: tasks, Needs: modeler.Resources{Millis: millis, Memory: 1 << 30},
+		Runtime: run, Rack: gang, Command: []string{"run", run},
+	}, gang, tries)
+}
+
+// job hands in a job and waits for its end.
+func (d *demo) job(
+	ctx context.Context, what, team, key, queue string, tasks int, millis int64, run string,
+) row {
+	r := row{what: fmt.Sprintf("%s of %d tasks", what, tasks), answer: "finished"}
+	begun := time.Now()
+	reply, result := d.submit(ctx, team, key, "demo-"+queue, queue, tasks, millis, run)
+	if !result.Last.OK() {
+		r.add(result.Waited, refusal(result.Last))
+
+		return r
+	}
+	if queue == "ensembles" {
+		d.explained = string(reply.Job)
+	}
+	status, err := d.await(ctx, team, key, reply.Job)
+	reason := ""
+	if err != nil {
+		reason = err.Error()
+	}
+	for _, task := range status.Tasks {
+		if task.State != modeler.TaskFinished {
+			reason = fmt.Sprintf("task %s is %s: %s", task.Task, task.State, task.Cause)
+		}
+	}
+	r.add(time.Since(begun), reason)
+
+	return r
+}
+
+// await asks instances for the state of a job until it is final.
+func (d *demo) await(ctx context.Context, team, key string, job modeler.JobID) (modeler.JobStatus, error) {
+	var status modeler.JobStatus
+	query := caller.Query("/v1/jobs/"+string(job)+"?wait=2s", d.team(team, key).Secret)
+	for ctx.Err() == nil {
+		result := d.recorder.Pool.Send(ctx, query, 1)
+		if result.Last.OK() {
+			if err := json.Unmarshal(result.Last.Body, &status); err != nil {
+				return status, err
+			}
+			if status.Final {
+				return status, nil
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+
+	return status, errors.Errorf("job %s did not become final", job)
+}
--- a/internal/proof/launcher/control.go
+++ b/internal/proof/launcher/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/standin/worker"
 )
 
@@ -78,20 +79,89 @@
 	return all, nil
 }
 
-// AwaitReady waits until every entry instance is ready.
-func (c *Cluster) AwaitReady(ctx context.Context) error {
+// Await waits until every entry instance answers a GET request with success.
+func (c *Cluster) Await(ctx context.Context, path string) error {
 	for _, entry := range c.Entries {
-		var err error
-		for ctx.Err() == nil {
-			if err = Get(ctx, entry.Listen, "/readyz", nil); err == nil {
+		for {
+			err := Get(ctx, entry.Listen, path, nil)
+			if err == nil {
 				break
 			}
-			time.Sleep(100 * time.Millisecond)
+			if ctx.Err() != nil {
+				return errors.Wrap(err, entry.Name)
+			}
+			if !entry.Process().Alive() {
+				return errors.Errorf("%s has ended", entry.Name)
+			}
+			time.Sleep(50 * time.Millisecond)
 		}
+	}
+
+	return nil
+}
+
+// InstanceID returns the id of the present process of an entry instance.
+func (c *Cluster) InstanceID(ctx context.Context, entry *Entry) (modeler.InstanceID, error) {
+	var state state
+	err := Get(ctx, entry.Listen, "/v1/state", &state)
+
+	return state.Instance.ID, err
+}
+
+// state is the part of GET /v1/state that names the owners.
+type state struct {
+	Instance  modeler.Instance    `json:"instance"`
+	Ownership []modeler.Ownership `json:"ownership"`
+}
+
+// Owners returns the entry instance that owns each partition, by the
+// highest term that any answer names. An owner that does not answer is absent.
+func (c *Cluster) Owners(ctx context.Context) map[modeler.PartitionID]*Entry {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	ids := make(map[modeler.InstanceID]*Entry)
+	var ownership []modeler.Ownership
+	for _, entry := range c.Entries {
+		once, stop := context.WithTimeout(ctx, 300*time.Millisecond)
+		var state state
+		err := Get(once, entry.Listen, "/v1/state", &state)
+		stop()
 		if err != nil {
-			return errors.Wrapf(err, "%s is not ready", entry.Name)
+			continue
+		}
+		ids[state.Instance.ID] = entry
+		ownership = append(ownership, state.Ownership...)
+	}
+	terms := make(map[modeler.PartitionID]modeler.Term)
+	owners := make(map[modeler.PartitionID]*Entry)
+	for _, o := range ownership {
+		if entry := ids[o.Owner]; entry != nil && o.Term >= terms[o.Partition] {
+			terms[o.Partition], owners[o.Partition] = o.Term, entry
 		}
 	}
 
-	return nil
+	return owners
+}
+
+// Config is the answer to GET /v1/config.
+type Config struct {
+	Offset   modeler.Offset   `json:"offset"`
+	Document modeler.Document `json:"document"`
+}
+
+// Config returns the configuration in force at the first instance that
+// answers.
+func (c *Cluster) Config(ctx context.Context) (Config, error) {
+	err := errors.New("no entry instance")
+	for _, entry := range c.Entries {
+		once, stop := context.WithTimeout(ctx, time.Second)
+		var config Config
+		err = Get(once, entry.Listen, "/v1/config", &config)
+		stop()
+		if err == nil {
+			return config, nil
+		}
+	}
+
+	return Config{}, err
 }
