--- a/internal/measure/meter/meter.go
+++ b/internal/measure/meter/meter.go
@@ -93,7 +93,9 @@
 	// Dated and Missed count the jobs with a deadline and those that were not
 	// finished by it.
 	Dated, Missed int
-	Unfinished    int
+	// Unfinished counts the jobs with open tasks at the end of the stream, and
+	// Failed the tasks that used up their attempts.
+	Unfinished, Failed int
 }
 
 // Cost is what the core itself used for each placement.
--- a/internal/measure/meter/result.go
+++ b/internal/measure/meter/result.go
@@ -54,6 +54,7 @@
 		for _, wait := range waited {
 			_ = waits.RecordValue(max(1, wait.Milliseconds()))
 		}
+		work.Failed += p.failed
 		if p.open > 0 && !p.cancelled {
 			work.Unfinished++
 		}
--- a/internal/measure/meter/table.go
+++ b/internal/measure/meter/table.go
@@ -93,6 +93,9 @@
 	if w.Dated > 0 {
 		text += fmt.Sprintf(" (%d of %d)", w.Missed, w.Dated)
 	}
+	if w.Failed > 0 {
+		text += fmt.Sprintf(" %d failed", w.Failed)
+	}
 
 	return text
 }
