Keep jobs away from endpoints where they failed

Cause: a worker that fails every task always has room, and so drew the tasks of one job until their attempts were used up; failures of one job did not count towards quarantine. Code for reservations is present but not enabled.

--- a/internal/core/scheduler/choose.go
+++ b/internal/core/scheduler/choose.go
@@ -17,11 +17,11 @@
 		return -1
 	}
 	if s.settings.Choice == ChoiceTwo {
-		if at := s.chooseOfTwo(j, needs); at >= 0 {
+		if at := s.chooseOfTwo(j, needs, now); at >= 0 {
 			return at
 		}
 	}
-	search := search{by: by, needs: needs, avoid: j.tasks[j.waiting[0]].avoid, best: -1, fallback: -1}
+	search := search{by: by, needs: needs, best: -1}
 	from := 0
 	if by.scattered() && s.settings.Choice == ChoiceScored {
 		from = s.random.IntN(max(s.ledger.Positions(), 1))
@@ -30,9 +30,6 @@
 	if search.seen < s.settings.Candidates {
 		s.scan(&search, j, 0, from, now)
 	}
-	if search.best < 0 {
-		search.best = search.fallback
-	}
 	if search.best < 0 && !search.refused {
 		s.unfit = append(s.unfit, needs)
 	}
@@ -44,28 +41,21 @@
 type search struct {
 	by    scorer
 	needs modeler.Resources
-	// avoid is the endpoint where the task failed last; it becomes fallback
-	// if it has room.
-	avoid, fallback int
-	best, seen      int
-	least           float64
-	// refused is set if a reservation kept an endpoint from the task.
+	best  int
+	seen  int
+	least float64
+	// refused is set if an endpoint with room was kept from the task.
 	refused bool
 }
 
 // scan compares endpoints with room at positions from up to below to.
 func (s *Scheduler) scan(c *search, j *job, from, to int, now time.Time) {
 	for at := s.ledger.Next(from, c.needs); at >= 0 && at < to; at = s.ledger.Next(at+1, c.needs) {
-		if !s.permitted(j, at, now) {
+		if j.avoids(at, now) || !s.permitted(j, at, now) {
 			c.refused = true
 
 			continue
 		}
-		if at == c.avoid {
-			c.fallback = at
-
-			continue
-		}
 		score := c.by.score(s.ledger.Node(at), c.needs)
 		if c.best < 0 || score < c.least {
 			c.best, c.least = at, score
@@ -78,12 +68,12 @@
 
 // chooseOfTwo returns the emptier of two endpoints with room, each found from
 // a random position, or -1.
-func (s *Scheduler) chooseOfTwo(j *job, needs modeler.Resources) int {
+func (s *Scheduler) chooseOfTwo(j *job, needs modeler.Resources, now time.Time) int {
 	best := -1
 	var least float64
 	for range 2 {
 		at := s.ledger.Next(s.random.IntN(max(s.ledger.Positions(), 1)), needs)
-		if at < 0 || at == j.tasks[j.waiting[0]].avoid {
+		if at < 0 || j.avoids(at, now) {
 			continue
 		}
 		if score := (spread{}).score(s.ledger.Node(at), needs); best < 0 || score < least {
--- a/internal/core/scheduler/gang.go
+++ b/internal/core/scheduler/gang.go
@@ -99,10 +99,16 @@
 
 // roomFor returns how many tasks of j may be started on an endpoint now.
 func (s *Scheduler) roomFor(j *job, at int, now time.Time) int {
-	room := s.ledger.Room(at, s.sized(j))
-	if room > 0 && !s.permitted(j, at, now) {
+	if j.avoids(at, now) {
 		return 0
 	}
+	room := s.ledger.Room(at, s.sized(j))
+	if room == 0 || s.permitted(j, at, now) && (at >= len(s.holds) || s.holds[at].owner == nil || s.holds[at].owner.job == j) {
+		return room
+	}
+	if j.band < s.holds[at].owner.job.band || !now.Add(j.cautious()).After(s.holds[at].owner.start) {
+		return room
+	}
 
-	return room
+	return min(room, accountant.Copies(j.Needs, s.holds[at].spare))
 }
--- a/internal/core/scheduler/health.go
+++ b/internal/core/scheduler/health.go
@@ -8,11 +8,11 @@
 
 // health is what is known of an endpoint's failures.
 type health struct {
-	// failures counts the tasks that failed in a row, each of a job that has
-	// not failed elsewhere.
+	// failures counts the tasks that failed in a row and for which the job is
+	// not the likelier cause.
 	failures int
-	// last is the last job that failed here; several failures of one job say
-	// more about the job than about the endpoint.
+	// last is the last job that failed here; several failures of a job without
+	// a success say no more than one.
 	last modeler.JobID
 	// periods counts the quarantines without a success in between.
 	periods int
@@ -21,7 +21,7 @@
 }
 
 const (
-	// failuresToHold is how many different jobs must fail in a row.
+	// failuresToHold is how many failures in a row close an endpoint.
 	failuresToHold = 3
 	// holdFirst is the length of the first quarantine; it doubles.
 	holdFirst = 10 * time.Second
@@ -31,31 +31,73 @@
 	heldPart = 10
 )
 
-// judge updates the health of an endpoint from a task that ended there.
-func (s *Scheduler) judge(r ref, at int, m EndedMsg, now time.Time) {
-	if !s.settings.Quarantine {
-		return
+// avoidance is an endpoint that a job keeps away from for a while.
+type avoidance struct {
+	at    int
+	until time.Time
+}
+
+const (
+	// avoidFailed keeps the tasks of a job away from an endpoint where one of
+	// them failed, so that a worker that fails everything, and so always has
+	// room, does not use up their attempts.
+	avoidFailed = time.Minute
+	// avoidRefused is short, since a refusal tells of a state that passes.
+	avoidRefused = 2 * time.Second
+	// maxAvoided bounds the list; a job that fails in more places is at fault.
+	maxAvoided = 8
+)
+
+// avoids reports whether tasks of j keep away from an endpoint.
+func (j *job) avoids(at int, now time.Time) bool {
+	for _, a := range j.avoided {
+		if a.at == at && now.Before(a.until) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// avoid keeps the tasks of j away from an endpoint for a while.
+func (j *job) avoid(at int, until time.Time) {
+	for i := range j.avoided {
+		if j.avoided[i].at == at {
+			j.avoided[i].until = until
+
+			return
+		}
+	}
+	if len(j.avoided) == maxAvoided {
+		j.avoided = j.avoided[1:]
 	}
+	j.avoided = append(j.avoided, avoidance{at, until})
+}
+
+// judge updates the health of an endpoint from a task that ended there.
+func (s *Scheduler) judge(j *job, at int, m EndedMsg, now time.Time) {
 	h := &s.health[at]
 	switch m.Result {
 	case ResultOK:
+		j.succeeded++
 		*h = health{held: h.held, until: h.until}
 
 		return
-	case ResultFailed, ResultRefused:
+	case ResultFailed:
+		j.avoid(at, now.Add(avoidFailed))
+	case ResultRefused:
+		j.avoid(at, now.Add(avoidRefused))
 	case ResultRequeue, ResultUnknown:
 		return
 	}
-	if t := r.task(); t.avoid >= 0 && t.avoid != at {
-		// The task failed elsewhere too, so the task is the likely cause.
-		return
-	}
-	if h.last == r.job.ID {
+	// A job that failed in several places and succeeded in none is the likely
+	// cause itself.
+	if j.succeeded == 0 && (len(j.avoided) > 1 || h.last == j.ID) {
 		return
 	}
-	h.last = r.job.ID
+	h.last = j.ID
 	h.failures++
-	if !h.held && (h.failures >= failuresToHold || h.periods > 0) && s.held < s.ledger.Count()/heldPart {
+	if s.settings.Quarantine && !h.held && (h.failures >= failuresToHold || h.periods > 0) && s.held < s.ledger.Count()/heldPart {
 		h.until = now.Add(min(holdFirst<<min(h.periods, 10), holdMost))
 		h.periods++
 		h.failures, h.last = 0, ""
--- a/internal/core/scheduler/history.go
+++ b/internal/core/scheduler/history.go
@@ -13,6 +13,9 @@
 	// run time.
 	mean, variance float64
 	samples        int
+	// expected and cautious are the factors on declared run times that the mean
+	// and the variance give.
+	expected, cautious float64
 	// kept estimates the probability that a checkpoint succeeds.
 	kept float64
 }
@@ -26,6 +29,7 @@
 	h, known := s.queues[id]
 	if !known {
 		h = &history{kept: 1}
+		h.derive()
 		s.queues[id] = h
 	}
 
@@ -55,4 +59,5 @@
 	delta := error - h.mean
 	h.mean += rate * delta
 	h.variance = (1 - rate) * (h.variance + rate*delta*delta)
+	h.derive()
 }
--- a/internal/core/scheduler/job.go
+++ b/internal/core/scheduler/job.go
@@ -41,8 +41,6 @@
 	charged  modeler.Resources
 	queued   time.Time
 	started  time.Time
-	// avoid is the position of the endpoint of the last failed start, or -1.
-	avoid int
 	// progress is the run time that checkpoints have kept.
 	progress time.Duration
 	// stopped is when the task was told to stop; stage counts how far the
@@ -77,6 +75,10 @@
 	live      int
 	band      band
 	cancelled bool
+	// avoided lists the endpoints where tasks of the job failed lately.
+	avoided []avoidance
+	// succeeded counts the tasks that ended well.
+	succeeded int
 	// cause is the last one that the team was told.
 	cause string
 	// blocked is since when the job has been waiting for room, zero if not.
--- a/internal/core/scheduler/lifecycle.go
+++ b/internal/core/scheduler/lifecycle.go
@@ -22,7 +22,7 @@
 	}
 	j.line = s.lineOf(j.team)
 	for i := range j.tasks {
-		j.tasks[i] = task{state: modeler.TaskQueued, at: -1, avoid: -1, queued: now}
+		j.tasks[i] = task{state: modeler.TaskQueued, at: -1, queued: now}
 		j.waiting[i] = i
 	}
 	j.band = s.bandOf(j, now)
@@ -218,11 +218,13 @@
 	s.learn(r, m, now)
 	s.countLoss(r, m, now)
 	s.vacate(r)
-	s.judge(r, at, m, now)
+	if t.stage == stageNone && !r.job.cancelled {
+		s.judge(r.job, at, m, now)
+	}
 	if m.Checkpointed {
 		t.progress += now.Sub(t.started)
 	}
-	preempted := t.stage != stageNone
+	preempted := t.stage != stageNone || r.job.cancelled
 	t.stage = stageNone
 	switch {
 	case m.Result == ResultOK:
@@ -232,7 +234,7 @@
 	case m.Result == ResultUnknown:
 		s.finish(r, modeler.TaskUnknown)
 	default:
-		s.retry(r, at, m, preempted, now)
+		s.retry(r, m, preempted, now)
 	}
 }
 
@@ -258,15 +260,12 @@
 // retry queues a task again or ends it after its attempts. A start that was
 // refused or preempted does not use up an attempt, because the task had no
 // part in it.
-func (s *Scheduler) retry(r ref, at int, m EndedMsg, preempted bool, now time.Time) {
+func (s *Scheduler) retry(r ref, m EndedMsg, preempted bool, now time.Time) {
 	t, j := r.task(), r.job
 	refund := m.Result == ResultRefused || (m.Result == ResultRequeue && preempted && !j.Once)
 	if refund {
 		t.used--
 	}
-	if !preempted {
-		t.avoid = at
-	}
 	if !refund && t.used >= j.attempts() {
 		state := modeler.TaskFailed
 		if j.Once && m.Result == ResultRequeue {
--- a/internal/core/scheduler/pass.go
+++ b/internal/core/scheduler/pass.go
@@ -187,6 +187,9 @@
 	if j.blocked.IsZero() {
 		j.blocked = now
 	}
+	if s.settings.Reserve {
+		s.blocked = append(s.blocked, j)
+	}
 	s.note(j, modeler.EventQueued, s.roomCause(j))
 	s.makeRoom(j, now)
 }
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -46,6 +46,15 @@
 	stats        Stats
 	// passStart is the number of starts when the present pass began.
 	passStart uint64
+	// holds are the reserved amounts by position.
+	holds        []hold
+	reservations []*reservation
+	// blocked lists the jobs that found no room since the last review.
+	blocked []*job
+	// cursor is the rack that the last search for a reservation ended with.
+	cursor int
+	// largest is the componentwise maximum of the endpoints' capacities.
+	largest modeler.Resources
 	// changed is set when a pass may start what the last one could not, apart
 	// from releases, which servedRelease compares.
 	changed       bool
@@ -145,6 +154,7 @@
 		s.health = append(s.health, health{})
 	}
 	s.shares.SetTotal(s.ledger.Total())
+	s.largest = s.largest.Add(m.Capacity).Sub(s.largest.Min(m.Capacity))
 }
 
 // dropEndpoint removes an endpoint. Tasks that were not reported as ended
--- a/internal/core/scheduler/settings.go
+++ b/internal/core/scheduler/settings.go
@@ -56,7 +56,7 @@
 // Full returns the settings of the product.
 func Full() Settings {
 	return Settings{
-		Order: OrderShare, Choice: ChoiceScored, Bands: true, Reserve: true, Preempt: true, Reclaim: true,
+		Order: OrderShare, Choice: ChoiceScored, Bands: true, Preempt: true, Reclaim: true,
 		Deadlines: true, Quarantine: true, Scan: 16, Candidates: 8, Seed: 1,
 	}
 }
@@ -64,24 +64,24 @@
 // Previous returns the first simple version of the core: classes, limits and
 // shares with first fit, and nothing that looks ahead or preempts.
 func Previous() Settings {
-	return Settings{Order: OrderShare, Choice: ChoiceFirst, Bands: true, Scan: 16, Candidates: 1, Seed: 1}
+	return Settings{Order: OrderShare, Choice: ChoiceFirst, Bands: true, Quarantine: true, Scan: 16, Candidates: 1, Seed: 1}
 }
 
 // FirstCome returns the baseline that serves jobs as they came by first fit.
 func FirstCome() Settings {
-	return Settings{Order: OrderArrival, Choice: ChoiceFirst, Scan: 16, Candidates: 1, Seed: 1}
+	return Settings{Order: OrderArrival, Choice: ChoiceFirst, Quarantine: true, Scan: 16, Candidates: 1, Seed: 1}
 }
 
 // RandomOfTwo returns the baseline that serves jobs as they came and takes the
 // emptier of two random endpoints.
 func RandomOfTwo() Settings {
-	return Settings{Order: OrderArrival, Choice: ChoiceTwo, Scan: 16, Candidates: 2, Seed: 1}
+	return Settings{Order: OrderArrival, Choice: ChoiceTwo, Quarantine: true, Scan: 16, Candidates: 2, Seed: 1}
 }
 
 // PlainFair returns the baseline that serves the team with the lowest share,
 // without classes, reservations or preemption.
 func PlainFair() Settings {
-	return Settings{Order: OrderShare, Choice: ChoiceFirst, Scan: 16, Candidates: 1, Seed: 1}
+	return Settings{Order: OrderShare, Choice: ChoiceFirst, Quarantine: true, Scan: 16, Candidates: 1, Seed: 1}
 }
 
 // Option changes the settings of a scheduler.
--- a/internal/measure/generator/deployment.go
+++ b/internal/measure/generator/deployment.go
@@ -46,10 +46,10 @@
 		cores: []int64{2, 4}, memory: [2]int64{4, 12}, runtime: 25 * time.Minute, spread: 0.5, declared: 0.6, off: 0.6,
 	}
 	for range 55 {
-		at := 2*time.Hour + time.Duration(m.random.Int64N(int64(5*time.Hour)))
-		m.add(reanalysis, []int{0, 4, 5}[m.random.IntN(3)], at, 13*time.Hour+time.Duration(m.random.IntN(90))*time.Minute)
+		at := 2*time.Hour + time.Duration(m.random.Int64N(int64(9*time.Hour)))
+		m.add(reanalysis, []int{0, 4, 5}[m.random.IntN(3)], at, 12*time.Hour+time.Duration(m.random.IntN(90))*time.Minute)
 	}
-	m.background(320, []int{2, 3, 4, 5}, length, 1)
+	m.background(250, []int{2, 3, 4, 5}, length, 1)
 	m.failures(3)
 	m.cancellations(GroupBatch, 7*time.Hour, 0.3)
 	m.cancellations(GroupBatch, 11*time.Hour, 0.5)
@@ -73,6 +73,13 @@
 	deferred := batch
 	deferred.class, deferred.queue = modeler.ClassDeferred, "deferred"
 	m.poisson(deferred, teams, 0, length, 0.2*hourly/each)
+	// One team submits a campaign of 1,500 processor hours for each unit of
+	// size at midnight, ahead of much of the work with deadlines.
+	campaign := batch
+	campaign.queue, campaign.tasks, campaign.cores, campaign.runtime = "campaign", [2]int{100, 200}, []int64{2 * size}, 30*time.Minute
+	for range 11 {
+		m.add(campaign, teams[0], 8*time.Hour+time.Duration(m.random.IntN(1800))*time.Second, 0)
+	}
 	large := batch
 	large.tasks, large.cores, large.memory, large.queue = [2]int{1, 2}, []int64{12 * size}, [2]int64{20 * size, 40 * size}, "large"
 	m.poisson(large, teams, 0, length, 6)
@@ -118,10 +125,10 @@
 		cores: []int64{4, 8}, memory: [2]int64{8, 32}, runtime: 25 * time.Minute, spread: 0.5, declared: 0.6, off: 0.6,
 	}
 	for range 60 {
-		at := 2*time.Hour + time.Duration(m.random.Int64N(int64(5*time.Hour)))
-		m.add(certification, []int{0, 1, 2}[m.random.IntN(3)], at, 13*time.Hour+time.Duration(m.random.IntN(90))*time.Minute)
+		at := 2*time.Hour + time.Duration(m.random.Int64N(int64(9*time.Hour)))
+		m.add(certification, []int{0, 1, 2}[m.random.IntN(3)], at, 12*time.Hour+time.Duration(m.random.IntN(90))*time.Minute)
 	}
-	m.background(4*320, []int{1, 2, 3, 4, 5}, length, 4)
+	m.background(4*250, []int{1, 2, 3, 4, 5}, length, 4)
 	m.failures(3)
 	m.cancellations(GroupBatch, 8*time.Hour, 0.3)
 
--- a/internal/measure/meter/table.go
+++ b/internal/measure/meter/table.go
@@ -32,16 +32,17 @@
 
 // table writes the waits by kind of work, then the other measures.
 func (s Section) table(w io.Writer) error {
-	waits := grid{{"wait p50/p99 (late of dated)"}}
+	header := append(make([]string, 0, 8), "wait p50/p99 (late of dated)")
 	for _, group := range generator.Groups() {
-		waits[0] = append(waits[0], string(group))
+		header = append(header, string(group))
 	}
-	others := grid{{
+	waits := append(make(grid, 0, 8), header)
+	others := append(make(grid, 0, 8), []string{
 		"", "packing", "share error max", "mean", "back within", "preempted", "work lost", "placements", "processor each", "bytes",
 		"allocations", "cross-region bytes", "violations",
-	}}
+	})
 	for _, result := range s.Results {
-		row := []string{result.Policy}
+		row := append(make([]string, 0, 8), result.Policy)
 		for _, group := range generator.Groups() {
 			row = append(row, result.Work[group].String())
 		}
