Reserve capacity for jobs that wait for room

Cause: small tasks took every gap, so that all-at-once and large tasks waited until the cluster was nearly empty.

--- a/internal/core/scheduler/settings.go
+++ b/internal/core/scheduler/settings.go
@@ -56,7 +56,7 @@
 // Full returns the settings of the product.
 func Full() Settings {
 	return Settings{
-		Order: OrderShare, Choice: ChoiceScored, Bands: true, Preempt: true, Reclaim: true,
+		Order: OrderShare, Choice: ChoiceScored, Bands: true, Reserve: true, Preempt: true, Reclaim: true,
 		Deadlines: true, Quarantine: true, Scan: 16, Candidates: 8, Seed: 1,
 	}
 }
