Judge patches of unread documents by the parent rule alone

Cause: a reader that held patches without their base accepted any publication as valid, and called the older document in force fresh.

Change: the fold keeps the offset in force apart from its document, which a repetition, a chain of patches or a peer completes later; while it is missing, the instance is not fresh. A patch that does not give the same document is published whole.

--- a/internal/config/follower/follower_test.go
+++ b/internal/config/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -345,3 +346,38 @@
 	x.wantsTail(late, 0, "base")
 	x.wantsTail(f, 0, "base")
 }
+
+// TestMissedBase guards against an instance that calls an old document fresh
+// while it knows that a newer one exists, whose patch it cannot apply.
+func TestMissedBase(t *testing.T) {
+	x := newFixture(t)
+	writer, reader := x.follower(), x.follower()
+	x.publish(writer, none, strings.Repeat("long ", 99))
+	x.wantsTail(reader, 0, strings.Repeat("long ", 99))
+	docs := []modeler.Document{{Cell: "c", Teams: make([]modeler.Team, 9)}, {Cell: "c", Teams: make([]modeler.Team, 9)}}
+	for i := range docs[0].Teams {
+		docs[0].Teams[i].Name = modeler.TeamID(strings.Repeat("n", i+1))
+		docs[1].Teams[i].Name = docs[0].Teams[i].Name
+	}
+	docs[1].Teams[4].Share = 7
+	for i, doc := range docs {
+		if _, err := writer.Publish(context.Background(), modeler.Offset(i), doc); err != nil {
+			t.Fatal(err)
+		}
+	}
+	x.log.expire(2)
+	x.advance(time.Second)
+	x.wantsTail(reader, 0, strings.Repeat("long ", 99))
+	if age, _ := reader.Fresh(x.now()); age < time.Second {
+		t.Fatalf("fresh to %v with an old document", age)
+	}
+	if !reader.Offer(2, docs[1]) {
+		t.Fatal("the document of a peer was refused")
+	}
+	x.wantsTail(reader, 2, "c")
+	if age, ok := reader.Fresh(x.now()); !ok || age != 0 {
+		t.Fatalf("age %v after the document was pulled", age)
+	}
+	x.publish(reader, 2, "next")
+	x.wantsTail(writer, 3, "next")
+}
--- a/internal/config/follower/loop.go
+++ b/internal/config/follower/loop.go
@@ -59,23 +59,42 @@
 	if f.state.next < page.Next {
 		return false
 	}
-	if f.state.current != nil {
-		f.apply(f.state.current)
-		// The log never goes back, so a lower document at the tail means that
-		// a peer offered one that is not in the log.
-		if f.state.next > f.force.offset && f.state.current.offset < f.force.offset {
-			loweredCount.Add(1)
-			f.logger.Error("configuration in force is not in the log",
-				"offset", f.force.offset, "log", f.state.current.offset)
-
-			return true
-		}
+	if f.settleTail() {
+		f.prove(sent)
 	}
-	f.prove(sent)
 
 	return true
 }
 
+// settleTail puts the document at the tail in force and reports whether the
+// document in force is the newest one; the caller holds mu.
+func (f *Follower) settleTail() bool {
+	current := f.state.current
+	if current == nil {
+		return true
+	}
+	if !current.known {
+		if f.force == nil || f.force.offset != current.offset {
+			f.logger.Warn("configuration not known until it is repeated or pulled from a peer", "offset", current.offset)
+
+			return false
+		}
+		pulled := *current
+		pulled.resolve(f.force.offset, f.force.doc)
+		f.state.current, current = &pulled, &pulled
+	}
+	f.apply(current)
+	if current.offset == f.force.offset || f.state.next <= f.force.offset {
+		return true
+	}
+	// The log never goes back, so a lower document at the tail means that a
+	// peer offered one that is not in the log.
+	loweredCount.Add(1)
+	f.logger.Error("configuration in force is not in the log", "offset", f.force.offset, "log", current.offset)
+
+	return false
+}
+
 // note counts a void record and settles the pending publication; the caller
 // holds mu.
 func (f *Follower) note(entry messenger.Entry, result verdict) {
--- a/internal/config/follower/publish.go
+++ b/internal/config/follower/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"time"
 
 	"github.com/pkg/errors"
@@ -74,11 +75,15 @@
 	f.mu.Lock()
 	current := f.state.current
 	f.mu.Unlock()
-	if current == nil || current.offset != parent {
+	if current == nil || !current.known || current.offset != parent {
 		return whole, nil
 	}
+	changes := patcher.Make(current.doc, doc)
+	if made, err := patcher.Apply(current.doc, changes); err != nil || !reflect.DeepEqual(made, doc) {
+		return whole, nil //nolint:nilerr // the whole document needs no patch
+	}
 	pub.Document = modeler.Document{}
-	if pub.Patch, err = encoder.Marshal(patcher.Make(current.doc, doc)); err != nil {
+	if pub.Patch, err = encoder.Marshal(changes); err != nil {
 		return nil, err
 	}
 	patch, err := encoder.Marshal(pub)
--- a/internal/config/follower/state.go
+++ b/internal/config/follower/state.go
@@ -25,6 +25,16 @@
 	// last record that holds the document, or one that it was patched from, as
 	// a whole.
 	time, renewed time.Time
+	// known is unset while doc is missing because the document that patches
+	// start from was not read.
+	known   bool
+	patches []link
+}
+
+// link is a patch and the offset of the document that it applies to.
+type link struct {
+	parent modeler.Offset
+	data   []byte
 }
 
 // state is the fold of the stream "config" up to next. It is plain data; it
@@ -36,9 +46,6 @@
 	next  modeler.Offset
 	// current is nil before the first valid publication.
 	current *accepted
-	// lacking holds the patches that were read without the document they apply
-	// to; a repetition of a whole document resolves them.
-	lacking []messenger.Entry
 }
 
 // EntryMsg is a record of the stream; it follows the one at state.next.
@@ -97,24 +104,55 @@
 	}
 	next := &accepted{
 		doc: pub.Document, offset: entry.Offset, parent: pub.Parent,
-		operator: pub.Operator, time: pub.Time, renewed: entry.Time,
+		operator: pub.Operator, time: pub.Time, renewed: entry.Time, known: true,
+	}
+	if len(pub.Patch) > 0 && !next.patch(s.current, pub.Patch) {
+		return s, verdictMalformed
 	}
-	if len(pub.Patch) > 0 {
-		if s.current == nil || s.current.offset != pub.Parent {
-			s.current = nil
-			s.lacking = append(slices.Clip(s.lacking), entry)
+	s.current = next
 
-			return s, verdictNone
-		}
-		doc, err := patched(s.current.doc, pub.Patch)
-		if err != nil {
-			return s, verdictMalformed
+	return s, verdictAccepted
+}
+
+// patch makes the document of a from its parent's, or keeps the patch until a
+// repetition holds a document that it can start from. It reports whether the
+// patch is well-formed as far as that can be told.
+func (a *accepted) patch(parent *accepted, data []byte) bool {
+	a.known, a.renewed, a.patches = false, time.Time{}, []link{{a.parent, data}}
+	if parent == nil || parent.offset != a.parent {
+		return true
+	}
+	a.renewed = parent.renewed
+	if !parent.known {
+		a.patches = append(slices.Clip(parent.patches), a.patches...)
+
+		return true
+	}
+
+	return a.resolve(a.parent, parent.doc)
+}
+
+// resolve makes the missing document from the one at offset. It reports whether
+// the patches lead from there and apply.
+func (a *accepted) resolve(offset modeler.Offset, doc modeler.Document) bool {
+	if offset == a.offset {
+		a.doc, a.known, a.patches = doc, true, nil
+
+		return true
+	}
+	i := slices.IndexFunc(a.patches, func(l link) bool { return l.parent == offset })
+	if i < 0 {
+		return false
+	}
+	for _, l := range a.patches[i:] {
+		var err error
+		if doc, err = patched(doc, l.data); err != nil {
+			return false
 		}
-		next.doc, next.renewed = doc, s.current.renewed
 	}
-	s.current, s.lacking = next, nil
+	a.doc, a.known, a.patches = doc, true, nil
 
-	return s, verdictAccepted
+	return true
 }
 
 // patched returns the document that an encoded patch makes of doc.
@@ -130,26 +168,21 @@
 // repeat judges a repetition. An instance repeats only a document that it held
 // in force, so that a repetition proves that its original was valid.
 func (s state) repeat(pub encoder.Publication, entry messenger.Entry) (state, verdict) {
-	if s.current != nil && s.current.offset == pub.Original {
+	if s.current != nil {
 		renewed := *s.current
 		renewed.renewed = entry.Time
-		s.current = &renewed
+		if renewed.known && renewed.offset == pub.Original || !renewed.known && renewed.resolve(pub.Original, pub.Document) {
+			s.current = &renewed
 
-		return s, verdictRepeated
+			return s, verdictRepeated
+		}
 	}
 	if !s.unseen(pub.Original) || pub.Original < 0 {
 		return s, verdictVoid
 	}
-	waiting := s.lacking
-	s.lacking = nil
 	s.current = &accepted{
 		doc: pub.Document, offset: pub.Original, parent: pub.Original,
-		operator: pub.Operator, time: pub.Time, renewed: entry.Time,
-	}
-	for _, patch := range waiting {
-		if patch.Offset > pub.Original {
-			s, _ = s.fold(patch)
-		}
+		operator: pub.Operator, time: pub.Time, renewed: entry.Time, known: true,
 	}
 
 	return s, verdictAccepted
@@ -175,9 +208,6 @@
 // against an unread one; proof of a document between its parent and itself
 // shows that it did.
 func (s state) unseen(offset modeler.Offset) bool {
-	if s.current == nil && len(s.lacking) > 0 {
-		return true
-	}
 	if offset >= s.start {
 		return false
 	}
