--- /dev/null
+++ b/internal/cli/commander/config_router_test.go
@@ -0,0 +1,61 @@
+package commander
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/config/follower"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/entry/router"
+	"gitlab.com/greengagewall/greengagewall/internal/platform/connector"
+	"gitlab.com/greengagewall/greengagewall/internal/standin/logger"
+)
+
+// alone is the membership of the only entry instance.
+type alone struct{}
+
+func (alone) Peers() []modeler.Peer         { return nil }
+func (alone) Endpoints() []modeler.Instance { return nil }
+
+// TestAgainstRouter guards against commands that do not fit the HTTP API of an
+// entry instance, whose body is decoded strictly.
+func TestAgainstRouter(t *testing.T) {
+	platform := httptest.NewServer(logger.NewServer(logger.New(time.Hour, 1000)))
+	t.Cleanup(platform.Close)
+	config := follower.New(
+		follower.WithLog(connector.NewLog(netip.MustParseAddrPort(strings.TrimPrefix(platform.URL, "http://")))),
+		follower.WithPoll(10*time.Millisecond, 10*time.Millisecond),
+	)
+	ctx, cancel := context.WithCancel(context.Background())
+	go config.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-config.Done()
+	})
+	s := newSession(t)
+	s.server.Config.Handler = router.New(
+		router.WithSelf(modeler.Instance{ID: "entry-1"}), router.WithPublisher(config),
+		router.WithConfiguration(config), router.WithMembership(alone{}),
+	)
+	s.wants(exitDiffers, "diff "+humo)
+	s.wants(exitOK, "publish "+humo+" --wait 1s")
+	s.wants(exitOK, "diff "+humo)
+	s.wants(exitOK, "key grant health piura --digest "+strings.Repeat("ab", 32))
+	s.wants(exitOK, "key withdraw health lima")
+	if out := s.wants(exitFault, "publish "+humo); !strings.Contains(out, "teams/health/keys/lima") {
+		t.Errorf("withdrawn key not named: %s", out)
+	}
+	s.wants(exitConflict, "publish "+humo+" --reinstate --parent 0")
+	s.wants(exitOK, "publish "+humo+" --reinstate")
+	if out := s.wants(exitOK, "offsets"); !strings.Contains(out, "offset 3 is in force everywhere") {
+		t.Error(out)
+	}
+	platform.Close()
+	if out := s.wants(exitFault, "publish "+humo); !strings.Contains(out, "log-down (not run)") {
+		t.Error(out)
+	}
+}
--- a/internal/config/follower/follower_test.go
+++ b/internal/config/follower/follower_test.go
@@ -214,12 +214,14 @@
 	_, err = f.Publish(context.Background(), 0, modeler.Document{})
 	x.refused(err, modeler.CodeLostAnswer, modeler.OutcomeUnknown)
 
-	x.log.set(func() {
-		x.log.down, x.log.before = false, func() { x.log.set(func() { x.log.down = true }) }
-		x.log.refuse = modeler.NotRun(modeler.CodeLogDown, time.Second, "503")
-	})
-	_, err = f.Publish(context.Background(), 0, modeler.Document{})
-	x.refused(err, modeler.CodeLogDown, modeler.OutcomeNotRun)
+	for _, certain := range []error{messenger.ErrUnsent, modeler.NotRun(modeler.CodeLogDown, time.Second, "503")} {
+		x.log.set(func() {
+			x.log.down, x.log.before = false, func() { x.log.set(func() { x.log.down = true }) }
+			x.log.refuse = certain
+		})
+		_, err = f.Publish(context.Background(), 0, modeler.Document{})
+		x.refused(err, modeler.CodeLogDown, modeler.OutcomeNotRun)
+	}
 }
 
 // TestFreshness guards against a proof of freshness that a stale instance
--- a/internal/config/follower/publish.go
+++ b/internal/config/follower/publish.go
@@ -10,6 +10,7 @@
 	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
 	"gitlab.com/greengagewall/greengagewall/internal/config/patcher"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
 )
 
 // settlement tells what became of a publication.
@@ -167,10 +168,10 @@
 }
 
 // notAppended reports whether err says with certainty that nothing was
-// appended, which a client of the log states as a refusal with the outcome
-// "not run".
+// appended: the request was never sent, or the client of the log states a
+// refusal with the outcome "not run".
 func notAppended(err error) bool {
 	var refusal *modeler.Refusal
 
-	return errors.As(err, &refusal) && refusal.Outcome == modeler.OutcomeNotRun
+	return errors.Is(err, messenger.ErrUnsent) || errors.As(err, &refusal) && refusal.Outcome == modeler.OutcomeNotRun
 }
