--- a/internal/cli/commander/config_test.go
+++ b/internal/cli/commander/config_test.go
@@ -83,7 +83,13 @@
 
 // program is a command line of the operator commands.
 type program struct {
-	ConfigCommands
+	Check   *CheckCmd   `arg:"subcommand:check"`
+	Render  *RenderCmd  `arg:"subcommand:render"`
+	Diff    *DiffCmd    `arg:"subcommand:diff"`
+	Publish *PublishCmd `arg:"subcommand:publish"`
+	Offsets *OffsetsCmd `arg:"subcommand:offsets"`
+	Key     *KeyCmd     `arg:"subcommand:key"`
+	Report  *ReportCmd  `arg:"subcommand:report"`
 }
 
 // session runs command lines against an api.
