Accept declared jobs by name and pull configurations only when needed

Cause: the configuration can declare jobs, which callers could not hand in; a pull carries the whole document even when the patch is about to be read from the log; and a waiting query held up a shutdown.

Change: POST /v1/jobs takes the name of a declared job; an instance at the tail of the log pulls only after a second heartbeat; waiting queries answer when the instance shuts down.

--- a/internal/entry/router/body.go
+++ b/internal/entry/router/body.go
@@ -49,7 +49,10 @@
 
 // JobRequest is the body of POST /v1/jobs.
 type JobRequest struct {
-	Queue modeler.QueueID `json:"queue"`
+	// Job names a job that the configuration declares. Of the other fields
+	// only Deadline may then be set.
+	Job   string          `json:"job,omitempty"`
+	Queue modeler.QueueID `json:"queue,omitempty"`
 	// Tasks is the number of equal tasks; zero means 1.
 	Tasks   int               `json:"tasks,omitempty"`
 	Needs   modeler.Resources `json:"needs"`
@@ -140,7 +143,7 @@
 	n := j.Needs
 	switch {
 	case j.Queue == "":
-		return bad("queue is missing")
+		return bad("queue is missing; give it or the name of a declared job")
 	case j.Tasks < 0:
 		return bad("tasks is " + strconv.Itoa(j.Tasks) + "; it must be at least 1")
 	case j.Tasks > mostTasks:
--- a/internal/entry/router/commands.go
+++ b/internal/entry/router/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"reflect"
 	"slices"
 	"time"
 
@@ -58,6 +59,10 @@
 	if err := decode(w, req, &body); err != nil {
 		return modeler.Job{}, err
 	}
+	declared, err := r.expand(&body)
+	if err != nil {
+		return modeler.Job{}, err
+	}
 	if err := body.check(r.now()); err != nil {
 		return modeler.Job{}, err
 	}
@@ -73,6 +78,9 @@
 	if err != nil {
 		return modeler.Job{}, err
 	}
+	if declared != "" && declared != team {
+		return modeler.Job{}, modeler.NotRun(modeler.CodeWrongTeam, 0, "job %q is not declared for team %s", body.Job, team)
+	}
 	job := r.makeJob(body, queue, team, key)
 	if known, ok := r.queries.Job(team, job.ID); ok {
 		return job, sameWork(known.Job, job)
@@ -84,6 +92,42 @@
 	return job, r.dispatcher.CheckFit(job)
 }
 
+// expand fills in a job that the configuration declares and returns the team
+// that it is declared for; empty if the body describes the job itself.
+func (r *Router) expand(body *JobRequest) (modeler.TeamID, error) {
+	if body.Job == "" {
+		return "", nil
+	}
+	doc, _, ok := r.config.InForce()
+	if !ok {
+		return "", noConfiguration()
+	}
+	at := slices.IndexFunc(doc.Jobs, func(t modeler.Template) bool { return t.Name == body.Job })
+	if at < 0 {
+		return "", modeler.NotRun(modeler.CodeUnknownItem, 0, "no job %q is declared", body.Job)
+	}
+	given := *body
+	given.Job, given.Deadline, given.Command = "", time.Time{}, nil
+	if !reflect.ValueOf(given).IsZero() || len(body.Command) > 0 {
+		return "", bad("only deadline may be given with the name of a declared job")
+	}
+	template := doc.Jobs[at]
+	deadline := body.Deadline
+	if deadline.IsZero() {
+		var err error
+		if deadline, err = template.Deadline.At(r.now()); err != nil {
+			return "", modeler.NotRun(modeler.CodeBadConfig, 0, "job %q: %v", body.Job, err)
+		}
+	}
+	*body = JobRequest{
+		Job: body.Job, Queue: template.Queue, Tasks: template.Tasks, Needs: template.Needs,
+		Runtime: Duration(template.Runtime), Deadline: deadline, Once: template.Once, Rack: template.Rack,
+		Command: template.Command,
+	}
+
+	return template.Team, nil
+}
+
 func (r *Router) makeJob(body JobRequest, queue modeler.Queue, team modeler.TeamID, key string) modeler.Job {
 	job := modeler.Job{
 		ID: dispatcher.JobID(team, key), Team: team, Queue: queue.Name, Request: key,
--- a/internal/entry/router/queries.go
+++ b/internal/entry/router/queries.go
@@ -93,8 +93,8 @@
 	return wait, nil
 }
 
-// await looks for a job until it is final, wait has passed or the caller is
-// gone.
+// await looks for a job until it is final, wait has passed, the caller is gone
+// or this instance shuts down.
 func (r *Router) await(ctx context.Context, wait time.Duration, look func() (modeler.JobStatus, bool)) (modeler.JobStatus, bool) {
 	ctx, cancel := context.WithTimeout(ctx, max(wait, followLag))
 	defer cancel()
@@ -103,7 +103,8 @@
 	defer ticker.Stop()
 	for {
 		status, ok := look()
-		if ok && (status.Final || time.Since(started) >= wait) {
+		// A shutdown ends the wait, so that it cuts off no request.
+		if ok && (status.Final || r.draining() || time.Since(started) >= wait) {
 			return status, true
 		}
 		select {
@@ -114,7 +115,8 @@
 	}
 }
 
-// records serves GET /v1/jobs/{id}/records and /v1/requests/{id}/records.
+// records serves GET /v1/jobs/{id}/records and, because calls have records too,
+// GET /v1/requests/{id}/records.
 func (r *Router) records(w http.ResponseWriter, req *http.Request) {
 	teams, anonymous, err := r.readers(req)
 	if err != nil {
--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -60,6 +60,11 @@
 			Services: []modeler.Service{
 				{Name: "quality", Queue: "lookups", Idempotent: true}, {Name: "recall", Queue: "forecasts"},
 			},
+			Jobs: []modeler.Template{
+				{Name: "plume", Team: "apchf", Queue: "forecasts", Tasks: 2, Needs: modeler.Resources{Millis: 500},
+					Deadline: modeler.Deadline{Clock: "06:30"}},
+				{Name: "recertify", Team: "other", Queue: "forecasts", Tasks: 1, Needs: modeler.Resources{Millis: 500}},
+			},
 		},
 		loads: []modeler.Load{
 			{Partition: "costa-1", Term: 256, Ready: true, Largest: large, Capacity: large.Scale(4), Services: map[string]int64{"": 8}},
@@ -151,6 +156,9 @@
 		{"unknown field", "POST /v1/jobs", goodKey, `{"queue":"forecasts","cpu":1}`},
 		{"two values", "POST /v1/jobs", goodKey, oneTask + "{}"},
 		{"no needs", "POST /v1/jobs", goodKey, `{"queue":"forecasts"}`},
+		{"undeclared job", "POST /v1/jobs", goodKey, `{"job":"none"}`},
+		{"declared job of another team", "POST /v1/jobs", goodKey, `{"job":"recertify"}`},
+		{"declared job with changes", "POST /v1/jobs", goodKey, `{"job":"plume","tasks":3}`},
 		{"past deadline", "POST /v1/jobs", goodKey, `{"queue":"forecasts","needs":{"millis":1},"deadline":"2026-12-31T23:00:00Z"}`},
 		{"task larger than any endpoint", "POST /v1/jobs", goodKey, `{"queue":"forecasts","needs":{"millis":16001}}`},
 		{"all-at-once job that never fits", "POST /v1/jobs", goodKey, `{"queue":"gangs","tasks":5,"needs":{"millis":16000}}`},
@@ -230,6 +238,19 @@
 	}
 }
 
+// TestRouter_DeclaredJob guards against a declared job that differs from its
+// declaration.
+func TestRouter_DeclaredJob(t *testing.T) {
+	w := newWorld()
+	if got := w.send("POST /v1/jobs", `{"job":"plume"}`, "Authorization", goodKey); got.Code != http.StatusCreated {
+		t.Fatalf("status %d: %s", got.Code, got.Body)
+	}
+	job := w.submitted[0]
+	if job.Tasks != 2 || job.Needs.Millis != 500 || job.Deadline.Format(time.RFC3339) != "2027-01-01T06:30:00Z" {
+		t.Errorf("got %+v", job)
+	}
+}
+
 // TestRouter_Ready guards against traffic to an instance that cannot route it.
 func TestRouter_Ready(t *testing.T) {
 	w := newWorld()
--- a/internal/peer/gossiper/gossiper.go
+++ b/internal/peer/gossiper/gossiper.go
@@ -50,6 +50,9 @@
 	forget = 10 * time.Second
 	// pullTimeout bounds one transfer of a configuration between regions.
 	pullTimeout = 2 * time.Second
+	// tailing is the age of the last confirmation up to which an instance is
+	// taken to follow the log closely; its reads wait up to 500 ms.
+	tailing = time.Second
 	// pullsWaiting bounds the peers waiting to be pulled from; a peer that
 	// finds the ring full is tried again at its next heartbeat.
 	pullsWaiting = 64
--- a/internal/peer/gossiper/link.go
+++ b/internal/peer/gossiper/link.go
@@ -23,6 +23,9 @@
 	// opened is when the present connection was last known to work or was
 	// dialled.
 	opened time.Time
+	// ahead is the configuration offset that the last heartbeat showed to be
+	// above the own one; zero if it was not.
+	ahead modeler.Offset
 }
 
 // run sends heartbeats until ctx ends.
--- a/internal/peer/gossiper/loops.go
+++ b/internal/peer/gossiper/loops.go
@@ -77,9 +77,26 @@
 	l.peer.Instance, l.listed = instance, true
 }
 
-// compare asks for a pull when a peer has a newer configuration.
+// compare asks for a pull when a peer has a newer configuration. An instance
+// that has just reached the tail of the log waits for a second heartbeat: it is
+// about to read the patch, and a pull carries the whole document.
 func (g *Gossiper) compare(address netip.AddrPort, offset modeler.Offset) {
-	if offset > g.offset() {
+	own := g.offset()
+	age, fresh := g.config.Fresh(time.Now())
+	g.mu.Lock()
+	l, ok := g.links[address]
+	if !ok || offset <= own {
+		if ok {
+			l.ahead = 0
+		}
+		g.mu.Unlock()
+
+		return
+	}
+	before := l.ahead
+	l.ahead = offset
+	g.mu.Unlock()
+	if own < 0 || !fresh || age > tailing || before > own {
 		g.pulls.Push(address)
 	}
 }
