Add serve and the caller commands

Cause: the binary only printed its version.

Change: the starter constructs an entry instance, runs it and shuts it down gracefully; serve checks every address and setting at the start; submit, cancel, status, wait, call, resolve, explain, export, verify, state and version talk to an instance and have documented exit codes.

--- a/cmd/greengagewall/main.go
+++ b/cmd/greengagewall/main.go
@@ -2,9 +2,13 @@
 // holds the commands of operators and callers.
 package main
 
-import "fmt"
+import (
+	"os"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cli/commander"
+)
 
 // version is set by the linker.
 var version = "dev"
 
-func main() { fmt.Println("greengagewall", version) }
+func main() { os.Exit(commander.Main(version, os.Args[1:])) }
--- /dev/null
+++ b/internal/cli/commander/caller.go
@@ -0,0 +1,122 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// errUnreachable means that a request did not reach any instance, or was a
+// query without an answer.
+var errUnreachable = errors.New("no instance answered")
+
+// Caller holds what all caller commands have in common.
+type Caller struct {
+	Target
+	Format
+	Key     string        `arg:"--key,env:GREENGAGEWALL_KEY" help:"key of the team; not needed for queues open to all"`
+	Timeout time.Duration `arg:"--timeout" default:"30s" help:"time for the whole command"`
+}
+
+// response is an answer with a status of success.
+type response struct {
+	header http.Header
+	body   []byte
+}
+
+// request describes what to send.
+type request struct {
+	method, path string
+	// key is the Idempotency-Key.
+	key  string
+	body []byte
+}
+
+// send sends a request. Its errors are errUnreachable or a *modeler.Refusal.
+func (c *Caller) exchange(ctx context.Context, env Env, r request) (response, error) {
+	req, err := http.NewRequestWithContext(ctx, r.method, strings.TrimSuffix(c.Server, "/")+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return response{}, modeler.NotRun(modeler.CodeBadRequest, 0, "--server: %v", err)
+	}
+	if c.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Key)
+	}
+	if r.key != "" {
+		req.Header.Set("Idempotency-Key", r.key)
+	}
+	resp, err := env.Client.Do(req)
+	if err != nil {
+		return response{}, unanswered(r.method, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit))
+	if err != nil {
+		return response{}, unanswered(r.method, err)
+	}
+	if resp.StatusCode/100 != 2 {
+		return response{}, refusal(r.method, resp.Status, body)
+	}
+
+	return response{header: resp.Header, body: body}, nil
+}
+
+// unanswered returns errUnreachable unless the request may have taken effect.
+func unanswered(method string, err error) error {
+	var refused *modeler.Refusal
+	if errors.As(lost(method, err), &refused) && refused.Outcome == modeler.OutcomeUnknown {
+		return refused
+	}
+
+	return errors.Wrap(errUnreachable, err.Error())
+}
+
+// query reads path into value.
+func (c *Caller) query(ctx context.Context, env Env, path string, value any) error {
+	answer, err := c.exchange(ctx, env, request{method: http.MethodGet, path: path})
+	if err != nil {
+		return err
+	}
+
+	return errors.Wrap(json.Unmarshal(answer.body, value), "decode answer")
+}
+
+// bounded checks the output format and limits ctx to the timeout.
+func (c *Caller) bounded(ctx context.Context) (context.Context, context.CancelFunc, error) {
+	if err := c.check(); err != nil {
+		return ctx, func() {}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+
+	return ctx, cancel, nil
+}
+
+// codeOf returns the exit code for an error of a caller command.
+func codeOf(err error) int {
+	var refused *modeler.Refusal
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, errUnreachable):
+		return codeUnreachable
+	case !errors.As(err, &refused):
+		return codeUnknown
+	}
+	switch refused.Outcome {
+	case modeler.OutcomeNotRun:
+		return codeRefused
+	case modeler.OutcomeRan:
+		return codeFailed
+	case modeler.OutcomeUnknown:
+		return codeUnknown
+	}
+
+	return codeUnknown
+}
--- /dev/null
+++ b/internal/cli/commander/commands.go
@@ -0,0 +1,171 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+)
+
+// Commands are the subcommands of greengagewall.
+type Commands struct {
+	Serve *ServeCmd `arg:"subcommand:serve" help:"run an entry instance"`
+
+	Submit  *SubmitCmd  `arg:"subcommand:submit" help:"submit a job"`
+	Cancel  *CancelCmd  `arg:"subcommand:cancel" help:"cancel a job"`
+	Status  *StatusCmd  `arg:"subcommand:status" help:"show a job and its tasks"`
+	Wait    *WaitCmd    `arg:"subcommand:wait" help:"wait until a job is final"`
+	Call    *CallCmd    `arg:"subcommand:call" help:"call a service"`
+	Resolve *ResolveCmd `arg:"subcommand:resolve" help:"find out what became of a call"`
+	Explain *ExplainCmd `arg:"subcommand:explain" help:"show the decision records of a job or call"`
+	Export  *ExportCmd  `arg:"subcommand:export" help:"export the decision records of a team"`
+	Verify  *VerifyCmd  `arg:"subcommand:verify" help:"check exported records without an instance"`
+	State   *StateCmd   `arg:"subcommand:state" help:"show owners, loads and peers"`
+	Version *VersionCmd `arg:"subcommand:version" help:"show the version"`
+
+	Check   *CheckCmd   `arg:"subcommand:check" help:"check configuration files"`
+	Render  *RenderCmd  `arg:"subcommand:render" help:"show the merged configuration"`
+	Diff    *DiffCmd    `arg:"subcommand:diff" help:"compare configuration files with the document in force"`
+	Publish *PublishCmd `arg:"subcommand:publish" help:"publish configuration files"`
+	Offsets *OffsetsCmd `arg:"subcommand:offsets" help:"show the configuration offset in force at each instance"`
+	Key     *KeyCmd     `arg:"subcommand:key" help:"make, grant and withdraw keys"`
+}
+
+// Exit codes of serve and of the caller commands.
+const (
+	// codeRefused means that nothing ran.
+	codeRefused = 1
+	// codeUsage means that the command line or a setting is wrong.
+	codeUsage = 2
+	// codeUnknown means that it is not known whether the work ran.
+	codeUnknown = 3
+	// codeFailed means that the work ran and failed, or that records do not
+	// verify.
+	codeFailed = 4
+	// codeUnreachable means that no instance answered and nothing was sent.
+	codeUnreachable = 5
+)
+
+// Description implements arg.Described.
+func (Commands) Description() string {
+	return "greengagewall schedules the work of many teams on one cluster."
+}
+
+// Epilogue implements arg.Epilogued.
+func (Commands) Epilogue() string {
+	return `Exit codes of serve and of caller commands:
+  0  success
+  1  refused; the work did not run and will not run
+  2  wrong usage or settings
+  3  unknown outcome, or not final in time
+  4  the work ran and failed, or records do not verify
+  5  no instance could be reached; nothing was sent
+Exit codes of check, render, diff, publish, offsets and key:
+  0  success
+  1  the documents differ, or an offset is not in force everywhere
+  2  wrong usage, faulty files or a refusal; nothing was changed
+  3  conflict with another publication; nothing was changed
+  4  unknown outcome of a change`
+}
+
+// command is a subcommand.
+type command interface {
+	Run(ctx context.Context, env Env) (int, error)
+}
+
+// Main runs a command line, without the name of the program, and returns the
+// exit code of the process.
+func Main(version string, line []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	// A second signal ends the process without waiting for open requests.
+	context.AfterFunc(ctx, stop)
+
+	return run(ctx, version, line, Env{
+		Out: os.Stdout, Err: os.Stderr, Client: &http.Client{}, Now: time.Now, Sleep: pause,
+	})
+}
+
+// run parses a command line and runs its subcommand.
+func run(ctx context.Context, version string, line []string, env Env) int {
+	var commands Commands
+	parser, err := arg.NewParser(arg.Config{Program: "greengagewall", Out: env.Err}, &commands)
+	if err != nil {
+		return report(env.Err, codeUsage, err)
+	}
+	switch err := parser.Parse(line); {
+	case errors.Is(err, arg.ErrHelp):
+		return help(parser, env.Out, 0)
+	case err != nil:
+		parser.WriteUsage(env.Err)
+
+		return report(env.Err, codeUsage, err)
+	}
+	if commands.Version != nil {
+		commands.Version.version = version
+	}
+	if commands.Serve != nil {
+		commands.Serve.version = version
+	}
+	chosen, ok := parser.Subcommand().(command)
+	if !ok {
+		return help(parser, env.Err, codeUsage)
+	}
+	code, err := chosen.Run(ctx, env)
+
+	return report(env.Err, code, err)
+}
+
+func help(parser *arg.Parser, w io.Writer, code int) int {
+	if err := parser.WriteHelpForSubcommand(w, parser.SubcommandNames()...); err != nil {
+		parser.WriteHelp(w)
+	}
+
+	return code
+}
+
+// report prints err, if there is any, and returns code.
+func report(w io.Writer, code int, err error) int {
+	if err != nil {
+		_, _ = fmt.Fprintln(w, "greengagewall:", err)
+	}
+
+	return code
+}
+
+// pause sleeps for a duration or until ctx ends.
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// VersionCmd shows the version.
+type VersionCmd struct {
+	Format
+	version string
+}
+
+// Run prints the version.
+func (c *VersionCmd) Run(_ context.Context, env Env) (int, error) {
+	if err := c.check(); err != nil {
+		return codeUsage, err
+	}
+
+	return 0, c.write(env.Out, map[string]string{"version": c.version}, func(w io.Writer) error {
+		p := printer{w: w}
+		p.printf("greengagewall %s\n", c.version)
+
+		return p.err
+	})
+}
--- /dev/null
+++ b/internal/cli/commander/watch.go
@@ -0,0 +1,214 @@
+package commander
+
+import (
+	"context"
+	"io"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/entry/router"
+)
+
+// pollWait is how long an instance is asked to hold one query of a waiting
+// command. It is short enough for load balancers with an idle limit of 30 s.
+const pollWait = 10 * time.Second
+
+// StatusCmd shows a job.
+type StatusCmd struct {
+	Caller
+	Job string `arg:"positional,required" help:"id of the job"`
+}
+
+// Run prints the state of the job and its tasks.
+func (c *StatusCmd) Run(ctx context.Context, env Env) (int, error) {
+	ctx, cancel, err := c.bounded(ctx)
+	defer cancel()
+	if err != nil {
+		return codeUsage, err
+	}
+	var status modeler.JobStatus
+	if err := c.query(ctx, env, "/v1/jobs/"+url.PathEscape(c.Job), &status); err != nil {
+		return codeOf(err), err
+	}
+
+	return 0, c.write(env.Out, status, jobText(status))
+}
+
+// WaitCmd waits for a job.
+type WaitCmd struct {
+	Caller
+	Job string `arg:"positional,required" help:"id of the job"`
+}
+
+// Run waits until the job is final; its exit code tells how the job ended.
+func (c *WaitCmd) Run(ctx context.Context, env Env) (int, error) {
+	ctx, cancel, err := c.bounded(ctx)
+	defer cancel()
+	if err != nil {
+		return codeUsage, err
+	}
+
+	return c.await(ctx, env, c.Job)
+}
+
+// await queries a job until it is final, prints it and returns its exit code.
+func (c *Caller) await(ctx context.Context, env Env, job string) (int, error) {
+	var last error
+	for {
+		var status modeler.JobStatus
+		err := c.query(ctx, env, "/v1/jobs/"+url.PathEscape(job)+"?wait="+pollWait.String(), &status)
+		if err == nil && status.Final {
+			return ending(status), c.write(env.Out, status, jobText(status))
+		}
+		if ctx.Err() != nil {
+			if last != nil {
+				return codeUnknown, errors.WithMessagef(last, "job %s is not final after %s", job, c.Timeout)
+			}
+
+			return codeUnknown, errors.Errorf("job %s is not final after %s", job, c.Timeout)
+		}
+		if last = err; err == nil {
+			continue
+		}
+		var refused *modeler.Refusal
+		if errors.As(err, &refused) && refused.Retry == 0 {
+			return codeOf(err), err
+		}
+		env.Sleep(ctx, time.Second)
+	}
+}
+
+// ending returns the exit code for a final job.
+func ending(status modeler.JobStatus) int {
+	code := 0
+	for _, task := range status.Tasks {
+		switch task.State {
+		case modeler.TaskUnknown:
+			return codeUnknown
+		case modeler.TaskFailed, modeler.TaskCancelled:
+			code = codeFailed
+		case modeler.TaskQueued, modeler.TaskStarting, modeler.TaskRunning, modeler.TaskFinished:
+		}
+	}
+
+	return code
+}
+
+// jobText prints a job for people.
+func jobText(status modeler.JobStatus) func(io.Writer) error {
+	return func(w io.Writer) error {
+		p := printer{w: w}
+		job := status.Job
+		p.printf("job %s of team %s on queue %s, partition %s\n", job.ID, job.Team, job.Queue, status.Partition)
+		if !job.Deadline.IsZero() {
+			p.printf("deadline %s\n", job.Deadline.UTC().Format(time.RFC3339))
+		}
+		for _, task := range status.Tasks {
+			p.printf("%-40s %-10s attempt %d", task.Task, task.State, task.Attempt)
+			if task.Endpoint != "" {
+				p.printf("  on %s", task.Endpoint)
+			}
+			if task.Cause != "" {
+				p.printf("  %s", task.Cause)
+			}
+			p.printf("\n")
+		}
+
+		return p.err
+	}
+}
+
+// ResolveCmd finds out what became of a call.
+type ResolveCmd struct {
+	Caller
+	Request string `arg:"positional,required" help:"request key of the call"`
+}
+
+// Run prints the outcome; a request that has not run will never run afterwards.
+func (c *ResolveCmd) Run(ctx context.Context, env Env) (int, error) {
+	ctx, cancel, err := c.bounded(ctx)
+	defer cancel()
+	if err != nil {
+		return codeUsage, err
+	}
+	var reply router.RequestReply
+	if err := c.query(ctx, env, "/v1/requests/"+url.PathEscape(c.Request), &reply); err != nil {
+		return codeOf(err), err
+	}
+	code := codeUnknown
+	switch reply.Outcome {
+	case modeler.OutcomeRan:
+		code = 0
+	case modeler.OutcomeNotRun:
+		code = codeRefused
+	case modeler.OutcomeUnknown:
+	}
+
+	return code, c.write(env.Out, reply, func(w io.Writer) error {
+		p := printer{w: w}
+		p.printf("request %s: %s\n", c.Request, reply.Outcome)
+		if len(reply.Answer) > 0 {
+			p.printf("%s\n", reply.Answer)
+		}
+
+		return p.err
+	})
+}
+
+// StateCmd shows the state of the cell as one instance sees it.
+type StateCmd struct{ Caller }
+
+// Run prints the state.
+func (c *StateCmd) Run(ctx context.Context, env Env) (int, error) {
+	ctx, cancel, err := c.bounded(ctx)
+	defer cancel()
+	if err != nil {
+		return codeUsage, err
+	}
+	var state router.StateReply
+	if err := c.query(ctx, env, "/v1/state", &state); err != nil {
+		return codeOf(err), err
+	}
+
+	return 0, c.write(env.Out, state, func(w io.Writer) error { return stateText(w, state, env.Now()) })
+}
+
+// stateText prints the state for people.
+func stateText(w io.Writer, state router.StateReply, now time.Time) error {
+	p := printer{w: w}
+	p.printf("instance %s, ready %t, draining %t, configuration %d, %d endpoints listed\n",
+		state.Instance.ID, state.Ready, state.Draining, state.Config, state.Endpoints)
+	loads := map[modeler.PartitionID]modeler.Load{}
+	for _, peer := range state.Peers {
+		for _, load := range peer.Loads {
+			loads[load.Partition] = load
+		}
+	}
+	for _, load := range state.Loads {
+		loads[load.Partition] = load
+	}
+	for _, o := range state.Ownership {
+		p.printf("partition %-16s owner %-24s term %s", o.Partition, o.Owner, o.Term)
+		if load, ok := loads[o.Partition]; ok {
+			p.printf("  ready %t  queued %d  free %s of %s", load.Ready, load.Queued, load.Free, load.Capacity)
+		}
+		p.printf("\n")
+	}
+	for _, peer := range state.Peers {
+		p.printf("peer %-24s %s  configuration %d", peer.Instance.ID, peer.Instance.Peer, peer.Config)
+		switch {
+		case peer.Heard.IsZero():
+			p.printf("  never heard")
+		case peer.Draining:
+			p.printf("  draining, heard %s ago", now.Sub(peer.Heard).Round(time.Millisecond))
+		default:
+			p.printf("  heard %s ago", now.Sub(peer.Heard).Round(time.Millisecond))
+		}
+		p.printf("\n")
+	}
+
+	return p.err
+}
--- /dev/null
+++ b/internal/entry/starter/starter_test.go
@@ -0,0 +1,189 @@
+package starter
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/entry/router"
+	"gitlab.com/greengagewall/greengagewall/internal/standin/lister"
+	"gitlab.com/greengagewall/greengagewall/internal/standin/logger"
+	"gitlab.com/greengagewall/greengagewall/internal/standin/worker"
+)
+
+// cell is a log, a list and executors.
+type cell struct {
+	t         *testing.T
+	list      *lister.List
+	log, look netip.AddrPort
+}
+
+func newCell(t *testing.T) *cell {
+	t.Helper()
+	c := &cell{t: t, list: lister.New(0)}
+	open := func(handler http.Handler) netip.AddrPort {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+
+		return server.Listener.Addr().(*net.TCPAddr).AddrPort()
+	}
+	c.log, c.look = open(logger.NewServer(logger.New(time.Hour, 400))), open(lister.NewServer(c.list))
+	host := worker.NewHost(worker.Spec{
+		Kind: modeler.KindExecutor, Count: 2, Region: "costa", Zone: "costa-a", Address: netip.MustParseAddr("127.0.0.1"),
+		Capacity: modeler.Resources{Slots: 8}, Settings: worker.Settings{Service: time.Second},
+	}, lister.NewClient(c.look))
+	if err := host.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(host.Close)
+
+	return c
+}
+
+// free returns an address that was free a moment ago.
+func free(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// entry is a running instance.
+type entry struct {
+	*Instance
+	url  string
+	stop context.CancelFunc
+	// result receives what Run returned.
+	result chan error
+}
+
+func (c *cell) start(name string) *entry {
+	c.t.Helper()
+	settings := Settings{
+		Listen: free(c.t), Peer: free(c.t), Log: c.log, List: c.look, Region: "costa", Zone: "costa-a", Prefix: name,
+		Retention: time.Hour, Inflight: 100, Notice: 300 * time.Millisecond, Drain: 10 * time.Second,
+	}
+	instance, err := New(settings, hclog.NewNullLogger())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.list.Put(time.Now(), modeler.Instance{
+		ID: modeler.InstanceID("listed-" + name), Kind: modeler.KindEntry, Region: "costa", Zone: "costa-a",
+		Address: settings.Listen, Peer: settings.Peer, State: modeler.StateLive,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	e := &entry{Instance: instance, url: "http://" + settings.Listen.String(), stop: stop, result: make(chan error, 1)}
+	go func() { e.result <- instance.Run(ctx) }()
+	c.t.Cleanup(func() {
+		stop()
+		<-instance.Done()
+	})
+
+	return e
+}
+
+// send returns the status and body of an answer; the status is 0 if there is
+// none.
+func (e *entry) send(method, path, body string) (int, string) {
+	req, err := http.NewRequest(method, e.url+path, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+
+	return resp.StatusCode, string(data)
+}
+
+// until repeats a request until its status is wanted.
+func (e *entry) until(t *testing.T, status int, method, path, body string) {
+	t.Helper()
+	var got int
+	var answer string
+	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if got, answer = e.send(method, path, body); got == status {
+			return
+		}
+	}
+	t.Fatalf("%s %s: status %d, want %d: %s", method, path, got, status, answer)
+}
+
+// TestInstance_ShutDown guards against a graceful shutdown that cuts off an
+// open request (I9), leaves its partition without an owner, or stays ready.
+func TestInstance_ShutDown(t *testing.T) {
+	c := newCell(t)
+	a := c.start("a")
+	body, err := json.Marshal(router.ConfigRequest{Parent: -1, Document: modeler.Document{
+		Cell:       "humo-andino",
+		Partitions: []modeler.Partition{{Name: "costa-1", Region: "costa", Weight: 1}},
+		Teams:      []modeler.Team{{Name: "public", Share: 1, Limit: modeler.Resources{Slots: 16}}},
+		Queues:     []modeler.Queue{{Name: "lookups", Kind: modeler.WorkService, Class: modeler.ClassUrgent, Open: true, Team: "public"}},
+		Services:   []modeler.Service{{Name: "quality", Queue: "lookups", Idempotent: true, Timeout: 8 * time.Second}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.until(t, http.StatusOK, http.MethodPut, "/v1/config", string(body))
+	b := c.start("b")
+	const path = "/v1/services/quality/calls"
+	a.until(t, http.StatusOK, http.MethodGet, "/readyz", "")
+	b.until(t, http.StatusOK, http.MethodGet, "/readyz", "")
+	a.until(t, http.StatusOK, http.MethodPost, path, "first")
+	b.until(t, http.StatusOK, http.MethodPost, path, "forwarded")
+
+	// Both calls are open at the owner, a, when it begins to shut down.
+	statuses := make(chan int, 2)
+	for _, e := range []*entry{a, b} {
+		go func() {
+			status, _ := e.send(http.MethodPost, path, "open")
+			statuses <- status
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	a.stop()
+	a.until(t, http.StatusServiceUnavailable, http.MethodGet, "/readyz", "")
+	for range 2 {
+		if status := <-statuses; status != http.StatusOK {
+			t.Errorf("a call that was open at the shutdown ended with status %d", status)
+		}
+	}
+	if err := <-a.result; err != nil {
+		t.Error(err)
+	}
+	b.until(t, http.StatusOK, http.MethodPost, path, "after")
+}
+
+// TestNew_AddressInUse guards against a start that hides which address failed.
+func TestNew_AddressInUse(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	used := listener.Addr().(*net.TCPAddr).AddrPort()
+	_, err = New(Settings{Listen: free(t), Peer: used}, hclog.NewNullLogger())
+	if err == nil || !strings.Contains(err.Error(), "--peer") || !strings.Contains(err.Error(), used.String()) {
+		t.Errorf("got %v", err)
+	}
+}
