--- a/internal/proof/breaker/breaker.go
+++ b/internal/proof/breaker/breaker.go
@@ -36,6 +36,9 @@
 const (
 	readyTimeout  = 30 * time.Second
 	settleTimeout = 60 * time.Second
+	// resolveTimeout is well above the time of a takeover. A call on an
+	// executor that was replaced stays unknown.
+	resolveTimeout = 15 * time.Second
 	// requestTimeout bounds one attempt of a caller.
 	requestTimeout = 8 * time.Second
 	serviceTime    = 20 * time.Millisecond
--- a/internal/proof/breaker/conclude.go
+++ b/internal/proof/breaker/conclude.go
@@ -19,7 +19,9 @@
 	ctx, stop := context.WithTimeout(ctx, settleTimeout)
 	defer stop()
 	begun := time.Now()
-	unknown, left := b.recorder.Resolve(ctx)
+	resolving, end := context.WithTimeout(ctx, resolveTimeout)
+	unknown, left := b.recorder.Resolve(resolving)
+	end()
 	b.printf("calls whose outcome was unknown: %d, still unknown: %d\n", unknown, left)
 	for ctx.Err() == nil {
 		report, _, err := b.verify(ctx)
