Ask again for tokens while a job waits behind its limit

Cause: a placement pass is skipped when nothing has changed, so the request for more of a limit was sent once. When the other partition refused it, for example because it had no majority yet, the job waited for ever. TestTokens_MoveToWhereTheyAreNeeded failed with 'no use of the whole limit within 20s'. Ruled out: the division of the limit, whose property test passes. Change: a job held back by its limit makes the next tick run a pass. The test of the supervisor passes 15 of 15 times with the race detector.

--- a/internal/core/scheduler/pass.go
+++ b/internal/core/scheduler/pass.go
@@ -23,6 +23,10 @@
 	if s.ticked.IsZero() || now.Sub(s.ticked) >= tickEvery {
 		s.ticked = now
 		s.tick(now)
+		// A request for more of a limit may have been refused or lost, so a job
+		// that waits behind its limit asks again without another change.
+		s.changed = s.changed || s.limited
+		s.limited = false
 	}
 	s.passStart = s.stats.Starts
 	if !s.changed && s.servedRelease == s.ledger.Releases() {
@@ -173,6 +177,7 @@
 // for more of it.
 func (s *Scheduler) blockedByLimit(j *job, now time.Time) {
 	s.note(j, modeler.EventQueued, causeLimit)
+	s.limited = true
 	if now.Sub(j.line.asked) < tickEvery {
 		return
 	}
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -57,7 +57,10 @@
 	largest modeler.Resources
 	// changed is set when a pass may start what the last one could not, apart
 	// from releases, which servedRelease compares.
-	changed       bool
+	changed bool
+	// limited is set when a job was held back by its team's limit since the
+	// last tick.
+	limited       bool
 	servedRelease uint64
 	// wide is an all-at-once job that the last pass had no budget for.
 	wide *job
