Raise work by the latest start that its deadline allows

Cause: serving dated work first delayed other work without need, and still missed deadlines behind other teams. Teams are warned once when the expected finish is after the deadline.

--- a/internal/core/scheduler/job.go
+++ b/internal/core/scheduler/job.go
@@ -83,6 +83,8 @@
 	cause string
 	// blocked is since when the job has been waiting for room, zero if not.
 	blocked time.Time
+	// endangered is set once the team was warned of the deadline.
+	endangered bool
 	// reserved is the reservation held for the job.
 	reserved *reservation
 }
@@ -108,6 +110,9 @@
 	return defaultAttempts
 }
 
+// fixed reports whether the job's tasks are not made to wait for dated work.
+func (j *job) fixed() bool { return j.band == bandUrgent || j.Kind == modeler.WorkService }
+
 // width returns how many tasks must be placed together.
 func (j *job) width() int {
 	if j.Kind == modeler.WorkAllAtOnce {
@@ -117,8 +122,17 @@
 	return 1
 }
 
-// before orders the jobs of a team within a band.
-func (j *job) before(o *job) bool {
+// came orders the jobs of a team by arrival, services first.
+func (j *job) came(o *job) bool {
+	if a, b := j.Kind == modeler.WorkService, o.Kind == modeler.WorkService; a != b {
+		return a
+	}
+
+	return j.seq < o.seq
+}
+
+// due orders the jobs of a team by deadline, services first.
+func (j *job) due(o *job) bool {
 	if a, b := j.Kind == modeler.WorkService, o.Kind == modeler.WorkService; a != b {
 		return a
 	}
--- a/internal/core/scheduler/lifecycle.go
+++ b/internal/core/scheduler/lifecycle.go
@@ -138,6 +138,9 @@
 	r.job.running++
 	s.stats.Running++
 	s.shares.Run(r.job.team, r.job.Needs)
+	if r.job.fixed() {
+		s.fixed = s.fixed.Add(r.job.Needs)
+	}
 }
 
 // vacate undoes occupy and gives the charge back.
@@ -152,6 +155,9 @@
 	r.job.running--
 	s.stats.Running--
 	s.shares.Run(r.job.team, r.job.Needs.Scale(-1))
+	if r.job.fixed() {
+		s.fixed = s.fixed.Sub(r.job.Needs)
+	}
 	t.at, t.charged = -1, modeler.Resources{}
 }
 
--- a/internal/core/scheduler/line.go
+++ b/internal/core/scheduler/line.go
@@ -37,9 +37,19 @@
 	asked stamp
 }
 
-func newLine(team *sharer.Team, order int, less func(a, b *job) bool) *line {
+// newLine returns an empty line. Urgent work and work in danger is ordered by
+// deadline; other work is ordered by arrival, and is raised to the band of work
+// in danger before its deadline requires it.
+func newLine(team *sharer.Team, order int, settings Settings) *line {
 	l := &line{team: team, order: order}
 	for b := range l.jobs {
+		less := (*job).came
+		switch {
+		case settings.Order == OrderArrival || !settings.Deadlines:
+			less = func(a, b *job) bool { return a.seq < b.seq }
+		case band(b) <= bandDanger:
+			less = (*job).due
+		}
 		l.jobs[b] = btree.NewG(treeDegree, less)
 	}
 
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -49,6 +49,9 @@
 	// holds are the reserved amounts by position.
 	holds        []hold
 	reservations []*reservation
+	dated        deadlines
+	// fixed is what services and urgent work have running.
+	fixed modeler.Resources
 	// blocked lists the jobs that found no room since the last review.
 	blocked []*job
 	// cursor is the rack that the last search for a reservation ended with.
@@ -94,6 +97,7 @@
 		jobs:     make(map[modeler.JobID]*job),
 		queues:   make(map[modeler.QueueID]*history),
 		lines:    make(map[modeler.TeamID]*line),
+		dated:    newDeadlines(),
 		random:   rand.New(rand.NewPCG(settings.Seed, 0)),
 	}
 }
@@ -191,11 +195,7 @@
 func (s *Scheduler) lineOf(team *sharer.Team) *line {
 	l, known := s.lines[team.ID]
 	if !known {
-		less := (*job).before
-		if s.settings.Order == OrderArrival || !s.settings.Deadlines {
-			less = func(a, b *job) bool { return a.seq < b.seq }
-		}
-		l = newLine(team, len(s.lines), less)
+		l = newLine(team, len(s.lines), s.settings)
 		s.lines[team.ID] = l
 	}
 
