--- a/internal/core/scheduler/job.go
+++ b/internal/core/scheduler/job.go
@@ -47,6 +47,8 @@
 	// order has been escalated.
 	stopped time.Time
 	stage   stage
+	// preempted counts the preemptions of the task.
+	preempted int
 }
 
 // stage is how far the preemption of a task has gone.
--- a/internal/core/scheduler/line.go
+++ b/internal/core/scheduler/line.go
@@ -70,6 +70,13 @@
 // remove takes a job out of its band.
 func (l *line) remove(j *job) { l.jobs[j.band].Delete(j) }
 
+// urges reports whether the first job of a band may preempt other work.
+func (l *line) urges(b band) bool {
+	first, ok := l.jobs[b].Min()
+
+	return ok && first.Kind == modeler.WorkService
+}
+
 // head returns up to limit jobs of a band in order of service.
 func (l *line) head(b band, limit int, into []*job) []*job {
 	l.jobs[b].Ascend(func(j *job) bool {
--- a/internal/core/scheduler/pass.go
+++ b/internal/core/scheduler/pass.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		keep = append(keep, l)
-		if !s.ledger.MayFit(l.least[b]) && b > bandDanger {
+		if b > bandDanger && !s.ledger.MayFit(l.least[b]) && !l.urges(b) {
 			continue
 		}
 		from := len(s.heads)
--- a/internal/core/scheduler/reserve.go
+++ b/internal/core/scheduler/reserve.go
@@ -36,6 +36,10 @@
 	// made is when the endpoints were chosen, renewed when the start was
 	// estimated last.
 	made, renewed time.Time
+	// until is set for room that was made by preemption and is kept for so
+	// long; copies is the number of tasks it was made for.
+	until  time.Time
+	copies int
 }
 
 // hold is the part of a reservation on one endpoint.
@@ -63,14 +67,36 @@
 
 // useReservation accounts for a task of j that starts beside a reservation.
 func (s *Scheduler) useReservation(j *job, at int, now time.Time) {
-	if at >= len(s.holds) || s.holds[at].owner == nil || s.holds[at].owner.job == j {
+	if at >= len(s.holds) || s.holds[at].owner == nil {
 		return
 	}
-	if h := &s.holds[at]; now.Add(j.cautious()).After(h.owner.start) {
+	h := &s.holds[at]
+	if h.owner.job == j {
+		s.redeem(h, at)
+
+		return
+	}
+	if now.Add(j.cautious()).After(h.owner.start) {
 		h.spare = h.spare.Sub(j.Needs)
 	}
 }
 
+// redeem accounts for a task that starts in room that was made for its job.
+func (s *Scheduler) redeem(h *hold, at int) {
+	r := h.owner
+	if r.until.IsZero() {
+		return
+	}
+	r.copies--
+	h.amount = h.amount.Sub(r.job.Needs)
+	if r.copies <= 0 {
+		s.dropReservation(r.job)
+	} else if h.amount.Zero() {
+		r.places = slices.DeleteFunc(r.places, func(place int) bool { return place == at })
+		s.holds[at] = hold{}
+	}
+}
+
 // dropReservation gives up what is held for a job.
 func (s *Scheduler) dropReservation(j *job) {
 	if j.reserved == nil {
@@ -96,16 +122,30 @@
 	}
 }
 
+// growHolds makes room for the holds of all positions.
+func (s *Scheduler) growHolds() {
+	for len(s.holds) < s.ledger.Positions() {
+		s.holds = append(s.holds, hold{})
+	}
+}
+
 // reviewReservations brings the expected starts up to date and lets further
 // jobs reserve.
 func (s *Scheduler) reviewReservations(now time.Time) {
-	if !s.settings.Reserve {
+	if !s.settings.Reserve && !s.settings.Preempt && !s.settings.Reclaim {
 		return
 	}
-	for len(s.holds) < s.ledger.Positions() {
-		s.holds = append(s.holds, hold{})
-	}
+	s.growHolds()
+	count := 0
 	for _, r := range slices.Clone(s.reservations) {
+		if !r.until.IsZero() {
+			if !now.Before(r.until) {
+				s.dropReservation(r.job)
+			}
+
+			continue
+		}
+		count++
 		if now.Sub(r.renewed) < renewEvery {
 			continue
 		}
@@ -117,11 +157,15 @@
 		}
 		s.renew(r, now)
 	}
-	wanting := s.wanting(now)
+	var wanting []*job
+	if s.settings.Reserve {
+		wanting = s.wanting(now)
+	}
 	for _, j := range wanting {
-		if len(s.reservations) >= maxReservations {
+		if count >= maxReservations {
 			break
 		}
+		count++
 		s.reserve(j, now)
 	}
 	s.blocked = s.blocked[:0]
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -52,6 +52,11 @@
 	dated        deadlines
 	// fixed is what services and urgent work have running.
 	fixed modeler.Resources
+	// stopping lists the tasks being preempted.
+	stopping []ref
+	// preemptCursor is the endpoint that the last search for victims ended
+	// with.
+	preemptCursor int
 	// blocked lists the jobs that found no room since the last review.
 	blocked []*job
 	// cursor is the rack that the last search for a reservation ended with.
--- a/internal/core/scheduler/stubs.go
+++ b/internal/core/scheduler/stubs.go
@@ -1,13 +1,5 @@
 package scheduler
 
-import (
-	"time"
+import "time"
 
-	"gitlab.com/greengagewall/greengagewall/internal/core/sharer"
-)
-
-func (s *Scheduler) escalate(time.Time)                 {}
-func (s *Scheduler) reclaim(time.Time)                  {}
-func (s *Scheduler) makeRoom(*job, time.Time)           {}
-func (s *Scheduler) shrink(*sharer.Team, time.Time)     {}
-func (s *Scheduler) countLoss(ref, EndedMsg, time.Time) {}
+func (s *Scheduler) reclaim(time.Time) {}
