Reclaim lent capacity for teams below their share

Cause: teams got their share back only as tasks of other teams ended, within an hour at worst. Change: after 10 s below its share with work waiting, a team gets room by preemption of batch work of teams above theirs, counted so that no team falls below its own share.

--- a/internal/core/scheduler/gang.go
+++ b/internal/core/scheduler/gang.go
@@ -106,7 +106,7 @@
 	if room == 0 || s.permitted(j, at, now) && (at >= len(s.holds) || s.holds[at].owner == nil || s.holds[at].owner.job == j) {
 		return room
 	}
-	if j.band < s.holds[at].owner.job.band || !now.Add(j.cautious()).After(s.holds[at].owner.start) {
+	if (j.band < s.holds[at].owner.job.band && s.holds[at].owner.until.IsZero()) || !now.Add(j.cautious()).After(s.holds[at].owner.start) {
 		return room
 	}
 
--- a/internal/core/scheduler/lifecycle.go
+++ b/internal/core/scheduler/lifecycle.go
@@ -231,6 +231,9 @@
 		t.progress += now.Sub(t.started)
 	}
 	preempted := t.stage != stageNone || r.job.cancelled
+	if t.stage != stageNone {
+		r.job.line.leaving = r.job.line.leaving.Sub(r.job.Needs)
+	}
 	t.stage = stageNone
 	switch {
 	case m.Result == ResultOK:
@@ -304,6 +307,7 @@
 			continue
 		}
 		t.stage, t.stopped = stageStop, now
+		j.line.leaving = j.line.leaving.Add(j.Needs)
 		s.emit(StopCmd{
 			Task: TaskName(j.ID, i), Endpoint: s.ledger.Node(t.at).ID, Checkpoint: true, Why: "another task of the job ended early",
 		})
--- a/internal/core/scheduler/line.go
+++ b/internal/core/scheduler/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"time"
 
 	"github.com/google/btree"
 
@@ -33,8 +34,12 @@
 	least [bands]modeler.Resources
 	// present is set while the line is in the scheduler's list of the band.
 	present [bands]bool
+	// below is since when the team has been below its share with work waiting.
+	below time.Time
+	// leaving is what the team's tasks that are being stopped have.
+	leaving modeler.Resources
 	// asked limits the rate at which more of the upper limit is asked for.
-	asked stamp
+	asked time.Time
 }
 
 // newLine returns an empty line. Urgent work and work in danger is ordered by
--- a/internal/core/scheduler/preempt.go
+++ b/internal/core/scheduler/preempt.go
@@ -35,9 +35,21 @@
 // claim is a request to make room.
 type claim struct {
 	job *job
-	// may reports whether a task may be a victim.
+	// most bounds the tasks to make room for; zero means all that wait.
+	most int
+	// may reports whether a task may be a victim besides those in pending.
 	may func(r ref) bool
-	why string
+	// pending is what the victims that are being considered have, by team.
+	pending map[*line]modeler.Resources
+	why     string
+}
+
+// consider adds a task to the victims that are being considered, or with sign
+// -1 takes it out again.
+func (c claim) consider(r ref, sign int64) {
+	if c.pending != nil {
+		c.pending[r.job.line] = c.pending[r.job.line].Add(r.job.Needs.Scale(sign))
+	}
 }
 
 // makeRoom preempts less urgent batch work for a job that found no room, if
@@ -70,7 +82,11 @@
 	if j.reserved != nil {
 		promised = j.reserved.copies
 	}
-	for promised < len(j.waiting) && j.team.Allows(j.Needs.Scale(int64(promised+1))) {
+	wanted := len(j.waiting)
+	if c.most > 0 {
+		wanted = min(wanted, c.most)
+	}
+	for promised < wanted && j.team.Allows(j.Needs.Scale(int64(promised+1))) {
 		at, victims := s.cheapest(c, now)
 		if at < 0 {
 			return
@@ -92,6 +108,7 @@
 		if s.holds[at].owner != nil || c.job.avoids(at, now) {
 			continue
 		}
+		clear(c.pending)
 		victims, lost, ok := s.victims(c, at, 1, now)
 		if ok && (best < 0 || lost < least) {
 			best, least, chosen = at, lost, victims
@@ -141,33 +158,40 @@
 		return 0
 	})
 
-	return choose(candidates, free, wanted)
+	return c.choose(candidates, free, wanted)
 }
 
-// choose takes candidates in order until wanted fits, then returns those that
-// turn out not to be needed, the dearest first.
-func choose(candidates []victim, free, wanted modeler.Resources) ([]ref, float64, bool) {
-	taken := 0
-	for taken < len(candidates) && !wanted.Fits(free) {
-		free = free.Add(candidates[taken].task().charged)
-		taken++
-	}
-	if !wanted.Fits(free) {
-		return nil, 0, false
+// choose takes candidates in order until wanted fits, then gives back those
+// that turn out not to be needed, the dearest first.
+func (c claim) choose(candidates []victim, free, wanted modeler.Resources) ([]ref, float64, bool) {
+	taken := make([]victim, 0, len(candidates))
+	for _, v := range candidates {
+		if wanted.Fits(free) {
+			break
+		}
+		if !c.may(v.ref) {
+			continue
+		}
+		free = free.Add(v.task().charged)
+		c.consider(v.ref, 1)
+		taken = append(taken, v)
 	}
-	kept := make([]ref, 0, taken)
+	fits := wanted.Fits(free)
+	kept := make([]ref, 0, len(taken))
 	lost := 0.0
-	for i := taken - 1; i >= 0; i-- {
-		if without := free.Sub(candidates[i].task().charged); wanted.Fits(without) {
+	for _, v := range slices.Backward(taken) {
+		without := free.Sub(v.task().charged)
+		if !fits || wanted.Fits(without) {
 			free = without
+			c.consider(v.ref, -1)
 
 			continue
 		}
-		kept = append(kept, candidates[i].ref)
-		lost += candidates[i].lost
+		kept = append(kept, v.ref)
+		lost += v.lost
 	}
 
-	return kept, lost, true
+	return kept, lost, fits
 }
 
 // loss returns the processor time, in thousandths of a second, that preempting
@@ -212,6 +236,7 @@
 	t := r.task()
 	t.stage, t.stopped = stageCheckpoint, now
 	t.preempted++
+	r.job.line.leaving = r.job.line.leaving.Add(r.job.Needs)
 	s.stopping = append(s.stopping, r)
 	s.stats.Preempted++
 	s.emit(StopCmd{Task: TaskName(r.job.ID, r.index), Endpoint: s.ledger.Node(t.at).ID, Checkpoint: true, Why: why})
@@ -247,6 +272,7 @@
 		at, copies int
 		victims    []ref
 	}
+	clear(c.pending)
 	wanted := c.job.width()
 	parts := make([]part, 0, len(members))
 	for _, at := range members {
@@ -267,6 +293,7 @@
 		return false
 	}
 	s.dropReservation(c.job)
+	clear(c.pending)
 	for _, p := range parts {
 		s.promise(c, p.at, p.copies, p.victims, now)
 	}
--- a/internal/core/scheduler/reserve.go
+++ b/internal/core/scheduler/reserve.go
@@ -52,13 +52,15 @@
 
 // permitted reports whether a reservation of another job lets a task of j
 // start on an endpoint: work that is more urgent, that is expected to end
-// before the reserved start, or that fits beside the reserved amount.
+// before the reserved start, or that fits beside the reserved amount. Room that
+// was made by preemption is kept from more urgent work too, which would
+// otherwise cause a second preemption.
 func (s *Scheduler) permitted(j *job, at int, now time.Time) bool {
 	if at >= len(s.holds) || s.holds[at].owner == nil {
 		return true
 	}
 	h := &s.holds[at]
-	if h.owner.job == j || j.band < h.owner.job.band {
+	if h.owner.job == j || (j.band < h.owner.job.band && h.owner.until.IsZero()) {
 		return true
 	}
 
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -14,9 +14,6 @@
 // programming error.
 var faults = expvar.NewInt("scheduler.violations")
 
-// stamp is a time that limits a rate.
-type stamp = time.Time
-
 // Scheduler decides which task starts where. It is not safe for concurrent
 // use.
 type Scheduler struct {
--- a/internal/core/scheduler/stubs.go
+++ /dev/null
@@ -1,5 +0,0 @@
-package scheduler
-
-import "time"
-
-func (s *Scheduler) reclaim(time.Time) {}
