--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -14,9 +14,6 @@
 // programming error.
 var faults = expvar.NewInt("scheduler.violations")
 
-// stamp is a time that limits a rate.
-type stamp = time.Time
-
 // Scheduler decides which task starts where. It is not safe for concurrent
 // use.
 type Scheduler struct {
@@ -49,6 +46,14 @@
 	// holds are the reserved amounts by position.
 	holds        []hold
 	reservations []*reservation
+	dated        deadlines
+	// fixed is what services and urgent work have running.
+	fixed modeler.Resources
+	// stopping lists the tasks being preempted.
+	stopping []ref
+	// preemptCursor is the endpoint that the last search for victims ended
+	// with.
+	preemptCursor int
 	// blocked lists the jobs that found no room since the last review.
 	blocked []*job
 	// cursor is the rack that the last search for a reservation ended with.
@@ -97,6 +102,7 @@
 		jobs:     make(map[modeler.JobID]*job),
 		queues:   make(map[modeler.QueueID]*history),
 		lines:    make(map[modeler.TeamID]*line),
+		dated:    newDeadlines(),
 		random:   rand.New(rand.NewPCG(settings.Seed, 0)),
 	}
 }
@@ -194,11 +200,7 @@
 func (s *Scheduler) lineOf(team *sharer.Team) *line {
 	l, known := s.lines[team.ID]
 	if !known {
-		less := (*job).before
-		if s.settings.Order == OrderArrival || !s.settings.Deadlines {
-			less = func(a, b *job) bool { return a.seq < b.seq }
-		}
-		l = newLine(team, len(s.lines), less)
+		l = newLine(team, len(s.lines), s.settings)
 		s.lines[team.ID] = l
 	}
 
