--- a/internal/config/parser/parser_test.go
+++ b/internal/config/parser/parser_test.go
@@ -124,3 +124,23 @@
 		}
 	}
 }
+
+// FuzzParse guards against files that crash the parser, are accepted although
+// a field has no value, or are refused without a reason.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(faulty))
+	f.Add([]byte("site: costa\nteams: [{name: a, limit: {memory: 1GiB}}]\n"))
+	f.Add([]byte("? [a]\n: &x {b: *x}\n<<: *x\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, parse := range []func(string, []byte) (parser.File, error){parser.ParseBase, parser.ParseOverlay} {
+			file, err := parse("f", data)
+			var problems parser.Problems
+			switch {
+			case err == nil && !file.Cell.Set && !file.Site.Set:
+				t.Errorf("accepted without a cell or a site")
+			case err != nil && (!errors.As(err, &problems) || problems[0].Reason == "" || problems[0].At.Line < 1):
+				t.Errorf("refused with %#v", err)
+			}
+		}
+	})
+}
--- a/internal/config/renderer/renderer.go
+++ b/internal/config/renderer/renderer.go
@@ -2,6 +2,11 @@
 package renderer
 
 import (
+	"bytes"
+	"encoding/json"
+	"regexp"
+	"slices"
+
 	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
 
@@ -80,7 +85,7 @@
 	Deadline quantity        `yaml:"deadline,omitempty"`
 	Rack     bool            `yaml:"rack,omitempty"`
 	Once     bool            `yaml:"once,omitempty"`
-	Command  []string        `yaml:"command,omitempty,flow"`
+	Command  []word          `yaml:"command,omitempty,flow"`
 }
 
 // quantity is text that is written without quotes.
@@ -89,6 +94,31 @@
 // MarshalYAML implements yaml.BytesMarshaler.
 func (q quantity) MarshalYAML() ([]byte, error) { return []byte(q), nil }
 
+// plain matches the words that YAML takes for nothing but text, except for
+// those in special.
+var plain = regexp.MustCompile(`^(--)?[a-z][a-z0-9]*([-./][a-z0-9]+)*$`)
+
+// special are the words that some version of YAML takes for other than text.
+var special = []string{"true", "false", "null", "yes", "no", "on", "off", "y", "n"}
+
+// word is free text. The library writes text with line breaks as a block, which
+// must not stand in a list on one line, so all but plain words are written as
+// JSON strings, which YAML takes over.
+type word string
+
+// MarshalYAML implements yaml.BytesMarshaler.
+func (w word) MarshalYAML() ([]byte, error) {
+	if plain.MatchString(string(w)) && !slices.Contains(special, string(w)) {
+		return []byte(w), nil
+	}
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(false)
+	err := encoder.Encode(string(w))
+
+	return bytes.TrimSpace(out.Bytes()), errors.Wrap(err, "render word")
+}
+
 // Render writes doc in the format of the base file, so that parsing and
 // merging the result without overlays gives doc again.
 func Render(doc modeler.Document) ([]byte, error) {
@@ -156,9 +186,14 @@
 
 // renderJob converts a declared job.
 func renderJob(j modeler.Template) job {
+	command := make([]word, len(j.Command))
+	for i, text := range j.Command {
+		command[i] = word(text)
+	}
+
 	return job{
 		Name: j.Name, Team: j.Team, Queue: j.Queue, Tasks: j.Tasks, Needs: renderAmount(j.Needs),
 		Runtime: quantity(parser.FormatDuration(j.Runtime)), Deadline: quantity(parser.FormatDeadline(j.Deadline)),
-		Rack: j.Rack, Once: j.Once, Command: j.Command,
+		Rack: j.Rack, Once: j.Once, Command: command,
 	}
 }
