--- a/internal/partition/supervisor/failure_test.go
+++ b/internal/partition/supervisor/failure_test.go
@@ -78,7 +78,7 @@
 			t.Fatal(err)
 		}
 		c.until(2*time.Second, "running tasks", func() bool { return states(first, "j1")[modeler.TaskRunning] == 8 })
-		c.endpoints["worker-0"].setFaults(true, false)
+		c.host("j1/0").setFaults(true, false)
 		c.kill(first)
 		second := c.owner(5 * time.Second)
 		if _, err := second.Submit(ctx, submission("j2", 1)); err != nil {
@@ -117,6 +117,35 @@
 	})
 }
 
+// TestOwner_MinorityKeepsNothingAlive guards against an old owner that goes on
+// renewing the leases at an endpoint that only it reaches, while the new owner
+// counts them as ended.
+func TestOwner_MinorityKeepsNothingAlive(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T) {
+		c := newCluster(t, 5, 0)
+		first := c.trio(ctx)
+		if _, err := first.Submit(ctx, submission("j1", 10)); err != nil {
+			t.Fatal(err)
+		}
+		c.until(2*time.Second, "running tasks", func() bool { return states(first, "j1")[modeler.TaskRunning] == 10 })
+		host := c.host("j1/0")
+		c.mu.Lock()
+		first.reach = map[modeler.InstanceID]bool{host.instance.ID: true}
+		for _, n := range c.nodes {
+			if n != first {
+				n.lost = map[modeler.InstanceID]bool{host.instance.ID: true}
+			}
+		}
+		c.mu.Unlock()
+		first.cutOff(true)
+		second := c.owner(5 * time.Second)
+		c.until(15*time.Second, "restart of the lost tasks", func() bool {
+			return c.executions("j1/0") == 2 && states(second, "j1")[modeler.TaskRunning] == 10
+		})
+		c.check()
+	})
+}
+
 // TestEndpoint_Silent guards against a restart before the task lease of a
 // silent endpoint has ended, and against a lease that is never given up
 // because lost answers keep it alive.
@@ -131,11 +160,12 @@
 					t.Fatal(err)
 				}
 				c.until(time.Second, "running tasks", func() bool { return states(n, "j1")[modeler.TaskRunning] == 4 })
-				c.endpoints["worker-0"].setFaults(!mute, mute)
+				faulty := c.host("j1/0")
+				faulty.setFaults(!mute, mute)
 				c.until(15*time.Second, "restart", func() bool {
 					return c.executions("j1/0") == 2 && states(n, "j1")[modeler.TaskRunning] == 4
 				})
-				c.endpoints["worker-0"].setFaults(false, false)
+				faulty.setFaults(false, false)
 				time.Sleep(3 * time.Second)
 				c.check()
 			})
