Tell requests apart in the burn report and add report to the program

Cause: records about calls name a request and no job, so that all requests of a team counted as one.

Change: requests are identified by their id; the report commands are reachable.

Result: TestFromRecordsOfRequests passes.

--- a/internal/cli/commander/commands.go
+++ b/internal/cli/commander/commands.go
@@ -36,6 +36,7 @@
 	Publish *PublishCmd `arg:"subcommand:publish" help:"publish configuration files"`
 	Offsets *OffsetsCmd `arg:"subcommand:offsets" help:"show the configuration offset in force at each instance"`
 	Key     *KeyCmd     `arg:"subcommand:key" help:"make, grant and withdraw keys"`
+	Report  *ReportCmd  `arg:"subcommand:report" help:"show the burn of service levels, or the measures"`
 }
 
 // Exit codes of serve and of the caller commands.
@@ -67,7 +68,7 @@
   3  unknown outcome, or not final in time
   4  the work ran and failed, or records do not verify
   5  no instance could be reached; nothing was sent
-Exit codes of check, render, diff, publish, offsets and key:
+Exit codes of check, render, diff, publish, offsets, key and report:
   0  success
   1  the documents differ, or an offset is not in force everywhere
   2  wrong usage, faulty files or a refusal; nothing was changed
--- a/internal/report/burner/burner_test.go
+++ b/internal/report/burner/burner_test.go
@@ -62,6 +62,29 @@
 	return modeler.Record{Team: "forecasts", Queue: "plumes", Job: job, Event: event, Time: now.Add(-age)}
 }
 
+// request makes a record of the request at an age.
+func request(id modeler.RequestID, event modeler.Event, age time.Duration) modeler.Record {
+	return modeler.Record{Team: "health", Queue: "alerts", Request: id, Event: event, Time: now.Add(-age)}
+}
+
+// TestFromRecordsOfRequests guards against requests that are taken for one
+// another, and against an unknown outcome that counts as good.
+func TestFromRecordsOfRequests(t *testing.T) {
+	got := burner.FromRecords(document(), []modeler.Record{
+		request("a", modeler.EventPlaced, 9*time.Second), request("b", modeler.EventPlaced, 9*time.Second),
+		request("c", modeler.EventPlaced, 9*time.Second),
+		request("a", modeler.EventFinished, 8500*time.Millisecond), request("b", modeler.EventUnknown, 8500*time.Millisecond),
+		request("c", modeler.EventVoided, 8500*time.Millisecond),
+	}, now)
+	var good, bad int64
+	for _, outcome := range got {
+		good, bad = good+outcome.Good, bad+outcome.Bad
+	}
+	if good != 1 || bad != 1 {
+		t.Errorf("%d good and %d bad requests, want 1 and 1: %+v", good, bad, got)
+	}
+}
+
 // TestFromRecords guards against work that is counted twice, not at all or on
 // the wrong side of its objective.
 func TestFromRecords(t *testing.T) {
--- a/internal/report/burner/records.go
+++ b/internal/report/burner/records.go
@@ -134,7 +134,13 @@
 }
 
 // identity returns the job or request that a record is about.
-func identity(record modeler.Record) string { return string(record.Job) }
+func identity(record modeler.Record) string {
+	if isRequest(record) {
+		return "request " + string(record.Request)
+	}
+
+	return "job " + string(record.Job)
+}
 
 // isRequest reports whether a record is about a request.
 func isRequest(record modeler.Record) bool { return record.Job == "" }
