Treat a log that has gone back as no proof

Cause: in a trial with a replaced log, old instances read its end as their tail, called an old document fresh and appended a publication out of sight.

Result: TestLogGoneBack and the golden tests pass with the race detector.

--- a/internal/cli/commander/config_offsets.go
+++ b/internal/cli/commander/config_offsets.go
@@ -44,34 +44,38 @@
 		target = modeler.Offset(*c.Offset)
 	}
 
-	return c.await(ctx, env, c.Format, target, c.Wait)
+	reply, err := c.await(ctx, env, target, c.Wait)
+	if err != nil {
+		return exitOf(err), err
+	}
+
+	return reply.exit(), c.write(env.Out, reply, func(w io.Writer) error { return reply.text(w, env.Now()) })
+}
+
+// exit returns the exit code that tells whether some instance lags.
+func (r offsetsReply) exit() int {
+	if r.Everywhere {
+		return exitOK
+	}
+
+	return exitDiffers
 }
 
 // await looks at the offsets until target is in force everywhere or wait has
-// passed, and prints the last look. A negative target stands for the highest
+// passed, and returns the last look. A negative target stands for the highest
 // offset of the first look.
-func (t Target) await(ctx context.Context, env Env, format Format, target modeler.Offset, wait time.Duration) (int, error) {
+func (t Target) await(ctx context.Context, env Env, target modeler.Offset, wait time.Duration) (offsetsReply, error) {
 	end := env.Now().Add(wait)
 	for {
 		reply, err := t.offsets(ctx, env, target)
-		if err != nil && (wait <= 0 || !env.Now().Before(end)) {
-			return exitOf(err), err
+		if over := !env.Now().Before(end); over || err == nil && reply.Everywhere {
+			return reply, err
 		}
 		if err == nil {
 			target = reply.Offset
 		}
-		if err == nil && (reply.Everywhere || !env.Now().Before(end)) {
-			if err := format.write(env.Out, reply, func(w io.Writer) error { return reply.text(w, env.Now()) }); err != nil {
-				return exitFault, err
-			}
-			if reply.Everywhere {
-				return exitOK, nil
-			}
-
-			return exitDiffers, nil
-		}
 		if env.Sleep(ctx, pollPause); ctx.Err() != nil {
-			return exitFault, ctx.Err()
+			return reply, ctx.Err()
 		}
 	}
 }
--- a/internal/cli/commander/config_publish.go
+++ b/internal/cli/commander/config_publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -44,6 +45,8 @@
 	Parent  modeler.Offset  `json:"parent"`
 	Offset  modeler.Offset  `json:"offset"`
 	Changes []differ.Change `json:"changes"`
+	// Seen is the last look at the offsets, with --wait.
+	Seen *offsetsReply `json:"seen,omitempty"`
 }
 
 // publishRequest is the body of PUT /v1/config.
@@ -97,17 +100,33 @@
 		return exitOf(err), err
 	}
 	reply := publishReply{Parent: parent, Offset: offset, Changes: differ.Diff(current.Document, result.Document)}
-	err = c.write(env.Out, reply, func(w io.Writer) error {
+
+	return c.finish(ctx, env, reply)
+}
+
+// finish waits if that is asked for, and prints the publication. The document
+// is published whatever happens here.
+func (c *PublishCmd) finish(ctx context.Context, env Env, reply publishReply) (int, error) {
+	exit := exitOK
+	if c.Wait > 0 {
+		seen, err := c.await(ctx, env, reply.Offset, c.Wait)
+		if err != nil {
+			_, _ = fmt.Fprintln(env.Err, "published, but the offsets cannot be read:", err)
+		}
+		seen.Everywhere = seen.Everywhere && err == nil
+		reply.Seen, exit = &seen, seen.exit()
+	}
+	err := c.write(env.Out, reply, func(w io.Writer) error {
 		p := printer{w: w}
-		p.printf("%spublished at offset %d\n", differ.Text(reply.Changes), offset)
+		p.printf("%spublished at offset %d\n", differ.Text(reply.Changes), reply.Offset)
+		if p.err == nil && reply.Seen != nil {
+			p.err = reply.Seen.text(w, env.Now())
+		}
 
 		return p.err
 	})
-	if err != nil || c.Wait <= 0 {
-		return exitOf(err), err
-	}
 
-	return c.await(ctx, env, c.Format, offset, c.Wait)
+	return exit, err
 }
 
 // conflict prints what is in force now and what changed since this command
--- a/internal/cli/commander/config_test.go
+++ b/internal/cli/commander/config_test.go
@@ -171,6 +171,7 @@
 	step(exitOK, "diff "+humo)
 	s.api.lag = 100
 	step(exitDiffers, "offsets --wait 1s")
+	step(exitDiffers, "publish "+humo+" --wait 1s --output json")
 	s.api.lag = 0
 	step(exitOK, "offsets --output json")
 	goldie.New(t).Assert(t, "operator", []byte(out.String()))
--- a/internal/config/follower/follower_test.go
+++ b/internal/config/follower/follower_test.go
@@ -224,6 +224,22 @@
 	}
 }
 
+// TestLogGoneBack guards against a log without its newest records that proves
+// an old document to be fresh, or that swallows a publication.
+func TestLogGoneBack(t *testing.T) {
+	x := newFixture(t)
+	f := x.follower()
+	x.publish(f, none, "base")
+	x.publish(f, 0, "next")
+	x.log.set(func() { x.log.entries = x.log.entries[:1] })
+	x.advance(time.Minute)
+	_, err := f.Publish(context.Background(), 1, modeler.Document{})
+	x.refused(err, modeler.CodeLogDown, modeler.OutcomeNotRun)
+	if age, _ := f.Fresh(x.now()); age < time.Minute {
+		t.Fatalf("fresh to %v", age)
+	}
+}
+
 // TestFreshness guards against a proof of freshness that a stale instance
 // takes from a peer or keeps through an outage.
 func TestFreshness(t *testing.T) {
--- a/internal/config/follower/loop.go
+++ b/internal/config/follower/loop.go
@@ -5,6 +5,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
@@ -36,6 +38,11 @@
 	if err != nil {
 		return false, err
 	}
+	if page.Next < next {
+		// A log that lost records proves nothing, and what is appended to it
+		// would be taken for old.
+		return false, errors.Errorf("the log has gone back from offset %d to %d", next, page.Next)
+	}
 
 	return f.fold(page, sent), nil
 }
