Bound the cost of waiting queries, hedges and connections

Cause: a waiting query copied the state of every task 20 times a second; retries and hedges could go to partitions without free slots and add to an overload; and callers' connections were not bounded.

Change: pauses of waiting queries grow from 20 ms to 500 ms; hedges, and retries after a refusal for overload, need free slots; connections are limited to four for each admitted request; hedging is on after 1 s.

--- a/internal/cli/commander/serve.go
+++ b/internal/cli/commander/serve.go
@@ -54,7 +54,7 @@
 	IDPrefix  string        `arg:"--id-prefix,env:GREENGAGEWALL_ID_PREFIX" default:"entry" help:"beginning of the instance id; the rest is new at every start"`
 	Retention time.Duration `arg:"--retention,env:GREENGAGEWALL_RETENTION" default:"24h" help:"how long the log retains records"`
 	Inflight  int           `arg:"--inflight,env:GREENGAGEWALL_INFLIGHT" default:"2048" help:"bound on requests in progress"`
-	Hedge     time.Duration `arg:"--hedge,env:GREENGAGEWALL_HEDGE" default:"0s" help:"send an idempotent call a second time after this delay; 0s disables it"`
+	Hedge     time.Duration `arg:"--hedge,env:GREENGAGEWALL_HEDGE" default:"1s" help:"send an idempotent call to a second partition after this delay; 0s disables it"`
 	Notice    time.Duration `arg:"--notice,env:GREENGAGEWALL_NOTICE" default:"2s" help:"after SIGTERM, report not ready for this time before refusing connections"`
 	Drain     time.Duration `arg:"--drain,env:GREENGAGEWALL_DRAIN" default:"30s" help:"after SIGTERM, time to hand over partitions and finish requests"`
 	LogLevel  string        `arg:"--log-level,env:GREENGAGEWALL_LOG_LEVEL" default:"info" help:"trace, debug, info, warn or error"`
--- a/internal/entry/dispatcher/call.go
+++ b/internal/entry/dispatcher/call.go
@@ -54,10 +54,10 @@
 // callAnywhere tries partitions one after the other within the retry budget.
 func (d *Dispatcher) callAnywhere(ctx context.Context, doc modeler.Document, msg modeler.CallMsg) (modeler.CallReply, error) {
 	var doubt doubt
-	var last error
+	var last *modeler.Refusal
 	tried := map[modeler.PartitionID]bool{}
 	for {
-		partition, ok := d.await(ctx, doc, msg.Service, tried, last == nil)
+		partition, ok := d.await(ctx, doc, msg.Service, tried, last)
 		if !ok {
 			if last == nil {
 				last = modeler.NotRun(modeler.CodeNoExecutor, time.Second, "no partition offers service %q", msg.Service)
@@ -98,18 +98,20 @@
 }
 
 // await selects a partition. On the first attempt it waits for one while any
-// partition is between owners.
+// partition is between owners. After a refusal for overload only partitions
+// with free slots are tried, because another full one would refuse as well.
 func (d *Dispatcher) await(ctx context.Context, doc modeler.Document, service string,
-	tried map[modeler.PartitionID]bool, wait bool,
+	tried map[modeler.PartitionID]bool, last *modeler.Refusal,
 ) (modeler.PartitionID, bool) {
+	full := last == nil || last.Code != modeler.CodeOverload && last.Code != modeler.CodeQueueFull
 	for {
-		partition, settled := d.nearest(doc, service, tried)
+		partition, settled := d.nearest(doc, service, tried, full)
 		if partition != "" {
 			tried[partition] = true
 
 			return partition, true
 		}
-		if !wait || settled || !sleep(ctx, pause/2+rand.N(pause)) {
+		if last != nil || settled || !sleep(ctx, pause/2+rand.N(pause)) {
 			return "", false
 		}
 	}
@@ -130,11 +132,14 @@
 }
 
 // nearest selects the less loaded of two random candidates of the nearest tier
-// that has free slots, or of the nearest tier at all if none has. settled is
-// set when every partition has a ready owner, so that waiting is no use.
-func (d *Dispatcher) nearest(doc modeler.Document, service string, tried map[modeler.PartitionID]bool) (id modeler.PartitionID, settled bool) {
+// that has free slots or, if none has and full is set, of the nearest tier at
+// all. settled is set when every partition has a ready owner, so that waiting
+// is no use.
+func (d *Dispatcher) nearest(doc modeler.Document, service string,
+	tried map[modeler.PartitionID]bool, full bool,
+) (id modeler.PartitionID, settled bool) {
 	routes := d.routes()
-	var free, full [tiers][]candidate
+	var free, busy [tiers][]candidate
 	settled = true
 	for _, p := range doc.Partitions {
 		r, ok := routes[p.Name]
@@ -148,13 +153,14 @@
 			continue
 		}
 		tier := d.tier(p, r)
-		if slots > 0 {
+		switch {
+		case slots > 0:
 			free[tier] = append(free[tier], candidate{p.Name, slots})
-		} else {
-			full[tier] = append(full[tier], candidate{p.Name, slots})
+		case full:
+			busy[tier] = append(busy[tier], candidate{p.Name, slots})
 		}
 	}
-	for _, groups := range [...][tiers][]candidate{free, full} {
+	for _, groups := range [...][tiers][]candidate{free, busy} {
 		for _, group := range groups {
 			if len(group) > 0 {
 				return lessLoaded(group), settled
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -219,6 +219,22 @@
 	}
 }
 
+// TestCall_NoRetryWhenFull guards against retries and hedges that add load to a
+// cell without free slots.
+func TestCall_NoRetryWhenFull(t *testing.T) {
+	cell := newCell(costa, selva)
+	for _, peer := range cell.peers {
+		peer.Loads[0].Services["lookup"] = 0
+	}
+	cell.answers["i-costa-1"] = []error{full}
+	cell.slow["i-costa-1"] = 50 * time.Millisecond
+	_, err := cell.dispatcher(WithHedge(10*time.Millisecond)).Call(context.Background(),
+		modeler.CallMsg{Request: "r", Service: "lookup", Idempotent: true})
+	if err == nil || asRefusal(err).Code != modeler.CodeQueueFull || cell.calls["i-selva-1"] > 0 {
+		t.Errorf("got %v, calls %v", err, cell.calls)
+	}
+}
+
 // TestHome_Stable guards against a change of the home of most requests when a
 // partition is added, and against an uneven distribution.
 func TestHome_Stable(t *testing.T) {
--- a/internal/entry/dispatcher/hedge.go
+++ b/internal/entry/dispatcher/hedge.go
@@ -66,7 +66,9 @@
 				return modeler.CallReply{}, doubt.settle(refusal)
 			}
 		case <-timer.C:
-			second, _ := d.nearest(doc, msg.Service, tried)
+			// A full partition would answer no sooner, and hedges would add to
+			// an overload.
+			second, _ := d.nearest(doc, msg.Service, tried, false)
 			if second == "" || !d.budget.Spend() {
 				continue
 			}
--- a/internal/entry/router/access.go
+++ b/internal/entry/router/access.go
@@ -3,13 +3,14 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
 // noConfiguration refuses while this instance has no configuration.
 func noConfiguration() error {
-	return modeler.NotRun(modeler.CodeStaleConfig, pollInterval, "this instance has no configuration yet")
+	return modeler.NotRun(modeler.CodeStaleConfig, time.Second, "this instance has no configuration yet")
 }
 
 // queue returns the configuration and the queue named name.
--- a/internal/entry/router/queries.go
+++ b/internal/entry/router/queries.go
@@ -99,18 +99,19 @@
 	ctx, cancel := context.WithTimeout(ctx, max(wait, followLag))
 	defer cancel()
 	started := time.Now()
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
+	for pause := pollShortest; ; pause = min(pause*3/2, pollLongest) {
 		status, ok := look()
 		// A shutdown ends the wait, so that it cuts off no request.
 		if ok && (status.Final || r.draining() || time.Since(started) >= wait) {
 			return status, true
 		}
+		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
+			timer.Stop()
+
 			return look()
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -22,8 +22,10 @@
 	callTimeout = 10 * time.Second
 	// longestWait bounds the parameter wait of GET /v1/jobs/{id}.
 	longestWait = time.Minute
-	// pollInterval is how often a waiting query looks at the job again.
-	pollInterval = 50 * time.Millisecond
+	// pollShortest and pollLongest bound the pauses of a waiting query, which
+	// grow, because each look copies the state of every task.
+	pollShortest = 20 * time.Millisecond
+	pollLongest  = 500 * time.Millisecond
 	// queriesOpen bounds the queries in progress, most of which wait.
 	queriesOpen = 4096
 )
--- a/internal/entry/starter/starter.go
+++ b/internal/entry/starter/starter.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
 
 	"gitlab.com/greengagewall/greengagewall/internal/config/follower"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
@@ -53,6 +54,9 @@
 	// writeTimeout is above the longest wait of a query, one minute.
 	writeTimeout = 90 * time.Second
 	headerLimit  = 64 << 10
+	// connections is the bound on callers' connections for each admitted
+	// request; idle ones and those that wait for a refusal need a place too.
+	connections = 4
 )
 
 // lonely is how long a peer may be silent to count as a successor, and how long
@@ -96,11 +100,13 @@
 	return i, nil
 }
 
-func (i *Instance) bind() (err error) {
+func (i *Instance) bind() error {
 	config := net.ListenConfig{KeepAliveConfig: keepAlive}
-	if i.listener, err = config.Listen(context.Background(), "tcp", i.settings.Listen.String()); err != nil {
+	listener, err := config.Listen(context.Background(), "tcp", i.settings.Listen.String())
+	if err != nil {
 		return errors.Wrap(err, "--listen")
 	}
+	i.listener = netutil.LimitListener(listener, connections*max(i.settings.Inflight, 1))
 	if i.listenPeer, err = config.Listen(context.Background(), "tcp", i.settings.Peer.String()); err != nil {
 		_ = i.listener.Close()
 
