Check refusals for good, and wait for owners of all endpoints

A chaos trial saw fitting jobs refused for good as never-fits. The verifier now checks such refusals; demo and chaos runs begin when the owners may start work on all endpoints, so that a cold start is not taken for a fault.

--- a/internal/proof/breaker/breaker.go
+++ b/internal/proof/breaker/breaker.go
@@ -142,7 +142,7 @@
 	for _, entry := range b.cluster.Entries {
 		entries = append(entries, entry.Listen)
 	}
-	b.recorder = caller.NewRecorder(caller.NewPool(entries, requestTimeout))
+	b.recorder = caller.NewRecorder(caller.NewPool(entries, requestTimeout), b.cluster.Settings.Worker())
 	if err := b.cluster.Await(ctx, "/healthz"); err != nil {
 		return err
 	}
@@ -151,7 +151,11 @@
 		return err
 	}
 
-	return b.cluster.Await(ctx, "/readyz")
+	if err := b.cluster.Await(ctx, "/readyz"); err != nil {
+		return err
+	}
+
+	return b.cluster.AwaitOwners(ctx)
 }
 
 // inject begins faults until ctx ends. Every kind comes once before any comes
--- a/internal/proof/breaker/load.go
+++ b/internal/proof/breaker/load.go
@@ -37,16 +37,20 @@
 
 // start starts the callers; they end with ctx.
 func (l *load) start(ctx context.Context) {
-	streams := []stream{
-		{"lookup", 15 * time.Millisecond, l.lookup},
-		{"lookup", 15 * time.Millisecond, l.lookup},
-		{"lookup", 15 * time.Millisecond, l.lookup},
-		{"alert", 120 * time.Millisecond, l.alert},
-		{"alert", 120 * time.Millisecond, l.alert},
-		{"batch", 150 * time.Millisecond, l.batch},
-		{"batch", 150 * time.Millisecond, l.batch},
-		{"gang", time.Second, l.gang},
-		{"once", 300 * time.Millisecond, l.once},
+	var streams []stream
+	for _, kind := range []struct {
+		stream
+		callers int
+	}{
+		{stream{"lookup", 15 * time.Millisecond, l.lookup}, 8},
+		{stream{"alert", 100 * time.Millisecond, l.alert}, 6},
+		{stream{"batch", 150 * time.Millisecond, l.batch}, 6},
+		{stream{"gang", 800 * time.Millisecond, l.gang}, 3},
+		{stream{"once", 200 * time.Millisecond, l.once}, 4},
+	} {
+		for range kind.callers {
+			streams = append(streams, kind.stream)
+		}
 	}
 	for i, s := range streams {
 		random := rand.New(rand.NewPCG(l.seed, uint64(i)+100))
--- a/internal/proof/caller/caller_test.go
+++ b/internal/proof/caller/caller_test.go
@@ -61,7 +61,7 @@
 // Guards against resent calls that are verified as different ones.
 func TestRecorderJoinsResentCalls(t *testing.T) {
 	address := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "a") })
-	recorder := NewRecorder(NewPool([]netip.AddrPort{address}, time.Second))
+	recorder := NewRecorder(NewPool([]netip.AddrPort{address}, time.Second), modeler.Resources{})
 	for range 2 {
 		recorder.Call(t.Context(), Team{Name: "t"}, Service{Name: "s"}, "key", nil, 1)
 	}
--- a/internal/proof/caller/recorder.go
+++ b/internal/proof/caller/recorder.go
@@ -25,7 +25,10 @@
 
 // Recorder sends requests and keeps what a verifier needs.
 type Recorder struct {
-	Pool  *Pool
+	Pool *Pool
+	// Largest is the capacity of every worker.
+	Largest modeler.Resources
+
 	mu    sync.Mutex
 	calls []*recorded
 	known map[callKey]*recorded
@@ -44,9 +47,10 @@
 	secret string
 }
 
-// NewRecorder returns a recorder that sends through pool.
-func NewRecorder(pool *Pool) *Recorder {
-	return &Recorder{Pool: pool, known: make(map[callKey]*recorded)}
+// NewRecorder returns a recorder that sends through pool; largest is the
+// capacity of every worker.
+func NewRecorder(pool *Pool, largest modeler.Resources) *Recorder {
+	return &Recorder{Pool: pool, Largest: largest, known: make(map[callKey]*recorded)}
 }
 
 // Calls returns the calls so far.
@@ -123,6 +127,8 @@
 	r.jobs = append(r.jobs, verifier.Job{
 		Team: team.Name, Label: label, Tasks: job.Tasks, Once: job.Once, Gang: gang, Accepted: result.Last.OK(),
 		Open: !result.Certain, Fails: job.Command[0] == "fail",
+		Fits:  job.Needs.Fits(r.Largest),
+		Never: result.Last.Code == modeler.CodeNeverFits && result.Last.Retry == 0,
 	})
 
 	return reply, result
--- a/internal/proof/demonstrator/demo.go
+++ b/internal/proof/demonstrator/demo.go
@@ -85,7 +85,7 @@
 	for _, entry := range d.cluster.Entries {
 		d.entries = append(d.entries, entry.Listen)
 	}
-	d.recorder = caller.NewRecorder(caller.NewPool(d.entries, requestTimeout))
+	d.recorder = caller.NewRecorder(caller.NewPool(d.entries, requestTimeout), d.cluster.Settings.Worker())
 	if err := d.cluster.Await(ctx, "/healthz"); err != nil {
 		return err
 	}
@@ -95,6 +95,9 @@
 	if err := d.cluster.Await(ctx, "/readyz"); err != nil {
 		return err
 	}
+	if err := d.cluster.AwaitOwners(ctx); err != nil {
+		return err
+	}
 	d.printf("%d processes ready after %s\n", 2+len(d.cluster.Hosts)+len(d.cluster.Entries),
 		time.Since(begun).Round(time.Millisecond))
 	if err := d.perform(ctx); err != nil {
@@ -108,7 +111,14 @@
 func (d *demo) publish(ctx context.Context) error {
 	output, err := d.product(ctx, "publish", "--deployment", d.settings.Deployment,
 		"--server", "http://"+d.entries[0].String(), "--wait", "15s")
-	d.printf("$ greengagewall publish\n%s", output)
+	lines := strings.Split(strings.TrimSpace(output), "\n")
+	d.printf("$ greengagewall publish --deployment %s\n", d.settings.Deployment)
+	for i, line := range lines {
+		// A first publication lists every line of the configuration.
+		if err != nil || !strings.HasPrefix(line, "+ ") || i < 3 {
+			d.printf("%s\n", line)
+		}
+	}
 
 	return errors.Wrap(err, "publish")
 }
--- a/internal/proof/launcher/cluster.go
+++ b/internal/proof/launcher/cluster.go
@@ -33,6 +33,11 @@
 	Relay bool
 }
 
+// Worker returns the capacity of a worker.
+func (s Settings) Worker() modeler.Resources {
+	return modeler.Resources{Millis: s.Cores * 1000, Memory: s.Memory << 30, Accelerators: s.Accelerators}
+}
+
 // Entry is an entry instance, which may be started several times.
 type Entry struct {
 	Name         string
--- a/internal/proof/launcher/control.go
+++ b/internal/proof/launcher/control.go
@@ -15,6 +15,9 @@
 	"gitlab.com/greengagewall/greengagewall/internal/standin/worker"
 )
 
+// executorSlots is the default of the stand-in.
+const executorSlots = 8
+
 // controlTimeout bounds a control request.
 const controlTimeout = 10 * time.Second
 
@@ -112,6 +115,40 @@
 type state struct {
 	Instance  modeler.Instance    `json:"instance"`
 	Ownership []modeler.Ownership `json:"ownership"`
+	Loads     []modeler.Load      `json:"loads"`
+}
+
+// AwaitOwners waits until the owners of all partitions together may start work
+// on all endpoints.
+func (c *Cluster) AwaitOwners(ctx context.Context) error {
+	var all modeler.Resources
+	for _, host := range c.Hosts {
+		capacity := modeler.Resources{Slots: executorSlots}
+		if host.Kind == modeler.KindWorker {
+			capacity = c.Settings.Worker()
+		}
+		all = all.Add(capacity.Scale(int64(len(host.Endpoints))))
+	}
+	for ctx.Err() == nil {
+		var ready modeler.Resources
+		for _, entry := range c.Entries {
+			var state state
+			if Get(ctx, entry.Listen, "/v1/state", &state) != nil {
+				continue
+			}
+			for _, load := range state.Loads {
+				if load.Ready {
+					ready = ready.Add(load.Capacity)
+				}
+			}
+		}
+		if all.Fits(ready) {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+
+	return errors.Wrap(ctx.Err(), "owners of all endpoints")
 }
 
 // Owners returns the entry instance that owns each partition, by the
--- a/internal/proof/verifier/evidence.go
+++ b/internal/proof/verifier/evidence.go
@@ -24,13 +24,14 @@
 	CheckKey        = "withdrawn key refused"
 	CheckGang       = "all at once"
 	CheckDuplicated = "same answer for a resent request"
+	CheckFits       = "never fits is true"
 )
 
 // Checks lists every check in the order of reports.
 func Checks() []string {
 	return []string{
 		CheckOnePlace, CheckCapacity, CheckLimit, CheckOnce, CheckAccepted, CheckNotRun, CheckRan, CheckAnswer,
-		CheckLeaving, CheckKey, CheckGang, CheckDuplicated,
+		CheckLeaving, CheckKey, CheckGang, CheckDuplicated, CheckFits,
 	}
 }
 
@@ -65,6 +66,9 @@
 	Cancelled bool
 	// Fails is set when the command fails.
 	Fails bool
+	// Fits is set when a task fits the endpoints, Never when the job was
+	// refused for good because it did not.
+	Fits, Never bool
 }
 
 // Withdrawal is a key that was withdrawn.
--- a/internal/proof/verifier/verifier.go
+++ b/internal/proof/verifier/verifier.go
@@ -133,6 +133,7 @@
 			report.checkf(CheckOnce, n <= 1, "task %s of job %s was started %d times", task, job.Label, n)
 		}
 	}
+	report.checkf(CheckFits, !job.Fits || !job.Never, "job %s was refused for good although it fits", job.Label)
 	if !job.Accepted {
 		if !job.Open {
 			report.checkf(CheckNotRun, len(h.starts) == 0, "job %s was refused but %d of its tasks ran", job.Label, len(h.starts))
--- a/internal/proof/verifier/verifier_test.go
+++ b/internal/proof/verifier/verifier_test.go
@@ -136,6 +136,9 @@
 		{CheckGang, "tasks of an all-at-once job run one after the other", func(e *Evidence) {
 			e.Events[4].Time = time.UnixMilli(20)
 		}},
+		{CheckFits, "a job that fits is refused as too large", func(e *Evidence) {
+			e.Jobs[2].Fits, e.Jobs[2].Never = true, true
+		}},
 		{CheckDuplicated, "a resent request gets another answer", func(e *Evidence) {
 			e.Calls[0].Answers[1] = append(echo("r1"), ' ')
 		}},
