Keep entry ports out of the ephemeral range, explain unfinished jobs

Entry instances found their ports taken by the relay's listeners, which get ports from the kernel's range. They now use ports below that range. A chaos report shows the product's records of the first violated jobs, for people only; nothing is verified with them.

--- a/internal/proof/breaker/conclude.go
+++ b/internal/proof/breaker/conclude.go
@@ -13,6 +13,10 @@
 	"gitlab.com/greengagewall/greengagewall/internal/standin/worker"
 )
 
+// mostExplained bounds the violations that are printed with the product's own
+// records.
+const mostExplained = 6
+
 // settle waits until every accepted job has finished and every open outcome is
 // known, and reports whether that happened in time.
 func (b *breaker) settle(ctx context.Context) bool {
@@ -68,8 +72,13 @@
 		b.printf("  %-34s %7d\n", name, report.Counts[name])
 	}
 	b.printMeasures(events)
-	for _, v := range report.Violations {
+	explained := ""
+	for i, v := range report.Violations {
 		b.printf("violation: %s\n", v)
+		if v.Job != "" && v.Job != explained && i < mostExplained {
+			explained = v.Job
+			b.printf("  the product says: %s\n", b.recorder.Explain(ctx, v.Job))
+		}
 	}
 	for _, err := range b.problems {
 		b.printf("problem: %v\n", err)
--- a/internal/proof/caller/recorder.go
+++ b/internal/proof/caller/recorder.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"net/url"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +14,9 @@
 	"gitlab.com/greengagewall/greengagewall/internal/proof/verifier"
 )
 
+// lastRecords is the number of records that Explain shows.
+const lastRecords = 6
+
 // Team is a team with one of its keys; work of an open queue has no key.
 type Team struct {
 	Name   modeler.TeamID
@@ -33,6 +39,14 @@
 	calls []*recorded
 	known map[callKey]*recorded
 	jobs  []verifier.Job
+	// accepted holds the ids and keys of accepted jobs by label.
+	accepted map[string]accepted
+}
+
+// accepted is what it takes to ask the product about a job.
+type accepted struct {
+	id     modeler.JobID
+	secret string
 }
 
 // callKey identifies a request of a team.
@@ -50,7 +64,7 @@
 // NewRecorder returns a recorder that sends through pool; largest is the
 // capacity of every worker.
 func NewRecorder(pool *Pool, largest modeler.Resources) *Recorder {
-	return &Recorder{Pool: pool, Largest: largest, known: make(map[callKey]*recorded)}
+	return &Recorder{Pool: pool, Largest: largest, known: make(map[callKey]*recorded), accepted: make(map[string]accepted)}
 }
 
 // Calls returns the calls so far.
@@ -131,9 +145,37 @@
 		Never: result.Last.Code == modeler.CodeNeverFits && result.Last.Retry == 0,
 	})
 
+	if result.Last.OK() {
+		r.accepted[label] = accepted{id: reply.Job, secret: team.Secret}
+	}
+
 	return reply, result
 }
 
+// Explain returns what the product says about a job, for people; nothing is
+// verified with it.
+func (r *Recorder) Explain(ctx context.Context, label string) string {
+	r.mu.Lock()
+	job, ok := r.accepted[label]
+	r.mu.Unlock()
+	if !ok {
+		return "not accepted"
+	}
+	result := r.Pool.Send(ctx, Query("/v1/jobs/"+url.PathEscape(string(job.id))+"/records", job.secret), len(r.Pool.entries))
+	var records []modeler.Record
+	if !result.Last.OK() || json.Unmarshal(result.Last.Body, &records) != nil {
+		return string(job.id) + ": " + result.Last.Detail
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s: %d records", job.id, len(records))
+	for _, record := range records[max(len(records)-lastRecords, 0):] {
+		fmt.Fprintf(&text, "\n    %s %s %s %s %s %s", record.Time.Format(time.StampMilli), record.Partition, record.Task,
+			record.Event, record.Cause, record.Detail)
+	}
+
+	return text.String()
+}
+
 // Resolve asks for the outcome of every call whose outcome is unknown, until
 // each is known or ctx ends, and returns how many were unknown and are still.
 func (r *Recorder) Resolve(ctx context.Context) (unknown, left int) {
--- a/internal/proof/launcher/cluster.go
+++ b/internal/proof/launcher/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"strconv"
@@ -257,14 +258,25 @@
 	return err
 }
 
+// Ports of entry instances lie below the range from which the kernel takes
+// ports for the many listeners and connections of the stand-ins.
+const (
+	firstPort = 10_000
+	lastPort  = 30_000
+	portTries = 100
+)
+
 // freePort returns a port that was free a moment ago.
 func freePort(ctx context.Context) (netip.AddrPort, error) {
 	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", netip.AddrPortFrom(loopback, 0).String())
-	if err != nil {
-		return netip.AddrPort{}, err
+	var err error
+	for range portTries {
+		address := netip.AddrPortFrom(loopback, uint16(firstPort+rand.IntN(lastPort-firstPort)))
+		var listener net.Listener
+		if listener, err = config.Listen(ctx, "tcp", address.String()); err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer func() { _ = listener.Close() }()
 
-	return netip.ParseAddrPort(listener.Addr().String())
+	return netip.AddrPort{}, err
 }
--- a/internal/proof/verifier/evidence.go
+++ b/internal/proof/verifier/evidence.go
@@ -98,6 +98,8 @@
 type Violation struct {
 	Check  string
 	Detail string
+	// Job is the label of the job that the violation is about, if any.
+	Job string
 }
 
 // String implements fmt.Stringer.
--- a/internal/proof/verifier/verifier.go
+++ b/internal/proof/verifier/verifier.go
@@ -123,7 +123,11 @@
 		if h == nil {
 			h = &history{}
 		}
+		known := len(report.Violations)
 		checkJob(report, job, h)
+		for i := known; i < len(report.Violations); i++ {
+			report.Violations[i].Job = job.Label
+		}
 	}
 }
 
