--- a/internal/partition/replayer/bench_test.go
+++ b/internal/partition/replayer/bench_test.go
@@ -17,7 +17,8 @@
 	b.Helper()
 	term := modeler.NewTerm(1, 0)
 	at := time.Unix(1_800_000_000, 0).UTC()
-	batches := []encoder.Batch{{Term: term, Author: "entry-1", Seq: 1, Claim: &encoder.Claim{}}}
+	batches := make([]encoder.Batch, 0, 1+tasks/10)
+	batches = append(batches, encoder.Batch{Term: term, Author: "entry-1", Seq: 1, Claim: &encoder.Claim{}})
 	heads, seqs := map[modeler.TeamID]string{}, map[modeler.TeamID]uint64{}
 	record := func(job modeler.JobID, task modeler.TaskID, event modeler.Event) modeler.Record {
 		team := modeler.TeamID(fmt.Sprintf("team-%d", len(job)%390))
@@ -73,7 +74,6 @@
 			var state *State
 			b.ResetTimer()
 			for b.Loop() {
-				state = nil
 				runtime.GC()
 				runtime.ReadMemStats(&before)
 				state = New("costa-1")
