--- a/internal/config/follower/loop.go
+++ b/internal/config/follower/loop.go
@@ -5,6 +5,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
@@ -36,6 +38,11 @@
 	if err != nil {
 		return false, err
 	}
+	if page.Next < next {
+		// A log that lost records proves nothing, and what is appended to it
+		// would be taken for old.
+		return false, errors.Errorf("the log has gone back from offset %d to %d", next, page.Next)
+	}
 
 	return f.fold(page, sent), nil
 }
@@ -59,21 +66,40 @@
 	if f.state.next < page.Next {
 		return false
 	}
-	if f.state.current != nil {
-		f.apply(f.state.current)
-		// The log never goes back, so a lower document at the tail means that
-		// a peer offered one that is not in the log.
-		if f.state.next > f.force.offset && f.state.current.offset < f.force.offset {
-			loweredCount.Add(1)
-			f.logger.Error("configuration in force is not in the log",
-				"offset", f.force.offset, "log", f.state.current.offset)
+	if f.settleTail() {
+		f.prove(sent)
+	}
+
+	return true
+}
+
+// settleTail puts the document at the tail in force and reports whether the
+// document in force is the newest one; the caller holds mu.
+func (f *Follower) settleTail() bool {
+	current := f.state.current
+	if current == nil {
+		return true
+	}
+	if !current.known {
+		if f.force == nil || f.force.offset != current.offset {
+			f.logger.Warn("configuration not known until it is repeated or pulled from a peer", "offset", current.offset)
 
-			return true
+			return false
 		}
+		pulled := *current
+		pulled.resolve(f.force.offset, f.force.doc)
+		f.state.current, current = &pulled, &pulled
 	}
-	f.prove(sent)
+	f.apply(current)
+	if current.offset == f.force.offset || f.state.next <= f.force.offset {
+		return true
+	}
+	// The log never goes back, so a lower document at the tail means that a
+	// peer offered one that is not in the log.
+	loweredCount.Add(1)
+	f.logger.Error("configuration in force is not in the log", "offset", f.force.offset, "log", current.offset)
 
-	return true
+	return false
 }
 
 // note counts a void record and settles the pending publication; the caller
--- a/internal/config/follower/publish.go
+++ b/internal/config/follower/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"time"
 
 	"github.com/pkg/errors"
@@ -9,6 +10,7 @@
 	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
 	"gitlab.com/greengagewall/greengagewall/internal/config/patcher"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
 )
 
 // settlement tells what became of a publication.
@@ -74,11 +76,15 @@
 	f.mu.Lock()
 	current := f.state.current
 	f.mu.Unlock()
-	if current == nil || current.offset != parent {
+	if current == nil || !current.known || current.offset != parent {
 		return whole, nil
 	}
+	changes := patcher.Make(current.doc, doc)
+	if made, err := patcher.Apply(current.doc, changes); err != nil || !reflect.DeepEqual(made, doc) {
+		return whole, nil //nolint:nilerr // the whole document needs no patch
+	}
 	pub.Document = modeler.Document{}
-	if pub.Patch, err = encoder.Marshal(patcher.Make(current.doc, doc)); err != nil {
+	if pub.Patch, err = encoder.Marshal(changes); err != nil {
 		return nil, err
 	}
 	patch, err := encoder.Marshal(pub)
@@ -162,10 +168,10 @@
 }
 
 // notAppended reports whether err says with certainty that nothing was
-// appended, which a client of the log states as a refusal with the outcome
-// "not run".
+// appended: the request was never sent, or the client of the log states a
+// refusal with the outcome "not run".
 func notAppended(err error) bool {
 	var refusal *modeler.Refusal
 
-	return errors.As(err, &refusal) && refusal.Outcome == modeler.OutcomeNotRun
+	return errors.Is(err, messenger.ErrUnsent) || errors.As(err, &refusal) && refusal.Outcome == modeler.OutcomeNotRun
 }
--- a/internal/core/scheduler/job.go
+++ b/internal/core/scheduler/job.go
@@ -41,14 +41,14 @@
 	charged  modeler.Resources
 	queued   time.Time
 	started  time.Time
-	// avoid is the position of the endpoint of the last failed start, or -1.
-	avoid int
 	// progress is the run time that checkpoints have kept.
 	progress time.Duration
 	// stopped is when the task was told to stop; stage counts how far the
 	// order has been escalated.
 	stopped time.Time
 	stage   stage
+	// preempted counts the preemptions of the task.
+	preempted int
 }
 
 // stage is how far the preemption of a task has gone.
@@ -77,10 +77,16 @@
 	live      int
 	band      band
 	cancelled bool
+	// avoided lists the endpoints where tasks of the job failed lately.
+	avoided []avoidance
+	// succeeded counts the tasks that ended well.
+	succeeded int
 	// cause is the last one that the team was told.
 	cause string
 	// blocked is since when the job has been waiting for room, zero if not.
 	blocked time.Time
+	// endangered is set once the team was warned of the deadline.
+	endangered bool
 	// reserved is the reservation held for the job.
 	reserved *reservation
 }
@@ -106,6 +112,9 @@
 	return defaultAttempts
 }
 
+// fixed reports whether the job's tasks are not made to wait for dated work.
+func (j *job) fixed() bool { return j.band == bandUrgent || j.Kind == modeler.WorkService }
+
 // width returns how many tasks must be placed together.
 func (j *job) width() int {
 	if j.Kind == modeler.WorkAllAtOnce {
@@ -115,8 +124,17 @@
 	return 1
 }
 
-// before orders the jobs of a team within a band.
-func (j *job) before(o *job) bool {
+// came orders the jobs of a team by arrival, services first.
+func (j *job) came(o *job) bool {
+	if a, b := j.Kind == modeler.WorkService, o.Kind == modeler.WorkService; a != b {
+		return a
+	}
+
+	return j.seq < o.seq
+}
+
+// due orders the jobs of a team by deadline, services first.
+func (j *job) due(o *job) bool {
 	if a, b := j.Kind == modeler.WorkService, o.Kind == modeler.WorkService; a != b {
 		return a
 	}
--- a/internal/core/scheduler/lifecycle.go
+++ b/internal/core/scheduler/lifecycle.go
@@ -22,7 +22,7 @@
 	}
 	j.line = s.lineOf(j.team)
 	for i := range j.tasks {
-		j.tasks[i] = task{state: modeler.TaskQueued, at: -1, avoid: -1, queued: now}
+		j.tasks[i] = task{state: modeler.TaskQueued, at: -1, queued: now}
 		j.waiting[i] = i
 	}
 	j.band = s.bandOf(j, now)
@@ -36,6 +36,7 @@
 
 // enqueue puts a job with waiting tasks into its team's line.
 func (s *Scheduler) enqueue(j *job) {
+	s.changed = true
 	j.line.add(j)
 	if !j.line.present[j.band] {
 		j.line.present[j.band] = true
@@ -137,6 +138,9 @@
 	r.job.running++
 	s.stats.Running++
 	s.shares.Run(r.job.team, r.job.Needs)
+	if r.job.fixed() {
+		s.fixed = s.fixed.Add(r.job.Needs)
+	}
 }
 
 // vacate undoes occupy and gives the charge back.
@@ -151,6 +155,9 @@
 	r.job.running--
 	s.stats.Running--
 	s.shares.Run(r.job.team, r.job.Needs.Scale(-1))
+	if r.job.fixed() {
+		s.fixed = s.fixed.Sub(r.job.Needs)
+	}
 	t.at, t.charged = -1, modeler.Resources{}
 }
 
@@ -217,11 +224,16 @@
 	s.learn(r, m, now)
 	s.countLoss(r, m, now)
 	s.vacate(r)
-	s.judge(r, at, m, now)
+	if t.stage == stageNone && !r.job.cancelled {
+		s.judge(r.job, at, m, now)
+	}
 	if m.Checkpointed {
 		t.progress += now.Sub(t.started)
 	}
-	preempted := t.stage != stageNone
+	preempted := t.stage != stageNone || r.job.cancelled
+	if t.stage != stageNone {
+		r.job.line.leaving = r.job.line.leaving.Sub(r.job.Needs)
+	}
 	t.stage = stageNone
 	switch {
 	case m.Result == ResultOK:
@@ -231,7 +243,7 @@
 	case m.Result == ResultUnknown:
 		s.finish(r, modeler.TaskUnknown)
 	default:
-		s.retry(r, at, m, preempted, now)
+		s.retry(r, m, preempted, now)
 	}
 }
 
@@ -257,15 +269,12 @@
 // retry queues a task again or ends it after its attempts. A start that was
 // refused or preempted does not use up an attempt, because the task had no
 // part in it.
-func (s *Scheduler) retry(r ref, at int, m EndedMsg, preempted bool, now time.Time) {
+func (s *Scheduler) retry(r ref, m EndedMsg, preempted bool, now time.Time) {
 	t, j := r.task(), r.job
 	refund := m.Result == ResultRefused || (m.Result == ResultRequeue && preempted && !j.Once)
 	if refund {
 		t.used--
 	}
-	if !preempted {
-		t.avoid = at
-	}
 	if !refund && t.used >= j.attempts() {
 		state := modeler.TaskFailed
 		if j.Once && m.Result == ResultRequeue {
@@ -298,6 +307,7 @@
 			continue
 		}
 		t.stage, t.stopped = stageStop, now
+		j.line.leaving = j.line.leaving.Add(j.Needs)
 		s.emit(StopCmd{
 			Task: TaskName(j.ID, i), Endpoint: s.ledger.Node(t.at).ID, Checkpoint: true, Why: "another task of the job ended early",
 		})
--- a/internal/core/scheduler/pass.go
+++ b/internal/core/scheduler/pass.go
@@ -23,8 +23,16 @@
 	if s.ticked.IsZero() || now.Sub(s.ticked) >= tickEvery {
 		s.ticked = now
 		s.tick(now)
+		// A request for more of a limit may have been refused or lost, so a job
+		// that waits behind its limit asks again without another change.
+		s.changed = s.changed || s.limited
+		s.limited = false
 	}
 	s.passStart = s.stats.Starts
+	if !s.changed && s.servedRelease == s.ledger.Releases() {
+		return
+	}
+	s.servedRelease = s.ledger.Releases()
 	budget -= s.serveWide(now)
 	for b := range s.waiting {
 		if budget <= 0 {
@@ -32,6 +40,8 @@
 		}
 		budget = s.serve(band(b), budget, now)
 	}
+	// A pass that ran out of budget has more to start in the next one.
+	s.changed = budget <= 0 || s.wide != nil
 	s.noteFresh(now)
 }
 
@@ -87,7 +97,7 @@
 			continue
 		}
 		keep = append(keep, l)
-		if !s.ledger.MayFit(l.least[b]) && b > bandDanger {
+		if b > bandDanger && !s.ledger.MayFit(l.least[b]) && !l.urges(b) {
 			continue
 		}
 		from := len(s.heads)
@@ -167,6 +177,7 @@
 // for more of it.
 func (s *Scheduler) blockedByLimit(j *job, now time.Time) {
 	s.note(j, modeler.EventQueued, causeLimit)
+	s.limited = true
 	if now.Sub(j.line.asked) < tickEvery {
 		return
 	}
@@ -181,6 +192,9 @@
 	if j.blocked.IsZero() {
 		j.blocked = now
 	}
+	if s.settings.Reserve {
+		s.blocked = append(s.blocked, j)
+	}
 	s.note(j, modeler.EventQueued, s.roomCause(j))
 	s.makeRoom(j, now)
 }
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -14,9 +14,6 @@
 // programming error.
 var faults = expvar.NewInt("scheduler.violations")
 
-// stamp is a time that limits a rate.
-type stamp = time.Time
-
 // Scheduler decides which task starts where. It is not safe for concurrent
 // use.
 type Scheduler struct {
@@ -46,6 +43,30 @@
 	stats        Stats
 	// passStart is the number of starts when the present pass began.
 	passStart uint64
+	// holds are the reserved amounts by position.
+	holds        []hold
+	reservations []*reservation
+	dated        deadlines
+	// fixed is what services and urgent work have running.
+	fixed modeler.Resources
+	// stopping lists the tasks being preempted.
+	stopping []ref
+	// preemptCursor is the endpoint that the last search for victims ended
+	// with.
+	preemptCursor int
+	// blocked lists the jobs that found no room since the last review.
+	blocked []*job
+	// cursor is the rack that the last search for a reservation ended with.
+	cursor int
+	// largest is the componentwise maximum of the endpoints' capacities.
+	largest modeler.Resources
+	// changed is set when a pass may start what the last one could not, apart
+	// from releases, which servedRelease compares.
+	changed bool
+	// limited is set when a job was held back by its team's limit since the
+	// last tick.
+	limited       bool
+	servedRelease uint64
 	// wide is an all-at-once job that the last pass had no budget for.
 	wide *job
 }
@@ -81,6 +102,7 @@
 		jobs:     make(map[modeler.JobID]*job),
 		queues:   make(map[modeler.QueueID]*history),
 		lines:    make(map[modeler.TeamID]*line),
+		dated:    newDeadlines(),
 		random:   rand.New(rand.NewPCG(settings.Seed, 0)),
 	}
 }
@@ -141,6 +163,7 @@
 		s.health = append(s.health, health{})
 	}
 	s.shares.SetTotal(s.ledger.Total())
+	s.largest = s.largest.Add(m.Capacity).Sub(s.largest.Min(m.Capacity))
 }
 
 // dropEndpoint removes an endpoint. Tasks that were not reported as ended
@@ -167,6 +190,7 @@
 
 func (s *Scheduler) setTeam(m TeamMsg, now time.Time) {
 	team := s.shares.Set(m.ID, m.Share, m.Allotment)
+	s.changed = true
 	if team.Over() {
 		s.shrink(team, now)
 	}
@@ -176,11 +200,7 @@
 func (s *Scheduler) lineOf(team *sharer.Team) *line {
 	l, known := s.lines[team.ID]
 	if !known {
-		less := (*job).before
-		if s.settings.Order == OrderArrival || !s.settings.Deadlines {
-			less = func(a, b *job) bool { return a.seq < b.seq }
-		}
-		l = newLine(team, len(s.lines), less)
+		l = newLine(team, len(s.lines), s.settings)
 		s.lines[team.ID] = l
 	}
 
--- a/internal/entry/router/body.go
+++ b/internal/entry/router/body.go
@@ -24,9 +24,11 @@
 	mostTasks = 10_000
 )
 
-// The names of the headers that identify a request and its executor.
+// The names of the headers that identify a request, its executor, and the
+// operator who publishes a configuration.
 const (
 	HeaderKey       = "Idempotency-Key"
+	HeaderOperator  = "Greengagewall-Operator"
 	HeaderEndpoint  = "Greengagewall-Endpoint"
 	HeaderDuplicate = "Greengagewall-Duplicate"
 )
@@ -47,7 +49,10 @@
 
 // JobRequest is the body of POST /v1/jobs.
 type JobRequest struct {
-	Queue modeler.QueueID `json:"queue"`
+	// Job names a job that the configuration declares. Of the other fields
+	// only Deadline may then be set.
+	Job   string          `json:"job,omitempty"`
+	Queue modeler.QueueID `json:"queue,omitempty"`
 	// Tasks is the number of equal tasks; zero means 1.
 	Tasks   int               `json:"tasks,omitempty"`
 	Needs   modeler.Resources `json:"needs"`
@@ -75,6 +80,10 @@
 	Offset modeler.Offset `json:"offset"`
 	// Document is absent in the answer to PUT.
 	Document *modeler.Document `json:"document,omitempty"`
+	// Operator and Time tell who published the document and when; they are
+	// absent when this instance got it from a peer.
+	Operator string    `json:"operator,omitempty"`
+	Time     time.Time `json:"time,omitzero"`
 }
 
 // decode reads a JSON body strictly into value.
@@ -134,7 +143,7 @@
 	n := j.Needs
 	switch {
 	case j.Queue == "":
-		return bad("queue is missing")
+		return bad("queue is missing; give it or the name of a declared job")
 	case j.Tasks < 0:
 		return bad("tasks is " + strconv.Itoa(j.Tasks) + "; it must be at least 1")
 	case j.Tasks > mostTasks:
--- a/internal/entry/router/queries.go
+++ b/internal/entry/router/queries.go
@@ -93,28 +93,31 @@
 	return wait, nil
 }
 
-// await looks for a job until it is final, wait has passed or the caller is
-// gone.
+// await looks for a job until it is final, wait has passed, the caller is gone
+// or this instance shuts down.
 func (r *Router) await(ctx context.Context, wait time.Duration, look func() (modeler.JobStatus, bool)) (modeler.JobStatus, bool) {
 	ctx, cancel := context.WithTimeout(ctx, max(wait, followLag))
 	defer cancel()
 	started := time.Now()
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
+	for pause := pollShortest; ; pause = min(pause*3/2, pollLongest) {
 		status, ok := look()
-		if ok && (status.Final || time.Since(started) >= wait) {
+		// A shutdown ends the wait, so that it cuts off no request.
+		if ok && (status.Final || r.draining() || time.Since(started) >= wait) {
 			return status, true
 		}
+		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
+			timer.Stop()
+
 			return look()
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
-// records serves GET /v1/jobs/{id}/records and /v1/requests/{id}/records.
+// records serves GET /v1/jobs/{id}/records and, because calls have records too,
+// GET /v1/requests/{id}/records.
 func (r *Router) records(w http.ResponseWriter, req *http.Request) {
 	teams, anonymous, err := r.readers(req)
 	if err != nil {
@@ -193,7 +196,8 @@
 
 		return
 	}
-	r.answer(w, http.StatusOK, ConfigReply{Offset: offset, Document: &doc})
+	operator, at := r.publisher.Origin()
+	r.answer(w, http.StatusOK, ConfigReply{Offset: offset, Document: &doc, Operator: operator, Time: at})
 }
 
 // offsets serves GET /v1/config/offsets.
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -22,8 +22,10 @@
 	callTimeout = 10 * time.Second
 	// longestWait bounds the parameter wait of GET /v1/jobs/{id}.
 	longestWait = time.Minute
-	// pollInterval is how often a waiting query looks at the job again.
-	pollInterval = 50 * time.Millisecond
+	// pollShortest and pollLongest bound the pauses of a waiting query, which
+	// grow, because each look copies the state of every task.
+	pollShortest = 20 * time.Millisecond
+	pollLongest  = 500 * time.Millisecond
 	// queriesOpen bounds the queries in progress, most of which wait.
 	queriesOpen = 4096
 )
@@ -46,15 +48,19 @@
 	Resolve(ctx context.Context, team modeler.TeamID, request modeler.RequestID) (modeler.ResolveReply, error)
 	// CheckFit refuses a job that no partition can ever hold.
 	CheckFit(job modeler.Job) error
-	// Owned reports whether every partition has a reachable owner.
+	// Owned reports whether the owner of every partition is known.
 	Owned() bool
 }
 
 // Publisher publishes configurations.
 type Publisher interface {
-	// Publish returns after the document is in the log and valid. Errors are
-	// of type *modeler.Refusal, with the code conflict or log-down.
-	Publish(ctx context.Context, parent modeler.Offset, document modeler.Document) (modeler.Offset, error)
+	// PublishAs returns after the document is in the log and valid. Errors are
+	// of type *modeler.Refusal, with the code bad-config, conflict, log-down or
+	// lost-answer.
+	PublishAs(ctx context.Context, operator string, parent modeler.Offset, document modeler.Document) (modeler.Offset, error)
+	// Origin tells who published the document in force and when; both are zero
+	// when it came from a peer.
+	Origin() (operator string, at time.Time)
 }
 
 // Router implements http.Handler.
