Serve the older of two jobs that wait for parts of one limit

Ruled out: the scheduler's reservations (no capacity was in use) and lost gifts (parts added up). Change: a request for tokens names since when its job waits. A partition with an older waiting job gives nothing, one with a younger job gives all that is idle.

--- a/internal/core/limiter/limiter.go
+++ b/internal/core/limiter/limiter.go
@@ -56,14 +56,24 @@
 	})
 }
 
+// Portion is how much of its idle parts a partition hands over at most.
+type Portion int
+
+// The portions of the idle parts.
+const (
+	Nothing Portion = iota
+	Half
+	Everything
+)
+
 // Give returns the parts that a partition can hand over to satisfy wanted: it
-// keeps what is in use and half of the rest. It returns zero parts when there
-// is nothing to give.
+// keeps what is in use and hands over at most the portion of the rest. It
+// returns zero parts when there is nothing to give.
 func Give(
-	doc modeler.Document, partition modeler.PartitionID, team modeler.TeamID, net, inUse, wanted modeler.Resources,
+	doc modeler.Document, partition modeler.PartitionID, team modeler.TeamID, net, inUse, wanted modeler.Resources, portion Portion,
 ) modeler.Resources {
 	limit, ok := limitOf(doc, team)
-	if !ok {
+	if !ok || portion == Nothing {
 		return modeler.Resources{}
 	}
 	held := partsOf(doc, partition).Add(net)
@@ -79,7 +89,11 @@
 			return 0
 		}
 
-		return min(partsFor(get(wanted), get(limit), scale), (idle+1)/2)
+		if portion == Half {
+			idle = (idle + 1) / 2
+		}
+
+		return min(partsFor(get(wanted), get(limit), scale), idle)
 	})
 }
 
--- a/internal/core/scheduler/messages.go
+++ b/internal/core/scheduler/messages.go
@@ -152,4 +152,6 @@
 type TokensCmd struct {
 	Team   modeler.TeamID
 	Wanted modeler.Resources
+	// Since is when the waiting job was accepted.
+	Since time.Time
 }
--- a/internal/core/scheduler/pass.go
+++ b/internal/core/scheduler/pass.go
@@ -184,7 +184,7 @@
 	j.line.asked = now
 	wanted := j.team.Running.Add(j.Needs.Scale(int64(j.width()))).Sub(j.team.Allotment)
 	wanted = wanted.Sub(wanted.Min(modeler.Resources{}))
-	s.emit(TokensCmd{Team: j.Team, Wanted: wanted})
+	s.emit(TokensCmd{Team: j.Team, Wanted: wanted, Since: j.Accepted})
 }
 
 // blockedByRoom records that no endpoint has room and tries to make some.
--- a/internal/domain/modeler/messages.go
+++ b/internal/domain/modeler/messages.go
@@ -115,4 +115,8 @@
 	To        PartitionID `json:"to"`
 	Team      TeamID      `json:"team"`
 	Wanted    Resources   `json:"wanted"`
+	// Since is when the job that waits for the tokens was accepted. Of two
+	// partitions that both wait, the one with the older job is served, so that
+	// neither keeps a part that is of use only together with the other's.
+	Since time.Time `json:"since"`
 }
--- a/internal/partition/owner/call.go
+++ b/internal/partition/owner/call.go
@@ -181,7 +181,7 @@
 		c.refreshTeams()
 	}
 	if !within(t.running().Add(needs), needs, t.allotment) {
-		c.wantTokens(t.id, needs)
+		c.askTokens(TokensCmd{Team: t.id, Wanted: needs, Since: c.now})
 
 		return false
 	}
--- a/internal/partition/owner/messages.go
+++ b/internal/partition/owner/messages.go
@@ -234,6 +234,8 @@
 type TokensCmd struct {
 	Team   modeler.TeamID
 	Wanted modeler.Resources
+	// Since is when the waiting job was accepted.
+	Since time.Time
 }
 
 // SupersededCmd tells that an endpoint has seen a later term and that the
--- a/internal/partition/owner/team.go
+++ b/internal/partition/owner/team.go
@@ -12,6 +12,10 @@
 // askEvery is the pace of requests for tokens of a team.
 const askEvery = time.Second
 
+// starvedFor is how long a team counts as held back by its allotment after
+// the decision core said so, which it repeats every second.
+const starvedFor = 3 * time.Second
+
 // team is what a team has in this partition.
 type team struct {
 	id        modeler.TeamID
@@ -28,6 +32,9 @@
 	waiting map[modeler.QueueID]int
 	told    scheduler.TeamMsg
 	asked   time.Time
+	// starved is when a job of the team was last held back by the allotment,
+	// and since when that job was accepted.
+	starved, since time.Time
 }
 
 // team returns the account of a team.
@@ -119,23 +126,48 @@
 	}
 }
 
-// wantTokens asks other partitions for part of a team's limit.
-func (c *Core) wantTokens(id modeler.TeamID, wanted modeler.Resources) {
-	t := c.team(id)
+// wantTokens notes that a job waits for the limit and asks other partitions
+// for part of it.
+func (c *Core) wantTokens(cmd scheduler.TokensCmd) {
+	t := c.team(cmd.Team)
+	t.starved, t.since = c.now, cmd.Since
+	c.askTokens(TokensCmd{Team: cmd.Team, Wanted: cmd.Wanted, Since: cmd.Since})
+}
+
+// askTokens asks other partitions for part of a team's limit.
+func (c *Core) askTokens(cmd TokensCmd) {
+	t := c.team(cmd.Team)
 	if !t.asked.IsZero() && c.now.Sub(t.asked) < askEvery || len(c.document.Partitions) < 2 || c.journal.down {
 		return
 	}
 	t.asked = c.now
-	c.emit(TokensCmd{Team: id, Wanted: wanted})
+	c.emit(cmd)
+}
+
+// portion returns how much of a team's idle allotment another partition may
+// have. A partition whose own job waits for the limit gives nothing to one
+// with a younger job, and everything to one with an older job: two partitions
+// that passed halves to and fro would both stay below what a wide job needs.
+func (c *Core) portion(t *team, msg modeler.TokensMsg) limiter.Portion {
+	// Calls wait for slots only, jobs never do.
+	slots := modeler.Resources{Slots: msg.Wanted.Slots}
+	if msg.Wanted == slots || t.starved.IsZero() || c.now.Sub(t.starved) > starvedFor {
+		return limiter.Half
+	}
+	if t.since.Before(msg.Since) || t.since.Equal(msg.Since) && c.partition < msg.To {
+		return limiter.Nothing
+	}
+
+	return limiter.Everything
 }
 
-// give hands half of a team's idle allotment to another partition: the
+// give hands part of a team's idle allotment to another partition: the
 // allotment is reduced at once, and the caller is answered when the gift is in
 // the stream, from which the receiver learns it.
 func (c *Core) give(msg GiveMsg) {
 	t := c.team(msg.Team)
 	shape := limiter.Shape(c.document)
-	parts := limiter.Give(c.document, c.partition, msg.Team, c.gifts.Net[shape][msg.Team], t.running(), msg.Wanted)
+	parts := limiter.Give(c.document, c.partition, msg.Team, c.gifts.Net[shape][msg.Team], t.running(), msg.Wanted, c.portion(t, msg.TokensMsg))
 	switch {
 	case c.retired:
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeNotOwner, notOwnerRetry, "partition %s has another owner", c.partition))
--- a/internal/partition/owner/work.go
+++ b/internal/partition/owner/work.go
@@ -173,7 +173,7 @@
 	case scheduler.NoteCmd:
 		c.note(cmd)
 	case scheduler.TokensCmd:
-		c.wantTokens(cmd.Team, cmd.Wanted)
+		c.wantTokens(cmd)
 	}
 }
 
--- a/internal/partition/runner/errand.go
+++ b/internal/partition/runner/errand.go
@@ -124,7 +124,7 @@
 			if giver.Name == set.Partition.Name || (giver.Region == set.Partition.Region) != near {
 				continue
 			}
-			msg := modeler.TokensMsg{Partition: giver.Name, To: set.Partition.Name, Team: cmd.Team, Wanted: cmd.Wanted}
+			msg := modeler.TokensMsg{Partition: giver.Name, To: set.Partition.Name, Team: cmd.Team, Wanted: cmd.Wanted, Since: cmd.Since}
 			if err := set.Tokens.RequestTokens(ctx, msg); err == nil {
 				return
 			}
