Decide which calls count against a service level

Cause: the entry instances need one rule for the outcomes of calls, the same that the records follow.

Result: TestTallyCall passes.

--- a/internal/report/burner/tally.go
+++ b/internal/report/burner/tally.go
@@ -1,9 +1,12 @@
 package burner
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
@@ -37,6 +40,20 @@
 // NewTally returns an empty tally.
 func NewTally(now func() time.Time) *Tally { return &Tally{now: now, levels: map[key]*tracks{}} }
 
+// Call counts a call that took wait and ended with err. Calls on a queue
+// without an objective and refusals that the caller has to answer for do not
+// count. Non-idempotent calls leave records and must not be counted here.
+func (t *Tally) Call(team modeler.TeamID, queue modeler.Queue, wait time.Duration, err error) {
+	if queue.Objective.Target <= 0 || queue.Objective.Target >= 1 {
+		return
+	}
+	var refusal *modeler.Refusal
+	if errors.As(err, &refusal) && slices.Contains(excused, refusal.Code) {
+		return
+	}
+	t.Observe(team, queue.Name, err == nil && wait <= queue.Objective.Wait)
+}
+
 // Observe counts a call of a queue that met its objective or did not. Queues
 // without an objective need not be observed.
 func (t *Tally) Observe(team modeler.TeamID, queue modeler.QueueID, good bool) {
--- a/internal/report/burner/tally_test.go
+++ b/internal/report/burner/tally_test.go
@@ -1,9 +1,11 @@
 package burner_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/report/burner"
 )
 
@@ -40,3 +42,21 @@
 		t.Fatalf("got %d outcomes after the period", len(got))
 	}
 }
+
+// TestTallyCall guards against calls that burn the budget although the caller
+// was at fault, and against failed calls that do not.
+func TestTallyCall(t *testing.T) {
+	tally := burner.NewTally(func() time.Time { return now })
+	queue := document().Queues[1]
+	for _, err := range []error{
+		nil, modeler.NotRun(modeler.CodeOverload, time.Second, ""), modeler.NotRun(modeler.CodeBadRequest, 0, ""), errors.New("lost"),
+	} {
+		tally.Call("health", queue, queue.Objective.Wait, err)
+		tally.Call("health", document().Queues[2], 0, err)
+	}
+	tally.Call("health", queue, queue.Objective.Wait+1, nil)
+	got := tally.Outcomes("health")
+	if len(got) != 1 || got[0].Good != 1 || got[0].Bad != 3 {
+		t.Errorf("got %+v, want 1 good and 3 bad", got)
+	}
+}
