Bound the time of a pass and of the periodic work

Cause: with 390 teams a pass looked at every team's work and every rack, so that a decision at 5,000 workers took 0.7 ms and one at 18,000 1.2 s. Change: racks are found by an index of their free sums; periodic work is spread over chores every 50 ms; a pass looks at no more than 256 jobs without room in a band; failed plans, reservations and searches for victims are not repeated at once; preempted room per pass is bounded.

--- a/internal/core/accountant/ledger.go
+++ b/internal/core/accountant/ledger.go
@@ -28,6 +28,8 @@
 	Held bool
 	// Removed marks an account whose position may be used again.
 	Removed bool
+	// offered is what the endpoint adds to the free sum of its rack.
+	offered modeler.Resources
 }
 
 // Free returns what may still be given away; a component can be negative when
@@ -47,9 +49,13 @@
 	racks     []Rack
 	rackNames map[string]int
 	index     tree
-	total     modeler.Resources
-	taken     modeler.Resources
-	count     int
+	// capacities and rackFree index what endpoints hold when empty, and what
+	// the open endpoints of a rack have free together.
+	capacities tree
+	rackFree   tree
+	total      modeler.Resources
+	taken      modeler.Resources
+	count      int
 	// releases counts the changes that can make a task fit that did not fit
 	// before.
 	releases uint64
@@ -73,6 +79,7 @@
 	node := &l.nodes[at]
 	l.total = l.total.Sub(node.Capacity).Add(capacity)
 	node.Zone, node.Capacity, node.Usable = zone, capacity, usable
+	l.capacities.set(at, capacity)
 	if number := l.rack(zone, rack); number != node.Rack {
 		l.leaveRack(at)
 		node.Rack = number
@@ -109,6 +116,7 @@
 	l.leaveRack(at)
 	*node = Node{ID: id, Rack: -1, Removed: true}
 	l.index.set(at, closed)
+	l.capacities.set(at, closed)
 	delete(l.positions, id)
 	l.vacant = append(l.vacant, at)
 	l.count--
@@ -197,9 +205,23 @@
 
 // refresh brings the index up to date with a changed account.
 func (l *Ledger) refresh(at int) {
-	free := closed
-	if l.nodes[at].open() {
-		free = l.nodes[at].Free()
+	node := &l.nodes[at]
+	free, offered := closed, modeler.Resources{}
+	if node.open() {
+		free = node.Free()
+		offered = free.Sub(free.Min(modeler.Resources{}))
 	}
 	l.index.set(at, free)
+	l.offer(node, offered)
+}
+
+// offer changes what an endpoint adds to the free sum of its rack.
+func (l *Ledger) offer(node *Node, offered modeler.Resources) {
+	if offered == node.offered {
+		return
+	}
+	rack := &l.racks[node.Rack]
+	rack.free = rack.free.Sub(node.offered).Add(offered)
+	node.offered = offered
+	l.rackFree.set(node.Rack, rack.free)
 }
--- a/internal/core/accountant/search.go
+++ b/internal/core/accountant/search.go
@@ -10,6 +10,7 @@
 type Rack struct {
 	Name    string
 	Members []int
+	free    modeler.Resources
 }
 
 // rack returns the number of a rack, creating it if it is new. Equal rack
@@ -31,6 +32,7 @@
 	if number < 0 {
 		return
 	}
+	l.offer(&l.nodes[at], modeler.Resources{})
 	members := l.racks[number].Members
 	for i, member := range members {
 		if member == at {
@@ -53,15 +55,12 @@
 func (l *Ledger) Next(from int, needs modeler.Resources) int { return l.index.next(from, needs) }
 
 // FitsEmpty reports whether needs would fit some endpoint if it were empty.
-func (l *Ledger) FitsEmpty(needs modeler.Resources) bool {
-	for i := range l.nodes {
-		if !l.nodes[i].Removed && needs.Fits(l.nodes[i].Capacity) {
-			return true
-		}
-	}
+func (l *Ledger) FitsEmpty(needs modeler.Resources) bool { return l.capacities.next(0, needs) >= 0 }
 
-	return false
-}
+// NextRack returns the first rack not below from whose open endpoints have
+// needs free together, or -1 if there is none. A single endpoint need not have
+// it.
+func (l *Ledger) NextRack(from int, needs modeler.Resources) int { return l.rackFree.next(from, needs) }
 
 // Copies returns how many times needs fits into free.
 func Copies(needs, free modeler.Resources) int {
--- a/internal/core/scheduler/deadline.go
+++ b/internal/core/scheduler/deadline.go
@@ -6,7 +6,6 @@
 
 	"github.com/google/btree"
 
-	"gitlab.com/greengagewall/greengagewall/internal/core/sharer"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
@@ -15,7 +14,7 @@
 	reviewEvery = 5 * time.Second
 	// reviewMost bounds the jobs of one review, earliest deadline first; later
 	// ones are reached as earlier ones end.
-	reviewMost = 2000
+	reviewMost = 1000
 	// usableRate is the part of the free processor time that dated work is
 	// taken to get; the rest is lost to fragments and to work more urgent.
 	usableRate = 0.8
@@ -68,7 +67,9 @@
 	s.dated.reviewed = now
 	whole, free := s.ledger.Total(), s.spareRate()
 	var ahead time.Duration
-	byTeam := make(map[*sharer.Team]time.Duration, len(s.lines))
+	for _, l := range s.lines {
+		l.dated = 0
+	}
 	pending := make([]*job, 0, 16)
 	count := 0
 	s.dated.jobs.Ascend(func(j *job) bool {
@@ -76,14 +77,14 @@
 		if j.cancelled {
 			return true
 		}
-		work := j.work(now)
+		work := j.work()
 		ahead += time.Duration(float64(work) * j.Needs.Dominant(whole) / free)
 		finish := now.Add(ahead)
 		cause := causeCapacity
 		if limit := j.Needs.Dominant(j.team.Allotment); limit > 0 {
-			byTeam[j.team] += time.Duration(float64(work) * limit / usableRate)
-			if byTeam[j.team] > ahead {
-				finish, cause = now.Add(byTeam[j.team]), causeLimit
+			j.line.dated += time.Duration(float64(work) * limit / usableRate)
+			if j.line.dated > ahead {
+				finish, cause = now.Add(j.line.dated), causeLimit
 			}
 		}
 		if len(j.waiting) > 0 {
@@ -108,18 +109,10 @@
 
 // work returns the cautious run time that the job's tasks still need, one
 // after the other.
-func (j *job) work(now time.Time) time.Duration {
-	work := time.Duration(len(j.waiting)) * j.cautious()
-	if j.running == 0 {
-		return work
-	}
-	for i := range j.tasks {
-		if j.tasks[i].state == modeler.TaskRunning {
-			work += ref{j, i}.remaining(now)
-		}
-	}
-
-	return work
+func (j *job) work() time.Duration {
+	// A running task is taken to be half done, which over a job's tasks is
+	// close enough and saves looking at each.
+	return time.Duration(len(j.waiting))*j.cautious() + time.Duration(j.running)*j.cautious()/2
 }
 
 // spareRate returns the part of the cluster that dated work may count on:
--- a/internal/core/scheduler/gang.go
+++ b/internal/core/scheduler/gang.go
@@ -6,6 +6,9 @@
 	"gitlab.com/greengagewall/greengagewall/internal/core/accountant"
 )
 
+// rackScan bounds the racks with room that are compared for a job.
+const rackScan = 16
+
 // together is the policy of all-at-once jobs.
 type together struct{}
 
@@ -32,15 +35,18 @@
 	if !s.ledger.MayFit(s.sized(j)) {
 		return nil
 	}
-	best, spare := -1, 0
-	for number, rack := range s.ledger.Racks() {
-		room := s.rackRoom(j, rack, count, now)
+	whole := j.Needs.Scale(int64(count))
+	racks := s.ledger.Racks()
+	best, spare, seen := -1, 0, 0
+	for number := s.ledger.NextRack(0, whole); number >= 0 && seen < rackScan; number = s.ledger.NextRack(number+1, whole) {
+		seen++
+		room := s.rackRoom(j, racks[number], count, now)
 		if room >= count && (best < 0 || room < spare) {
 			best, spare = number, room
 		}
 	}
 	if best >= 0 {
-		return s.fill(j, s.ledger.Racks()[best].Members, count, now)
+		return s.fill(j, racks[best].Members, count, now)
 	}
 	if j.SameRack {
 		return nil
--- a/internal/core/scheduler/job.go
+++ b/internal/core/scheduler/job.go
@@ -87,6 +87,13 @@
 	blocked time.Time
 	// endangered is set once the team was warned of the deadline.
 	endangered bool
+	// retry is when an all-at-once job that found no room is tried again.
+	retry time.Time
+	// sought is when a reservation was last looked for, and claimed when room
+	// was last looked for among running tasks in vain.
+	sought, claimed time.Time
+	// listed is set while the job is in the scheduler's list of blocked jobs.
+	listed bool
 	// reserved is the reservation held for the job.
 	reserved *reservation
 }
--- a/internal/core/scheduler/line.go
+++ b/internal/core/scheduler/line.go
@@ -34,6 +34,9 @@
 	least [bands]modeler.Resources
 	// present is set while the line is in the scheduler's list of the band.
 	present [bands]bool
+	// dated is, during a review of deadlines, the time that the team's upper
+	// limit lets its dated work take.
+	dated time.Duration
 	// below is since when the team has been below its share with work waiting.
 	below time.Time
 	// leaving is what the team's tasks that are being stopped have.
@@ -96,9 +99,30 @@
 // contender is a line that takes part in a pass over a band.
 type contender struct {
 	line *line
-	// jobs are those that the pass looks at, from the first untried one.
-	jobs []*job
-	key  float64
+	band band
+	// first is the job to try next; rest are those behind it, once read.
+	first *job
+	rest  []*job
+	read  bool
+	key   float64
+}
+
+// advance goes on to the next of up to limit jobs and reports whether there is
+// one.
+func (c *contender) advance(limit int) bool {
+	if !c.read {
+		c.read = true
+		c.rest = c.line.head(c.band, limit, make([]*job, 0, limit))
+		if len(c.rest) > 0 && c.rest[0] == c.first {
+			c.rest = c.rest[1:]
+		}
+	}
+	if len(c.rest) == 0 {
+		return false
+	}
+	c.first, c.rest = c.rest[0], c.rest[1:]
+
+	return true
 }
 
 // contest is a heap of contenders, the next to serve first.
--- a/internal/core/scheduler/pass.go
+++ b/internal/core/scheduler/pass.go
@@ -7,6 +7,14 @@
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
+// missLimit bounds the jobs without room that a pass looks at in one band, so
+// that the time of a pass does not grow with the number of teams.
+const missLimit = 256
+
+// planEvery is the shortest time between two plans for an all-at-once job,
+// which cost more than the placement of a single task.
+const planEvery = 100 * time.Millisecond
+
 // outcome is what became of an attempt to place a job.
 type outcome int
 
@@ -14,16 +22,14 @@
 	placed outcome = iota
 	overLimit
 	noRoom
-	// notYet is an all-at-once job whose earlier tasks have not all stopped.
+	// notYet is an all-at-once job whose earlier tasks have not all stopped, or
+	// that found no room a moment ago.
 	notYet
 )
 
 // decide runs a placement pass of at most budget starts.
 func (s *Scheduler) decide(budget int, now time.Time) {
-	if s.ticked.IsZero() || now.Sub(s.ticked) >= tickEvery {
-		s.ticked = now
-		s.tick(now)
-	}
+	s.runChores(now)
 	s.passStart = s.stats.Starts
 	if !s.changed && s.servedRelease == s.ledger.Releases() {
 		return
@@ -34,6 +40,7 @@
 		if budget <= 0 {
 			break
 		}
+		s.promises = promiseMost
 		budget = s.serve(band(b), budget, now)
 	}
 	// A pass that ran out of budget has more to start in the next one.
@@ -41,16 +48,6 @@
 	s.noteFresh(now)
 }
 
-// tick does what needs no attention at every pass.
-func (s *Scheduler) tick(now time.Time) {
-	s.heal(now)
-	s.shares.Balance()
-	s.reviewDeadlines(now)
-	s.reviewReservations(now)
-	s.escalate(now)
-	s.reclaim(now)
-}
-
 // serveWide tries the all-at-once job that the last pass had no budget for.
 func (s *Scheduler) serveWide(now time.Time) int {
 	j := s.wide
@@ -65,10 +62,13 @@
 // serve places work of one band and returns the budget left.
 func (s *Scheduler) serve(b band, budget int, now time.Time) int {
 	contest := s.contest(b)
-	for len(contest) > 0 && budget > 0 {
+	for misses := 0; len(contest) > 0 && budget > 0 && misses < missLimit; {
 		first := contest[0]
 		started, done := s.attempt(first, budget, now)
 		budget -= started
+		if started == 0 {
+			misses++
+		}
 		if done {
 			contest.drop()
 
@@ -85,7 +85,7 @@
 func (s *Scheduler) contest(b band) contest {
 	lines := s.waiting[b]
 	keep := lines[:0]
-	s.contenders, s.heads = s.contenders[:0], s.heads[:0]
+	s.contenders = s.contenders[:0]
 	for _, l := range lines {
 		if l.jobs[b].Len() == 0 {
 			l.present[b] = false
@@ -96,24 +96,23 @@
 		if b > bandDanger && !s.ledger.MayFit(l.least[b]) && !l.urges(b) {
 			continue
 		}
-		from := len(s.heads)
-		s.heads = l.head(b, from+s.settings.Scan, s.heads)
-		s.contenders = append(s.contenders, contender{line: l, jobs: s.heads[from:len(s.heads):len(s.heads)]})
+		first, _ := l.jobs[b].Min()
+		s.contenders = append(s.contenders, contender{line: l, band: b, first: first})
 	}
 	s.waiting[b] = keep
-	result := make(contest, len(s.contenders))
+	s.ring = s.ring[:0]
 	for i := range s.contenders {
 		s.contenders[i].key = s.key(&s.contenders[i])
-		result[i] = &s.contenders[i]
+		s.ring = append(s.ring, &s.contenders[i])
 	}
-	heap.Init(&result)
+	heap.Init(&s.ring)
 
-	return result
+	return s.ring
 }
 
 // key orders contenders; the lowest is served first.
 func (s *Scheduler) key(c *contender) float64 {
-	j := c.jobs[0]
+	j := c.first
 	if s.settings.Order == OrderArrival {
 		return float64(j.seq)
 	}
@@ -127,7 +126,7 @@
 // attempt tries the next job of a contender. It returns the number of tasks
 // started and whether the contender is done for this pass.
 func (s *Scheduler) attempt(c *contender, budget int, now time.Time) (int, bool) {
-	j := c.jobs[0]
+	j := c.first
 	if j.width() > max(budget, 1) && s.stats.Starts != s.passStart {
 		// An all-at-once job wider than what is left of the budget comes first
 		// in the next pass, and may exceed a whole budget there.
@@ -136,27 +135,29 @@
 		return 0, true
 	}
 	before := s.stats.Starts
+	done := false
 	switch s.try(j, now) {
 	case placed:
 		if len(j.waiting) == 0 {
-			c.jobs = c.jobs[1:]
+			done = !c.advance(s.settings.Scan)
 		}
 	case notYet:
-		c.jobs = c.jobs[1:]
+		done = !c.advance(s.settings.Scan)
 	case overLimit:
 		s.blockedByLimit(j, now)
-		c.jobs = c.jobs[1:]
+		done = !c.advance(s.settings.Scan)
 	case noRoom:
 		s.blockedByRoom(j, now)
-		c.jobs = c.jobs[1:]
+		done = !c.advance(s.settings.Scan)
 	}
 
-	return int(s.stats.Starts - before), len(c.jobs) == 0
+	return int(s.stats.Starts - before), done
 }
 
 // try places the next task of a job, or all tasks of an all-at-once job.
 func (s *Scheduler) try(j *job, now time.Time) outcome {
-	if j.Kind == modeler.WorkAllAtOnce && j.running > 0 {
+	together := j.Kind == modeler.WorkAllAtOnce
+	if together && (j.running > 0 || now.Before(j.retry)) {
 		return notYet
 	}
 	if !j.team.Allows(j.Needs.Scale(int64(j.width()))) {
@@ -165,6 +166,9 @@
 	if j.kind.place(s, j, now) {
 		return placed
 	}
+	if together {
+		j.retry = now.Add(planEvery)
+	}
 
 	return noRoom
 }
@@ -173,7 +177,7 @@
 // for more of it.
 func (s *Scheduler) blockedByLimit(j *job, now time.Time) {
 	s.note(j, modeler.EventQueued, causeLimit)
-	if now.Sub(j.line.asked) < tickEvery {
+	if now.Sub(j.line.asked) < askEvery {
 		return
 	}
 	j.line.asked = now
@@ -187,7 +191,8 @@
 	if j.blocked.IsZero() {
 		j.blocked = now
 	}
-	if s.settings.Reserve {
+	if s.settings.Reserve && !j.listed {
+		j.listed = true
 		s.blocked = append(s.blocked, j)
 	}
 	s.note(j, modeler.EventQueued, s.roomCause(j))
--- a/internal/core/scheduler/preempt.go
+++ b/internal/core/scheduler/preempt.go
@@ -14,11 +14,18 @@
 	// not come to an end.
 	throttleAfter = 3 * time.Second
 	stopAfter     = 6 * time.Second
+	// claimEvery is the shortest time between two searches for victims for a
+	// job, after one that found none.
+	claimEvery = 500 * time.Millisecond
 	// promiseFor is how long room that was made is kept for the job it was
 	// made for.
 	promiseFor = 10 * time.Second
 	// preemptScan bounds the endpoints compared for one task.
 	preemptScan = 48
+	// preemptEnough bounds those where room can be made.
+	preemptEnough = 12
+	// promiseMost bounds the tasks that one band gets room made for in a pass.
+	promiseMost = 64
 	// maxPreemptions bounds how often a task is preempted, so that it ends.
 	maxPreemptions = 3
 	// servicePatience is how long a service waits before it preempts.
@@ -68,8 +75,12 @@
 func (s *Scheduler) preempt(c claim, now time.Time) {
 	s.growHolds()
 	j := c.job
+	if now.Sub(j.claimed) < claimEvery {
+		return
+	}
 	if j.Kind == modeler.WorkAllAtOnce {
 		if j.reserved == nil || j.reserved.until.IsZero() {
+			j.claimed = now
 			s.preemptTogether(c, now)
 		}
 
@@ -86,9 +97,11 @@
 	if c.most > 0 {
 		wanted = min(wanted, c.most)
 	}
-	for promised < wanted && j.team.Allows(j.Needs.Scale(int64(promised+1))) {
+	for promised < wanted && s.promises > 0 && j.team.Allows(j.Needs.Scale(int64(promised+1))) {
 		at, victims := s.cheapest(c, now)
 		if at < 0 {
+			j.claimed = now
+
 			return
 		}
 		s.promise(c, at, 1, victims, now)
@@ -99,7 +112,7 @@
 // cheapest returns the endpoint where the least work is lost by making room
 // for one task, with the victims.
 func (s *Scheduler) cheapest(c claim, now time.Time) (int, []ref) {
-	best, least := -1, 0.0
+	best, least, seen := -1, 0.0, 0
 	var chosen []ref
 	count := s.ledger.Positions()
 	for range min(count, preemptScan) {
@@ -110,9 +123,15 @@
 		}
 		clear(c.pending)
 		victims, lost, ok := s.victims(c, at, 1, now)
-		if ok && (best < 0 || lost < least) {
+		if !ok {
+			continue
+		}
+		if best < 0 || lost < least {
 			best, least, chosen = at, lost, victims
 		}
+		if seen++; seen >= preemptEnough {
+			break
+		}
 	}
 
 	return best, chosen
@@ -209,6 +228,7 @@
 
 // promise stops the victims and keeps the room that they leave.
 func (s *Scheduler) promise(c claim, at, copies int, victims []ref, now time.Time) {
+	s.promises -= copies
 	free := s.ledger.Node(at).Free()
 	for _, r := range s.tenants[at] {
 		if t := r.task(); t.stage != stageNone || r.job.cancelled {
@@ -254,7 +274,7 @@
 		s.cursor = (s.cursor + 1) % len(racks)
 		members := racks[s.cursor].Members
 		if !j.SameRack {
-			members = s.window(racks, s.cursor)
+			members = s.window(j, s.cursor)
 		}
 		if s.clear(c, members, now) {
 			return
--- a/internal/core/scheduler/reclaim.go
+++ b/internal/core/scheduler/reclaim.go
@@ -13,6 +13,11 @@
 	reclaimAfter = 10 * time.Second
 	// reclaimJobs bounds the jobs of one team that a review makes room for.
 	reclaimJobs = 8
+	// reclaimMost bounds the tasks that room is made for in one chore, so that
+	// it stays short.
+	reclaimMost = 8
+	// reclaimChores is the number of chores in a round that reclaim.
+	reclaimChores = 10
 )
 
 // reclaim takes lent capacity back: for teams that have been below their share
@@ -22,7 +27,15 @@
 		return
 	}
 	total := s.ledger.Total()
-	for _, team := range s.shares.Teams() {
+	teams := s.shares.Teams()
+	s.promises = reclaimMost
+	// A round of chores comes past every team once.
+	for range (len(teams) + reclaimChores - 1) / reclaimChores {
+		if s.promises <= 0 {
+			return
+		}
+		s.reclaimCursor = (s.reclaimCursor + 1) % len(teams)
+		team := teams[s.reclaimCursor]
 		l := s.lines[team.ID]
 		missing := team.Ideal.Dominant(total) - team.Running.Dominant(total)
 		if l == nil || team.Queued.Zero() || missing <= 0 {
@@ -50,6 +63,9 @@
 		for _, j := range s.heads {
 			each := j.Needs.Dominant(total)
 			copies := int(missing / max(each, 1e-9))
+			if s.promises <= 0 {
+				return
+			}
 			if copies < j.width() || j.cause == causeNeverFits {
 				continue
 			}
--- a/internal/core/scheduler/reserve.go
+++ b/internal/core/scheduler/reserve.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// maxReservations bounds the jobs that hold capacity at once; each of them
-	// costs packing while its endpoints drain.
-	maxReservations = 2
+	// leastReservations jobs may hold capacity at once, or one for as many
+	// endpoints as reservationPer; each of them costs packing while its
+	// endpoints drain.
+	leastReservations = 2
+	reservationPer    = 1000
 	// reserveAfter is how long a job waits for room before it may reserve.
 	reserveAfter = 5 * time.Second
 	// renewEvery is the time between two estimates of a reservation's start;
@@ -23,7 +25,7 @@
 	// maxGroup bounds the endpoints that one reservation is planned over.
 	maxGroup = 128
 	// maxGroups bounds the groups of endpoints compared for one reservation.
-	maxGroups = 32
+	maxGroups = 6
 )
 
 // reservation holds capacity for a job that waits for room.
@@ -138,7 +140,8 @@
 		return
 	}
 	s.growHolds()
-	count := 0
+	// One projection in a chore keeps it short.
+	count, busy := 0, false
 	for _, r := range slices.Clone(s.reservations) {
 		if !r.until.IsZero() {
 			if !now.Before(r.until) {
@@ -148,9 +151,10 @@
 			continue
 		}
 		count++
-		if now.Sub(r.renewed) < renewEvery {
+		if busy || now.Sub(r.renewed) < renewEvery {
 			continue
 		}
+		busy = true
 		r.renewed = now
 		if !r.job.team.Allows(r.job.Needs.Scale(int64(r.job.width()))) {
 			s.dropReservation(r.job)
@@ -160,16 +164,16 @@
 		s.renew(r, now)
 	}
 	var wanting []*job
-	if s.settings.Reserve {
+	if most := max(leastReservations, s.ledger.Count()/reservationPer); s.settings.Reserve && !busy && count < most {
 		wanting = s.wanting(now)
 	}
-	for _, j := range wanting {
-		if count >= maxReservations {
-			break
-		}
-		count++
-		s.reserve(j, now)
+	if len(wanting) > 0 {
+		s.reserve(wanting[0], now)
 	}
+	for _, j := range s.blocked {
+		j.listed = false
+	}
+	clear(s.blocked)
 	s.blocked = s.blocked[:0]
 }
 
@@ -178,7 +182,7 @@
 func (s *Scheduler) wanting(now time.Time) []*job {
 	wanting := make([]*job, 0, len(s.blocked))
 	for _, j := range s.blocked {
-		if j.reserved == nil && len(j.waiting) > 0 && !j.blocked.IsZero() && now.Sub(j.blocked) >= reserveAfter && s.needsReserving(j) {
+		if j.reserved == nil && len(j.waiting) > 0 && !j.blocked.IsZero() && now.Sub(j.blocked) >= reserveAfter && now.Sub(j.sought) >= renewEvery && s.needsReserving(j) {
 			wanting = append(wanting, j)
 		}
 	}
@@ -234,6 +238,7 @@
 
 // reserve holds capacity for a job where it is expected to start first.
 func (s *Scheduler) reserve(j *job, now time.Time) {
+	j.sought = now
 	p, found := s.bestProjection(j, now)
 	if !found {
 		return
@@ -280,13 +285,13 @@
 		s.cursor = (s.cursor + 1) % len(racks)
 		members := racks[s.cursor].Members
 		if !j.SameRack && j.width() > 1 {
-			members = s.window(racks, s.cursor)
+			members = s.window(j, s.cursor)
 		}
 		p, ok := s.project(j, members, now)
 		if ok && (!found || p.start.Before(best.start)) {
 			best, found = p, true
 		}
-		if !j.SameRack && j.width() > 1 && s.ledger.Count() <= maxGroup {
+		if found && !j.SameRack && j.width() > 1 {
 			break
 		}
 	}
@@ -294,12 +299,16 @@
 	return best, found
 }
 
-// window returns the endpoints of consecutive racks up to maxGroup.
-func (s *Scheduler) window(racks []accountant.Rack, from int) []int {
+// window returns the endpoints of consecutive racks that hold several times
+// what j needs, up to maxGroup.
+func (s *Scheduler) window(j *job, from int) []int {
+	racks := s.ledger.Racks()
+	each := max(1, accountant.Copies(j.Needs, s.largest))
+	most := min(maxGroup, max(16, 4*j.width()/each))
 	members := make([]int, 0, maxGroup)
 	for i := range racks {
 		next := racks[(from+i)%len(racks)].Members
-		if len(members)+len(next) > maxGroup && i > 0 {
+		if len(members) >= most || (len(members)+len(next) > maxGroup && i > 0) {
 			break
 		}
 		members = append(members, next...)
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -39,6 +39,7 @@
 	random       *rand.Rand
 	out          []Command
 	contenders   []contender
+	ring         contest
 	heads        []*job
 	stats        Stats
 	// passStart is the number of starts when the present pass began.
@@ -54,6 +55,11 @@
 	// preemptCursor is the endpoint that the last search for victims ended
 	// with.
 	preemptCursor int
+	// promises is how many more tasks room may be made for at present.
+	promises int
+	// chore is the number of the next chore, reclaimCursor the team that the
+	// last chore of reclaiming ended with.
+	chore, reclaimCursor int
 	// blocked lists the jobs that found no room since the last review.
 	blocked []*job
 	// cursor is the rack that the last search for a reservation ended with.
--- a/internal/core/scheduler/settings.go
+++ b/internal/core/scheduler/settings.go
@@ -100,7 +100,6 @@
 const (
 	// defaultAttempts bounds the starts of a task whose job gives no bound.
 	defaultAttempts = 3
-	// tickEvery is the time between periodic reviews of shares, deadlines,
-	// reservations and preemptions.
-	tickEvery = time.Second
+	// askEvery is the time between two requests for more of a team's limit.
+	askEvery = time.Second
 )
