--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -39,6 +39,7 @@
 	random       *rand.Rand
 	out          []Command
 	contenders   []contender
+	ring         contest
 	heads        []*job
 	stats        Stats
 	// passStart is the number of starts when the present pass began.
@@ -54,6 +55,11 @@
 	// preemptCursor is the endpoint that the last search for victims ended
 	// with.
 	preemptCursor int
+	// promises is how many more tasks room may be made for at present.
+	promises int
+	// chore is the number of the next chore, reclaimCursor the team that the
+	// last chore of reclaiming ended with.
+	chore, reclaimCursor int
 	// blocked lists the jobs that found no room since the last review.
 	blocked []*job
 	// cursor is the rack that the last search for a reservation ended with.
@@ -63,8 +69,9 @@
 	// changed is set when a pass may start what the last one could not, apart
 	// from releases, which servedRelease compares.
 	changed bool
-	// limited is set when a job was held back by its team's limit since the
-	// last tick.
+	// limited is set when a job was held back by its team's limit since
+	// askedAgain.
+	askedAgain    time.Time
 	limited       bool
 	servedRelease uint64
 	// wide is an all-at-once job that the last pass had no budget for.
