Do not count a process's own pause as silence of its peers

Cause: in a trial an instance that had been stopped for 4 s suspected every peer when it continued and claimed a healthy peer's partition.

Change: the gossiper notices its own pauses and moves the times at which peers were heard forward by them.

--- a/internal/peer/gossiper/gossiper.go
+++ b/internal/peer/gossiper/gossiper.go
@@ -53,6 +53,10 @@
 	// tailing is the age of the last confirmation up to which an instance is
 	// taken to follow the log closely; its reads wait up to 500 ms.
 	tailing = time.Second
+	// tick is the pace at which this process notices its own pauses, and
+	// paused the delay of a tick from which on it counts as one.
+	tick   = 100 * time.Millisecond
+	paused = 500 * time.Millisecond
 	// pullsWaiting bounds the peers waiting to be pulled from; a peer that
 	// finds the ring full is tried again at its next heartbeat.
 	pullsWaiting = 64
@@ -76,6 +80,8 @@
 	listRead  bool
 	endpoints []modeler.Instance
 	links     map[netip.AddrPort]*link
+	// ticked is the time of the last tick.
+	ticked time.Time
 }
 
 // Option configures a Gossiper.
@@ -118,7 +124,9 @@
 // Run polls the list and exchanges heartbeats until ctx ends.
 func (g *Gossiper) Run(ctx context.Context) {
 	defer close(g.done)
+	g.resume(time.Now())
 	g.loops.Go(func() { g.pullLoop(ctx) })
+	g.loops.Go(func() { g.tickLoop(ctx) })
 	g.listLoop(ctx)
 	g.loops.Wait()
 }
@@ -130,15 +138,22 @@
 func (g *Gossiper) Drain() { g.draining.Store(true) }
 
 // Peers implements modeler.Membership. A peer that never answered a heartbeat
-// has the id of its list entry and a zero Heard.
+// has the id of its list entry and a zero Heard. The time during which this
+// process was itself paused is not counted as silence of a peer.
 func (g *Gossiper) Peers() []modeler.Peer {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
+	gap := g.gap(time.Now())
 	peers := make([]modeler.Peer, 0, len(g.links))
 	for _, l := range g.links {
-		if l.listed || !l.peer.Heard.IsZero() {
-			peers = append(peers, l.peer)
+		if !l.listed && l.peer.Heard.IsZero() {
+			continue
+		}
+		peer := l.peer
+		if !peer.Heard.IsZero() {
+			peer.Heard = peer.Heard.Add(gap)
 		}
+		peers = append(peers, peer)
 	}
 	sortPeers(peers)
 
--- a/internal/peer/gossiper/gossiper_test.go
+++ b/internal/peer/gossiper/gossiper_test.go
@@ -180,3 +180,30 @@
 		t.Error("fresh without any confirmation")
 	}
 }
+
+// TestGossiper_OwnPause guards against suspecting every peer after a pause of
+// this process, and against never suspecting a peer that is silent.
+func TestGossiper_OwnPause(t *testing.T) {
+	g := New()
+	started := time.Now()
+	l := &link{listed: true, peer: modeler.Peer{Heard: started}}
+	g.links[netip.AddrPort{}] = l
+	silence := func(now time.Time) time.Duration {
+		g.resume(now)
+
+		return now.Sub(l.peer.Heard)
+	}
+	for after := time.Duration(0); after <= time.Second; after += tick {
+		if got := silence(started.Add(after)); got != after {
+			t.Fatalf("without a pause: silent for %s after %s", got, after)
+		}
+	}
+	if got := silence(started.Add(11 * time.Second)); got > time.Second+tick {
+		t.Errorf("a pause of 10s counts as silence of %s", got)
+	}
+	g.ticked = time.Now().Add(-5 * time.Second)
+	l.peer.Heard = g.ticked
+	if got := time.Since(g.Peers()[0].Heard); got > 2*tick {
+		t.Errorf("before the first tick after a pause: silent for %s", got)
+	}
+}
--- a/internal/peer/gossiper/loops.go
+++ b/internal/peer/gossiper/loops.go
@@ -13,6 +13,47 @@
 	"gitlab.com/greengagewall/greengagewall/internal/peer/forwarder"
 )
 
+// tickLoop notices pauses of this process.
+func (g *Gossiper) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.resume(time.Now())
+		}
+	}
+}
+
+// resume moves the times at which peers were heard forward by a pause of this
+// process. Without it a process that was paused suspects every other one when
+// it continues, and claims their partitions before their heartbeats are read.
+func (g *Gossiper) resume(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if gap := g.gap(now); gap > 0 {
+		g.logger.Warn("this process was paused", "for", gap)
+		for _, l := range g.links {
+			if !l.peer.Heard.IsZero() {
+				l.peer.Heard = l.peer.Heard.Add(gap)
+			}
+		}
+	}
+	g.ticked = now
+}
+
+// gap returns how long this process has been paused since its last tick; zero
+// if it has not. The caller holds the lock.
+func (g *Gossiper) gap(now time.Time) time.Duration {
+	if late := now.Sub(g.ticked); !g.ticked.IsZero() && late > paused {
+		return late - tick
+	}
+
+	return 0
+}
+
 // listLoop polls the platform's list.
 func (g *Gossiper) listLoop(ctx context.Context) {
 	for {
