Keep instances ready when a partition is added

Cause: a new partition has no owner for about a second, in which every instance would have reported not ready at once; and a service with a timeout above 90 s would have lost its answers to the server's write timeout.

Change: owners of all partitions need to be known once; the write deadline of a call follows the timeout of its service.

--- a/internal/entry/router/commands.go
+++ b/internal/entry/router/commands.go
@@ -19,6 +19,8 @@
 	// defaultAttempts bounds the starts of a task on a queue that sets no bound.
 	defaultAttempts = 3
 	mediaOctets     = "application/octet-stream"
+	// writeMargin is the time to write an answer after the timeout of a call.
+	writeMargin = 10 * time.Second
 )
 
 // submit serves POST /v1/jobs.
@@ -220,6 +222,10 @@
 
 		return
 	}
+	// A service may have a longer timeout than the server's for writing.
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(msg.Timeout + writeMargin)); err != nil {
+		r.logger.Trace("write deadline cannot be set", "error", err)
+	}
 	ctx, cancel := context.WithTimeout(req.Context(), msg.Timeout)
 	defer cancel()
 	reply, err := r.dispatcher.Call(ctx, msg)
--- a/internal/entry/router/queries.go
+++ b/internal/entry/router/queries.go
@@ -247,7 +247,9 @@
 	r.answer(w, http.StatusOK, map[string]string{"status": "ready"})
 }
 
-// unready returns why this instance is not ready; empty if it is.
+// unready returns why this instance is not ready; empty if it is. Owners need
+// to be known only once: a partition that the configuration adds later must not
+// make every instance unready at the same time.
 func (r *Router) unready() string {
 	var reasons []string
 	if r.draining() {
@@ -255,8 +257,12 @@
 	}
 	if _, _, ok := r.config.InForce(); !ok {
 		reasons = append(reasons, "no configuration")
-	} else if !r.dispatcher.Owned() {
-		reasons = append(reasons, "a partition has no known owner")
+	} else if !r.owned.Load() {
+		if r.dispatcher.Owned() {
+			r.owned.Store(true)
+		} else {
+			reasons = append(reasons, "a partition has no known owner")
+		}
 	}
 
 	return strings.Join(reasons, ", ")
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -6,6 +6,7 @@
 	"context"
 	"expvar"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -78,6 +79,8 @@
 	logger        hclog.Logger
 	waiting       chan struct{}
 	now           func() time.Time
+	// owned is set once the owner of every partition was known.
+	owned atomic.Bool
 }
 
 // Option configures a Router.
