--- a/internal/proof/breaker/conclude.go
+++ b/internal/proof/breaker/conclude.go
@@ -124,7 +124,7 @@
 		if took, ok := takeover(events, k); ok {
 			takeovers = append(takeovers, took)
 		} else {
-			b.printf("takeover from %s: its endpoints got no new work\n", k.owner)
+			b.printf("takeover from %s: not measured, it held no session or no work came to its endpoints\n", k.owner)
 		}
 	}
 	b.printDurations("takeover after kill -9 of an owner, until new work starts", takeovers)
--- a/internal/proof/verifier/ledger.go
+++ b/internal/proof/verifier/ledger.go
@@ -70,6 +70,8 @@
 		delete(f.leaving, event.Endpoint)
 	case worker.KindLeave:
 		f.leaving[event.Endpoint] = event.Time
+		// Counted even if no work comes after it, which is the usual case.
+		f.report.Counts[CheckLeaving]++
 	case worker.KindStart:
 		key := keyOf(event)
 		other, twice := f.running[key]
