--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -126,7 +126,10 @@
 
 		return
 	}
-	if ok && t.at == nil && !t.state.Final() && found.Attempt >= t.attempt && !t.job.Once {
+	if ok {
+		c.giveWay(t, e, found.Attempt)
+	}
+	if ok && t.at == nil && !t.state.Final() && found.Attempt >= t.attempt {
 		c.adoptUnrecorded(t, e, found)
 
 		return
@@ -137,11 +140,23 @@
 	strangers[found.ID] = stranger{team: found.Team, needs: found.Needs, since: c.now}
 	// Before the claim is in the log, the job may be in a part of the stream
 	// that was not read.
-	if ok || c.claimed() {
+	known := ok || c.claimed()
+	// A task that may run only once is left to its end: stopping it would not
+	// undo what it has done.
+	if once := ok && t.job.Once && !t.job.cancelled; known && !once {
 		c.emit(TaskCmd{Endpoint: e.instance, Action: ActionStop, Request: taskRequest(e, found.ID)})
 	}
 }
 
+// giveWay takes a task from the endpoint where only the stream has it, if
+// another endpoint shows a later attempt: the earlier owner started that one
+// when the first had ended, and died before it wrote so.
+func (c *Core) giveWay(t *task, e *endpoint, attempt int) {
+	if t.at != nil && t.at != e && t.confirmed.IsZero() && attempt > t.attempt {
+		c.unplace(t)
+	}
+}
+
 // adoptUnrecorded takes over a task that an earlier owner started without the
 // stream saying so. The record of that decision is in the task's note.
 func (c *Core) adoptUnrecorded(t *task, e *endpoint, found messenger.Task) {
@@ -245,6 +260,22 @@
 	return 2*fresh > listed
 }
 
+// tickRefused reacts to endpoints that have seen a later term. An owner that
+// keeps its majority long enough for a later owner to show claims the next
+// epoch and works on; any other gives up, because a later owner may have
+// changed what runs where.
+func (c *Core) tickRefused() {
+	switch {
+	case c.refusedAt.IsZero():
+	case !c.Ready():
+		c.refusedAt = time.Time{}
+		c.emit(SupersededCmd{Endpoint: c.refused})
+	case c.now.Sub(c.refusedAt) > 2*FreshFor:
+		c.refusedAt = time.Time{}
+		c.emit(RaiseCmd{Endpoint: c.refused})
+	}
+}
+
 // count returns how many listed endpoints satisfy test, and how many are
 // listed.
 func (c *Core) count(test func(*endpoint) bool) (satisfied, listed int) {
@@ -360,12 +391,16 @@
 }
 
 // foreignTask takes over what an earlier owner wrote about a task, unless this
-// owner has the task somewhere.
+// owner has the task at an endpoint. A start that waits for its intent was not
+// sent and gives way: the earlier owner may have run the task.
 func (c *Core) foreignTask(change encoder.TaskChange) {
 	t, ok := c.tasks[change.Task]
-	if !ok || t.at != nil || t.state.Final() {
+	if !ok || t.at != nil && t.sent || t.state.Final() {
 		return
 	}
+	if t.at != nil {
+		c.refuse(t, "an earlier owner has started the task")
+	}
 	t.attempt = max(t.attempt, change.Attempt)
 	state := change.State
 	if t.job.Once && (state == modeler.TaskStarting || state == modeler.TaskRunning) {
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
 	"gitlab.com/greengagewall/greengagewall/internal/core/scheduler"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/partition/replayer"
@@ -73,6 +74,10 @@
 	majorityAt time.Time
 	// readyAt is when the owner last held fresh renewals of a majority.
 	readyAt time.Time
+	// refusedAt is since when endpoints refuse the present term; refused is
+	// one of them.
+	refusedAt time.Time
+	refused   modeler.InstanceID
 	// released is set once no endpoint can run work that this owner does not
 	// know of.
 	released   bool
@@ -156,7 +161,9 @@
 	case LogMsg:
 		c.logState(msg)
 	case TermMsg:
-		c.term, c.journal.seq = msg.Term, msg.Seq
+		c.changeTerm(msg)
+	case RaiseMsg:
+		c.journal.raise = &encoder.Claim{Successors: msg.Successors}
 	case GiftMsg:
 		c.receive(msg.Gift)
 	case SnapshotMsg:
@@ -203,6 +210,7 @@
 		c.tickEndpoint(e)
 	}
 	c.tickTakeover()
+	c.tickRefused()
 	c.expireWaits()
 	c.expireCalls()
 	if c.teamsDirty {
--- a/internal/partition/owner/result.go
+++ b/internal/partition/owner/result.go
@@ -99,11 +99,12 @@
 	if e.finishing[f.Task] == f.Attempt && f.Attempt != 0 {
 		return
 	}
+	c.giveWay(t, e, f.Attempt)
 	here := t.at == e && t.attempt == f.Attempt
 	// A success counts although the task was already queued again, and so
 	// does any end of a task that an earlier owner started.
 	unplaced := t.at == nil && !t.state.Final() && f.Attempt >= t.attempt && f.Attempt > 0
-	if !here && (!unplaced || t.job.released && !f.OK) {
+	if !here && (!unplaced || t.job.released && !f.OK && !t.job.Once) {
 		e.acknowledge(f.Task)
 
 		return
