--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -293,9 +293,11 @@
 	for _, s := range e.strangers {
 		hidden = hidden.Add(s.needs)
 	}
-	for _, t := range e.tasks {
-		if !t.job.released {
-			hidden = hidden.Add(t.job.Needs)
+	if !c.released {
+		for _, t := range e.tasks {
+			if !t.job.released {
+				hidden = hidden.Add(t.job.Needs)
+			}
 		}
 	}
 	msg := scheduler.EndpointMsg{
--- a/internal/partition/owner/submit.go
+++ b/internal/partition/owner/submit.go
@@ -127,6 +127,10 @@
 // fitRefusal refuses a job that fits no endpoint of the partition. While the
 // capacity of some endpoints is unknown the refusal invites a repetition.
 func (c *Core) fitRefusal(j modeler.Job) *modeler.Refusal {
+	wanted := int64(1)
+	if j.Kind == modeler.WorkAllAtOnce {
+		wanted = int64(j.Tasks)
+	}
 	var room int64
 	var retry time.Duration
 	for _, e := range c.endpoints {
@@ -138,14 +142,9 @@
 
 			continue
 		}
-		room += times(e.capacity, j.Needs)
-	}
-	wanted := int64(1)
-	if j.Kind == modeler.WorkAllAtOnce {
-		wanted = int64(j.Tasks)
-	}
-	if room >= wanted {
-		return nil
+		if room += times(e.capacity, j.Needs); room >= wanted {
+			return nil
+		}
 	}
 
 	return modeler.NotRun(modeler.CodeNeverFits, retry,
--- a/internal/partition/runner/claim.go
+++ b/internal/partition/runner/claim.go
@@ -11,6 +11,9 @@
 	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
 )
 
+// campaignEvery is the pace at which heartbeats are looked at.
+const campaignEvery = 100 * time.Millisecond
+
 // claim is a claim of this instance that has not been read back.
 type claim struct {
 	term modeler.Term
@@ -29,9 +32,10 @@
 // campaign claims the partition when it is due, and takes the term of this
 // instance's rank when the log does not answer the claim.
 func (r *Runner) campaign(ctx context.Context, now time.Time) {
-	if r.draining.Load() || !r.view.ok {
+	if r.draining.Load() || !r.view.ok || now.Sub(r.campaigned) < campaignEvery {
 		return
 	}
+	r.campaigned = now
 	if r.claim != nil {
 		r.pursue(ctx, now)
 
@@ -104,6 +108,8 @@
 	}
 	r.core = nil
 	r.claim = nil
+	// The new owner is given time to be heard before this instance claims again.
+	r.elector = elector.Elector{}
 	r.append.settle()
 	r.set.Logger.Info("lost partition", "partition", r.set.Partition.Name, "term", core.Term(), "owner", r.state.Owner)
 	r.update(ctx, core, owner.LostMsg{Void: void})
--- a/internal/partition/runner/runner.go
+++ b/internal/partition/runner/runner.go
@@ -112,7 +112,9 @@
 	// asking is when a snapshot was last asked for.
 	asking time.Time
 	loaded time.Time
-	tasks  sync.WaitGroup
+	// campaigned is when heartbeats were last looked at.
+	campaigned time.Time
+	tasks      sync.WaitGroup
 }
 
 // view is what the loop last saw of configuration and endpoints.
