Make the order of an owner's commands repeatable

The owner visited endpoints, teams and waiting callers in the random order of Go maps, and commands, answers and messages to the decider came out in that order, so that a run with a seed could not be repeated. These visits are now in the order of the keys. Visits that only sum up or search are left as they were.

--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -279,7 +279,7 @@
 	for _, id := range ids {
 		c.release(c.jobs[id])
 	}
-	for _, e := range c.endpoints {
+	for _, e := range ordered(c.endpoints) {
 		c.tell(e)
 	}
 	c.teamsDirty = true
--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -138,7 +138,7 @@
 		e.instance, e.listed, e.known = instance, true, true
 		e.leaving = e.leaving || instance.State == modeler.StateLeaving
 	}
-	for id, e := range c.endpoints {
+	for id, e := range ordered(c.endpoints) {
 		e.listed = listed[id]
 		c.tell(e)
 	}
--- a/internal/partition/owner/journal.go
+++ b/internal/partition/owner/journal.go
@@ -192,7 +192,7 @@
 	if !c.journal.down {
 		return
 	}
-	for waiter, w := range c.journal.waits {
+	for waiter, w := range ordered(c.journal.waits) {
 		if !w.sealed {
 			c.withdraw(waiter, w, "the log does not answer")
 		}
@@ -215,7 +215,7 @@
 
 // expireWaits answers callers that have waited for the log for too long.
 func (c *Core) expireWaits() {
-	for waiter, w := range c.journal.waits {
+	for waiter, w := range ordered(c.journal.waits) {
 		if c.now.After(w.expires) {
 			c.giveUp(waiter, w)
 		}
@@ -249,7 +249,7 @@
 // that no open batch is or will be valid; otherwise a sealed one may be.
 func (c *Core) loseJournal(void bool) {
 	j := &c.journal
-	for waiter, w := range j.waits {
+	for waiter, w := range ordered(j.waits) {
 		refusal := modeler.NotRun(modeler.CodeNotOwner, notOwnerRetry, "partition %s has another owner", c.partition)
 		if w.sealed && !void {
 			refusal = modeler.Unknown(modeler.CodeLostAnswer, notOwnerRetry,
--- /dev/null
+++ b/internal/partition/owner/ordered.go
@@ -0,0 +1,27 @@
+package owner
+
+import (
+	"cmp"
+	"iter"
+	"maps"
+	"slices"
+
+	"gitlab.com/greengagewall/greengagewall/internal/partition/replayer"
+)
+
+// ordered visits a map by its keys, so that equal inputs give equal commands
+// and a run can be repeated.
+func ordered[K cmp.Ordered, V any](m map[K]V) iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) {
+		for _, key := range slices.Sorted(maps.Keys(m)) {
+			if value, ok := m[key]; ok && !yield(key, value) {
+				return
+			}
+		}
+	}
+}
+
+// compareRequests orders requests by team and id.
+func compareRequests(a, b replayer.RequestKey) int {
+	return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Request, b.Request))
+}
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -6,6 +6,8 @@
 package owner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/core/scheduler"
@@ -198,7 +200,7 @@
 	if c.retired {
 		return
 	}
-	for _, e := range c.endpoints {
+	for _, e := range ordered(c.endpoints) {
 		c.tickEndpoint(e)
 	}
 	c.tickTakeover()
@@ -257,8 +259,8 @@
 		c.refuseCall(call, modeler.NotRun(modeler.CodeNotOwner, notOwnerRetry, "partition %s has another owner", c.partition))
 	}
 	c.queue = nil
-	for key, waiters := range c.resolves {
-		for _, w := range waiters {
+	for _, key := range slices.SortedFunc(maps.Keys(c.resolves), compareRequests) {
+		for _, w := range c.resolves[key] {
 			c.answer(w, nil, modeler.Unknown(modeler.CodeNotOwner, notOwnerRetry, "request %s: partition has another owner", key.Request))
 		}
 	}
--- a/internal/partition/owner/team.go
+++ b/internal/partition/owner/team.go
@@ -78,7 +78,7 @@
 		shares[t.Name] = t.Share
 	}
 	shape := limiter.Shape(c.document)
-	for id, t := range c.teams {
+	for id, t := range ordered(c.teams) {
 		t.allotment = limiter.Allotment(c.document, c.partition, id, c.gifts.Net[shape][id])
 		msg := scheduler.TeamMsg{ID: id, Share: shares[id], Allotment: atLeastZero(t.allotment.Sub(t.hidden))}
 		if msg != t.told {
