Let a driver step a runner and a configuration follower

A soak run in one goroutine with virtual time needs the decisions of the runner (claims, barrier, reading back, dispatch) without its goroutines. runner.Stepper runs the same loop methods step by step and hands appends, commands and answers to a driver; follower.Poll reads up to the tail once. The behaviour of a started runner is unchanged.

--- /dev/null
+++ b/internal/config/follower/poll.go
@@ -0,0 +1,7 @@
+package follower
+
+import "context"
+
+// Poll reads the stream up to its tail without waiting, for callers that drive
+// the follower themselves instead of calling Run.
+func (f *Follower) Poll(ctx context.Context) error { return f.catchUp(ctx) }
--- a/internal/partition/runner/appender.go
+++ b/internal/partition/runner/appender.go
@@ -45,6 +45,11 @@
 // put hands over a batch; it settles the one before.
 func (a *appender) put(batch encoder.Batch) {
 	a.settle()
+	if a.runner.driver != nil {
+		a.runner.driver.Append(batch)
+
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a.mu.Lock()
 	a.settled = cancel
@@ -57,6 +62,9 @@
 func (a *appender) settle() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.runner.driver != nil {
+		a.runner.driver.Settle()
+	}
 	if a.settled != nil {
 		a.settled()
 		a.settled = nil
--- a/internal/partition/runner/commands.go
+++ b/internal/partition/runner/commands.go
@@ -19,6 +19,8 @@
 	mu      sync.Mutex
 	last    owner.Waiter
 	answers map[owner.Waiter]chan answer
+	// driver takes the answers in place of the channels; nil but in a Stepper.
+	driver Driver
 }
 
 // add returns a new waiter and the channel of its answer.
@@ -34,6 +36,11 @@
 
 // answer answers a waiter once; later answers are dropped.
 func (w *waiting) answer(id owner.Waiter, a answer) {
+	if w.driver != nil {
+		w.driver.Answer(id, a.reply, a.refusal)
+
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if answers, ok := w.answers[id]; ok {
--- a/internal/partition/runner/runner.go
+++ b/internal/partition/runner/runner.go
@@ -92,6 +92,8 @@
 	load     atomic.Pointer[modeler.Load]
 
 	waiting waiting
+	// driver carries out commands in place of goroutines; nil but in a Stepper.
+	driver Driver
 
 	// mu guards state, which the loop changes and queries read.
 	mu    sync.RWMutex
@@ -340,6 +342,11 @@
 			r.lose(ctx, false)
 		}
 	default:
+		if r.driver != nil {
+			r.driver.Carry(core, cmd)
+
+			return
+		}
 		r.tasks.Add(1)
 		go (&errand{runner: r, core: core, cmd: cmd}).run(ctx)
 	}
