Keep requests in progress when old ones are forgotten

A non-idempotent call that waits for a slot has no change yet, so its time is zero and its request was forgotten; the owner then panicked when the call got a slot (nil pointer dereference in writeIntent). Change: a request in progress is never forgotten.

--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -390,7 +390,8 @@
 		delete(c.jobs, id)
 	}
 	for key, r := range c.requests {
-		if r.change.State != encoder.RequestIntent && r.change.Time.Before(before) {
+		// A request that is in progress has no outcome yet and is not old.
+		if r.call == nil && r.change.State != encoder.RequestIntent && r.change.Time.Before(before) {
 			delete(c.requests, key)
 		}
 	}
