--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,6 +21,7 @@
 	Workers *workersCommand `arg:"subcommand:workers" help:"stand in for workers or executors"`
 	Relay   *relayCommand   `arg:"subcommand:relay" help:"forward TCP connections and disturb them"`
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"show every kind of work on a small cluster"`
+	Soak    *soakCommand    `arg:"subcommand:soak" help:"run the decisions against fakes with random faults"`
 	Chaos   *chaosCommand   `arg:"subcommand:chaos" help:"run a cluster with faults and verify it"`
 }
 
--- a/cmd/standin/proof.go
+++ b/cmd/standin/proof.go
@@ -7,6 +7,7 @@
 
 	"gitlab.com/greengagewall/greengagewall/internal/proof/breaker"
 	"gitlab.com/greengagewall/greengagewall/internal/proof/demonstrator"
+	"gitlab.com/greengagewall/greengagewall/internal/proof/soaker"
 )
 
 type demoCommand struct {
@@ -42,3 +43,15 @@
 		Binary: c.Binary, Standin: self, Seed: c.Seed, Duration: c.Duration, Keep: c.Keep, Out: os.Stdout,
 	})
 }
+
+type soakCommand struct {
+	Seed     uint64        `arg:"--seed" default:"1" help:"seed of the first round; later rounds follow from it"`
+	Duration time.Duration `arg:"--duration" default:"30s" help:"wall time after which no further round begins; 0 sets no bound"`
+	Rounds   int           `arg:"--rounds" help:"number of rounds; 0 sets no bound"`
+}
+
+func (c *soakCommand) run(ctx context.Context) error {
+	_, err := soaker.Run(ctx, soaker.Settings{Seed: c.Seed, Duration: c.Duration, Rounds: c.Rounds, Out: os.Stdout})
+
+	return err
+}
--- /dev/null
+++ b/internal/proof/soaker/cluster.go
@@ -0,0 +1,250 @@
+package soaker
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
+	"gitlab.com/greengagewall/greengagewall/internal/config/follower"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/partition/elector"
+	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
+	"gitlab.com/greengagewall/greengagewall/internal/record/chainer"
+)
+
+var regions = []string{"costa", "sierra", "selva"}
+
+const (
+	workersPerRegion   = 4
+	executorsPerRegion = 2
+	slots              = 4
+	service            = "lookup"
+	// unlistAfter is how long a dead instance stays in the platform's list.
+	unlistAfter = 2 * time.Second
+)
+
+// cluster is the fakes and the processes under test.
+type cluster struct {
+	world  *world
+	ledger *ledger
+	log    *fakeLog
+	load   *load
+	// document is the first configuration.
+	document  modeler.Document
+	processes []*process
+	endpoints []*fakeEndpoint
+	died      map[string]time.Time
+	listed    []modeler.Instance
+	// current is the offset of the document in force by the parent rule, and
+	// accepted holds it and its predecessors.
+	current  modeler.Offset
+	newest   modeler.Document
+	accepted map[modeler.Offset]bool
+	digests  map[string]string
+	started  int
+}
+
+func newCluster(w *world) *cluster {
+	c := &cluster{
+		world: w, ledger: newLedger(w), log: newLog(w), died: map[string]time.Time{}, document: firstDocument(),
+		current: -1, accepted: map[modeler.Offset]bool{}, digests: map[string]string{},
+	}
+	c.load = newLoad(c)
+	c.ledger.load = c.load
+	c.log.appended = c.appended
+	if data, err := encoder.Marshal(encoder.Publication{Parent: -1, Original: -1, Document: c.document, Time: w.now}); err == nil {
+		c.log.add(follower.Stream, data)
+	}
+	for region := range regions {
+		for i := range workersPerRegion + executorsPerRegion {
+			c.addEndpoint(region, i >= workersPerRegion)
+		}
+	}
+	for i := range 5 {
+		c.addProcess(i % len(regions))
+	}
+	c.listed = c.instances()
+	w.every(500*time.Millisecond, nil, func() {
+		instances := c.instances()
+		w.after(w.from(500*time.Millisecond, 1500*time.Millisecond), nil, func() { c.listed = instances })
+	})
+	w.every(time.Second, nil, func() { c.log.expire(w.now.Add(-retention)) })
+	w.every(100*time.Millisecond, nil, c.watch)
+	w.every(5*time.Second, nil, c.verify)
+
+	return c
+}
+
+// firstDocument has one partition per region and limits that work reaches.
+func firstDocument() modeler.Document {
+	doc := modeler.Document{Cell: "soak", Queues: []modeler.Queue{{Name: "batch"}, {Name: "calls"}}}
+	for _, region := range regions {
+		doc.Partitions = append(doc.Partitions, modeler.Partition{Name: modeler.PartitionID(region + "-1"), Region: region, Weight: 1})
+	}
+	for i, team := range teams {
+		doc.Teams = append(doc.Teams, modeler.Team{
+			Name: team, Share: int64(i + 1), Keys: []modeler.Key{{Name: "main", Digest: "00"}},
+			Limit: modeler.Resources{Millis: int64(10+8*i) * 1000, Memory: int64(20+8*i) << 30, Slots: int64(6 + 4*i)},
+		})
+	}
+
+	return doc
+}
+
+func (c *cluster) addEndpoint(region int, executor bool) {
+	c.started++
+	w := c.world
+	kind, prefix, capacity := modeler.KindWorker, "worker", modeler.Resources{Millis: 4000, Memory: 16 << 30}
+	if executor {
+		kind, prefix, capacity = modeler.KindExecutor, "executor", modeler.Resources{Slots: slots}
+	}
+	e := &fakeEndpoint{
+		host:    &host{name: fmt.Sprintf("%s-%d", prefix, c.started), region: region},
+		cluster: c, capacity: capacity, lenient: w.chance(0.5), journal: map[requestKey]*outcome{},
+	}
+	e.instance = modeler.Instance{
+		ID: modeler.InstanceID(e.name), Kind: kind, Region: regions[region], Zone: regions[region],
+		Rack: fmt.Sprintf("rack-%d", c.started%2), State: modeler.StateLive,
+	}
+	if executor {
+		e.instance.Service = service
+	}
+	e.partition = elector.PartitionOf(c.document, e.instance)
+	e.boot()
+	c.endpoints = append(c.endpoints, e)
+}
+
+func (c *cluster) addProcess(region int) {
+	c.started++
+	c.processes = append(c.processes, newProcess(c, fmt.Sprintf("entry-%d", c.started), region))
+}
+
+// instances is what the platform's list shows later.
+func (c *cluster) instances() []modeler.Instance {
+	var instances []modeler.Instance
+	for _, e := range c.endpoints {
+		if c.visible(e.host) {
+			instance := e.instance
+			if !e.leaving.IsZero() {
+				instance.State = modeler.StateLeaving
+			}
+			instances = append(instances, instance)
+		}
+	}
+	for _, p := range c.processes {
+		if c.visible(p.host) {
+			instances = append(instances, p.instance)
+		}
+	}
+
+	return instances
+}
+
+// visible reports whether a host is alive or died a moment ago.
+func (c *cluster) visible(h *host) bool {
+	if !h.dead {
+		delete(c.died, h.name)
+
+		return true
+	}
+	if _, ok := c.died[h.name]; !ok {
+		c.died[h.name] = c.world.now
+	}
+
+	return c.world.now.Sub(c.died[h.name]) < unlistAfter
+}
+
+// alive returns the processes that are not dead.
+func (c *cluster) alive() []*process {
+	return slices.DeleteFunc(slices.Clone(c.processes), func(p *process) bool { return p.dead })
+}
+
+func (c *cluster) process(id modeler.InstanceID) *process {
+	for _, p := range c.processes {
+		if p.instance.ID == id {
+			return p
+		}
+	}
+
+	return nil
+}
+
+func (c *cluster) endpoint(id modeler.InstanceID) *fakeEndpoint {
+	for _, e := range c.endpoints {
+		if e.instance.ID == id {
+			return e
+		}
+	}
+
+	return nil
+}
+
+func (c *cluster) partition(name modeler.PartitionID) modeler.Partition {
+	for _, part := range c.document.Partitions {
+		if part.Name == name {
+			return part
+		}
+	}
+
+	return modeler.Partition{}
+}
+
+// appended folds the stream of the configuration by the parent rule.
+func (c *cluster) appended(name string, entry messenger.Entry) {
+	c.world.tracef("log has %s at %d, %d bytes", name, entry.Offset, len(entry.Data))
+	if name != follower.Stream {
+		return
+	}
+	var pub encoder.Publication
+	if err := encoder.Unmarshal(entry.Data, &pub); err != nil || pub.Parent != c.current {
+		c.world.tracef("configuration at %d is void", entry.Offset)
+
+		return
+	}
+	c.current, c.newest = entry.Offset, pub.Document
+	c.accepted[entry.Offset] = true
+	c.ledger.publish(pub.Document)
+}
+
+// watch counts calm time and checks the limits of all teams.
+func (c *cluster) watch() {
+	calm := !c.log.down && c.log.slow == 0 && len(c.world.cut) == 0 && c.world.loss == 0 && c.world.late == 0
+	for _, p := range c.alive() {
+		calm = calm && !p.thaw.After(c.world.now)
+	}
+	for _, e := range c.endpoints {
+		calm = calm && (e.dead || !e.thaw.After(c.world.now))
+	}
+	if calm {
+		c.ledger.passed(100 * time.Millisecond)
+	}
+	for _, team := range teams {
+		c.ledger.checkLimit(team, modeler.Resources{Millis: 1, Memory: 1, Slots: 1}, "at rest")
+	}
+}
+
+// verify checks the chains of records at every process, and that the chains of
+// different processes have the same records.
+func (c *cluster) verify() {
+	for _, p := range c.alive() {
+		for _, n := range p.nodes {
+			for _, team := range teams {
+				records := n.Export(team)
+				if len(records) == 0 {
+					continue
+				}
+				err := chainer.Verify(records)
+				c.world.check(checkChain, err == nil, "records of %s in %s at %s: %v", team, n.name, p.name, err)
+				for _, r := range records {
+					key := fmt.Sprintf("%s %s %d", n.name, team, r.Seq)
+					if known, ok := c.digests[key]; ok && known != r.Digest {
+						c.world.check(checkChain, false, "record %s differs at %s", key, p.name)
+					}
+					c.digests[key] = r.Digest
+				}
+				c.load.verifyHeads(n, team, records)
+			}
+		}
+	}
+}
