Give callers only heads of records that were read back

Cause: the answer to a repeated submission carried the digest of the last record that was sealed. If the owner lost the partition before its batch was in the stream, the team held a digest that no chain contains, which proves a rewrite that did not happen. Change: answers carry the digest of the last record that was read back.

--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -28,7 +28,7 @@
 		c.requests[key] = &request{change: change}
 	}
 	for team, chain := range state.Chains {
-		c.journal.heads[team] = head{digest: chain.Head, seq: chain.Seq}
+		c.journal.heads[team] = head{digest: chain.Head, seq: chain.Seq, read: chain.Head}
 	}
 	c.gifts = replayer.Gifts{
 		LastGiven: state.Gifts.LastGiven, LastReceived: map[modeler.PartitionID]uint64{},
@@ -355,7 +355,7 @@
 		c.applyGift(gift)
 	}
 	for _, record := range msg.Batch.Records {
-		c.journal.heads[record.Team] = head{digest: record.Digest, seq: record.Seq}
+		c.journal.heads[record.Team] = head{digest: record.Digest, seq: record.Seq, read: record.Digest}
 	}
 }
 
--- a/internal/partition/owner/journal.go
+++ b/internal/partition/owner/journal.go
@@ -54,6 +54,9 @@
 type head struct {
 	digest string
 	seq    uint64
+	// read is the digest of the last record that was read back. Callers are
+	// given this one, because a batch that was not read back may be void.
+	read string
 }
 
 // journal collects what is to be written to the stream.
@@ -158,7 +161,7 @@
 		// A record consists of strings, numbers and a time, which always encode.
 		panic(err)
 	}
-	c.journal.heads[record.Team] = head{digest: record.Digest, seq: record.Seq}
+	c.journal.heads[record.Team] = head{digest: record.Digest, seq: record.Seq, read: h.read}
 }
 
 // read completes the waits of the batch that was read back.
@@ -169,6 +172,10 @@
 	}
 	flight := j.flight
 	j.flight, j.inFlight, j.down = nil, false, false
+	for team, h := range j.heads {
+		h.read = h.digest
+		j.heads[team] = h
+	}
 	for _, w := range flight {
 		c.complete(w, true)
 	}
--- a/internal/partition/owner/submit.go
+++ b/internal/partition/owner/submit.go
@@ -23,7 +23,7 @@
 
 			return
 		}
-		c.answer(msg.Waiter, modeler.SubmitReply{Job: j.ID, Duplicate: true, Head: c.journal.heads[j.Team].digest}, nil)
+		c.answer(msg.Waiter, modeler.SubmitReply{Job: j.ID, Duplicate: true, Head: c.journal.heads[j.Team].read}, nil)
 
 		return
 	}
@@ -67,7 +67,7 @@
 	accepted.released = true
 	c.decide(scheduler.JobMsg{Job: j})
 	for _, waiter := range w.waiters {
-		c.answer(waiter, modeler.SubmitReply{Job: j.ID, Duplicate: waiter != first, Head: c.journal.heads[j.Team].digest}, nil)
+		c.answer(waiter, modeler.SubmitReply{Job: j.ID, Duplicate: waiter != first, Head: c.journal.heads[j.Team].read}, nil)
 	}
 }
 
