Count work of jobs that are read after a takeover by rank

Cause: an owner by rank that had not read the end of the stream counted the running tasks of a job it did not know as foreign work. When the job was read later, its tasks were queued as new and started a second time beside the first. In the same way a start of a run-once task that waited for its own intent was sent although the stream, read in the meantime, held an earlier intent. Change: a job read after the takeover first takes over the tasks that endpoints listed, and is given to the decider only when the claim is in the log and with it everything before the claim was read. A waiting start of a run-once task is given up when an earlier intent is read.

--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -134,7 +134,7 @@
 	if ok && t.at != nil && t.at != e && t.state == modeler.TaskRunning {
 		c.violate("I2", "task "+string(t.id)+" runs at "+string(t.at.instance.ID)+" and at "+string(e.instance.ID))
 	}
-	strangers[found.ID] = stranger{team: found.Team, needs: found.Needs, since: c.now}
+	strangers[found.ID] = stranger{team: found.Team, needs: found.Needs, since: c.now, found: found}
 	// Before the claim is in the log, the job may be in a part of the stream
 	// that was not read.
 	if ok || c.claimed() {
@@ -280,6 +280,16 @@
 		}
 	}
 	c.released = true
+	c.releaseAll()
+	for _, e := range ordered(c.endpoints) {
+		c.tell(e)
+	}
+	c.teamsDirty = true
+}
+
+// releaseAll hands all jobs that were held back to the decider.
+func (c *Core) releaseAll() {
+	c.holding = false
 	ids := make([]modeler.JobID, 0, len(c.jobs))
 	for id := range c.jobs {
 		ids = append(ids, id)
@@ -288,9 +298,6 @@
 	for _, id := range ids {
 		c.release(c.jobs[id])
 	}
-	for _, e := range ordered(c.endpoints) {
-		c.tell(e)
-	}
 	c.teamsDirty = true
 }
 
@@ -331,10 +338,10 @@
 func (c *Core) foreign(msg ForeignMsg) {
 	for _, accepted := range msg.Batch.Jobs {
 		if c.jobs[accepted.ID] == nil {
-			j := c.addJob(accepted)
-			if c.released {
-				c.release(j)
-			}
+			// The job is held back until the claim is in the log: what earlier
+			// owners did with it may be in a part that was not read.
+			c.holding = true
+			c.adoptStrangers(c.addJob(accepted))
 		}
 	}
 	for _, id := range msg.Batch.Cancels {
@@ -359,13 +366,34 @@
 	}
 }
 
+// adoptStrangers takes over the tasks of a job that endpoints were found to
+// run before the job was read.
+func (c *Core) adoptStrangers(j *job) {
+	for _, e := range ordered(c.endpoints) {
+		for id, s := range ordered(e.strangers) {
+			if t, ok := c.tasks[id]; ok && t.job == j && s.found.Request == "" {
+				delete(e.strangers, id)
+				c.adoptTask(e, s.found, e.strangers)
+			}
+		}
+	}
+	c.teamsDirty = true
+}
+
 // foreignTask takes over what an earlier owner wrote about a task, unless this
 // owner has the task somewhere.
 func (c *Core) foreignTask(change encoder.TaskChange) {
 	t, ok := c.tasks[change.Task]
-	if !ok || t.at != nil || t.state.Final() {
+	if !ok || t.state.Final() {
 		return
 	}
+	if t.at != nil {
+		if !t.job.Once || t.sent {
+			return
+		}
+		// The start waits for its own intent and must not be sent any more.
+		c.unplace(t)
+	}
 	t.attempt = max(t.attempt, change.Attempt)
 	state := change.State
 	if t.job.Once && (state == modeler.TaskStarting || state == modeler.TaskRunning) {
--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -75,6 +75,8 @@
 	needs modeler.Resources
 	// since is when the owner learned of it.
 	since time.Time
+	// found is the task as the endpoint listed it; zero for a lost call.
+	found messenger.Task
 }
 
 // newEndpoint returns an endpoint without a session.
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -77,7 +77,9 @@
 	readyAt time.Time
 	// released is set once no endpoint can run work that this owner does not
 	// know of.
-	released   bool
+	released bool
+	// holding is set while jobs are held back although released is set.
+	holding    bool
 	teamsDirty bool
 	draining   bool
 	retired    bool
@@ -159,6 +161,9 @@
 		c.logState(msg)
 	case TermMsg:
 		c.term, c.journal.seq = msg.Term, msg.Seq
+		if c.released {
+			c.releaseAll()
+		}
 	case GiftMsg:
 		c.receive(msg.Gift)
 	case SnapshotMsg:
--- a/internal/partition/owner/team.go
+++ b/internal/partition/owner/team.go
@@ -92,7 +92,7 @@
 // hideHeld counts the tasks of jobs held back. A queued one may have been
 // started by an earlier owner at an endpoint that is not yet raised.
 func (c *Core) hideHeld() {
-	if c.released {
+	if c.released && !c.holding {
 		return
 	}
 	for _, j := range c.jobs {
@@ -101,7 +101,7 @@
 		}
 		t := c.team(j.Team)
 		for _, k := range j.tasks {
-			if k.state.Final() {
+			if k.state.Final() || c.released && k.at == nil {
 				continue
 			}
 			t.hidden = t.hidden.Add(j.Needs)
