Follow the later attempt when a new owner reads inventories

Cause: the stream had a task at one endpoint, and another endpoint listed a later attempt of it, which the earlier owner had started without getting to write that the first had ended. The new owner took this for a task in two places, called the violation hook and stopped the attempt that ran. Change: while jobs are held back after a takeover, the later attempt counts.

--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -126,6 +126,11 @@
 
 		return
 	}
+	if ok && t.at != nil && t.at != e && found.Attempt > t.attempt && !t.job.released && !t.job.Once {
+		// The earlier owner started this attempt after the one in the stream
+		// had ended, and did not get to write that.
+		c.unplace(t)
+	}
 	if ok && t.at == nil && !t.state.Final() && found.Attempt >= t.attempt && !t.job.Once {
 		c.adoptUnrecorded(t, e, found)
 
