--- a/internal/partition/replayer/apply.go
+++ b/internal/partition/replayer/apply.go
@@ -24,7 +24,11 @@
 	}
 	s.Next = offset + 1
 	if !s.Complete {
-		if batch.Snapshot == nil {
+		// An author writes under a term only after its claim is in the stream,
+		// so a snapshot of a lower term was written late and is void.
+		if batch.Snapshot == nil || batch.Term < s.Term {
+			s.Term = max(s.Term, batch.Term)
+
 			return false, nil
 		}
 
@@ -62,6 +66,7 @@
 		// late, or claims are missing: wait for a snapshot of the new term.
 		if batch.Term.Epoch() > s.Term.Epoch()+1 || batch.Claim == nil {
 			s.Complete = false
+			s.Term = max(s.Term, batch.Term)
 		}
 
 		return false
