--- a/internal/proof/soaker/node.go
+++ b/internal/proof/soaker/node.go
@@ -245,6 +245,7 @@
 	n.process.forward(givers[0], time.Second, func(id owner.Waiter) owner.Msg {
 		return owner.GiveMsg{Waiter: id, TokensMsg: msg}
 	}, func(_ any, refusal *modeler.Refusal) {
+		n.process.cluster.world.tracef("%s asked %s for %s of %s: %s", n.name, givers[0], cmd.Wanted, cmd.Team, outcomeOf(refusal))
 		if refusal != nil {
 			n.tokens(cmd, givers[1:])
 		}
--- a/internal/proof/soaker/world.go
+++ b/internal/proof/soaker/world.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"hash"
+	"io"
 	"math/rand/v2"
 	"runtime/debug"
 	"time"
@@ -71,6 +72,7 @@
 	steps  int
 	digest hash.Hash64
 	tail   []string
+	trace  io.Writer
 	report *Report
 	breach *Breach
 
@@ -141,6 +143,9 @@
 	line := fmt.Sprintf("%9.3fs ", w.now.Sub(time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)).Seconds()) + fmt.Sprintf(format, args...)
 	_, _ = w.digest.Write([]byte(line))
 	w.tail = append(w.tail, line)
+	if w.trace != nil {
+		_, _ = fmt.Fprintln(w.trace, line)
+	}
 	if len(w.tail) > 2*tailLines {
 		w.tail = append(w.tail[:0:0], w.tail[tailLines:]...)
 	}
