--- a/internal/core/scheduler/lifecycle.go
+++ b/internal/core/scheduler/lifecycle.go
@@ -138,6 +138,9 @@
 	r.job.running++
 	s.stats.Running++
 	s.shares.Run(r.job.team, r.job.Needs)
+	if r.job.fixed() {
+		s.fixed = s.fixed.Add(r.job.Needs)
+	}
 }
 
 // vacate undoes occupy and gives the charge back.
@@ -152,6 +155,9 @@
 	r.job.running--
 	s.stats.Running--
 	s.shares.Run(r.job.team, r.job.Needs.Scale(-1))
+	if r.job.fixed() {
+		s.fixed = s.fixed.Sub(r.job.Needs)
+	}
 	t.at, t.charged = -1, modeler.Resources{}
 }
 
@@ -225,6 +231,9 @@
 		t.progress += now.Sub(t.started)
 	}
 	preempted := t.stage != stageNone || r.job.cancelled
+	if t.stage != stageNone {
+		r.job.line.leaving = r.job.line.leaving.Sub(r.job.Needs)
+	}
 	t.stage = stageNone
 	switch {
 	case m.Result == ResultOK:
@@ -298,6 +307,7 @@
 			continue
 		}
 		t.stage, t.stopped = stageStop, now
+		j.line.leaving = j.line.leaving.Add(j.Needs)
 		s.emit(StopCmd{
 			Task: TaskName(j.ID, i), Endpoint: s.ledger.Node(t.at).ID, Checkpoint: true, Why: "another task of the job ended early",
 		})
--- a/internal/core/scheduler/line.go
+++ b/internal/core/scheduler/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"time"
 
 	"github.com/google/btree"
 
@@ -33,13 +34,27 @@
 	least [bands]modeler.Resources
 	// present is set while the line is in the scheduler's list of the band.
 	present [bands]bool
+	// below is since when the team has been below its share with work waiting.
+	below time.Time
+	// leaving is what the team's tasks that are being stopped have.
+	leaving modeler.Resources
 	// asked limits the rate at which more of the upper limit is asked for.
-	asked stamp
+	asked time.Time
 }
 
-func newLine(team *sharer.Team, order int, less func(a, b *job) bool) *line {
+// newLine returns an empty line. Urgent work and work in danger is ordered by
+// deadline; other work is ordered by arrival, and is raised to the band of work
+// in danger before its deadline requires it.
+func newLine(team *sharer.Team, order int, settings Settings) *line {
 	l := &line{team: team, order: order}
 	for b := range l.jobs {
+		less := (*job).came
+		switch {
+		case settings.Order == OrderArrival || !settings.Deadlines:
+			less = func(a, b *job) bool { return a.seq < b.seq }
+		case band(b) <= bandDanger:
+			less = (*job).due
+		}
 		l.jobs[b] = btree.NewG(treeDegree, less)
 	}
 
@@ -60,6 +75,13 @@
 // remove takes a job out of its band.
 func (l *line) remove(j *job) { l.jobs[j.band].Delete(j) }
 
+// urges reports whether the first job of a band may preempt other work.
+func (l *line) urges(b band) bool {
+	first, ok := l.jobs[b].Min()
+
+	return ok && first.Kind == modeler.WorkService
+}
+
 // head returns up to limit jobs of a band in order of service.
 func (l *line) head(b band, limit int, into []*job) []*job {
 	l.jobs[b].Ascend(func(j *job) bool {
--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -131,7 +131,7 @@
 		// had ended, and did not get to write that.
 		c.unplace(t)
 	}
-	if ok && t.at == nil && !t.state.Final() && found.Attempt >= t.attempt && !t.job.Once {
+	if ok && t.at == nil && !t.state.Final() && found.Attempt >= t.attempt {
 		c.adoptUnrecorded(t, e, found)
 
 		return
@@ -142,7 +142,10 @@
 	strangers[found.ID] = stranger{team: found.Team, needs: found.Needs, since: c.now, found: found}
 	// Before the claim is in the log, the job may be in a part of the stream
 	// that was not read.
-	if ok || c.claimed() {
+	known := ok || c.claimed()
+	// A task that may run only once is left to its end: stopping it would not
+	// undo what it has done.
+	if once := ok && t.job.Once && !t.job.cancelled; known && !once {
 		c.emit(TaskCmd{Endpoint: e.instance, Action: ActionStop, Request: taskRequest(e, found.ID)})
 	}
 }
@@ -386,18 +389,15 @@
 }
 
 // foreignTask takes over what an earlier owner wrote about a task, unless this
-// owner has the task somewhere.
+// owner has the task at an endpoint. A start that waits for its intent was not
+// sent and gives way: the earlier owner may have run the task.
 func (c *Core) foreignTask(change encoder.TaskChange) {
 	t, ok := c.tasks[change.Task]
-	if !ok || t.state.Final() {
+	if !ok || t.at != nil && t.sent || t.state.Final() {
 		return
 	}
 	if t.at != nil {
-		if !t.job.Once || t.sent {
-			return
-		}
-		// The start waits for its own intent and must not be sent any more.
-		c.unplace(t)
+		c.refuse(t, "an earlier owner has started the task")
 	}
 	t.attempt = max(t.attempt, change.Attempt)
 	state := change.State
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
 	"gitlab.com/greengagewall/greengagewall/internal/core/scheduler"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/partition/replayer"
@@ -160,10 +161,9 @@
 	case LogMsg:
 		c.logState(msg)
 	case TermMsg:
-		c.term, c.journal.seq = msg.Term, msg.Seq
-		if c.released {
-			c.releaseAll()
-		}
+		c.changeTerm(msg)
+	case RaiseMsg:
+		c.journal.raise = &encoder.Claim{Successors: msg.Successors}
 	case GiftMsg:
 		c.receive(msg.Gift)
 	case SnapshotMsg:
--- a/internal/proof/soaker/node.go
+++ b/internal/proof/soaker/node.go
@@ -57,7 +57,7 @@
 	n := &node{process: p, name: part.Name, stream: "part-" + string(part.Name), waiting: map[owner.Waiter]func(any, *modeler.Refusal){}}
 	w := p.cluster.world
 	n.Stepper = runner.NewStepper(runner.Settings{
-		Self: p.instance, Partition: part, Membership: p, Configuration: p.follower, Logger: hclog.NewNullLogger(),
+		Self: p.instance, Partition: part, Membership: p, Configuration: p.follower, Endpoints: p.endpointsOf, Logger: hclog.NewNullLogger(),
 		Clock: func() time.Time { return w.now }, Retention: retention,
 		Decider: func() owner.Decider { return scheduler.New() },
 		Gifts:   p.gifts,
--- a/internal/proof/soaker/process.go
+++ b/internal/proof/soaker/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -9,6 +10,7 @@
 	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
 	"gitlab.com/greengagewall/greengagewall/internal/config/follower"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/partition/elector"
 	"gitlab.com/greengagewall/greengagewall/internal/partition/owner"
 )
 
@@ -197,6 +199,13 @@
 	return endpoints
 }
 
+// endpointsOf returns the endpoints of a partition.
+func (p *process) endpointsOf(name modeler.PartitionID) []modeler.Instance {
+	return slices.DeleteFunc(p.Endpoints(), func(i modeler.Instance) bool {
+		return elector.PartitionOf(p.cluster.document, i) != name
+	})
+}
+
 // node returns a partition at this process.
 func (p *process) node(name modeler.PartitionID) *node {
 	for _, n := range p.nodes {
