Answer a resolved request only after its outcome was read back

Cause: the first caller that resolves a request which never came waits until the void is in the stream, but a second one was answered 'not run' at once from memory. The owner had just woken from a pause and been superseded, and the request had run under the next owner. Change: until the outcome is read back, further resolvers wait for it and a resend is answered 'unknown'.

--- a/internal/partition/owner/call.go
+++ b/internal/partition/owner/call.go
@@ -44,6 +44,9 @@
 	// call is set while this owner executes the request.
 	call    *call
 	waiters []Waiter
+	// settling is the wait for a resolved outcome that was not read back. Until
+	// then another owner may come to another outcome.
+	settling *wait
 }
 
 func (c *call) key() replayer.RequestKey {
@@ -110,6 +113,11 @@
 		return true
 	}
 	id := entry.msg.Request
+	if r.settling != nil {
+		c.answer(entry.waiter, nil, modeler.Unknown(modeler.CodeLostAnswer, callRetry, "request %s is being resolved", id))
+
+		return true
+	}
 	switch r.change.State {
 	case encoder.RequestRan:
 		c.answer(entry.waiter, modeler.CallReply{Request: id, Answer: r.change.Answer, Endpoint: r.change.Endpoint, Duplicate: true}, nil)
--- a/internal/partition/owner/resolve.go
+++ b/internal/partition/owner/resolve.go
@@ -94,6 +94,9 @@
 	switch {
 	case !ok:
 		c.voidUnseen(key, msg.Waiter)
+	case r.settling != nil:
+		r.settling.waiters = append(r.settling.waiters, msg.Waiter)
+		c.journal.waits[msg.Waiter] = r.settling
 	case r.call != nil:
 		c.answer(msg.Waiter, modeler.ResolveReply{Request: msg.Request, Outcome: modeler.OutcomeUnknown}, nil)
 	case r.change.State == encoder.RequestRan:
@@ -165,7 +168,11 @@
 		outcome = modeler.OutcomeRan
 	}
 	w := &wait{waiters: waiters, expires: c.now.Add(c.patience), keep: true}
+	c.requests[key].settling = w
 	w.done = func(ok bool) {
+		if r := c.requests[key]; r != nil && r.settling == w {
+			r.settling = nil
+		}
 		for _, waiter := range w.waiters {
 			if ok {
 				c.answer(waiter, modeler.ResolveReply{Request: key.Request, Outcome: outcome, Answer: change.Answer}, nil)
