--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -126,9 +126,7 @@
 
 		return
 	}
-	if ok && t.at != nil && t.at != e && found.Attempt > t.attempt && !t.job.released && !t.job.Once {
-		// The earlier owner started this attempt after the one in the stream
-		// had ended, and did not get to write that.
+	if ok && c.outdated(t, e, found) {
 		c.unplace(t)
 	}
 	if ok && t.at == nil && !t.state.Final() && found.Attempt >= t.attempt {
@@ -150,6 +148,13 @@
 	}
 }
 
+// outdated reports whether an attempt at another endpoint that the stream has
+// is over: the earlier owner started a later one, which the endpoint lists, and
+// did not get to write that the first had ended.
+func (c *Core) outdated(t *task, e *endpoint, found messenger.Task) bool {
+	return t.at != nil && t.at != e && found.Attempt > t.attempt && !t.job.released && !t.job.Once
+}
+
 // adoptUnrecorded takes over a task that an earlier owner started without the
 // stream saying so. The record of that decision is in the task's note.
 func (c *Core) adoptUnrecorded(t *task, e *endpoint, found messenger.Task) {
--- a/internal/proof/soaker/cluster.go
+++ b/internal/proof/soaker/cluster.go
@@ -192,10 +192,12 @@
 
 // appended folds the stream of the configuration by the parent rule.
 func (c *cluster) appended(name string, entry messenger.Entry) {
-	c.world.tracef("log has %s at %d, %d bytes", name, entry.Offset, len(entry.Data))
 	if name != follower.Stream {
+		c.traceBatch(name, entry)
+
 		return
 	}
+	c.world.tracef("log has %s at %d", name, entry.Offset)
 	var pub encoder.Publication
 	if err := encoder.Unmarshal(entry.Data, &pub); err != nil || pub.Parent != c.current {
 		c.world.tracef("configuration at %d is void", entry.Offset)
@@ -207,6 +209,28 @@
 	c.ledger.publish(pub.Document)
 }
 
+// traceBatch adds what a batch says to the trace.
+func (c *cluster) traceBatch(name string, entry messenger.Entry) {
+	var batch encoder.Batch
+	if err := encoder.Unmarshal(entry.Data, &batch); err != nil {
+		c.world.failf(checkKept, "batch at %d of %s: %v", entry.Offset, name, err)
+
+		return
+	}
+	text := ""
+	for _, job := range batch.Jobs {
+		text += " " + string(job.ID)
+	}
+	for _, r := range batch.Requests {
+		text += fmt.Sprintf(" %s:%s", r.Request, r.State)
+	}
+	for _, t := range batch.Tasks {
+		text += fmt.Sprintf(" %s:%s:%d", t.Task, t.State, t.Attempt)
+	}
+	c.world.tracef("log has %s at %d: term %s, batch %d of %s, claim %t, snapshot %t%s",
+		name, entry.Offset, batch.Term, batch.Seq, batch.Author, batch.Claim != nil, batch.Snapshot != nil, text)
+}
+
 // watch counts calm time and checks the limits of all teams.
 func (c *cluster) watch() {
 	calm := !c.log.down && c.log.slow == 0 && len(c.world.cut) == 0 && c.world.loss == 0 && c.world.late == 0
@@ -251,11 +275,11 @@
 					continue
 				}
 				err := chainer.Verify(records)
-				c.world.check(checkChain, err == nil, "records of %s in %s at %s: %v", team, n.name, p.name, err)
+				c.world.checkf(checkChain, err == nil, "records of %s in %s at %s: %v", team, n.name, p.name, err)
 				for _, r := range records {
 					key := fmt.Sprintf("%s %s %d", n.name, team, r.Seq)
 					if known, ok := c.records[key]; ok && known.Digest != r.Digest {
-						c.world.check(checkChain, false, "record %s differs at %s: %+v, before %+v", key, p.name, r, known)
+						c.world.checkf(checkChain, false, "record %s differs at %s: %+v, before %+v", key, p.name, r, known)
 					}
 					c.records[key] = r
 				}
--- a/internal/proof/soaker/fault.go
+++ b/internal/proof/soaker/fault.go
@@ -110,13 +110,13 @@
 func (i *injector) freezeProcess() {
 	if p := i.process(); p != nil {
 		p.thaw = i.world.now.Add(i.world.from(300*time.Millisecond, 9*time.Second))
-		i.world.fault("process freeze", "%s until %s", p.name, p.thaw.Format("04:05.000"))
+		i.world.faultf("process freeze", "%s until %s", p.name, p.thaw.Format("04:05.000"))
 	}
 }
 
 func (i *injector) crashProcess() {
 	if p := i.process(); p != nil {
-		i.world.fault("process crash", "%s", p.name)
+		i.world.faultf("process crash", "%s", p.name)
 		p.dead = true
 		i.replace(p)
 	}
@@ -124,7 +124,7 @@
 
 func (i *injector) drainProcess() {
 	if p := i.process(); p != nil {
-		i.world.fault("drain", "%s", p.name)
+		i.world.faultf("drain", "%s", p.name)
 		p.drain()
 		i.replace(p)
 	}
@@ -142,14 +142,14 @@
 	}
 	l.down, l.silent = true, i.world.chance(0.5)
 	d := i.world.from(300*time.Millisecond, 12*time.Second)
-	i.world.fault("log outage", "%s, silent %t", d, l.silent)
+	i.world.faultf("log outage", "%s, silent %t", d, l.silent)
 	i.world.after(d, nil, func() { l.down = false })
 }
 
 func (i *injector) slowLog() {
 	l := i.cluster.log
 	l.slow = i.world.from(100*time.Millisecond, 1500*time.Millisecond)
-	i.world.fault("slow log", "%s", l.slow)
+	i.world.faultf("slow log", "%s", l.slow)
 	i.world.after(i.world.from(time.Second, 8*time.Second), nil, func() { l.slow = 0 })
 }
 
@@ -171,7 +171,7 @@
 
 func (i *injector) crashEndpoint() {
 	if e := i.endpoint(); e != nil {
-		i.world.fault("endpoint crash", "%s", e.name)
+		i.world.faultf("endpoint crash", "%s", e.name)
 		i.bury(e)
 	}
 }
@@ -195,13 +195,13 @@
 func (i *injector) freezeEndpoint() {
 	if e := i.endpoint(); e != nil {
 		e.thaw = i.world.now.Add(i.world.from(300*time.Millisecond, 9*time.Second))
-		i.world.fault("endpoint freeze", "%s until %s", e.name, e.thaw.Format("04:05.000"))
+		i.world.faultf("endpoint freeze", "%s until %s", e.name, e.thaw.Format("04:05.000"))
 	}
 }
 
 func (i *injector) leaveEndpoint() {
 	if e := i.endpoint(); e != nil && !e.thaw.After(i.world.now) {
-		i.world.fault("endpoint leaving", "%s", e.name)
+		i.world.faultf("endpoint leaving", "%s", e.name)
 		e.leaving = i.world.now
 		i.world.after(i.world.from(4*time.Second, 12*time.Second), nil, func() { i.bury(e) })
 	}
@@ -209,7 +209,7 @@
 
 func (i *injector) failEndpoint() {
 	if e := i.endpoint(); e != nil {
-		i.world.fault("failing endpoint", "%s", e.name)
+		i.world.faultf("failing endpoint", "%s", e.name)
 		e.failing = true
 		i.world.after(i.world.from(time.Second, 15*time.Second), nil, func() { e.failing = false })
 	}
@@ -219,7 +219,7 @@
 	region := i.world.rng.IntN(len(regions))
 	i.world.cut[region] = true
 	d := i.world.from(500*time.Millisecond, 15*time.Second)
-	i.world.fault("region cut", "%s for %s", regions[region], d)
+	i.world.faultf("region cut", "%s for %s", regions[region], d)
 	i.world.after(d, nil, func() { delete(i.world.cut, region) })
 }
 
@@ -239,7 +239,7 @@
 
 // race lets two operators publish from the same document.
 func (i *injector) race() {
-	i.world.fault("operator race", "from offset %d", i.cluster.current)
+	i.world.faultf("operator race", "from offset %d", i.cluster.current)
 	i.publish(i.cluster.current, i.edit())
 	i.publish(i.cluster.current, i.edit())
 }
@@ -248,12 +248,12 @@
 func (i *injector) edit() func(*modeler.Document) {
 	team := i.world.rng.IntN(len(teams))
 	if i.world.chance(0.3) {
-		i.world.fault("key withdrawal", "team %s", teams[team])
+		i.world.faultf("key withdrawal", "team %s", teams[team])
 
 		return func(doc *modeler.Document) { doc.Teams[team].Keys[0].Withdrawn = !doc.Teams[team].Keys[0].Withdrawn }
 	}
 	percent := 30 + i.world.rng.Int64N(120)
-	i.world.fault("limit change", "team %s to %d percent", teams[team], percent)
+	i.world.faultf("limit change", "team %s to %d percent", teams[team], percent)
 
 	return func(doc *modeler.Document) {
 		first := i.cluster.document.Teams[team].Limit
@@ -270,7 +270,7 @@
 	edit(&doc)
 	data, err := encoder.Marshal(encoder.Publication{Parent: parent, Original: -1, Document: clone(doc), Time: w.now})
 	if err != nil {
-		w.fail(checkConfig, "document cannot be encoded: %v", err)
+		w.failf(checkConfig, "document cannot be encoded: %v", err)
 
 		return
 	}
--- a/internal/proof/soaker/ledger.go
+++ b/internal/proof/soaker/ledger.go
@@ -76,7 +76,7 @@
 func (l *ledger) held(partition modeler.PartitionID, term modeler.Term, owner modeler.InstanceID) {
 	key := holder{partition, term}
 	if known, ok := l.owners[key]; ok {
-		l.world.check(checkTerm, known == owner, "term %s of %s is used by %s and %s", term, partition, known, owner)
+		l.world.checkf(checkTerm, known == owner, "term %s of %s is used by %s and %s", term, partition, known, owner)
 
 		return
 	}
@@ -88,17 +88,17 @@
 	w := l.world
 	w.tracef("%s runs %s attempt %d of team %s, session %d", e.name, id, r.task.Attempt, r.task.Team, e.session)
 	used := e.used()
-	w.check(checkCapacity, used.Fits(e.capacity), "%s runs %s of %s after %s", e.name, used, e.capacity, id)
+	w.checkf(checkCapacity, used.Fits(e.capacity), "%s runs %s of %s after %s", e.name, used, e.capacity, id)
 	l.usage[r.task.Team] = l.usage[r.task.Team].Add(r.task.Needs)
 	l.checkLimit(r.task.Team, r.task.Needs, string(id))
-	w.check(checkLeaving, e.leaving.IsZero() || w.now.Sub(e.leaving) <= leavingBound, "%s leaves since %s and starts %s", e.name, e.leaving, id)
+	w.checkf(checkLeaving, e.leaving.IsZero() || w.now.Sub(e.leaving) <= leavingBound, "%s leaves since %s and starts %s", e.name, e.leaving, id)
 	if r.reply != nil {
 		return
 	}
 	if at, ok := l.places[id]; ok {
-		w.check(checkPlace, false, "%s runs at %s and at %s", id, at, e.instance.ID)
+		w.checkf(checkPlace, false, "%s runs at %s and at %s", id, at, e.instance.ID)
 	}
-	w.check(checkPlace, true, "")
+	w.checkf(checkPlace, true, "")
 	l.places[id] = e.instance.ID
 	l.starts[id]++
 	l.load.started(id, l.starts[id])
@@ -144,7 +144,7 @@
 	sum := l.usage[team]
 	holds := (needs.Millis == 0 || sum.Millis <= highest.Millis) && (needs.Memory == 0 || sum.Memory <= highest.Memory) &&
 		(needs.Slots == 0 || sum.Slots <= highest.Slots)
-	l.world.check(checkLimit, holds, "team %s runs %s of %s (%s)", team, sum, highest, what)
+	l.world.checkf(checkLimit, holds, "team %s runs %s of %s (%s)", team, sum, highest, what)
 }
 
 // most returns the componentwise maximum.
--- a/internal/proof/soaker/load.go
+++ b/internal/proof/soaker/load.go
@@ -128,9 +128,9 @@
 func (l *load) started(task modeler.TaskID, count int) {
 	j := l.jobs[jobOf(task)]
 	j.starts++
-	l.world.check(checkNotRun, !j.denied(), "job %s runs, and all its callers were told that it does not", j.job.ID)
+	l.world.checkf(checkNotRun, !j.denied(), "job %s runs, and all its callers were told that it does not", j.job.ID)
 	if j.job.Once {
-		l.world.check(checkOnce, count == 1, "task %s of a job that may run once is started %d times", task, count)
+		l.world.checkf(checkOnce, count == 1, "task %s of a job that may run once is started %d times", task, count)
 	}
 }
 
@@ -138,9 +138,9 @@
 func (l *load) executed(key requestKey) {
 	r := l.requests[key]
 	r.executions++
-	l.world.check(checkNotRun, !r.voided && !r.denied(), "request %s runs, and its callers were told that it does not", key.request)
+	l.world.checkf(checkNotRun, !r.voided && !r.denied(), "request %s runs, and its callers were told that it does not", key.request)
 	if !r.idempotent {
-		l.world.check(checkOnce, r.executions == 1, "non-idempotent request %s is executed %d times", key.request, r.executions)
+		l.world.checkf(checkOnce, r.executions == 1, "non-idempotent request %s is executed %d times", key.request, r.executions)
 	}
 }
 
@@ -228,9 +228,9 @@
 	}, func(value any, refusal *modeler.Refusal) {
 		j.note(refusal)
 		l.world.tracef("caller of %s: %v", j.job.ID, outcomeOf(refusal))
-		l.world.check(checkNotRun, !j.denied() || j.starts == 0, "job %s ran, and its callers were told that it did not", j.job.ID)
+		l.world.checkf(checkNotRun, !j.denied() || j.starts == 0, "job %s ran, and its callers were told that it did not", j.job.ID)
 		if reply, ok := value.(modeler.SubmitReply); ok {
-			l.world.check(checkAnswer, reply.Job == j.job.ID, "the answer to job %s is about job %s", j.job.ID, reply.Job)
+			l.world.checkf(checkAnswer, reply.Job == j.job.ID, "the answer to job %s is about job %s", j.job.ID, reply.Job)
 			if j.accepted.IsZero() {
 				j.accepted, j.head = l.world.now, reply.Head
 			}
@@ -280,9 +280,9 @@
 	}, func(value any, refusal *modeler.Refusal) {
 		r.note(refusal)
 		w.tracef("caller of %s: %v", r.key.request, outcomeOf(refusal))
-		w.check(checkNotRun, !r.denied() || r.executions == 0, "request %s ran, and its callers were told that it did not", r.key.request)
+		w.checkf(checkNotRun, !r.denied() || r.executions == 0, "request %s ran, and its callers were told that it did not", r.key.request)
 		if reply, ok := value.(modeler.CallReply); ok {
-			w.check(checkAnswer, bytes.Equal(reply.Answer, answerTo(r.key.request)) && r.executions > 0,
+			w.checkf(checkAnswer, bytes.Equal(reply.Answer, answerTo(r.key.request)) && r.executions > 0,
 				"request %s, executed %d times, got the answer %q", r.key.request, r.executions, reply.Answer)
 
 			return
@@ -310,9 +310,9 @@
 		switch reply.Outcome {
 		case modeler.OutcomeNotRun:
 			r.voided = true
-			w.check(checkNotRun, r.executions == 0, "request %s ran, and its resolver was told that it did not", r.key.request)
+			w.checkf(checkNotRun, r.executions == 0, "request %s ran, and its resolver was told that it did not", r.key.request)
 		case modeler.OutcomeRan:
-			w.check(checkAnswer, r.executions > 0, "request %s did not run, and its resolver was told that it did", r.key.request)
+			w.checkf(checkAnswer, r.executions > 0, "request %s did not run, and its resolver was told that it did", r.key.request)
 		case modeler.OutcomeUnknown:
 		}
 		if reply.Outcome != modeler.OutcomeNotRun && reply.Outcome != modeler.OutcomeRan && r.resolves < maxTries && !l.quiet {
@@ -332,7 +332,7 @@
 			return owner.CancelMsg{Waiter: id, CancelMsg: modeler.CancelMsg{Partition: j.partition, Team: j.job.Team, Job: j.job.ID}}
 		}, func(_ any, refusal *modeler.Refusal) { j.cancelled = j.cancelled || refusal == nil })
 	}
-	l.world.fault("cancellation wave", "%d jobs", len(open))
+	l.world.faultf("cancellation wave", "%d jobs", len(open))
 }
 
 // lookUp asks a random entry instance for the jobs that were not seen final.
@@ -352,7 +352,7 @@
 		}
 		j.final = true
 		for _, t := range status.Tasks {
-			l.world.check(checkKept, t.State != modeler.TaskFinished || l.cluster.ledger.good[t.Task], "task %s is finished and never ran to its end", t.Task)
+			l.world.checkf(checkKept, t.State != modeler.TaskFinished || l.cluster.ledger.good[t.Task], "task %s is finished and never ran to its end", t.Task)
 		}
 	}
 }
@@ -387,7 +387,7 @@
 			continue
 		}
 		if _, ok := n.Job(team, j.job.ID); ok {
-			l.world.check(checkChain, digests[j.head], "head %.8s of job %s is not in the records at %s", j.head, j.job.ID, n.process.name)
+			l.world.checkf(checkChain, digests[j.head], "head %.8s of job %s is not in the records at %s", j.head, j.job.ID, n.process.name)
 		}
 	}
 }
--- a/internal/proof/soaker/log.go
+++ b/internal/proof/soaker/log.go
@@ -74,7 +74,7 @@
 		}
 		offset := l.add(name, data)
 		if l.lose > 0 && l.world.chance(l.lose) {
-			l.world.fault("lost append answer", "%s at %d", name, offset)
+			l.world.faultf("lost append answer", "%s at %d", name, offset)
 
 			return
 		}
--- a/internal/proof/soaker/node.go
+++ b/internal/proof/soaker/node.go
@@ -62,7 +62,7 @@
 		Decider: func() owner.Decider { return scheduler.New() },
 		Gifts:   p.gifts,
 		Violation: func(invariant, detail string) {
-			w.fail(checkHook, "%s at %s, %s: %s", invariant, p.name, part.Name, detail)
+			w.failf(checkHook, "%s at %s, %s: %s", invariant, p.name, part.Name, detail)
 		},
 	}, n)
 	w.every(tickEvery, p.host, n.Tick)
@@ -92,7 +92,7 @@
 func (n *node) Append(batch encoder.Batch) {
 	data, err := encoder.Marshal(&batch)
 	if err != nil {
-		n.process.cluster.world.fail(checkKept, "batch cannot be encoded: %v", err)
+		n.process.cluster.world.failf(checkKept, "batch cannot be encoded: %v", err)
 
 		return
 	}
@@ -135,6 +135,7 @@
 func (n *node) Answer(waiter owner.Waiter, reply any, refusal *modeler.Refusal) {
 	if done, ok := n.waiting[waiter]; ok {
 		delete(n.waiting, waiter)
+		n.process.cluster.world.tracef("%s answers for %s: %+v %v", n.process.name, n.name, reply, outcomeOf(refusal))
 		done(reply, refusal)
 	}
 }
--- a/internal/proof/soaker/process.go
+++ b/internal/proof/soaker/process.go
@@ -107,8 +107,8 @@
 		return
 	}
 	w := p.cluster.world
-	w.check(checkConfig, offset >= p.applied, "%s went from offset %d to %d", p.name, p.applied, offset)
-	w.check(checkConfig, p.cluster.accepted[offset], "%s has offset %d in force, which was not accepted", p.name, offset)
+	w.checkf(checkConfig, offset >= p.applied, "%s went from offset %d to %d", p.name, p.applied, offset)
+	w.checkf(checkConfig, p.cluster.accepted[offset], "%s has offset %d in force, which was not accepted", p.name, offset)
 	p.applied = offset
 }
 
@@ -259,10 +259,10 @@
 	name modeler.PartitionID, timeout time.Duration, build func(owner.Waiter) owner.Msg, done func(any, *modeler.Refusal),
 ) {
 	to := p.owner(name)
-	switch {
-	case to == nil:
+	switch to {
+	case nil:
 		done(nil, modeler.NotRun(modeler.CodeNoOwner, time.Second, "partition %s has no owner", name))
-	case to == p:
+	case p:
 		p.node(name).request(timeout, build, done)
 	default:
 		type answer struct {
--- a/internal/proof/soaker/soaker.go
+++ b/internal/proof/soaker/soaker.go
@@ -107,7 +107,7 @@
 		settle(c, steps)
 	}
 	if scheduler.Violations() != before {
-		w.fail(checkHook, "the scheduler counted a violated assertion")
+		w.failf(checkHook, "the scheduler counted a violated assertion")
 	}
 	report.Rounds++
 	report.Steps += w.steps
@@ -129,13 +129,13 @@
 		return
 	}
 	for _, j := range c.load.open() {
-		w.check(checkKept, false, "%s", c.describe(j))
+		w.checkf(checkKept, false, "%s", c.describe(j))
 	}
-	w.check(checkKept, true, "")
+	w.checkf(checkKept, true, "")
 	c.verify()
 	for _, p := range c.alive() {
 		p.config()
-		w.check(checkConfig, p.applied == c.current, "%s has offset %d in force, the log %d", p.name, p.applied, c.current)
+		w.checkf(checkConfig, p.applied == c.current, "%s has offset %d in force, the log %d", p.name, p.applied, c.current)
 	}
 }
 
--- a/internal/proof/soaker/world.go
+++ b/internal/proof/soaker/world.go
@@ -132,7 +132,7 @@
 func (w *world) do(e *event) {
 	defer func() {
 		if fault := recover(); fault != nil {
-			w.fail(checkHook, "panic: %v\n%s", fault, debug.Stack())
+			w.failf(checkHook, "panic: %v\n%s", fault, debug.Stack())
 		}
 	}()
 	e.do()
@@ -151,8 +151,8 @@
 	}
 }
 
-// fail ends the run with a breach of an invariant.
-func (w *world) fail(check, format string, args ...any) {
+// failf ends the run with a breach of an invariant.
+func (w *world) failf(check, format string, args ...any) {
 	if w.breach != nil {
 		return
 	}
@@ -160,16 +160,16 @@
 	w.breach = &Breach{Check: check, Detail: detail, Step: w.steps, Tail: w.tail[max(0, len(w.tail)-tailLines):]}
 }
 
-// check counts a check of an invariant and fails unless it holds.
-func (w *world) check(check string, holds bool, format string, args ...any) {
+// checkf counts a check of an invariant and fails unless it holds.
+func (w *world) checkf(check string, holds bool, format string, args ...any) {
 	w.report.Checks[check]++
 	if !holds {
-		w.fail(check, format, args...)
+		w.failf(check, format, args...)
 	}
 }
 
-// fault counts an injected fault.
-func (w *world) fault(kind string, format string, args ...any) {
+// faultf counts an injected fault.
+func (w *world) faultf(kind string, format string, args ...any) {
 	w.report.Faults[kind]++
 	w.tracef("fault "+kind+": "+format, args...)
 }
@@ -195,7 +195,7 @@
 	case w.parted(from, to):
 		return
 	case w.loss > 0 && w.chance(w.loss):
-		w.fault("lost "+kind, "%s to %s", from.name, to.name)
+		w.faultf("lost "+kind, "%s to %s", from.name, to.name)
 
 		return
 	case w.late > 0 && w.chance(w.late):
