Let one of two partitions that wait for tokens keep its idle part

Cause: two partitions that each held an all-at-once job back for the team's limit passed half of their idle allotment to each other once a second, and neither ever had enough; the third partition was never asked because the first gave something every time. Change: of two partitions that wait, the one with the lower name gives nothing.

--- a/internal/partition/owner/team.go
+++ b/internal/partition/owner/team.go
@@ -141,7 +141,7 @@
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeNotOwner, notOwnerRetry, "partition %s has another owner", c.partition))
 	case c.journal.down || !c.claimed() || c.journal.full():
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeLogDown, logRetry, "partition %s: the log does not answer", c.partition))
-	case parts.Zero():
+	case parts.Zero() || c.contends(t, msg.To):
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeOverLimit, askEvery, "partition %s has nothing idle of team %s", c.partition, msg.Team))
 	default:
 		gift := encoder.Gift{
@@ -162,6 +162,14 @@
 	}
 }
 
+// contends reports whether this partition keeps the idle part of a team's limit
+// because it waits for more of it. Of two partitions that wait, the one with the
+// lower name gives nothing, so that they do not pass the same part to and fro
+// for ever while neither has enough for an all-at-once job.
+func (c *Core) contends(t *team, to modeler.PartitionID) bool {
+	return c.partition < to && !t.asked.IsZero() && c.now.Sub(t.asked) < 2*askEvery
+}
+
 // receive takes a gift that the giver's stream contains.
 func (c *Core) receive(gift encoder.Gift) {
 	if c.retired || gift.To != c.partition || gift.Seq <= c.gifts.LastReceived[gift.From] {
