--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -28,7 +28,7 @@
 		c.requests[key] = &request{change: change}
 	}
 	for team, chain := range state.Chains {
-		c.journal.heads[team] = head{digest: chain.Head, seq: chain.Seq}
+		c.journal.heads[team] = head{digest: chain.Head, seq: chain.Seq, read: chain.Head}
 	}
 	c.gifts = replayer.Gifts{
 		LastGiven: state.Gifts.LastGiven, LastReceived: map[modeler.PartitionID]uint64{},
@@ -137,7 +137,7 @@
 	if ok && t.at != nil && t.at != e && t.state == modeler.TaskRunning {
 		c.violate("I2", "task "+string(t.id)+" runs at "+string(t.at.instance.ID)+" and at "+string(e.instance.ID))
 	}
-	strangers[found.ID] = stranger{team: found.Team, needs: found.Needs, since: c.now}
+	strangers[found.ID] = stranger{team: found.Team, needs: found.Needs, since: c.now, found: found}
 	// Before the claim is in the log, the job may be in a part of the stream
 	// that was not read.
 	known := ok || c.claimed()
@@ -311,6 +311,16 @@
 		}
 	}
 	c.released = true
+	c.releaseAll()
+	for _, e := range ordered(c.endpoints) {
+		c.tell(e)
+	}
+	c.teamsDirty = true
+}
+
+// releaseAll hands all jobs that were held back to the decider.
+func (c *Core) releaseAll() {
+	c.holding = false
 	ids := make([]modeler.JobID, 0, len(c.jobs))
 	for id := range c.jobs {
 		ids = append(ids, id)
@@ -319,9 +329,6 @@
 	for _, id := range ids {
 		c.release(c.jobs[id])
 	}
-	for _, e := range c.endpoints {
-		c.tell(e)
-	}
 	c.teamsDirty = true
 }
 
@@ -362,10 +369,10 @@
 func (c *Core) foreign(msg ForeignMsg) {
 	for _, accepted := range msg.Batch.Jobs {
 		if c.jobs[accepted.ID] == nil {
-			j := c.addJob(accepted)
-			if c.released {
-				c.release(j)
-			}
+			// The job is held back until the claim is in the log: what earlier
+			// owners did with it may be in a part that was not read.
+			c.holding = true
+			c.adoptStrangers(c.addJob(accepted))
 		}
 	}
 	for _, id := range msg.Batch.Cancels {
@@ -386,10 +393,24 @@
 		c.applyGift(gift)
 	}
 	for _, record := range msg.Batch.Records {
-		c.journal.heads[record.Team] = head{digest: record.Digest, seq: record.Seq}
+		c.journal.heads[record.Team] = head{digest: record.Digest, seq: record.Seq, read: record.Digest}
 	}
 }
 
+// adoptStrangers takes over the tasks of a job that endpoints were found to
+// run before the job was read.
+func (c *Core) adoptStrangers(j *job) {
+	for _, e := range ordered(c.endpoints) {
+		for id, s := range ordered(e.strangers) {
+			if t, ok := c.tasks[id]; ok && t.job == j && s.found.Request == "" {
+				delete(e.strangers, id)
+				c.adoptTask(e, s.found, e.strangers)
+			}
+		}
+	}
+	c.teamsDirty = true
+}
+
 // foreignTask takes over what an earlier owner wrote about a task, unless this
 // owner has the task at an endpoint. A start that waits for its intent was not
 // sent and gives way: the earlier owner may have run the task.
@@ -434,7 +455,8 @@
 		delete(c.jobs, id)
 	}
 	for key, r := range c.requests {
-		if r.change.State != encoder.RequestIntent && r.change.Time.Before(before) {
+		// A request that is in progress has no outcome yet and is not old.
+		if r.call == nil && r.change.State != encoder.RequestIntent && r.change.Time.Before(before) {
 			delete(c.requests, key)
 		}
 	}
--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -75,6 +75,8 @@
 	needs modeler.Resources
 	// since is when the owner learned of it.
 	since time.Time
+	// found is the task as the endpoint listed it; zero for a lost call.
+	found messenger.Task
 }
 
 // newEndpoint returns an endpoint without a session.
@@ -138,7 +140,7 @@
 		e.instance, e.listed, e.known = instance, true, true
 		e.leaving = e.leaving || instance.State == modeler.StateLeaving
 	}
-	for id, e := range c.endpoints {
+	for id, e := range ordered(c.endpoints) {
 		e.listed = listed[id]
 		c.tell(e)
 	}
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -6,6 +6,8 @@
 package owner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
@@ -80,7 +82,9 @@
 	refused   modeler.InstanceID
 	// released is set once no endpoint can run work that this owner does not
 	// know of.
-	released   bool
+	released bool
+	// holding is set while jobs are held back although released is set.
+	holding    bool
 	teamsDirty bool
 	draining   bool
 	retired    bool
@@ -206,7 +210,7 @@
 	if c.Ready() {
 		c.readyAt = c.now
 	}
-	for _, e := range c.endpoints {
+	for _, e := range ordered(c.endpoints) {
 		c.tickEndpoint(e)
 	}
 	c.tickTakeover()
@@ -266,8 +270,8 @@
 		c.refuseCall(call, modeler.NotRun(modeler.CodeNotOwner, notOwnerRetry, "partition %s has another owner", c.partition))
 	}
 	c.queue = nil
-	for key, waiters := range c.resolves {
-		for _, w := range waiters {
+	for _, key := range slices.SortedFunc(maps.Keys(c.resolves), compareRequests) {
+		for _, w := range c.resolves[key] {
 			c.answer(w, nil, modeler.Unknown(modeler.CodeNotOwner, notOwnerRetry, "request %s: partition has another owner", key.Request))
 		}
 	}
--- a/internal/partition/owner/team.go
+++ b/internal/partition/owner/team.go
@@ -85,7 +85,7 @@
 		shares[t.Name] = t.Share
 	}
 	shape := limiter.Shape(c.document)
-	for id, t := range c.teams {
+	for id, t := range ordered(c.teams) {
 		t.allotment = limiter.Allotment(c.document, c.partition, id, c.gifts.Net[shape][id])
 		msg := scheduler.TeamMsg{ID: id, Share: shares[id], Allotment: atLeastZero(t.allotment.Sub(t.hidden))}
 		if msg != t.told {
@@ -99,7 +99,7 @@
 // hideHeld counts the tasks of jobs held back. A queued one may have been
 // started by an earlier owner at an endpoint that is not yet raised.
 func (c *Core) hideHeld() {
-	if c.released {
+	if c.released && !c.holding {
 		return
 	}
 	for _, j := range c.jobs {
@@ -108,7 +108,7 @@
 		}
 		t := c.team(j.Team)
 		for _, k := range j.tasks {
-			if k.state.Final() {
+			if k.state.Final() || c.released && k.at == nil {
 				continue
 			}
 			t.hidden = t.hidden.Add(j.Needs)
