--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -23,6 +23,7 @@
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"show every kind of work on a small cluster"`
 	Soak    *soakCommand    `arg:"subcommand:soak" help:"run the decisions against fakes with random faults"`
 	Chaos   *chaosCommand   `arg:"subcommand:chaos" help:"run a cluster with faults and verify it"`
+	Measure *measureCommand `arg:"subcommand:measure" help:"measure the decisions against baselines"`
 }
 
 // Version implements arg.Versioned.
