Adopt work that endpoints report before its job is known

A failure of a task that may run only once could queue it again after a takeover. Change: running and ended tasks of unknown jobs are kept and adopted when the job is read from the stream, before it is handed to the scheduler. The end of a task that may run only once is always final.

--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -137,7 +137,7 @@
 	if ok && t.at != nil && t.at != e && t.state == modeler.TaskRunning {
 		c.violate("I2", "task "+string(t.id)+" runs at "+string(t.at.instance.ID)+" and at "+string(e.instance.ID))
 	}
-	strangers[found.ID] = stranger{team: found.Team, needs: found.Needs, since: c.now}
+	strangers[found.ID] = stranger{team: found.Team, needs: found.Needs, since: c.now, task: found}
 	// Before the claim is in the log, the job may be in a part of the stream
 	// that was not read.
 	known := ok || c.claimed()
@@ -363,6 +363,7 @@
 	for _, accepted := range msg.Batch.Jobs {
 		if c.jobs[accepted.ID] == nil {
 			j := c.addJob(accepted)
+			c.claimStrangers(j)
 			if c.released {
 				c.release(j)
 			}
@@ -390,6 +391,27 @@
 	}
 }
 
+// claimStrangers adopts the tasks of a job that endpoints reported, as running
+// or as ended, before this owner knew the job. The inventories are complete:
+// the sessions that came with them make the endpoints refuse the earlier
+// owner.
+func (c *Core) claimStrangers(j *job) {
+	for _, e := range c.endpoints {
+		for _, t := range j.tasks {
+			if s, ok := e.strangers[t.id]; ok {
+				delete(e.strangers, t.id)
+				c.adoptTask(e, s.task, e.strangers)
+			}
+			if f, ok := e.orphans[t.id]; ok {
+				delete(e.orphans, t.id)
+				c.finish(e, f)
+			}
+		}
+		c.tell(e)
+	}
+	c.teamsDirty = true
+}
+
 // foreignTask takes over what an earlier owner wrote about a task, unless this
 // owner has the task at an endpoint. A start that waits for its intent was not
 // sent and gives way: the earlier owner may have run the task.
--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -63,7 +63,9 @@
 	// strangers are tasks and calls that the endpoint runs and the owner has
 	// no other account of.
 	strangers map[modeler.TaskID]stranger
-	acks      []modeler.TaskID
+	// orphans are finishes of tasks whose job the owner does not know yet.
+	orphans map[modeler.TaskID]messenger.Finish
+	acks    []modeler.TaskID
 	// finishing holds the attempts of finishes that are not yet in the stream.
 	finishing map[modeler.TaskID]int
 	told      scheduler.EndpointMsg
@@ -75,13 +77,15 @@
 	needs modeler.Resources
 	// since is when the owner learned of it.
 	since time.Time
+	// task is what the inventory says; empty for a call.
+	task messenger.Task
 }
 
 // newEndpoint returns an endpoint without a session.
 func newEndpoint(instance modeler.Instance) *endpoint {
 	e := &endpoint{
 		instance: instance, state: endpointNew,
-		tasks: map[modeler.TaskID]*task{}, calls: map[uint64]*call{}, strangers: map[modeler.TaskID]stranger{}, finishing: map[modeler.TaskID]int{},
+		tasks: map[modeler.TaskID]*task{}, calls: map[uint64]*call{}, strangers: map[modeler.TaskID]stranger{}, finishing: map[modeler.TaskID]int{}, orphans: map[modeler.TaskID]messenger.Finish{},
 	}
 	e.machine = stateless.NewStateMachine(endpointNew)
 	e.machine.Configure(endpointNew).Permit(triggerGranted, endpointOpen).Permit(triggerEnded, endpointGone).Ignore(triggerLost)
--- a/internal/partition/owner/journal.go
+++ b/internal/partition/owner/journal.go
@@ -136,6 +136,10 @@
 func (c *Core) changeTerm(msg TermMsg) {
 	c.term, c.journal.seq = msg.Term, msg.Seq
 	c.journal.inFlight, c.journal.raise = false, nil
+	for _, e := range c.endpoints {
+		// The endpoints report these again; by now the job is known or void.
+		clear(e.orphans)
+	}
 }
 
 // claimed reports whether the owner's term was claimed in the log. A term
--- a/internal/partition/owner/result.go
+++ b/internal/partition/owner/result.go
@@ -92,6 +92,8 @@
 		// stream that was not read.
 		if c.claimed() {
 			e.acknowledge(f.Task)
+		} else {
+			e.orphans[f.Task] = f
 		}
 
 		return
@@ -140,7 +142,13 @@
 	}
 	record := c.taskRecord(t, event, f.Cause, t.why)
 	c.unplace(t)
-	if c.ended(t, msg) && !state.Final() {
+	spent := c.ended(t, msg)
+	if t.job.Once && !state.Final() && !spent {
+		// The decider ignores the failure of a task that it has queued again.
+		spent = true
+		c.ended(t, scheduler.EndedMsg{Task: t.id, Result: scheduler.ResultUnknown, Cause: f.Cause})
+	}
+	if spent && !state.Final() {
 		state, record.Event = modeler.TaskFailed, modeler.EventFailed
 	}
 	c.record(record)
