--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -372,7 +372,7 @@
 			// The job is held back until the claim is in the log: what earlier
 			// owners did with it may be in a part that was not read.
 			c.holding = true
-			c.adoptStrangers(c.addJob(accepted))
+			c.claimStrangers(c.addJob(accepted))
 		}
 	}
 	for _, id := range msg.Batch.Cancels {
@@ -397,16 +397,23 @@
 	}
 }
 
-// adoptStrangers takes over the tasks of a job that endpoints were found to
-// run before the job was read.
-func (c *Core) adoptStrangers(j *job) {
+// claimStrangers adopts the tasks of a job that endpoints reported, as running
+// or as ended, before this owner knew the job. The inventories are complete:
+// the sessions that came with them make the endpoints refuse the earlier
+// owner.
+func (c *Core) claimStrangers(j *job) {
 	for _, e := range ordered(c.endpoints) {
-		for id, s := range ordered(e.strangers) {
-			if t, ok := c.tasks[id]; ok && t.job == j && s.found.Request == "" {
-				delete(e.strangers, id)
+		for _, t := range j.tasks {
+			if s, ok := e.strangers[t.id]; ok {
+				delete(e.strangers, t.id)
 				c.adoptTask(e, s.found, e.strangers)
 			}
+			if f, ok := e.orphans[t.id]; ok {
+				delete(e.orphans, t.id)
+				c.finish(e, f)
+			}
 		}
+		c.tell(e)
 	}
 	c.teamsDirty = true
 }
