Keep blocked jobs listed until they start or reserve

Cause: passes without a change are skipped, so that on a quiet cluster a job was never seen blocked for long enough to reserve. Change: only jobs that may reserve are listed, and they stay listed. Tests for preemption, backfill, deadlines, reclaiming, quarantine, notes, limits, retries and adoption; a short smoke test of the meter.

--- a/internal/core/scheduler/pass.go
+++ b/internal/core/scheduler/pass.go
@@ -191,10 +191,10 @@
 	if j.blocked.IsZero() {
 		j.blocked = now
 	}
-	if s.settings.Reserve && !j.listed {
+	s.note(j, modeler.EventQueued, s.roomCause(j))
+	if s.settings.Reserve && !j.listed && s.needsReserving(j) {
 		j.listed = true
 		s.blocked = append(s.blocked, j)
 	}
-	s.note(j, modeler.EventQueued, s.roomCause(j))
 	s.makeRoom(j, now)
 }
--- a/internal/core/scheduler/reserve.go
+++ b/internal/core/scheduler/reserve.go
@@ -170,15 +170,15 @@
 	if len(wanting) > 0 {
 		s.reserve(wanting[0], now)
 	}
-	for _, j := range s.blocked {
-		j.listed = false
-	}
-	clear(s.blocked)
-	s.blocked = s.blocked[:0]
+	s.blocked = slices.DeleteFunc(s.blocked, func(j *job) bool {
+		j.listed = len(j.waiting) > 0 && j.reserved == nil
+
+		return !j.listed
+	})
 }
 
-// wanting returns the jobs that found no room since the last review and may
-// reserve, the most entitled first.
+// wanting returns the jobs that found no room and may reserve, the most
+// entitled first.
 func (s *Scheduler) wanting(now time.Time) []*job {
 	wanting := make([]*job, 0, len(s.blocked))
 	for _, j := range s.blocked {
@@ -201,7 +201,7 @@
 		return a.blocked.Compare(b.blocked)
 	})
 
-	return slices.CompactFunc(wanting, func(a, b *job) bool { return a == b })
+	return wanting
 }
 
 // needsReserving reports whether small tasks could keep a job from ever finding room.
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -60,7 +60,7 @@
 	// chore is the number of the next chore, reclaimCursor the team that the
 	// last chore of reclaiming ended with.
 	chore, reclaimCursor int
-	// blocked lists the jobs that found no room since the last review.
+	// blocked lists the jobs that found no room and could reserve it.
 	blocked []*job
 	// cursor is the rack that the last search for a reservation ended with.
 	cursor int
