Stop handing over when no successor is left

Cause: three instances that were shut down together each waited 30 s for a peer to take their partitions.

Change: the shutdown gives up 2 s after the last successor has gone.

--- a/internal/entry/starter/starter.go
+++ b/internal/entry/starter/starter.go
@@ -213,17 +213,32 @@
 	i.logger.Info("entry instance has stopped", "id", i.self.ID)
 }
 
-// handOver hands the partitions over, for a short time only if no other entry
-// instance is there to take them.
+// handOver hands the partitions over. It gives up when no other entry instance
+// has been there to take them for a while, as when all are shut down together.
 func (i *Instance) handOver(ctx context.Context) {
-	if !slices.ContainsFunc(i.gossiper.Peers(), successor) {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, lonely)
-		defer cancel()
-	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go i.watchSuccessors(ctx, cancel)
 	i.supervisor.Drain(ctx)
 }
 
+// watchSuccessors calls cancel after the time lonely without any successor.
+func (i *Instance) watchSuccessors(ctx context.Context, cancel context.CancelFunc) {
+	ticker := time.NewTicker(lonely / 10)
+	defer ticker.Stop()
+	for last := time.Now(); time.Since(last) < lonely; {
+		if slices.ContainsFunc(i.gossiper.Peers(), successor) {
+			last = time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	cancel()
+}
+
 // successor reports whether a peer can take partitions over.
 func successor(peer modeler.Peer) bool {
 	return !peer.Draining && !peer.Heard.IsZero() && time.Since(peer.Heard) < lonely
