--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -75,6 +75,8 @@
 	needs modeler.Resources
 	// since is when the owner learned of it.
 	since time.Time
+	// found is the task as the endpoint listed it; zero for a lost call.
+	found messenger.Task
 }
 
 // newEndpoint returns an endpoint without a session.
@@ -138,7 +140,7 @@
 		e.instance, e.listed, e.known = instance, true, true
 		e.leaving = e.leaving || instance.State == modeler.StateLeaving
 	}
-	for id, e := range c.endpoints {
+	for id, e := range ordered(c.endpoints) {
 		e.listed = listed[id]
 		c.tell(e)
 	}
@@ -232,7 +234,10 @@
 	e.busy = false
 	if msg.Err != nil {
 		if errors.Is(msg.Err, messenger.ErrTerm) && msg.Term == c.term {
-			c.emit(SupersededCmd{Endpoint: e.instance.ID})
+			c.refused = e.instance.ID
+			if c.refusedAt.IsZero() {
+				c.refusedAt = c.now
+			}
 		}
 
 		return
@@ -290,9 +295,11 @@
 	for _, s := range e.strangers {
 		hidden = hidden.Add(s.needs)
 	}
-	for _, t := range e.tasks {
-		if !t.job.released {
-			hidden = hidden.Add(t.job.Needs)
+	if !c.released {
+		for _, t := range e.tasks {
+			if !t.job.released {
+				hidden = hidden.Add(t.job.Needs)
+			}
 		}
 	}
 	msg := scheduler.EndpointMsg{
--- a/internal/partition/owner/journal.go
+++ b/internal/partition/owner/journal.go
@@ -54,6 +54,9 @@
 type head struct {
 	digest string
 	seq    uint64
+	// read is the digest of the last record that was read back. Callers are
+	// given this one, because a batch that was not read back may be void.
+	read string
 }
 
 // journal collects what is to be written to the stream.
@@ -136,6 +139,9 @@
 func (c *Core) changeTerm(msg TermMsg) {
 	c.term, c.journal.seq = msg.Term, msg.Seq
 	c.journal.inFlight, c.journal.raise = false, nil
+	if c.released && c.holding {
+		c.releaseAll()
+	}
 }
 
 // claimed reports whether the owner's term was claimed in the log. A term
@@ -173,7 +179,7 @@
 		// A record consists of strings, numbers and a time, which always encode.
 		panic(err)
 	}
-	c.journal.heads[record.Team] = head{digest: record.Digest, seq: record.Seq}
+	c.journal.heads[record.Team] = head{digest: record.Digest, seq: record.Seq, read: h.read}
 }
 
 // read completes the waits of the batch that was read back.
@@ -184,6 +190,10 @@
 	}
 	flight := j.flight
 	j.flight, j.inFlight, j.down = nil, false, false
+	for team, h := range j.heads {
+		h.read = h.digest
+		j.heads[team] = h
+	}
 	for _, w := range flight {
 		c.complete(w, true)
 	}
@@ -207,7 +217,7 @@
 	if !c.journal.down {
 		return
 	}
-	for waiter, w := range c.journal.waits {
+	for waiter, w := range ordered(c.journal.waits) {
 		if !w.sealed {
 			c.withdraw(waiter, w, "the log does not answer")
 		}
@@ -230,7 +240,7 @@
 
 // expireWaits answers callers that have waited for the log for too long.
 func (c *Core) expireWaits() {
-	for waiter, w := range c.journal.waits {
+	for waiter, w := range ordered(c.journal.waits) {
 		if c.now.After(w.expires) {
 			c.giveUp(waiter, w)
 		}
@@ -264,7 +274,7 @@
 // that no open batch is or will be valid; otherwise a sealed one may be.
 func (c *Core) loseJournal(void bool) {
 	j := &c.journal
-	for waiter, w := range j.waits {
+	for waiter, w := range ordered(j.waits) {
 		refusal := modeler.NotRun(modeler.CodeNotOwner, notOwnerRetry, "partition %s has another owner", c.partition)
 		if w.sealed && !void {
 			refusal = modeler.Unknown(modeler.CodeLostAnswer, notOwnerRetry,
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -6,6 +6,8 @@
 package owner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
@@ -74,9 +76,15 @@
 	majorityAt time.Time
 	// readyAt is when the owner last held fresh renewals of a majority.
 	readyAt time.Time
+	// refusedAt is since when endpoints refuse the present term; refused is
+	// one of them.
+	refusedAt time.Time
+	refused   modeler.InstanceID
 	// released is set once no endpoint can run work that this owner does not
 	// know of.
-	released   bool
+	released bool
+	// holding is set while jobs are held back although released is set.
+	holding    bool
 	teamsDirty bool
 	draining   bool
 	retired    bool
@@ -202,10 +210,11 @@
 	if c.Ready() {
 		c.readyAt = c.now
 	}
-	for _, e := range c.endpoints {
+	for _, e := range ordered(c.endpoints) {
 		c.tickEndpoint(e)
 	}
 	c.tickTakeover()
+	c.tickRefused()
 	c.expireWaits()
 	c.expireCalls()
 	if c.teamsDirty {
@@ -261,8 +270,8 @@
 		c.refuseCall(call, modeler.NotRun(modeler.CodeNotOwner, notOwnerRetry, "partition %s has another owner", c.partition))
 	}
 	c.queue = nil
-	for key, waiters := range c.resolves {
-		for _, w := range waiters {
+	for _, key := range slices.SortedFunc(maps.Keys(c.resolves), compareRequests) {
+		for _, w := range c.resolves[key] {
 			c.answer(w, nil, modeler.Unknown(modeler.CodeNotOwner, notOwnerRetry, "request %s: partition has another owner", key.Request))
 		}
 	}
--- a/internal/partition/owner/submit.go
+++ b/internal/partition/owner/submit.go
@@ -23,7 +23,7 @@
 
 			return
 		}
-		c.answer(msg.Waiter, modeler.SubmitReply{Job: j.ID, Duplicate: true, Head: c.journal.heads[j.Team].digest}, nil)
+		c.answer(msg.Waiter, modeler.SubmitReply{Job: j.ID, Duplicate: true, Head: c.journal.heads[j.Team].read}, nil)
 
 		return
 	}
@@ -67,7 +67,7 @@
 	accepted.released = true
 	c.decide(scheduler.JobMsg{Job: j})
 	for _, waiter := range w.waiters {
-		c.answer(waiter, modeler.SubmitReply{Job: j.ID, Duplicate: waiter != first, Head: c.journal.heads[j.Team].digest}, nil)
+		c.answer(waiter, modeler.SubmitReply{Job: j.ID, Duplicate: waiter != first, Head: c.journal.heads[j.Team].read}, nil)
 	}
 }
 
@@ -127,6 +127,10 @@
 // fitRefusal refuses a job that fits no endpoint of the partition. While the
 // capacity of some endpoints is unknown the refusal invites a repetition.
 func (c *Core) fitRefusal(j modeler.Job) *modeler.Refusal {
+	wanted := int64(1)
+	if j.Kind == modeler.WorkAllAtOnce {
+		wanted = int64(j.Tasks)
+	}
 	var room int64
 	var retry time.Duration
 	for _, e := range c.endpoints {
@@ -138,14 +142,9 @@
 
 			continue
 		}
-		room += times(e.capacity, j.Needs)
-	}
-	wanted := int64(1)
-	if j.Kind == modeler.WorkAllAtOnce {
-		wanted = int64(j.Tasks)
-	}
-	if room >= wanted {
-		return nil
+		if room += times(e.capacity, j.Needs); room >= wanted {
+			return nil
+		}
 	}
 
 	return modeler.NotRun(modeler.CodeNeverFits, retry,
--- a/internal/partition/runner/claim.go
+++ b/internal/partition/runner/claim.go
@@ -11,6 +11,9 @@
 	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
 )
 
+// campaignEvery is the pace at which heartbeats are looked at.
+const campaignEvery = 100 * time.Millisecond
+
 // claim is a claim of this instance that has not been read back.
 type claim struct {
 	term modeler.Term
@@ -29,9 +32,10 @@
 // campaign claims the partition when it is due, and takes the term of this
 // instance's rank when the log does not answer the claim.
 func (r *Runner) campaign(ctx context.Context, now time.Time) {
-	if r.draining.Load() || !r.view.ok {
+	if r.draining.Load() || !r.view.ok || now.Sub(r.campaigned) < campaignEvery {
 		return
 	}
+	r.campaigned = now
 	if r.claim != nil {
 		r.pursue(ctx, now)
 
@@ -104,6 +108,8 @@
 	}
 	r.core = nil
 	r.claim = nil
+	// The new owner is given time to be heard before this instance claims again.
+	r.elector = elector.Elector{}
 	r.append.settle()
 	r.set.Logger.Info("lost partition", "partition", r.set.Partition.Name, "term", core.Term(), "owner", r.state.Owner)
 	r.update(ctx, core, owner.LostMsg{Void: void})
@@ -169,23 +175,22 @@
 }
 
 // raise moves the owner to a later epoch, because an endpoint has seen a later
-// term than this one: that of an instance that could not reach the log or that
-// owned the endpoint for another partition. An owner that cannot claim gives
-// up instead.
-func (r *Runner) raise(ctx context.Context, cmd owner.SupersededCmd) {
-	now := r.set.Clock()
+// term than this one: that of an instance that raised no majority, or that
+// owned the endpoint for another partition.
+func (r *Runner) raise(ctx context.Context, cmd owner.RaiseCmd) {
 	r.set.Logger.Warn("endpoint has seen a later term", "partition", r.set.Partition.Name, "endpoint", cmd.Endpoint, "term", r.core.Term())
-	stuck := !r.core.Ready() && r.follow.silent(now, elector.LogPatience)
-	if r.draining.Load() || r.claim != nil || stuck {
-		r.lose(ctx, false)
-
-		return
+	if !r.draining.Load() && r.claim == nil {
+		r.update(ctx, r.core, owner.RaiseMsg{Successors: elector.Successors(r.electorView(), r.set.Clock())})
 	}
-	r.update(ctx, r.core, owner.RaiseMsg{Successors: elector.Successors(r.electorView(), now)})
 }
 
-// won takes over the partition under a claim that is in the log.
+// won takes over the partition under a claim that is in the log. An owner that
+// has its majority goes on under the new term; one that has not starts anew,
+// because another owner may have worked in the meantime.
 func (r *Runner) won(ctx context.Context, batch encoder.Batch) {
+	if r.core != nil && !r.core.Ready() {
+		r.lose(ctx, true)
+	}
 	if r.core != nil {
 		r.update(ctx, r.core, owner.TermMsg{Term: batch.Term, Seq: batch.Seq})
 
--- a/internal/partition/runner/runner.go
+++ b/internal/partition/runner/runner.go
@@ -96,6 +96,8 @@
 	load     atomic.Pointer[modeler.Load]
 
 	waiting waiting
+	// driver carries out commands in place of goroutines; nil but in a Stepper.
+	driver Driver
 
 	// mu guards state, which the loop changes and queries read.
 	mu    sync.RWMutex
@@ -112,7 +114,9 @@
 	// asking is when a snapshot was last asked for.
 	asking time.Time
 	loaded time.Time
-	tasks  sync.WaitGroup
+	// campaigned is when heartbeats were last looked at.
+	campaigned time.Time
+	tasks      sync.WaitGroup
 }
 
 // view is what the loop last saw of configuration and endpoints.
@@ -337,10 +341,20 @@
 			r.hand(cmd)
 		}
 	case owner.SupersededCmd:
+		if core == r.core {
+			r.set.Logger.Warn("superseded", "partition", r.set.Partition.Name, "endpoint", cmd.Endpoint, "term", core.Term())
+			r.lose(ctx, false)
+		}
+	case owner.RaiseCmd:
 		if core == r.core {
 			r.raise(ctx, cmd)
 		}
 	default:
+		if r.driver != nil {
+			r.driver.Carry(core, cmd)
+
+			return
+		}
 		r.tasks.Add(1)
 		go (&errand{runner: r, core: core, cmd: cmd}).run(ctx)
 	}
