Give tokens only while holding a majority of the endpoints

Cause: an owner that was cut off from its endpoints, but not from the log, gave part of a team's limit away. Its successor on the other side of the cut had taken over by rank without the log, did not know of the gift and used that part too. Change: an owner gives only while it holds fresh renewals of a majority.

--- a/internal/partition/owner/team.go
+++ b/internal/partition/owner/team.go
@@ -141,6 +141,10 @@
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeNotOwner, notOwnerRetry, "partition %s has another owner", c.partition))
 	case c.journal.down || !c.claimed() || c.journal.full():
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeLogDown, logRetry, "partition %s: the log does not answer", c.partition))
+	case !c.Ready():
+		// A successor that reaches the endpoints but not the log may have taken
+		// over, and would not know of the gift.
+		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeNotOwner, askEvery, "partition %s has lost the majority of its endpoints", c.partition))
 	case parts.Zero() || c.contends(t, msg.To):
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeOverLimit, askEvery, "partition %s has nothing idle of team %s", c.partition, msg.Team))
 	default:
