--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -234,7 +234,10 @@
 	e.busy = false
 	if msg.Err != nil {
 		if errors.Is(msg.Err, messenger.ErrTerm) && msg.Term == c.term {
-			c.emit(SupersededCmd{Endpoint: e.instance.ID})
+			c.refused = e.instance.ID
+			if c.refusedAt.IsZero() {
+				c.refusedAt = c.now
+			}
 		}
 
 		return
@@ -292,9 +295,11 @@
 	for _, s := range e.strangers {
 		hidden = hidden.Add(s.needs)
 	}
-	for _, t := range e.tasks {
-		if !t.job.released {
-			hidden = hidden.Add(t.job.Needs)
+	if !c.released {
+		for _, t := range e.tasks {
+			if !t.job.released {
+				hidden = hidden.Add(t.job.Needs)
+			}
 		}
 	}
 	msg := scheduler.EndpointMsg{
--- a/internal/partition/runner/runner.go
+++ b/internal/partition/runner/runner.go
@@ -114,7 +114,9 @@
 	// asking is when a snapshot was last asked for.
 	asking time.Time
 	loaded time.Time
-	tasks  sync.WaitGroup
+	// campaigned is when heartbeats were last looked at.
+	campaigned time.Time
+	tasks      sync.WaitGroup
 }
 
 // view is what the loop last saw of configuration and endpoints.
@@ -339,6 +341,11 @@
 			r.hand(cmd)
 		}
 	case owner.SupersededCmd:
+		if core == r.core {
+			r.set.Logger.Warn("superseded", "partition", r.set.Partition.Name, "endpoint", cmd.Endpoint, "term", core.Term())
+			r.lose(ctx, false)
+		}
+	case owner.RaiseCmd:
 		if core == r.core {
 			r.raise(ctx, cmd)
 		}
