Let a partition without endpoints give tokens

Cause: the condition of a majority also held back partitions that have no endpoint, which nobody can take work to: TestTokens_MoveToWhereTheyAreNeeded failed with 'no use of the whole limit within 20s'. Change: the condition applies only while endpoints are listed. Measured: the test passes.

--- a/internal/partition/owner/team.go
+++ b/internal/partition/owner/team.go
@@ -173,7 +173,7 @@
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeNotOwner, notOwnerRetry, "partition %s has another owner", c.partition))
 	case c.journal.down || !c.claimed() || c.journal.full():
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeLogDown, logRetry, "partition %s: the log does not answer", c.partition))
-	case !c.Ready():
+	case !c.Ready() && c.listsAny():
 		// A successor that reaches the endpoints but not the log may have taken
 		// over, and would not know of the gift.
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeNotOwner, askEvery, "partition %s has lost the majority of its endpoints", c.partition))
@@ -198,6 +198,13 @@
 	}
 }
 
+// listsAny reports whether the partition has endpoints at all.
+func (c *Core) listsAny() bool {
+	_, listed := c.count(func(*endpoint) bool { return false })
+
+	return listed > 0
+}
+
 // contends reports whether this partition keeps the idle part of a team's limit
 // because it waits for more of it. Of two partitions that wait, the one with the
 // lower name gives nothing, so that they do not pass the same part to and fro
