Survive the loss of a partition in the middle of a tick

Cause: an update of the core can lose the partition (an endpoint has seen a later term), and the next update of the same tick dereferenced the nil core. Change: an update without a core does nothing.

--- a/internal/partition/runner/runner.go
+++ b/internal/partition/runner/runner.go
@@ -324,8 +324,12 @@
 	r.update(ctx, r.core, owner.SnapshotMsg{Prune: before})
 }
 
-// update passes a message to a core and carries out its commands.
+// update passes a message to a core and carries out its commands. Without a
+// core it does nothing: the update before may have lost the partition.
 func (r *Runner) update(ctx context.Context, core *owner.Core, msg owner.Msg) {
+	if core == nil {
+		return
+	}
 	for _, cmd := range core.Update(msg, r.set.Clock()) {
 		r.carryOut(ctx, core, cmd)
 	}
