Try again when the time of an avoidance has ended

Cause: a job keeps away from an endpoint where a task of it failed for a minute, and an all-at-once job waits between two plans. A pass that started nothing for these reasons alone was not repeated before something else changed, so on an idle partition the job waited for ever. Change: such a pass is repeated like one that was held back by a limit. The tests of internal/core pass.

--- a/internal/core/scheduler/choose.go
+++ b/internal/core/scheduler/choose.go
@@ -52,7 +52,7 @@
 func (s *Scheduler) scan(c *search, j *job, from, to int, now time.Time) {
 	for at := s.ledger.Next(from, c.needs); at >= 0 && at < to; at = s.ledger.Next(at+1, c.needs) {
 		if j.avoids(at, now) || !s.permitted(j, at, now) {
-			c.refused = true
+			c.refused, s.limited = true, true
 
 			continue
 		}
--- a/internal/core/scheduler/chore.go
+++ b/internal/core/scheduler/chore.go
@@ -23,7 +23,8 @@
 	s.ticked = now
 	if s.limited && now.Sub(s.askedAgain) >= askEvery {
 		// A request for more of a limit may have been refused or lost, so a job
-		// that waits behind its limit asks again without another change.
+		// that waits behind its limit asks again without another change. In the
+		// same way the time ends during which a job avoids an endpoint.
 		s.changed, s.limited, s.askedAgain = true, false, now
 	}
 	for range due {
--- a/internal/core/scheduler/gang.go
+++ b/internal/core/scheduler/gang.go
@@ -106,6 +106,8 @@
 // roomFor returns how many tasks of j may be started on an endpoint now.
 func (s *Scheduler) roomFor(j *job, at int, now time.Time) int {
 	if j.avoids(at, now) {
+		s.limited = true
+
 		return 0
 	}
 	room := s.ledger.Room(at, s.sized(j))
--- a/internal/core/scheduler/pass.go
+++ b/internal/core/scheduler/pass.go
@@ -158,6 +158,8 @@
 func (s *Scheduler) try(j *job, now time.Time) outcome {
 	together := j.Kind == modeler.WorkAllAtOnce
 	if together && (j.running > 0 || now.Before(j.retry)) {
+		s.limited = true
+
 		return notYet
 	}
 	if !j.team.Allows(j.Needs.Scale(int64(j.width()))) {
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -69,8 +69,8 @@
 	// changed is set when a pass may start what the last one could not, apart
 	// from releases, which servedRelease compares.
 	changed bool
-	// limited is set when a job was held back by its team's limit since
-	// askedAgain.
+	// limited is set when a job was held back since askedAgain by its team's
+	// limit, or by something that ends with time alone.
 	askedAgain    time.Time
 	limited       bool
 	servedRelease uint64
