Judge a lost start by the present attempt only

Cause: an endpoint repeats the end of a task until it is acknowledged. When the next attempt was sent to the same endpoint and lost, the inventory of the new session listed the end of the earlier attempt, and the owner took the present one for listed. It stayed 'starting' for ever. Change: only the end of the present attempt counts as listed.

--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -91,7 +91,10 @@
 	}
 	e.strangers = strangers
 	for _, f := range reply.Finished {
-		listed[f.Task] = true
+		// The end of an earlier attempt says nothing of the present one.
+		if t, ok := c.tasks[f.Task]; ok && t.attempt == f.Attempt {
+			listed[f.Task] = true
+		}
 		c.finish(e, f)
 	}
 	for _, t := range sortedTasks(e) {
