--- a/internal/partition/owner/team.go
+++ b/internal/partition/owner/team.go
@@ -173,6 +173,10 @@
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeNotOwner, notOwnerRetry, "partition %s has another owner", c.partition))
 	case c.journal.down || !c.claimed() || c.journal.full():
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeLogDown, logRetry, "partition %s: the log does not answer", c.partition))
+	case !c.Ready() && c.listsAny():
+		// A successor that reaches the endpoints but not the log may have taken
+		// over, and would not know of the gift.
+		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeNotOwner, askEvery, "partition %s has lost the majority of its endpoints", c.partition))
 	case parts.Zero():
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeOverLimit, askEvery, "partition %s has nothing idle of team %s", c.partition, msg.Team))
 	default:
@@ -194,6 +198,13 @@
 	}
 }
 
+// listsAny reports whether the partition has endpoints at all.
+func (c *Core) listsAny() bool {
+	_, listed := c.count(func(*endpoint) bool { return false })
+
+	return listed > 0
+}
+
 // receive takes a gift that the giver's stream contains.
 func (c *Core) receive(gift encoder.Gift) {
 	if c.retired || gift.To != c.partition || gift.Seq <= c.gifts.LastReceived[gift.From] {
