--- a/internal/peer/forwarder/forwarder_test.go
+++ b/internal/peer/forwarder/forwarder_test.go
@@ -127,6 +127,9 @@
 	}
 	o.submit.Store(submit(func(ctx context.Context, _ modeler.SubmitMsg) (modeler.SubmitReply, error) {
 		<-ctx.Done()
+		// The owner's deadline is before the caller's, so that its answer can
+		// still arrive; this one comes after both.
+		time.Sleep(200 * time.Millisecond)
 
 		return modeler.SubmitReply{}, modeler.NotRun(modeler.CodeInternal, 0, "too late to be heard")
 	}))
