Keep attempts rising after an earlier owner's starts

Cause: an owner by rank counted attempts from its own view; when it then read later attempts of the earlier owner, readers of the stream ignored its changes and the task stayed queued there. A full ring could also have dropped a batch while an append hung. Change: a start takes an attempt above every known one. A settled batch ends its append at once. Work held back after the release is hidden from the scheduler's view of an endpoint too. Measured: all tests of internal/partition pass with -race.

--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -297,7 +297,7 @@
 	for _, s := range e.strangers {
 		hidden = hidden.Add(s.needs)
 	}
-	if !c.released {
+	if !c.released || c.holding {
 		for _, t := range e.tasks {
 			if !t.job.released {
 				hidden = hidden.Add(t.job.Needs)
--- a/internal/partition/owner/owner_test.go
+++ b/internal/partition/owner/owner_test.go
@@ -362,6 +362,27 @@
 	}
 }
 
+// TestForeign_AttemptsGoOn guards against starts that readers of the stream
+// ignore because an earlier owner had already made later attempts.
+func TestForeign_AttemptsGoOn(t *testing.T) {
+	decider := &scripted{}
+	b := newBench(t, decider, 3, 0)
+	b.submit(1, "j", nil)
+	b.pass(50 * time.Millisecond)
+	b.send(ForeignMsg{Batch: encoder.Batch{
+		Tasks: []encoder.TaskChange{{Job: "j", Task: "j/0", State: modeler.TaskQueued, Attempt: 2}},
+	}})
+	decider.next = []scheduler.Command{scheduler.StartCmd{Task: "j/0", Endpoint: "e000", Attempt: 1}}
+	b.pass(100 * time.Millisecond)
+	if len(b.starts) != 1 || b.starts[0].Request.Task.Attempt != 3 {
+		t.Fatalf("starts: %+v, want one with attempt 3", b.starts)
+	}
+	b.finish(b.starts[0])
+	if state := b.core.tasks["j/0"].state; state != modeler.TaskFinished {
+		t.Errorf("task is %s", state)
+	}
+}
+
 // BenchmarkTask measures the core's share of the cost of one task from its
 // submission to its end, with the scheduler.
 func BenchmarkTask(b *testing.B) {
--- a/internal/partition/owner/work.go
+++ b/internal/partition/owner/work.go
@@ -211,7 +211,12 @@
 
 		return
 	}
-	t.attempt = t.base + max(cmd.Attempt, 1)
+	// The decider does not count the starts of earlier owners. Readers of the
+	// stream ignore what belongs to an earlier attempt than the last one.
+	if attempt := t.base + cmd.Attempt; attempt <= t.attempt {
+		t.base += t.attempt + 1 - attempt
+	}
+	t.attempt = t.base + cmd.Attempt
 	c.place(t, e)
 	if !t.job.Once {
 		t.state = modeler.TaskStarting
--- a/internal/partition/runner/appender.go
+++ b/internal/partition/runner/appender.go
@@ -93,10 +93,13 @@
 		return
 	}
 	for pause := appendPause; next.ctx.Err() == nil; pause = min(2*pause, maxAppendPause) {
-		attempt, cancel := context.WithTimeout(ctx, appendTimeout)
+		// A settled batch needs no answer any more.
+		attempt, cancel := context.WithTimeout(next.ctx, appendTimeout)
+		release := context.AfterFunc(ctx, cancel)
 		_, err := r.set.Log.Append(attempt, stream(r.set.Partition.Name), data)
+		release()
 		cancel()
-		if err == nil || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || next.ctx.Err() != nil {
 			return
 		}
 		r.set.Logger.Debug("append failed", "partition", r.set.Partition.Name, "seq", next.batch.Seq, "error", err)
