Refuse a resend of a request that ran without an answer

Cause: a request that the executor executed without an answer (the call failed or its lease ended) is resolved as 'ran'. A resend of it was then answered with success and an empty answer. Change: the resend is refused with the outcome 'ran'.

--- a/internal/partition/owner/call.go
+++ b/internal/partition/owner/call.go
@@ -120,6 +120,13 @@
 	}
 	switch r.change.State {
 	case encoder.RequestRan:
+		if r.change.Answer == nil {
+			c.answer(entry.waiter, nil, &modeler.Refusal{
+				Outcome: modeler.OutcomeRan, Code: modeler.CodeLostAnswer, Detail: "request " + string(id) + " ran and the executor has no answer to it",
+			})
+
+			return true
+		}
 		c.answer(entry.waiter, modeler.CallReply{Request: id, Answer: r.change.Answer, Endpoint: r.change.Endpoint, Duplicate: true}, nil)
 	case encoder.RequestVoided:
 		c.answer(entry.waiter, nil, modeler.NotRun(modeler.CodeConflict, 0, "request %s was voided and is never executed", id))
--- a/internal/proof/soaker/load.go
+++ b/internal/proof/soaker/load.go
@@ -38,7 +38,7 @@
 func (a *asked) note(refusal *modeler.Refusal) {
 	a.open--
 	switch {
-	case refusal == nil:
+	case refusal == nil || refusal.Outcome == modeler.OutcomeRan:
 		a.taken = true
 	case refusal.Outcome == modeler.OutcomeNotRun:
 		a.notRun++
@@ -287,6 +287,7 @@
 
 			return
 		}
+		w.checkf(checkAnswer, refusal.Outcome != modeler.OutcomeRan || r.executions > 0, "request %s did not run, and its caller was told that it did", r.key.request)
 		switch {
 		case l.quiet:
 		case !r.idempotent && refusal.Outcome == modeler.OutcomeUnknown:
