--- a/internal/partition/owner/team.go
+++ b/internal/partition/owner/team.go
@@ -177,7 +177,7 @@
 		// A successor that reaches the endpoints but not the log may have taken
 		// over, and would not know of the gift.
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeNotOwner, askEvery, "partition %s has lost the majority of its endpoints", c.partition))
-	case parts.Zero() || c.contends(t, msg.To):
+	case parts.Zero():
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeOverLimit, askEvery, "partition %s has nothing idle of team %s", c.partition, msg.Team))
 	default:
 		gift := encoder.Gift{
@@ -205,14 +205,6 @@
 	return listed > 0
 }
 
-// contends reports whether this partition keeps the idle part of a team's limit
-// because it waits for more of it. Of two partitions that wait, the one with the
-// lower name gives nothing, so that they do not pass the same part to and fro
-// for ever while neither has enough for an all-at-once job.
-func (c *Core) contends(t *team, to modeler.PartitionID) bool {
-	return c.partition < to && !t.asked.IsZero() && c.now.Sub(t.asked) < 2*askEvery
-}
-
 // receive takes a gift that the giver's stream contains.
 func (c *Core) receive(gift encoder.Gift) {
 	if c.retired || gift.To != c.partition || gift.Seq <= c.gifts.LastReceived[gift.From] {
