Charge tasks by the use that their queue has shown

Cause: tasks that use more than they declare overloaded their endpoint until the next usage report; only reported excess was taken into account. Change: after ten ended tasks, a queue's average use above the declared sizes raises what its waiting tasks are charged; use below them never lowers it, because endpoints refuse tasks by declared sizes.

--- a/internal/core/scheduler/choose.go
+++ b/internal/core/scheduler/choose.go
@@ -7,12 +7,18 @@
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
-// sized returns what an endpoint is charged for a task of j.
-func (s *Scheduler) sized(j *job) modeler.Resources { return j.Needs }
+// resize sets what endpoints are charged for the waiting tasks of j. It stays
+// the same while tasks wait, so that room kept for them is enough.
+func (s *Scheduler) resize(j *job) {
+	j.size = j.queue.size(j.Needs)
+	if j.size != j.Needs && (!s.ledger.FitsEmpty(j.size) || (j.Kind == modeler.WorkAllAtOnce && s.capacityFor(j, j.size) < j.Tasks)) {
+		j.size = j.Needs
+	}
+}
 
 // choose returns the position for the next task of j, or -1 if none has room.
 func (s *Scheduler) choose(j *job, by scorer, now time.Time) int {
-	needs := s.sized(j)
+	needs := j.size
 	if s.isUnfit(needs) {
 		return -1
 	}
@@ -111,13 +117,13 @@
 // fits reports whether one task of j fits an endpoint at all.
 func (s *Scheduler) fits(j *job) bool { return s.ledger.FitsEmpty(j.Needs) }
 
-// capacityFor counts how many tasks of j all endpoints would hold if empty.
-func (s *Scheduler) capacityFor(j *job) int {
+// capacityFor counts how many tasks of j, each of the given size, all endpoints would hold if empty.
+func (s *Scheduler) capacityFor(j *job, size modeler.Resources) int {
 	best, sum := 0, 0
 	for _, rack := range s.ledger.Racks() {
 		inRack := 0
 		for _, at := range rack.Members {
-			inRack += accountant.Copies(j.Needs, s.ledger.Node(at).Capacity)
+			inRack += accountant.Copies(size, s.ledger.Node(at).Capacity)
 		}
 		best, sum = max(best, inRack), sum+inRack
 		if best >= j.Tasks || (!j.SameRack && sum >= j.Tasks) {
--- a/internal/core/scheduler/gang.go
+++ b/internal/core/scheduler/gang.go
@@ -32,10 +32,10 @@
 // plan returns the positions for count tasks of j, or nil if they do not all
 // have room. It prefers one rack, and the rack with the least room to spare.
 func (s *Scheduler) plan(j *job, count int, now time.Time) []int {
-	if !s.ledger.MayFit(s.sized(j)) {
+	if !s.ledger.MayFit(j.size) {
 		return nil
 	}
-	whole := j.Needs.Scale(int64(count))
+	whole := j.size.Scale(int64(count))
 	racks := s.ledger.Racks()
 	best, spare, seen := -1, 0, 0
 	for number := s.ledger.NextRack(0, whole); number >= 0 && seen < rackScan; number = s.ledger.NextRack(number+1, whole) {
@@ -90,7 +90,7 @@
 // scatter returns positions for count tasks over any racks.
 func (s *Scheduler) scatter(j *job, count int, now time.Time) []int {
 	plan := make([]int, 0, count)
-	needs := s.sized(j)
+	needs := j.size
 	for at := s.ledger.Next(0, needs); at >= 0; at = s.ledger.Next(at+1, needs) {
 		for range s.roomFor(j, at, now) {
 			plan = append(plan, at)
@@ -108,7 +108,7 @@
 	if j.avoids(at, now) {
 		return 0
 	}
-	room := s.ledger.Room(at, s.sized(j))
+	room := s.ledger.Room(at, j.size)
 	if room == 0 || s.permitted(j, at, now) && (at >= len(s.holds) || s.holds[at].owner == nil || s.holds[at].owner.job == j) {
 		return room
 	}
@@ -116,5 +116,5 @@
 		return room
 	}
 
-	return min(room, accountant.Copies(j.Needs, s.holds[at].spare))
+	return min(room, accountant.Copies(j.size, s.holds[at].spare))
 }
--- a/internal/core/scheduler/history.go
+++ b/internal/core/scheduler/history.go
@@ -16,6 +16,10 @@
 	// expected and cautious are the factors on declared run times that the mean
 	// and the variance give.
 	expected, cautious float64
+	// millis and memory are the averages of what tasks used over what they
+	// declared, from sized samples.
+	millis, memory float64
+	sized          int
 	// kept estimates the probability that a checkpoint succeeds.
 	kept float64
 }
@@ -46,6 +50,7 @@
 		}
 		h.kept += 0.1 * (kept - h.kept)
 	}
+	h.measure(r.job.Needs, m.Used)
 	if m.Result != ResultOK || r.job.Runtime <= 0 {
 		return
 	}
@@ -61,3 +66,41 @@
 	h.variance = (1 - rate) * (h.variance + rate*delta*delta)
 	h.derive()
 }
+
+// measure learns from what a task of the given needs was seen to use.
+func (h *history) measure(needs, used modeler.Resources) {
+	if used.Millis <= 0 || used.Memory <= 0 || needs.Millis <= 0 || needs.Memory <= 0 {
+		return
+	}
+	h.sized++
+	rate := max(learnRate, 1/float64(h.sized))
+	h.millis += rate * (float64(used.Millis)/float64(needs.Millis) - h.millis)
+	h.memory += rate * (float64(used.Memory)/float64(needs.Memory) - h.memory)
+}
+
+const (
+	// sizedLeast is the number of tasks from which a queue's use is trusted.
+	sizedLeast = 10
+	// sizeSteps rounds factors up, so that they rarely change and equal jobs
+	// keep equal sizes.
+	sizeSteps = 8
+	// mostSize bounds the factor on declared sizes.
+	mostSize = 4
+)
+
+// size returns what an endpoint is charged for a task: what it declares, or
+// more where tasks of the queue use more than they declare. Less is never
+// charged, because endpoints refuse tasks by their declared sizes.
+func (h *history) size(needs modeler.Resources) modeler.Resources {
+	if h.sized < sizedLeast {
+		return needs
+	}
+	scale := func(amount int64, factor float64) int64 {
+		steps := math.Ceil(min(max(factor, 1), mostSize) * sizeSteps)
+
+		return int64(float64(amount) * steps / sizeSteps)
+	}
+	needs.Millis, needs.Memory = scale(needs.Millis, h.millis), scale(needs.Memory, h.memory)
+
+	return needs
+}
--- a/internal/core/scheduler/job.go
+++ b/internal/core/scheduler/job.go
@@ -72,8 +72,10 @@
 	kind  policy
 	tasks []task
 	// waiting lists the indexes of the queued tasks, next one first.
-	waiting   []int
-	running   int
+	waiting []int
+	running int
+	// size is what an endpoint is charged for a task.
+	size      modeler.Resources
 	live      int
 	band      band
 	cancelled bool
--- a/internal/core/scheduler/lifecycle.go
+++ b/internal/core/scheduler/lifecycle.go
@@ -25,7 +25,8 @@
 		j.tasks[i] = task{state: modeler.TaskQueued, at: -1, queued: now}
 		j.waiting[i] = i
 	}
-	j.band = s.bandOf(j, now)
+	j.band = s.bandOf(j)
+	s.resize(j)
 	s.jobs[m.ID] = j
 	s.stats.Queued += m.Tasks
 	s.shares.Wait(j.team, m.Needs.Scale(int64(m.Tasks)))
@@ -45,7 +46,7 @@
 }
 
 // bandOf returns the band of a job by its class.
-func (s *Scheduler) bandOf(j *job, _ time.Time) band {
+func (s *Scheduler) bandOf(j *job) band {
 	if !s.settings.Bands {
 		return bandStandard
 	}
@@ -166,7 +167,7 @@
 func (s *Scheduler) start(j *job, at int, now time.Time) bool {
 	r := ref{j, j.waiting[0]}
 	t := r.task()
-	charge := s.sized(j)
+	charge := j.size
 	if t.state != modeler.TaskQueued || !j.team.Allows(j.Needs) {
 		s.fault("start of a task that is not queued or above its team's limit")
 
@@ -291,6 +292,7 @@
 	s.stats.Queued++
 	s.shares.Wait(j.team, j.Needs)
 	if wasEmpty {
+		s.resize(j)
 		s.enqueue(j)
 	}
 	if j.Kind == modeler.WorkAllAtOnce && j.running > 0 {
--- a/internal/core/scheduler/line.go
+++ b/internal/core/scheduler/line.go
@@ -30,7 +30,7 @@
 	team  *sharer.Team
 	order int
 	jobs  [bands]*btree.BTreeG[*job]
-	// least is a lower bound of the needs of the jobs in each band.
+	// least is a lower bound of the sizes of the jobs in each band.
 	least [bands]modeler.Resources
 	// present is set while the line is in the scheduler's list of the band.
 	present [bands]bool
@@ -68,9 +68,9 @@
 func (l *line) add(j *job) {
 	tree := l.jobs[j.band]
 	if tree.Len() == 0 {
-		l.least[j.band] = j.Needs
+		l.least[j.band] = j.size
 	} else {
-		l.least[j.band] = l.least[j.band].Min(j.Needs)
+		l.least[j.band] = l.least[j.band].Min(j.size)
 	}
 	tree.ReplaceOrInsert(j)
 }
--- a/internal/core/scheduler/note.go
+++ b/internal/core/scheduler/note.go
@@ -73,7 +73,7 @@
 // neverFits reports whether the job could not run even in an empty cluster.
 func (s *Scheduler) neverFits(j *job) bool {
 	if j.Kind == modeler.WorkAllAtOnce {
-		return s.capacityFor(j) < j.Tasks
+		return s.capacityFor(j, j.Needs) < j.Tasks
 	}
 
 	return !s.fits(j)
@@ -89,7 +89,7 @@
 		cause := causeBehind
 		if !j.team.Allows(j.Needs) {
 			cause = causeLimit
-		} else if s.isUnfit(j.Needs) {
+		} else if s.isUnfit(j.size) {
 			cause = s.roomCause(j)
 		}
 		s.note(j, modeler.EventQueued, cause)
--- a/internal/core/scheduler/preempt.go
+++ b/internal/core/scheduler/preempt.go
@@ -141,7 +141,7 @@
 // a number of copies of the claim's task, and what that loses.
 func (s *Scheduler) victims(c claim, at, copies int, now time.Time) ([]ref, float64, bool) {
 	node := s.ledger.Node(at)
-	wanted := c.job.Needs.Scale(int64(copies))
+	wanted := c.job.size.Scale(int64(copies))
 	if !node.Usable || node.Held || node.Removed || !wanted.Fits(node.Capacity) {
 		return nil, 0, false
 	}
@@ -247,7 +247,7 @@
 	j.reserved.until = now.Add(promiseFor)
 	j.reserved.copies += copies
 	j.reserved.places = append(j.reserved.places, at)
-	amount := j.Needs.Scale(int64(copies))
+	amount := j.size.Scale(int64(copies))
 	s.holds[at] = hold{owner: j.reserved, amount: amount, spare: free.Sub(amount)}
 }
 
@@ -299,7 +299,7 @@
 		if wanted == 0 || s.holds[at].owner != nil || c.job.avoids(at, now) {
 			continue
 		}
-		copies := min(wanted, accountant.Copies(c.job.Needs, s.ledger.Node(at).Capacity))
+		copies := min(wanted, accountant.Copies(c.job.size, s.ledger.Node(at).Capacity))
 		for ; copies > 0; copies-- {
 			if victims, _, ok := s.victims(c, at, copies, now); ok {
 				parts = append(parts, part{at, copies, victims})
--- a/internal/core/scheduler/reserve.go
+++ b/internal/core/scheduler/reserve.go
@@ -66,7 +66,7 @@
 		return true
 	}
 
-	return j.Needs.Fits(h.spare) || !now.Add(j.cautious()).After(h.owner.start)
+	return j.size.Fits(h.spare) || !now.Add(j.cautious()).After(h.owner.start)
 }
 
 // useReservation accounts for a task of j that starts beside a reservation.
@@ -81,7 +81,7 @@
 		return
 	}
 	if now.Add(j.cautious()).After(h.owner.start) {
-		h.spare = h.spare.Sub(j.Needs)
+		h.spare = h.spare.Sub(j.size)
 	}
 }
 
@@ -92,7 +92,7 @@
 		return
 	}
 	r.copies--
-	h.amount = h.amount.Sub(r.job.Needs)
+	h.amount = h.amount.Sub(r.job.size)
 	if r.copies <= 0 {
 		s.dropReservation(r.job)
 	} else if h.amount.Zero() {
@@ -213,7 +213,7 @@
 		return j.running == 0
 	}
 
-	return 2*j.Needs.Dominant(s.largest) >= 1
+	return 2*j.size.Dominant(s.largest) >= 1
 }
 
 // renew estimates the start again on the reserved endpoints, and from time to
@@ -253,7 +253,7 @@
 	r.start = p.start
 	for _, place := range p.places {
 		r.places = append(r.places, place.at)
-		amount := r.job.Needs.Scale(int64(place.copies))
+		amount := r.job.size.Scale(int64(place.copies))
 		s.holds[place.at] = hold{owner: r, amount: amount, spare: place.free.Sub(amount)}
 	}
 	s.changed = true
@@ -303,7 +303,7 @@
 // what j needs, up to maxGroup.
 func (s *Scheduler) window(j *job, from int) []int {
 	racks := s.ledger.Racks()
-	each := max(1, accountant.Copies(j.Needs, s.largest))
+	each := max(1, accountant.Copies(j.size, s.largest))
 	most := min(maxGroup, max(16, 4*j.width()/each))
 	members := make([]int, 0, maxGroup)
 	for i := range racks {
--- a/internal/core/scheduler/scheduler_test.go
+++ b/internal/core/scheduler/scheduler_test.go
@@ -273,3 +273,29 @@
 		t.Fatalf("adopted task was started: %+v", starts)
 	}
 }
+
+// TestAccountsByUse guards against workers that are overloaded because a queue's
+// tasks use more than they declare, or because an endpoint reports more use
+// than was charged.
+func TestAccountsByUse(t *testing.T) {
+	c := newCluster(t, 1)
+	c.send(UsageMsg{Endpoint: "w00", Usage: modeler.Resources{Millis: 6000, Memory: 1 << 30}})
+	c.job("first", "a", 8, 1, nil)
+	if starts := of[StartCmd](c.decide(time.Second)); len(starts) != 2 {
+		t.Fatalf("%d tasks started beside use of 6 of 8 processors", len(starts))
+	}
+	c.send(UsageMsg{Endpoint: "w00"})
+	c.decide(time.Second)
+	for i := range 8 {
+		c.send(EndedMsg{Task: TaskName("first", i), Result: ResultOK, Used: modeler.Resources{Millis: 2000, Memory: 1 << 30}})
+	}
+	c.job("more", "a", 2, 1, nil)
+	c.decide(time.Second)
+	for i := range 2 {
+		c.send(EndedMsg{Task: TaskName("more", i), Result: ResultOK, Used: modeler.Resources{Millis: 2000, Memory: 1 << 30}})
+	}
+	c.job("last", "a", 8, 1, nil)
+	if starts := of[StartCmd](c.decide(time.Second)); len(starts) != 4 {
+		t.Fatalf("%d tasks started that use 2 of 8 processors each", len(starts))
+	}
+}
