--- a/internal/core/scheduler/chore.go
+++ b/internal/core/scheduler/chore.go
@@ -37,7 +37,6 @@
 		s.escalate(now)
 	case 3:
 		s.heal(now)
-		s.age(now)
 	case 4, 7, 10, 13, 16, 19:
 		s.reviewReservations(now)
 	default:
--- a/internal/core/scheduler/deadline.go
+++ b/internal/core/scheduler/deadline.go
@@ -131,28 +131,6 @@
 	s.enqueue(j)
 }
 
-// deferMost is how long deferred work waits before it is served like standard
-// work, so that it is not put off for as long as the cluster is full.
-const deferMost = time.Hour
-
-// age raises deferred work that has waited for long.
-func (s *Scheduler) age(now time.Time) {
-	if !s.settings.Age {
-		return
-	}
-	for _, l := range s.waiting[bandDeferred] {
-		for {
-			j, ok := l.jobs[bandDeferred].Min()
-			if !ok || now.Sub(j.Accepted) < deferMost {
-				break
-			}
-			l.remove(j)
-			j.band = bandStandard
-			s.enqueue(j)
-		}
-	}
-}
-
 // endanger warns a job's team, once, that its deadline is in danger.
 func (s *Scheduler) endanger(j *job, cause string, finish time.Time) {
 	if j.endangered {
--- a/internal/core/scheduler/settings.go
+++ b/internal/core/scheduler/settings.go
@@ -43,8 +43,6 @@
 	Reclaim bool
 	// Deadlines orders batch work by deadline and raises work in danger.
 	Deadlines bool
-	// Age serves deferred work like standard work after an hour.
-	Age bool
 	// Quarantine closes workers that fail every task.
 	Quarantine bool
 	// Scan bounds the jobs of one team that a pass looks at.
@@ -59,7 +57,7 @@
 func Full() Settings {
 	return Settings{
 		Order: OrderShare, Choice: ChoiceScored, Bands: true, Reserve: true, Preempt: true, Reclaim: true,
-		Deadlines: true, Age: true, Quarantine: true, Scan: 16, Candidates: 4, Seed: 1,
+		Deadlines: true, Quarantine: true, Scan: 16, Candidates: 4, Seed: 1,
 	}
 }
 
