Keep tasks that may run only once off suspect endpoints

Cause: such tasks cannot be tried again, and failed on workers that were failing everything but were not quarantined yet. Change: for up to 10 s they wait for an endpoint without recent failures.

--- a/internal/core/scheduler/choose.go
+++ b/internal/core/scheduler/choose.go
@@ -61,7 +61,7 @@
 // scan compares endpoints with room at positions from up to below to.
 func (s *Scheduler) scan(c *search, j *job, from, to int, now time.Time) {
 	for at := s.ledger.Next(from, c.needs); at >= 0 && at < to; at = s.ledger.Next(at+1, c.needs) {
-		if j.avoids(at, now) || !s.permitted(j, at, now) {
+		if j.avoids(at, now) || s.suspects(j, at, now) || !s.permitted(j, at, now) {
 			if c.refused++; c.refused >= maxRefused {
 				return
 			}
--- a/internal/core/scheduler/health.go
+++ b/internal/core/scheduler/health.go
@@ -85,6 +85,18 @@
 	j.avoided = append(j.avoided, avoidance{at, now.Add(pause), 1})
 }
 
+// suspectFor is how long a task that may run only once waits for an endpoint
+// without recent failures; it cannot be tried again elsewhere.
+const suspectFor = 10 * time.Second
+
+// suspects reports whether a task that may run only once keeps away from an
+// endpoint because its last tasks failed.
+func (s *Scheduler) suspects(j *job, at int, now time.Time) bool {
+	h := &s.health[at]
+
+	return j.Once && (h.failures > 0 || h.periods > 0) && now.Sub(j.Accepted) < suspectFor
+}
+
 // judge updates the health of an endpoint from a task that ended there.
 func (s *Scheduler) judge(j *job, at int, m EndedMsg, now time.Time) {
 	h := &s.health[at]
