--- a/internal/core/scheduler/scheduler_test.go
+++ b/internal/core/scheduler/scheduler_test.go
@@ -299,3 +299,25 @@
 		t.Fatalf("%d tasks started that use 2 of 8 processors each", len(starts))
 	}
 }
+
+// TestQuietClusterRetries guards against work that is never tried again on a
+// cluster where nothing else happens.
+func TestQuietClusterRetries(t *testing.T) {
+	c := newCluster(t, 2)
+	c.send(TeamMsg{ID: "b", Share: 1, Allotment: modeler.Resources{Memory: 1 << 40}})
+	c.job("limited", "b", 1, 1, nil)
+	c.job("first", "a", 1, 8, nil)
+	c.decide(time.Second)
+	c.job("gang", "a", 2, 8, func(j *modeler.Job) { j.Kind = modeler.WorkAllAtOnce })
+	c.decide(time.Millisecond)
+	c.send(EndedMsg{Task: "first/0", Result: ResultOK})
+	asked, started := 0, 0
+	for range 30 {
+		commands := c.decide(50 * time.Millisecond)
+		asked += len(of[TokensCmd](commands))
+		started += len(of[StartCmd](commands))
+	}
+	if started != 2 || asked == 0 {
+		t.Fatalf("%d tasks of the all-at-once job started, %d requests for a higher limit", started, asked)
+	}
+}
