--- a/internal/core/scheduler/pass.go
+++ b/internal/core/scheduler/pass.go
@@ -158,8 +158,6 @@
 func (s *Scheduler) try(j *job, now time.Time) outcome {
 	together := j.Kind == modeler.WorkAllAtOnce
 	if together && (j.running > 0 || now.Before(j.retry)) {
-		s.limited = true
-
 		return notYet
 	}
 	if !j.team.Allows(j.Needs.Scale(int64(j.width()))) {
@@ -179,7 +177,6 @@
 // for more of it.
 func (s *Scheduler) blockedByLimit(j *job, now time.Time) {
 	s.note(j, modeler.EventQueued, causeLimit)
-	s.limited = true
 	if now.Sub(j.line.asked) < askEvery {
 		return
 	}
