Take the names of the demo from the deployment

The demo had the regions, teams, queues and services of one example built in, so that the other example never got owners for its regions and ended with 'owners of all endpoints: context deadline exceeded'.

It now reads the deployment directory and chooses one queue or service for each kind of work, with a team that has a key in keys.txt, and fails before it starts anything if a kind is missing.

--- a/internal/proof/demonstrator/demo.go
+++ b/internal/proof/demonstrator/demo.go
@@ -16,7 +16,7 @@
 
 	"github.com/pkg/errors"
 
-	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/config/merger"
 	"gitlab.com/greengagewall/greengagewall/internal/proof/caller"
 	"gitlab.com/greengagewall/greengagewall/internal/proof/launcher"
 )
@@ -43,7 +43,7 @@
 	settings Settings
 	cluster  *launcher.Cluster
 	recorder *caller.Recorder
-	secrets  map[string]string
+	plan     plan
 	entries  []netip.AddrPort
 	rows     []row
 	// explained is the job whose records are printed.
@@ -71,12 +71,12 @@
 
 func (d *demo) run(ctx context.Context, processes *launcher.Launcher) error {
 	var err error
-	if d.secrets, err = readSecrets(filepath.Join(d.settings.Deployment, "keys.txt")); err != nil {
+	if d.plan, err = readPlan(d.settings.Deployment); err != nil {
 		return err
 	}
 	begun := time.Now()
 	d.cluster, err = launcher.Start(ctx, processes, launcher.Settings{
-		Binary: d.settings.Binary, Standin: d.settings.Standin, Regions: []string{"costa", "sierra", "selva"},
+		Binary: d.settings.Binary, Standin: d.settings.Standin, Regions: d.plan.regions,
 		Entries: 2, Workers: 16, Executors: 8, Cores: 16, Memory: 64, ServiceTime: 5 * time.Millisecond,
 	})
 	if err != nil {
@@ -134,9 +134,18 @@
 	_, _ = fmt.Fprintf(d.settings.Out, format, args...)
 }
 
-// team returns a team with one of its keys.
-func (d *demo) team(team, key string) caller.Team {
-	return caller.Team{Name: modeler.TeamID(team), Secret: d.secrets[team+"/"+key]}
+// readPlan reads a deployment directory.
+func readPlan(dir string) (plan, error) {
+	secrets, err := readSecrets(filepath.Join(dir, "keys.txt"))
+	if err != nil {
+		return plan{}, err
+	}
+	result, err := merger.Load(dir)
+	if err != nil {
+		return plan{}, err
+	}
+
+	return newPlan(result.Document, secrets)
 }
 
 // readSecrets reads lines of team, key and secret.
--- a/internal/proof/demonstrator/report.go
+++ b/internal/proof/demonstrator/report.go
@@ -70,7 +70,7 @@
 
 // explain prints the records of the all-at-once job.
 func (d *demo) explain(ctx context.Context) error {
-	team := d.team("forecasts", "plumes")
+	team := d.plan.gang.team
 	for _, entry := range d.cluster.Entries {
 		if !entry.Process().Alive() {
 			continue
--- a/internal/proof/demonstrator/steps.go
+++ b/internal/proof/demonstrator/steps.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,19 +21,13 @@
 	publicLookups = 30
 	lookupCallers = 12
 	batchTasks    = 240
-	plumeTasks    = 6
-	ensembleTasks = 8
+	urgentTasks   = 6
+	gangTasks     = 8
 	// tries bounds the attempts of one request; with the pauses in between
 	// they outlast a takeover.
 	tries = 15
 )
 
-var (
-	lookup = caller.Service{Name: "air-quality", Idempotent: true}
-	public = caller.Service{Name: "air-quality-public", Idempotent: true}
-	alert  = caller.Service{Name: "health-alert"}
-)
-
 // row is a line of the table.
 type row struct {
 	what     string
@@ -58,7 +53,7 @@
 // perform sends all work, with the failure of an owner on the way.
 func (d *demo) perform(ctx context.Context) error {
 	steps := []func(context.Context) row{
-		d.lookups, d.publicLookups, d.alerts, d.withdrawn, d.overLimit, d.neverFits, d.batch, d.plumes, d.ensemble,
+		d.lookups, d.publicLookups, d.alerts, d.withdrawn, d.overLimit, d.neverFits, d.batch, d.urgent, d.gang,
 	}
 	rows := make([]row, len(steps))
 	var group sync.WaitGroup
@@ -118,22 +113,23 @@
 }
 
 func (d *demo) lookups(ctx context.Context) row {
-	return d.calls(ctx, "service calls (air-quality)", d.team("health", "lima"), lookup, lookups)
+	what := "service calls (" + d.plan.idempotent.Name + ")"
+
+	return d.calls(ctx, what, d.plan.idempotentTeam, d.plan.idempotent, lookups)
 }
 
 func (d *demo) publicLookups(ctx context.Context) row {
-	return d.calls(ctx, "service calls without a key", caller.Team{Name: "public"}, public, publicLookups)
+	return d.calls(ctx, "service calls without a key", d.plan.owner, d.plan.open, publicLookups)
 }
 
 // alerts sends each non-idempotent request twice with the same key.
 func (d *demo) alerts(ctx context.Context) row {
 	r := row{what: "non-idempotent call, sent twice", answer: "ran once"}
-	team := d.team("health", "cusco")
 	for i := range 5 {
-		key := fmt.Sprintf("alert-%d", i)
+		key := fmt.Sprintf("%s-%d", d.plan.once.Name, i)
 		var bodies [2][]byte
 		for n := range bodies {
-			result := d.recorder.Call(ctx, team, alert, key, []byte("evacuate"), tries)
+			result := d.recorder.Call(ctx, d.plan.onceTeam, d.plan.once, key, []byte("notice"), tries)
 			reason := ""
 			if !result.Last.OK() {
 				reason = refusal(result.Last)
@@ -165,15 +161,19 @@
 
 func (d *demo) withdrawn(ctx context.Context) row {
 	r := row{what: "withdrawn key", answer: "refused, not run"}
-	_, result := d.submit(ctx, "forecasts", "retired", "withdrawn", "plumes", 1, 1000, "100ms")
+	_, result := d.submit(ctx, d.plan.withdrawn, work{name: "withdrawn", tasks: 1, millis: 1000, run: "100ms"})
 	r.add(result.Waited, expect(result.Last, modeler.CodeWithdrawnKey))
 
 	return r
 }
 
+// overLimit needs one whole worker more than the team's upper limit.
 func (d *demo) overLimit(ctx context.Context) row {
 	r := row{what: "above the team's upper limit", answer: "refused, not run"}
-	_, result := d.submit(ctx, "reanalyses", "archive", "over-limit", "ensembles", 100, 16000, "100ms")
+	largest := d.cluster.Settings.Worker().Millis
+	tasks := int(d.plan.gang.limit.Millis/largest) + 1
+	_, result := d.submit(ctx, d.plan.gang,
+		work{name: "over-limit", tasks: tasks, millis: largest, run: "100ms", gang: true})
 	r.add(result.Waited, expect(result.Last, modeler.CodeOverLimit))
 
 	return r
@@ -181,52 +181,61 @@
 
 func (d *demo) neverFits(ctx context.Context) row {
 	r := row{what: "larger than any worker", answer: "refused, not run"}
-	_, result := d.submit(ctx, "reanalyses", "archive", "never-fits", "reanalyses", 1, 17000, "100ms")
+	_, result := d.submit(ctx, d.plan.batch,
+		work{name: "never-fits", tasks: 1, millis: d.cluster.Settings.Worker().Millis + 1000, run: "100ms"})
 	r.add(result.Waited, expect(result.Last, modeler.CodeNeverFits))
 
 	return r
 }
 
 func (d *demo) batch(ctx context.Context) row {
-	return d.job(ctx, "batch run", "reanalyses", "archive", "reanalyses", batchTasks, 2000, "400ms")
+	r, _ := d.job(ctx, d.plan.batch, work{name: "batch run", tasks: batchTasks, millis: 2000, run: "400ms"})
+
+	return r
 }
 
-func (d *demo) plumes(ctx context.Context) row {
-	return d.job(ctx, "urgent job", "forecasts", "plumes", "plumes", plumeTasks, 4000, "300ms")
+func (d *demo) urgent(ctx context.Context) row {
+	r, _ := d.job(ctx, d.plan.urgent, work{name: "urgent job", tasks: urgentTasks, millis: 4000, run: "300ms"})
+
+	return r
 }
 
-func (d *demo) ensemble(ctx context.Context) row {
-	return d.job(ctx, "all-at-once job", "forecasts", "plumes", "ensembles", ensembleTasks, 8000, "2s")
+func (d *demo) gang(ctx context.Context) row {
+	r, job := d.job(ctx, d.plan.gang,
+		work{name: "all-at-once job", tasks: gangTasks, millis: 8000, run: "2s", gang: true})
+	d.explained = string(job)
+
+	return r
 }
 
-// submit hands in a job whose tasks run for run.
-func (d *demo) submit(
-	ctx context.Context, team, key, name, queue string, tasks int, millis int64, run string,
-) (caller.SubmitReply, caller.Result) {
-	gang := queue == "ensembles"
+// work describes a job of equal tasks, each of which runs for run.
+type work struct {
+	name   string
+	tasks  int
+	millis int64
+	run    string
+	gang   bool
+}
 
-	return d.recorder.Submit(ctx, d.team(team, key), name, caller.JobRequest{
-		Queue: modeler.QueueID(queue), Tasks: tasks, Needs: modeler.Resources{Millis: millis, Memory: 1 << 30},
-		Runtime: run, Rack: gang, Command: []string{"run", run},
-	}, gang, tries)
+// submit submits a job.
+func (d *demo) submit(ctx context.Context, to target, w work) (caller.SubmitReply, caller.Result) {
+	return d.recorder.Submit(ctx, to.team, "demo-"+strings.ReplaceAll(w.name, " ", "-"), caller.JobRequest{
+		Queue: to.queue, Tasks: w.tasks, Needs: modeler.Resources{Millis: w.millis, Memory: 1 << 30},
+		Runtime: w.run, Rack: w.gang, Command: []string{"run", w.run},
+	}, w.gang, tries)
 }
 
-// job hands in a job and waits for its end.
-func (d *demo) job(
-	ctx context.Context, what, team, key, queue string, tasks int, millis int64, run string,
-) row {
-	r := row{what: fmt.Sprintf("%s of %d tasks", what, tasks), answer: "finished"}
+// job submits a job and waits for its end.
+func (d *demo) job(ctx context.Context, to target, w work) (row, modeler.JobID) {
+	r := row{what: fmt.Sprintf("%s of %d tasks", w.name, w.tasks), answer: "finished"}
 	begun := time.Now()
-	reply, result := d.submit(ctx, team, key, "demo-"+queue, queue, tasks, millis, run)
+	reply, result := d.submit(ctx, to, w)
 	if !result.Last.OK() {
 		r.add(result.Waited, refusal(result.Last))
 
-		return r
-	}
-	if queue == "ensembles" {
-		d.explained = string(reply.Job)
+		return r, ""
 	}
-	status, err := d.await(ctx, team, key, reply.Job)
+	status, err := d.await(ctx, to.team, reply.Job)
 	reason := ""
 	if err != nil {
 		reason = err.Error()
@@ -238,13 +247,13 @@
 	}
 	r.add(time.Since(begun), reason)
 
-	return r
+	return r, reply.Job
 }
 
 // await asks instances for the state of a job until it is final.
-func (d *demo) await(ctx context.Context, team, key string, job modeler.JobID) (modeler.JobStatus, error) {
+func (d *demo) await(ctx context.Context, team caller.Team, job modeler.JobID) (modeler.JobStatus, error) {
 	var status modeler.JobStatus
-	query := caller.Query("/v1/jobs/"+string(job)+"?wait=2s", d.team(team, key).Secret)
+	query := caller.Query("/v1/jobs/"+string(job)+"?wait=2s", team.Secret)
 	for ctx.Err() == nil {
 		result := d.recorder.Pool.Send(ctx, query, 1)
 		if result.Last.OK() {
