Use one table of exit codes for all commands

Caller commands and configuration commands gave the same failure different codes: an unknown outcome was 3 or 4, a refusal 1 or 2, and an instance that could not be reached 5 or 2.

A result that cannot be written no longer ends with 0. A listener that fails under serve ends with 4. The expectations of the existing tests follow the table; none of them was dropped.

--- a/internal/cli/commander/caller.go
+++ b/internal/cli/commander/caller.go
@@ -97,26 +97,3 @@
 
 	return ctx, cancel, nil
 }
-
-// codeOf returns the exit code for an error of a caller command.
-func codeOf(err error) int {
-	var refused *modeler.Refusal
-	switch {
-	case err == nil:
-		return 0
-	case errors.Is(err, errUnreachable):
-		return codeUnreachable
-	case !errors.As(err, &refused):
-		return codeUnknown
-	}
-	switch refused.Outcome {
-	case modeler.OutcomeNotRun:
-		return codeRefused
-	case modeler.OutcomeRan:
-		return codeFailed
-	case modeler.OutcomeUnknown:
-		return codeUnknown
-	}
-
-	return codeUnknown
-}
--- a/internal/cli/commander/commands.go
+++ b/internal/cli/commander/commands.go
@@ -39,21 +39,6 @@
 	Report  *ReportCmd  `arg:"subcommand:report" help:"show the burn of service levels, or the measures"`
 }
 
-// Exit codes of serve and of the caller commands.
-const (
-	// codeRefused means that nothing ran.
-	codeRefused = 1
-	// codeUsage means that the command line or a setting is wrong.
-	codeUsage = 2
-	// codeUnknown means that it is not known whether the work ran.
-	codeUnknown = 3
-	// codeFailed means that the work ran and failed, or that records do not
-	// verify.
-	codeFailed = 4
-	// codeUnreachable means that no instance answered and nothing was sent.
-	codeUnreachable = 5
-)
-
 // Description implements arg.Described.
 func (Commands) Description() string {
 	return "greengagewall schedules the work of many teams on one cluster."
@@ -61,19 +46,7 @@
 
 // Epilogue implements arg.Epilogued.
 func (Commands) Epilogue() string {
-	return `Exit codes of serve and of caller commands:
-  0  success
-  1  refused; the work did not run and will not run
-  2  wrong usage or settings
-  3  unknown outcome, or not final in time
-  4  the work ran and failed, or records do not verify
-  5  no instance could be reached; nothing was sent
-Exit codes of check, render, diff, publish, offsets, key and report:
-  0  success
-  1  the documents differ, or an offset is not in force everywhere
-  2  wrong usage, faulty files or a refusal; nothing was changed
-  3  conflict with another publication; nothing was changed
-  4  unknown outcome of a change`
+	return exitCodes
 }
 
 // command is a subcommand.
@@ -120,6 +93,10 @@
 		return help(parser, env.Err, codeUsage)
 	}
 	code, err := chosen.Run(ctx, env)
+	if err != nil && code == codeOK {
+		// The result could not be written.
+		code = codeUnknown
+	}
 
 	return report(env.Err, code, err)
 }
--- a/internal/cli/commander/config_client.go
+++ b/internal/cli/commander/config_client.go
@@ -16,19 +16,6 @@
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
-// Exit codes of the operator commands.
-const (
-	exitOK = 0
-	// exitDiffers means that the answer is no: the documents differ, or an
-	// offset is not in force everywhere yet.
-	exitDiffers = 1
-	// exitFault means faulty files or a refusal; nothing was changed.
-	exitFault    = 2
-	exitConflict = 3
-	// exitUnknown means that a change may have taken effect.
-	exitUnknown = 4
-)
-
 // operatorHeader names the operator of a publication for the audit trail.
 const operatorHeader = "Greengagewall-Operator"
 
@@ -76,7 +63,8 @@
 }
 
 // send sends a request and decodes its answer into value. A refusal is
-// returned as *modeler.Refusal.
+// returned as *modeler.Refusal, a request that reached no instance as
+// errUnreachable.
 func (t Target) send(ctx context.Context, env Env, method, path string, header http.Header, body, value any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -90,12 +78,12 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := env.Client.Do(req)
 	if err != nil {
-		return lost(method, err)
+		return unanswered(method, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit))
 	if err != nil {
-		return lost(method, err)
+		return unanswered(method, err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return refusal(method, resp.Status, answer)
@@ -148,18 +136,3 @@
 
 	return errors.As(err, &refused) && refused.Code == code
 }
-
-// exitOf returns the exit code for an error.
-func exitOf(err error) int {
-	var refused *modeler.Refusal
-	switch {
-	case err == nil:
-		return exitOK
-	case errors.As(err, &refused) && refused.Outcome == modeler.OutcomeUnknown:
-		return exitUnknown
-	case isCode(err, modeler.CodeConflict):
-		return exitConflict
-	}
-
-	return exitFault
-}
--- a/internal/cli/commander/config_key.go
+++ b/internal/cli/commander/config_key.go
@@ -33,7 +33,7 @@
 		return c.Withdraw.Run(ctx, env)
 	}
 
-	return exitFault, errors.New("give new, grant or withdraw")
+	return codeUsage, errors.New("give new, grant or withdraw")
 }
 
 // secretSize is the number of random bytes of a secret.
@@ -54,17 +54,17 @@
 // Run prints the secret, which is stored nowhere, and its digest.
 func (c *KeyNewCmd) Run(_ context.Context, env Env) (int, error) {
 	if err := c.check(); err != nil {
-		return exitFault, err
+		return codeUsage, err
 	}
 	random := make([]byte, secretSize)
 	if _, err := rand.Read(random); err != nil {
-		return exitFault, errors.Wrap(err, "make secret")
+		return codeUsage, errors.Wrap(err, "make secret")
 	}
 	secret := "ggw_" + c.Team + "_" + hex.EncodeToString(random)
 	sum := sha256.Sum256([]byte(secret))
 	reply := keyReply{Secret: secret, Digest: hex.EncodeToString(sum[:])}
 
-	return exitOK, c.write(env.Out, reply, func(w io.Writer) error {
+	return codeOK, c.write(env.Out, reply, func(w io.Writer) error {
 		p := printer{w: w}
 		p.printf("secret: %s\ndigest: %s\n", reply.Secret, reply.Digest)
 
@@ -128,27 +128,27 @@
 // publishChange reads the document in force, edits the team and publishes.
 func (c *change) publishChange(ctx context.Context, env Env, done string, edit func(*modeler.Team) error) (int, error) {
 	if err := c.check(); err != nil {
-		return exitFault, err
+		return codeUsage, err
 	}
 	for try := 1; ; try++ {
 		current, err := c.current(ctx, env)
 		if err != nil {
-			return exitOf(err), err
+			return codeOf(err), err
 		}
 		doc, err := c.apply(current.Document, edit)
 		if err != nil {
-			return exitFault, err
+			return codeUsage, err
 		}
 		offset, err := c.publish(ctx, env, c.name(), current.Offset, doc)
 		if isCode(err, modeler.CodeConflict) && try < changeTries {
 			continue
 		}
 		if err != nil {
-			return exitOf(err), err
+			return codeOfPublication(err), err
 		}
 		reply := publishReply{Parent: current.Offset, Offset: offset, Changes: differ.Diff(current.Document, doc)}
 
-		return exitOK, c.write(env.Out, reply, func(w io.Writer) error {
+		return codeOK, c.write(env.Out, reply, func(w io.Writer) error {
 			p := printer{w: w}
 			p.printf("key %s of team %s %s at offset %d; make the same change in the files\n", c.Name, c.Team, done, offset)
 
--- a/internal/cli/commander/config_measures.go
+++ b/internal/cli/commander/config_measures.go
@@ -28,24 +28,24 @@
 // them that table is empty.
 func (c *MeasuresCmd) Run(ctx context.Context, env Env) (int, error) {
 	if err := c.check(); err != nil {
-		return exitFault, err
+		return codeUsage, err
 	}
 	current, err := c.current(ctx, env)
 	if err != nil {
-		return exitOf(err), err
+		return codeOf(err), err
 	}
 	var state reporter.State
 	if err := c.get(ctx, env, "/v1/state", "", &state); err != nil {
-		return exitOf(err), err
+		return codeOf(err), err
 	}
 	records, _, err := c.records(ctx, env, c.Target)
 	if err != nil {
-		return exitOf(err), err
+		return codeOf(err), err
 	}
 	costs := c.costs(ctx, env, state)
 	measures := reporter.Compute(current.Document, state, reporter.Waits(records), costs, env.Now())
 
-	return exitOK, c.write(env.Out, measures, measures.Text)
+	return codeOK, c.write(env.Out, measures, measures.Text)
 }
 
 // costs looks twice at every instance, the interval apart.
--- a/internal/cli/commander/config_offsets.go
+++ b/internal/cli/commander/config_offsets.go
@@ -37,7 +37,7 @@
 // Run prints the offsets; its exit code is 1 while some instance lags.
 func (c *OffsetsCmd) Run(ctx context.Context, env Env) (int, error) {
 	if err := c.check(); err != nil {
-		return exitFault, err
+		return codeUsage, err
 	}
 	target := modeler.Offset(-1)
 	if c.Offset != nil {
@@ -46,7 +46,7 @@
 
 	reply, err := c.await(ctx, env, target, c.Wait)
 	if err != nil {
-		return exitOf(err), err
+		return codeOf(err), err
 	}
 
 	return reply.exit(), c.write(env.Out, reply, func(w io.Writer) error { return reply.text(w, env.Now()) })
@@ -55,10 +55,10 @@
 // exit returns the exit code that tells whether some instance lags.
 func (r offsetsReply) exit() int {
 	if r.Everywhere {
-		return exitOK
+		return codeOK
 	}
 
-	return exitDiffers
+	return codeNegative
 }
 
 // await looks at the offsets until target is in force everywhere or wait has
--- a/internal/cli/commander/config_publish.go
+++ b/internal/cli/commander/config_publish.go
@@ -73,31 +73,31 @@
 // shows what the other publication changed.
 func (c *PublishCmd) Run(ctx context.Context, env Env) (int, error) {
 	if err := c.check(); err != nil {
-		return exitFault, err
+		return codeUsage, err
 	}
 	result, err := c.load()
 	if err != nil {
-		return exitFault, err
+		return codeUsage, err
 	}
 	current, err := c.current(ctx, env)
 	if err != nil {
-		return exitOf(err), err
+		return codeOf(err), err
 	}
 	parent := current.Offset
 	if c.Parent != nil {
 		parent = modeler.Offset(*c.Parent)
 	}
 	if lost := differ.Reinstated(current.Document, result.Document); len(lost) > 0 && !c.Reinstate {
-		return exitFault, errors.Errorf(
+		return codeRefused, errors.Errorf(
 			"the files would admit or drop withdrawn keys (%s); nothing was published. Mark them withdrawn in the files, or give --reinstate",
 			strings.Join(lost, ", "))
 	}
 	offset, err := c.publish(ctx, env, c.name(), parent, result.Document)
 	if isCode(err, modeler.CodeConflict) {
-		return exitConflict, c.conflict(ctx, env, current, err)
+		return codeConflict, c.conflict(ctx, env, current, err)
 	}
 	if err != nil {
-		return exitOf(err), err
+		return codeOfPublication(err), err
 	}
 	reply := publishReply{Parent: parent, Offset: offset, Changes: differ.Diff(current.Document, result.Document)}
 
@@ -107,14 +107,17 @@
 // finish waits if that is asked for, and prints the publication. The document
 // is published whatever happens here.
 func (c *PublishCmd) finish(ctx context.Context, env Env, reply publishReply) (int, error) {
-	exit := exitOK
+	exit := codeOK
 	if c.Wait > 0 {
 		seen, err := c.await(ctx, env, reply.Offset, c.Wait)
 		if err != nil {
 			_, _ = fmt.Fprintln(env.Err, "published, but the offsets cannot be read:", err)
 		}
 		seen.Everywhere = seen.Everywhere && err == nil
-		reply.Seen, exit = &seen, seen.exit()
+		reply.Seen = &seen
+		if !seen.Everywhere {
+			exit = codeUnknown
+		}
 	}
 	err := c.write(env.Out, reply, func(w io.Writer) error {
 		p := printer{w: w}
--- a/internal/cli/commander/config_query.go
+++ b/internal/cli/commander/config_query.go
@@ -32,12 +32,12 @@
 // Run prints every fault of the files and returns exit code 2 if there is any.
 func (c *CheckCmd) Run(_ context.Context, env Env) (int, error) {
 	if err := c.check(); err != nil {
-		return exitFault, err
+		return codeUsage, err
 	}
 	result, err := c.load()
 	var problems parser.Problems
 	if err != nil && !errors.As(err, &problems) {
-		return exitFault, err
+		return codeUsage, err
 	}
 	doc := result.Document
 	reply := checkReply{
@@ -58,11 +58,11 @@
 
 		return p.err
 	})
-	if err != nil || !reply.Valid {
-		return exitFault, err
+	if !reply.Valid {
+		return codeUsage, err
 	}
 
-	return exitOK, nil
+	return codeOK, err
 }
 
 // RenderCmd prints the merged configuration.
@@ -75,14 +75,14 @@
 // format of the API.
 func (c *RenderCmd) Run(_ context.Context, env Env) (int, error) {
 	if err := c.check(); err != nil {
-		return exitFault, err
+		return codeUsage, err
 	}
 	result, err := c.load()
 	if err != nil {
-		return exitFault, err
+		return codeUsage, err
 	}
 
-	return exitOK, c.write(env.Out, result.Document, func(w io.Writer) error {
+	return codeOK, c.write(env.Out, result.Document, func(w io.Writer) error {
 		data, err := renderer.Render(result.Document)
 		if err != nil {
 			return err
@@ -113,28 +113,28 @@
 // that is anything.
 func (c *DiffCmd) Run(ctx context.Context, env Env) (int, error) {
 	if err := c.check(); err != nil {
-		return exitFault, err
+		return codeUsage, err
 	}
 	result, err := c.load()
 	if err != nil {
-		return exitFault, err
+		return codeUsage, err
 	}
 	current, err := c.current(ctx, env)
 	if err != nil {
-		return exitFault, err
+		return codeOf(err), err
 	}
 	reply := diffReply{
 		Offset: current.Offset, Changes: differ.Diff(current.Document, result.Document),
 		Reinstated: differ.Reinstated(current.Document, result.Document),
 	}
 	if err := c.write(env.Out, reply, reply.text); err != nil {
-		return exitFault, err
+		return codeUnknown, err
 	}
 	if len(reply.Changes) > 0 {
-		return exitDiffers, nil
+		return codeNegative, nil
 	}
 
-	return exitOK, nil
+	return codeOK, nil
 }
 
 // text prints the diff for people.
--- a/internal/cli/commander/config_report.go
+++ b/internal/cli/commander/config_report.go
@@ -27,7 +27,7 @@
 		return c.Measures.Run(ctx, env)
 	}
 
-	return exitFault, errors.New("give burn or measures")
+	return codeUsage, errors.New("give burn or measures")
 }
 
 // Exports names where decision records come from. Each team's records need a
@@ -50,11 +50,11 @@
 	for _, path := range e.Records {
 		data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
 		if err != nil {
-			return nil, nil, errors.Wrap(err, "read records")
+			return nil, nil, faulty(errors.Wrap(err, "read records"))
 		}
 		var export map[modeler.PartitionID][]modeler.Record
 		if err := json.Unmarshal(data, &export); err != nil {
-			return nil, nil, errors.Wrapf(err, "%s is not an export of records", path)
+			return nil, nil, faulty(errors.Wrapf(err, "%s is not an export of records", path))
 		}
 		take(export)
 	}
@@ -87,18 +87,18 @@
 // else from the configuration in force.
 func (c *BurnCmd) Run(ctx context.Context, env Env) (int, error) {
 	if c.Output != "html" && (Format{c.Output}).check() != nil {
-		return exitFault, errors.Errorf("--output is %q; it must be text, json or html", c.Output)
+		return codeUsage, errors.Errorf("--output is %q; it must be text, json or html", c.Output)
 	}
 	if len(c.Key)+len(c.Records) == 0 {
-		return exitFault, errors.New("give --key or --records")
+		return codeUsage, errors.New("give --key or --records")
 	}
 	doc, err := c.document(ctx, env)
 	if err != nil {
-		return exitOf(err), err
+		return codeOf(err), err
 	}
 	records, outcomes, err := c.records(ctx, env, c.Target)
 	if err != nil {
-		return exitOf(err), err
+		return codeOf(err), err
 	}
 	now := env.Now()
 	if c.At != nil {
@@ -106,10 +106,10 @@
 	}
 	report := burner.Compute(doc, append(outcomes, burner.FromRecords(doc, records, now)...), now)
 	if c.Output == "html" {
-		return exitOK, report.HTML(env.Out)
+		return codeOK, report.HTML(env.Out)
 	}
 
-	return exitOK, Format{c.Output}.write(env.Out, report, report.Text)
+	return codeOK, Format{c.Output}.write(env.Out, report, report.Text)
 }
 
 // document returns the configuration that the objectives are taken from.
@@ -117,7 +117,7 @@
 	if c.Deployment != "" || c.Base != "" {
 		result, err := c.load()
 
-		return result.Document, err
+		return result.Document, faulty(err)
 	}
 	current, err := c.current(ctx, env)
 	if err == nil && current.Offset < 0 {
--- a/internal/cli/commander/config_report_test.go
+++ b/internal/cli/commander/config_report_test.go
@@ -54,14 +54,14 @@
 // outcomes of calls, or an instance that cannot be reached.
 func TestReports(t *testing.T) {
 	s := newSession(t)
-	s.wants(exitOK, "publish "+humo)
+	s.wants(codeOK, "publish "+humo)
 	s.server.Config.Handler = http.HandlerFunc(s.reports)
 	var out strings.Builder
-	out.WriteString(s.wants(exitOK, "report burn --key secret"))
-	out.WriteString(s.wants(exitOK, "report measures --key secret"))
-	s.wants(exitFault, "report burn --key other")
-	s.wants(exitFault, "report burn")
-	if page := s.wants(exitOK, "report burn --key secret --output html"); !strings.Contains(page, "<svg") {
+	out.WriteString(s.wants(codeOK, "report burn --key secret"))
+	out.WriteString(s.wants(codeOK, "report measures --key secret"))
+	s.wants(codeRefused, "report burn --key other")
+	s.wants(codeUsage, "report burn")
+	if page := s.wants(codeOK, "report burn --key secret --output html"); !strings.Contains(page, "<svg") {
 		t.Error("no plot in the page")
 	}
 	data, err := json.Marshal(export(s.now))
@@ -73,7 +73,7 @@
 		t.Fatal(err)
 	}
 	exit, text := s.run("report burn --records " + path + " --at 2023-11-14T22:15:00Z " + humo)
-	if exit != exitOK {
+	if exit != codeOK {
 		t.Errorf("exit %d offline: %s", exit, text)
 	}
 	out.WriteString("$ report burn --records export.json --at 2023-11-14T22:15:00Z " + humo + "\n" + text)
--- a/internal/cli/commander/config_router_test.go
+++ b/internal/cli/commander/config_router_test.go
@@ -41,21 +41,21 @@
 		router.WithSelf(modeler.Instance{ID: "entry-1"}), router.WithPublisher(config),
 		router.WithConfiguration(config), router.WithMembership(alone{}),
 	)
-	s.wants(exitDiffers, "diff "+humo)
-	s.wants(exitOK, "publish "+humo+" --wait 1s")
-	s.wants(exitOK, "diff "+humo)
-	s.wants(exitOK, "key grant health piura --digest "+strings.Repeat("ab", 32))
-	s.wants(exitOK, "key withdraw health lima")
-	if out := s.wants(exitFault, "publish "+humo); !strings.Contains(out, "teams/health/keys/lima") {
+	s.wants(codeNegative, "diff "+humo)
+	s.wants(codeOK, "publish "+humo+" --wait 1s")
+	s.wants(codeOK, "diff "+humo)
+	s.wants(codeOK, "key grant health piura --digest "+strings.Repeat("ab", 32))
+	s.wants(codeOK, "key withdraw health lima")
+	if out := s.wants(codeRefused, "publish "+humo); !strings.Contains(out, "teams/health/keys/lima") {
 		t.Errorf("withdrawn key not named: %s", out)
 	}
-	s.wants(exitConflict, "publish "+humo+" --reinstate --parent 0")
-	s.wants(exitOK, "publish "+humo+" --reinstate")
-	if out := s.wants(exitOK, "offsets"); !strings.Contains(out, "offset 3 is in force everywhere") {
+	s.wants(codeConflict, "publish "+humo+" --reinstate --parent 0")
+	s.wants(codeOK, "publish "+humo+" --reinstate")
+	if out := s.wants(codeOK, "offsets"); !strings.Contains(out, "offset 3 is in force everywhere") {
 		t.Error(out)
 	}
 	platform.Close()
-	if out := s.wants(exitFault, "publish "+humo); !strings.Contains(out, "log-down (not run)") {
+	if out := s.wants(codeRefused, "publish "+humo); !strings.Contains(out, "log-down (not run)") {
 		t.Error(out)
 	}
 }
--- a/internal/cli/commander/config_test.go
+++ b/internal/cli/commander/config_test.go
@@ -153,27 +153,27 @@
 	s := newSession(t)
 	var out strings.Builder
 	step := func(exit int, line string) { out.WriteString(s.wants(exit, line)) }
-	first := s.wants(exitOK, "publish "+humo+" --site costa --operator amy")
+	first := s.wants(codeOK, "publish "+humo+" --site costa --operator amy")
 	if !strings.HasSuffix(first, "published at offset 0\n") || checker.Check(s.api.doc) != nil {
 		t.Fatalf("not published: %s", first)
 	}
-	step(exitDiffers, "diff "+humo)
-	step(exitDiffers, "diff "+humo+" --output json")
+	step(codeNegative, "diff "+humo)
+	step(codeNegative, "diff "+humo+" --output json")
 	s.api.before = func() {
 		s.api.doc.Cell, s.api.operator = "other", "bob"
 		s.api.offset++
 	}
-	step(exitConflict, "publish "+humo+" --operator amy")
+	step(codeConflict, "publish "+humo+" --operator amy")
 	s.api.doc.Cell = "humo-andino"
-	step(exitConflict, "publish "+humo+" --parent 0")
+	step(codeConflict, "publish "+humo+" --parent 0")
 	s.api.lag = 2
-	step(exitOK, "publish "+humo+" --operator amy --wait 5s")
-	step(exitOK, "diff "+humo)
+	step(codeOK, "publish "+humo+" --operator amy --wait 5s")
+	step(codeOK, "diff "+humo)
 	s.api.lag = 100
-	step(exitDiffers, "offsets --wait 1s")
-	step(exitDiffers, "publish "+humo+" --wait 1s --output json")
+	step(codeNegative, "offsets --wait 1s")
+	step(codeUnknown, "publish "+humo+" --wait 1s --output json")
 	s.api.lag = 0
-	step(exitOK, "offsets --output json")
+	step(codeOK, "offsets --output json")
 	goldie.New(t).Assert(t, "operator", []byte(out.String()))
 }
 
@@ -181,26 +181,26 @@
 // and against a publication from old files that undoes the withdrawal.
 func TestKeys(t *testing.T) {
 	s := newSession(t)
-	s.wants(exitOK, "publish "+humo)
+	s.wants(codeOK, "publish "+humo)
 	var out strings.Builder
 	step := func(exit int, line string) { out.WriteString(s.wants(exit, line)) }
 	s.api.before = func() {
 		s.api.doc.Partitions[0].Weight = 9
 		s.api.offset++
 	}
-	step(exitOK, "key withdraw health lima")
+	step(codeOK, "key withdraw health lima")
 	if s.api.doc.Partitions[0].Weight != 9 || !s.api.doc.Teams[2].Keys[0].Withdrawn {
 		t.Errorf("got %+v", s.api.doc)
 	}
 	digest := strings.Repeat("ab", 32)
-	step(exitOK, "key grant health piura --digest "+digest+" --output json")
-	step(exitFault, "key grant health piura --digest "+digest)
-	step(exitFault, "key grant schools second --digest "+digest)
-	step(exitFault, "key withdraw health nobody")
-	step(exitFault, "key withdraw nobody lima")
-	step(exitFault, "publish "+humo)
+	step(codeOK, "key grant health piura --digest "+digest+" --output json")
+	step(codeUsage, "key grant health piura --digest "+digest)
+	step(codeUsage, "key grant schools second --digest "+digest)
+	step(codeUsage, "key withdraw health nobody")
+	step(codeUsage, "key withdraw nobody lima")
+	step(codeRefused, "publish "+humo)
 	goldie.New(t).Assert(t, "keys", []byte(out.String()))
-	s.wants(exitOK, "publish "+humo+" --reinstate")
+	s.wants(codeOK, "publish "+humo+" --reinstate")
 	_, text := s.run("key new health")
 	if parts := strings.Fields(text); len(parts) != 4 || !strings.HasPrefix(parts[1], "ggw_health_") || len(parts[3]) != 64 {
 		t.Errorf("new key: %q", text)
@@ -212,9 +212,9 @@
 func TestLostPublication(t *testing.T) {
 	s := newSession(t)
 	s.api.drop = true
-	s.wants(exitUnknown, "publish "+humo)
+	s.wants(codeUnknown, "publish "+humo)
 	s.server.Close()
-	s.wants(exitFault, "publish "+humo)
+	s.wants(codeUnreachable, "publish "+humo)
 }
 
 // TestCheckFiles guards against faulty files that pass, and against faults
@@ -225,7 +225,7 @@
 	for _, line := range []string{"check " + humo, "check --deployment ../../../examples/brine-ledger --output json"} {
 		exit, text := s.run(line)
 		out.WriteString(text)
-		if exit != exitOK {
+		if exit != codeOK {
 			t.Errorf("%s: exit %d", line, exit)
 		}
 	}
@@ -240,7 +240,7 @@
 	}
 	exit, text := s.run("check --base " + path)
 	out.WriteString(strings.ReplaceAll(text, path, "base.yaml"))
-	if exit != exitFault {
+	if exit != codeUsage {
 		t.Errorf("exit %d for faulty files", exit)
 	}
 	_, text = s.run("render --deployment ../../../examples/brine-ledger")
--- a/internal/cli/commander/serve.go
+++ b/internal/cli/commander/serve.go
@@ -104,7 +104,7 @@
 		return codeUsage, err
 	}
 	if err := instance.Run(ctx); err != nil {
-		return codeRefused, err
+		return codeFailed, err
 	}
 
 	return 0, nil
