Count idempotent calls for the burn report

Idempotent calls leave no records, so that the burn report did not show them, and no instance exported its processor use to the measures.

The router counts each idempotent call of a team and queue, shed ones too, and answers GET /v1/outcomes with the counts to the key of the team. An instance knows only the calls that it took, so report burn adds up the counts of all instances and names those that do not answer. serve exports its processor use under /debug/vars.

--- a/internal/cli/commander/config_measures.go
+++ b/internal/cli/commander/config_measures.go
@@ -38,7 +38,7 @@
 	if err := c.get(ctx, env, "/v1/state", "", &state); err != nil {
 		return codeOf(err), err
 	}
-	records, _, err := c.records(ctx, env, c.Target)
+	records, err := c.records(ctx, env, c.Target)
 	if err != nil {
 		return codeOf(err), err
 	}
--- a/internal/cli/commander/config_report.go
+++ b/internal/cli/commander/config_report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/report/burner"
+	"gitlab.com/greengagewall/greengagewall/internal/report/reporter"
 )
 
 // ReportCmd holds the reports.
@@ -37,11 +39,9 @@
 	Records []string `arg:"--records,separate" help:"file with exported records, instead of the server; may be repeated"`
 }
 
-// records reads all records, and the outcomes of calls where the server has
-// them.
-func (e Exports) records(ctx context.Context, env Env, target Target) ([]modeler.Record, []burner.Outcome, error) {
+// records reads all records.
+func (e Exports) records(ctx context.Context, env Env, target Target) ([]modeler.Record, error) {
 	var records []modeler.Record
-	var outcomes []burner.Outcome
 	take := func(export map[modeler.PartitionID][]modeler.Record) {
 		for _, list := range export {
 			records = append(records, list...)
@@ -50,28 +50,63 @@
 	for _, path := range e.Records {
 		data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
 		if err != nil {
-			return nil, nil, faulty(errors.Wrap(err, "read records"))
+			return nil, faulty(errors.Wrap(err, "read records"))
 		}
 		var export map[modeler.PartitionID][]modeler.Record
 		if err := json.Unmarshal(data, &export); err != nil {
-			return nil, nil, faulty(errors.Wrapf(err, "%s is not an export of records", path))
+			return nil, faulty(errors.Wrapf(err, "%s is not an export of records", path))
 		}
 		take(export)
 	}
 	for _, key := range e.Key {
 		var export map[modeler.PartitionID][]modeler.Record
 		if err := target.get(ctx, env, "/v1/records", key, &export); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		take(export)
-		var calls []burner.Outcome
-		if err := target.get(ctx, env, "/v1/outcomes", key, &calls); err != nil && !isCode(err, modeler.CodeUnknownItem) {
-			return nil, nil, err
+	}
+
+	return records, nil
+}
+
+// outcomes reads the outcomes of idempotent calls. They are in no log: each
+// instance counts the calls that it took, so all of them are asked, and one
+// that does not answer is named on the error output.
+func (e Exports) outcomes(ctx context.Context, env Env, target Target) ([]burner.Outcome, error) {
+	if len(e.Key) == 0 {
+		return nil, nil
+	}
+	var state reporter.State
+	if err := target.get(ctx, env, "/v1/state", "", &state); err != nil {
+		return nil, err
+	}
+	instances := []modeler.Instance{state.Instance}
+	for _, peer := range state.Peers {
+		instances = append(instances, peer.Instance)
+	}
+	var outcomes []burner.Outcome
+	for i, instance := range instances {
+		// A load balancer may send the next request to another instance.
+		one := Target{Server: "http://" + instance.Address.String()}
+		if i == 0 && !instance.Address.IsValid() {
+			one = target
+		}
+		for _, key := range e.Key {
+			var calls []burner.Outcome
+			err := errors.New("its address is not known")
+			if i == 0 || instance.Address.IsValid() {
+				err = one.get(ctx, env, "/v1/outcomes", key, &calls)
+			}
+			if err != nil {
+				_, _ = fmt.Fprintf(env.Err, "calls that instance %s took are missing: %v\n", instance.ID, err)
+
+				break
+			}
+			outcomes = append(outcomes, calls...)
 		}
-		outcomes = append(outcomes, calls...)
 	}
 
-	return records, outcomes, nil
+	return outcomes, nil
 }
 
 // BurnCmd reports the use of the error budgets.
@@ -96,7 +131,11 @@
 	if err != nil {
 		return codeOf(err), err
 	}
-	records, outcomes, err := c.records(ctx, env, c.Target)
+	records, err := c.records(ctx, env, c.Target)
+	if err != nil {
+		return codeOf(err), err
+	}
+	outcomes, err := c.outcomes(ctx, env, c.Target)
 	if err != nil {
 		return codeOf(err), err
 	}
--- a/internal/cli/commander/config_report_test.go
+++ b/internal/cli/commander/config_report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -37,6 +38,7 @@
 	case path == "/v1/state":
 		reply(w, reporter.State{Instance: modeler.Instance{ID: "entry-1"}, Config: s.api.offset, Peers: []modeler.Peer{
 			{Instance: modeler.Instance{ID: "entry-2"}},
+			{Instance: modeler.Instance{ID: "entry-3", Address: s.server.Listener.Addr().(*net.TCPAddr).AddrPort()}},
 		}})
 	case path == "/debug/vars":
 		s.now = s.now.Add(time.Millisecond)
@@ -51,7 +53,8 @@
 }
 
 // TestReports guards against reports that miss the records of a partition, the
-// outcomes of calls, or an instance that cannot be reached.
+// outcomes of the calls that one instance took, or an instance that cannot be
+// reached.
 func TestReports(t *testing.T) {
 	s := newSession(t)
 	s.wants(codeOK, "publish "+humo)
@@ -59,6 +62,9 @@
 	var out strings.Builder
 	out.WriteString(s.wants(codeOK, "report burn --key secret"))
 	out.WriteString(s.wants(codeOK, "report measures --key secret"))
+	if out := s.wants(codeOK, "report burn --key secret --output json"); !strings.Contains(out, `"good": 198`) {
+		t.Errorf("the calls of two instances are not added up: %s", out)
+	}
 	s.wants(codeRefused, "report burn --key other")
 	s.wants(codeUsage, "report burn")
 	if page := s.wants(codeOK, "report burn --key secret --output html"); !strings.Contains(page, "<svg") {
--- a/internal/cli/commander/serve.go
+++ b/internal/cli/commander/serve.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
 	"gitlab.com/greengagewall/greengagewall/internal/entry/starter"
+	"gitlab.com/greengagewall/greengagewall/internal/report/reporter"
 )
 
 // address is an IP address with a port. Names are refused, because instances
@@ -87,6 +89,10 @@
 	return nil
 }
 
+// publishCost exports the use of this process. expvar panics if a name is
+// published twice.
+var publishCost = sync.OnceFunc(reporter.Publish)
+
 // Run serves until ctx ends and then shuts down gracefully.
 func (c *ServeCmd) Run(ctx context.Context, env Env) (int, error) {
 	if err := c.verify(); err != nil {
@@ -95,6 +101,7 @@
 	logger := hclog.New(&hclog.LoggerOptions{
 		Name: "greengagewall", Level: hclog.LevelFromString(c.LogLevel), JSONFormat: c.LogFormat == "json", Output: env.Err,
 	})
+	publishCost()
 	instance, err := starter.New(starter.Settings{
 		Listen: netip.AddrPort(c.Listen), Peer: netip.AddrPort(c.Peer), Log: netip.AddrPort(c.Log), List: netip.AddrPort(c.List),
 		Region: c.Region, Zone: c.Zone, Prefix: c.IDPrefix, Version: c.version,
--- a/internal/entry/router/commands.go
+++ b/internal/entry/router/commands.go
@@ -216,20 +216,13 @@
 		return
 	}
 	w.Header().Set(HeaderKey, string(msg.Request))
-	ticket, err := r.admitter.Admit(admitter.Request{Lane: msg.Service, Team: msg.Team, Class: msg.Class, Timeout: msg.Timeout})
-	if err != nil {
-		r.problem(w, err)
-
-		return
-	}
 	// A service may have a longer timeout than the server's for writing.
 	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(msg.Timeout + writeMargin)); err != nil {
 		r.logger.Trace("write deadline cannot be set", "error", err)
 	}
-	ctx, cancel := context.WithTimeout(req.Context(), msg.Timeout)
-	defer cancel()
-	reply, err := r.dispatcher.Call(ctx, msg)
-	ticket.Done(asRefusal(err))
+	started := r.now()
+	reply, err := r.execute(req.Context(), msg)
+	r.count(msg, r.now().Sub(started), err)
 	if err != nil {
 		r.problem(w, err)
 
@@ -245,6 +238,31 @@
 	}
 }
 
+// execute admits a call and has it answered.
+func (r *Router) execute(ctx context.Context, msg modeler.CallMsg) (modeler.CallReply, error) {
+	ticket, err := r.admitter.Admit(admitter.Request{Lane: msg.Service, Team: msg.Team, Class: msg.Class, Timeout: msg.Timeout})
+	if err != nil {
+		return modeler.CallReply{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, msg.Timeout)
+	defer cancel()
+	reply, err := r.dispatcher.Call(ctx, msg)
+	ticket.Done(asRefusal(err))
+
+	return reply, err
+}
+
+// count counts the outcome of an idempotent call for the burn report. Other
+// calls leave records, from which the report takes them.
+func (r *Router) count(msg modeler.CallMsg, took time.Duration, err error) {
+	if !msg.Idempotent {
+		return
+	}
+	if _, queue, unknown := r.queue(msg.Queue); unknown == nil {
+		r.tally.Call(msg.Team, queue, took, err)
+	}
+}
+
 // readCall checks a call and fills in what its service decides.
 func (r *Router) readCall(w http.ResponseWriter, req *http.Request) (modeler.CallMsg, error) {
 	doc, _, ok := r.config.InForce()
--- /dev/null
+++ b/internal/entry/router/outcomes_test.go
@@ -0,0 +1,60 @@
+package router
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/entry/admitter"
+)
+
+// TestRouter_Outcomes guards against a burn report that misses idempotent
+// calls or shed ones, counts non-idempotent calls a second time beside their
+// records, counts faulty requests, or shows a team's calls to another team.
+func TestRouter_Outcomes(t *testing.T) {
+	w := newWorld()
+	for i := range w.doc.Queues {
+		w.doc.Queues[i].Objective = modeler.Objective{Wait: 1, Target: 0.99}
+	}
+	call := func(service string, failure error) {
+		w.failure = failure
+		w.send("POST /v1/services/"+service+"/calls", "lima", "Authorization", goodKey, HeaderKey, "r")
+	}
+	call("quality", nil)
+	call("quality", nil)
+	call("quality", modeler.NotRun(modeler.CodeTimeout, 0, "late"))
+	call("quality", modeler.NotRun(modeler.CodeOverLimit, 0, "excused"))
+	call("none", nil)
+	call("recall", nil)
+	w.failure = nil
+	w.send("POST /v1/services/quality/calls", "lima")
+	got := w.send("GET /v1/outcomes", "", "Authorization", goodKey)
+	goldie.New(t).Assert(t, "outcomes", got.Body.Bytes())
+	for _, key := range []string{"", "Bearer nobody-has-this"} {
+		if got := w.send("GET /v1/outcomes", "", "Authorization", key); got.Code != http.StatusUnauthorized {
+			t.Errorf("key %q: status %d: %s", key, got.Code, got.Body)
+		}
+	}
+}
+
+// refuser admits nothing.
+type refuser struct{}
+
+func (refuser) Admit(admitter.Request) (*admitter.Ticket, error) {
+	return nil, modeler.NotRun(modeler.CodeOverload, 0, "full")
+}
+
+// TestRouter_OutcomesShed guards against an overload that the burn report does
+// not show.
+func TestRouter_OutcomesShed(t *testing.T) {
+	w := newWorld()
+	w.doc.Queues[2].Objective = modeler.Objective{Wait: 1, Target: 0.99}
+	w.served = w.router()
+	w.served.admitter = refuser{}
+	w.send("POST /v1/services/quality/calls", "lima", "Authorization", goodKey)
+	if got := w.served.tally.Outcomes("apchf"); len(got) != 1 || got[0].Bad != 1 {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/internal/entry/router/queries.go
+++ b/internal/entry/router/queries.go
@@ -188,6 +188,18 @@
 	r.answer(w, http.StatusOK, r.queries.Export(team))
 }
 
+// outcomes serves GET /v1/outcomes: the idempotent calls of the key's team that
+// this instance took, by queue and interval, since its start.
+func (r *Router) outcomes(w http.ResponseWriter, req *http.Request) {
+	team, err := r.authenticator.Team(req.Header.Get("Authorization"))
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	r.answer(w, http.StatusOK, r.tally.Outcomes(team))
+}
+
 // configuration serves GET /v1/config.
 func (r *Router) configuration(w http.ResponseWriter, _ *http.Request) {
 	doc, offset, ok := r.config.InForce()
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -14,6 +14,7 @@
 
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/entry/admitter"
+	"gitlab.com/greengagewall/greengagewall/internal/report/burner"
 )
 
 const (
@@ -75,6 +76,7 @@
 	queries       modeler.Queries
 	membership    modeler.Membership
 	config        modeler.Configuration
+	tally         *burner.Tally
 	draining      func() bool
 	logger        hclog.Logger
 	waiting       chan struct{}
@@ -110,6 +112,9 @@
 // WithConfiguration sets the configuration in force.
 func WithConfiguration(c modeler.Configuration) Option { return func(r *Router) { r.config = c } }
 
+// WithTally sets where the outcomes of idempotent calls are counted.
+func WithTally(t *burner.Tally) Option { return func(r *Router) { r.tally = t } }
+
 // WithDraining sets the test of whether this instance is shutting down.
 func WithDraining(draining func() bool) Option { return func(r *Router) { r.draining = draining } }
 
@@ -119,7 +124,8 @@
 // WithClock replaces the clock that deadlines are compared with.
 func WithClock(now func() time.Time) Option { return func(r *Router) { r.now = now } }
 
-// New returns a Router; WithDraining, WithLogger and WithClock are optional.
+// New returns a Router; WithTally, WithDraining, WithLogger and WithClock are
+// optional.
 func New(opts ...Option) *Router {
 	r := &Router{
 		mux:      chi.NewMux(),
@@ -131,6 +137,9 @@
 	for _, opt := range opts {
 		opt(r)
 	}
+	if r.tally == nil {
+		r.tally = burner.NewTally(r.now)
+	}
 	r.mux.NotFound(func(w http.ResponseWriter, req *http.Request) {
 		r.problem(w, modeler.NotRun(modeler.CodeUnknownItem, 0, "no resource %s", req.URL.Path))
 	})
@@ -165,6 +174,7 @@
 		bounded.Get("/v1/requests/{id}", r.resolve)
 		bounded.Get("/v1/requests/{id}/records", r.records)
 		bounded.Get("/v1/records", r.export)
+		bounded.Get("/v1/outcomes", r.outcomes)
 		bounded.Get("/v1/config", r.configuration)
 		bounded.Get("/v1/config/offsets", r.offsets)
 		bounded.Get("/v1/state", r.state)
--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -32,6 +32,8 @@
 	known     bool
 	stale     bool
 	served    *Router
+	// failure is what calls end with.
+	failure error
 }
 
 func digest(secret string) string {
@@ -99,6 +101,9 @@
 
 func (w *world) Call(_ context.Context, msg modeler.CallMsg) (modeler.CallReply, error) {
 	w.called = append(w.called, msg)
+	if w.failure != nil {
+		return modeler.CallReply{}, w.failure
+	}
 
 	return modeler.CallReply{Request: msg.Request, Answer: append([]byte("answer to "), msg.Body...), Endpoint: "x1"}, nil
 }
--- a/internal/entry/starter/starter.go
+++ b/internal/entry/starter/starter.go
@@ -26,6 +26,7 @@
 	"gitlab.com/greengagewall/greengagewall/internal/peer/forwarder"
 	"gitlab.com/greengagewall/greengagewall/internal/peer/gossiper"
 	"gitlab.com/greengagewall/greengagewall/internal/platform/connector"
+	"gitlab.com/greengagewall/greengagewall/internal/report/burner"
 )
 
 // Settings are the settings of one process.
@@ -143,7 +144,7 @@
 			router.WithConfiguration(i.config), router.WithPublisher(i.config), router.WithDispatcher(links.dispatcher),
 			router.WithAuthenticator(authenticator.New(i.config, i.gossiper)),
 			router.WithAdmitter(admitter.New(admitter.WithMost(i.settings.Inflight), admitter.WithShares(shares.of))),
-			router.WithDraining(i.draining.Load), router.WithLogger(i.logger.Named("callers"))),
+			router.WithTally(burner.NewTally(time.Now)), router.WithDraining(i.draining.Load), router.WithLogger(i.logger.Named("callers"))),
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: headerLimit,
 		ErrorLog: i.logger.Named("callers").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
