Let slow logs keep followers of the configuration behind

Cause: followers read the whole stream at once even while the log was slow, so a late answer of a peer almost never met a newer document. Change: while the log is slow a follower's read fails nine times in ten.

--- a/internal/proof/soaker/log.go
+++ b/internal/proof/soaker/log.go
@@ -137,7 +137,7 @@
 }
 
 // prompt is the log as a configuration follower reads it: at once, or not at
-// all while the log is down or cut off.
+// all while the log is down or cut off, and seldom while it is slow.
 type prompt struct {
 	log  *fakeLog
 	host *host
@@ -150,7 +150,8 @@
 
 // Read implements messenger.Log.
 func (p prompt) Read(_ context.Context, name string, from modeler.Offset, limit int, _ time.Duration) (messenger.Page, error) {
-	if p.log.down || p.log.world.parted(p.host, p.log.host) {
+	slow := p.log.slow > 0 && p.log.world.chance(0.9)
+	if p.log.down || slow || p.log.world.parted(p.host, p.log.host) {
 		return messenger.Page{}, errDown
 	}
 
