Pass the age of the waiting job on in the soak run

Cause: main serves the older of two jobs that wait for parts of one limit; the soak run's requests for tokens did not carry the age, so two partitions passed the same part to and fro. Change: the requests carry it, as package runner's do.

--- a/internal/proof/soaker/node.go
+++ b/internal/proof/soaker/node.go
@@ -242,7 +242,7 @@
 	if len(givers) == 0 {
 		return
 	}
-	msg := modeler.TokensMsg{Partition: givers[0], To: n.name, Team: cmd.Team, Wanted: cmd.Wanted}
+	msg := modeler.TokensMsg{Partition: givers[0], To: n.name, Team: cmd.Team, Wanted: cmd.Wanted, Since: cmd.Since}
 	n.process.forward(givers[0], time.Second, func(id owner.Waiter) owner.Msg {
 		return owner.GiveMsg{Waiter: id, TokensMsg: msg}
 	}, func(_ any, refusal *modeler.Refusal) {
