--- a/internal/entry/router/queries.go
+++ b/internal/entry/router/queries.go
@@ -94,7 +94,8 @@
 }
 
 // await looks for a job until it is final, wait has passed, the caller is gone
-// or this instance shuts down.
+// or this instance shuts down. It looks for an unknown job for the time
+// followLag only: a longer wait would hold up callers and a shutdown.
 func (r *Router) await(ctx context.Context, wait time.Duration, look func() (modeler.JobStatus, bool)) (modeler.JobStatus, bool) {
 	ctx, cancel := context.WithTimeout(ctx, max(wait, followLag))
 	defer cancel()
@@ -105,6 +106,9 @@
 		if ok && (status.Final || r.draining() || time.Since(started) >= wait) {
 			return status, true
 		}
+		if !ok && time.Since(started) >= followLag {
+			return status, false
+		}
 		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -260,6 +260,16 @@
 	}
 }
 
+// TestRouter_UnknownJobWait guards against a query for an unknown job that
+// waits for its whole time, which delayed a shutdown by up to a minute.
+func TestRouter_UnknownJobWait(t *testing.T) {
+	started := time.Now()
+	got := newWorld().send("GET /v1/jobs/j-1?wait=20s", "", "Authorization", goodKey)
+	if took := time.Since(started); got.Code != http.StatusNotFound || took < followLag || took > 10*time.Second {
+		t.Errorf("status %d after %s", got.Code, took)
+	}
+}
+
 // TestRouter_Ready guards against traffic to an instance that cannot route it,
 // and against a new partition that makes every instance unready.
 func TestRouter_Ready(t *testing.T) {
