Release a gift only when no successor can miss it

Cause: an owner gave part of a limit away, then lost its region; a successor there, cut off from the log before the gift, took over by rank and used the same part again. Ruled out: a receiver that counts a gift before reading it. Weighed: a takeover by rank that starts nothing beyond what runs (no work in a log outage once the tasks have ended), a delay before a gift counts (bounds nothing, a successor can be cut off for an hour), and the chosen one: the giver claims the next epoch behind the gift, raises a majority of its endpoints to it and then releases the gift; a successor of the earlier claim gets no majority any more. The giver waits until its own use fits the reduced allotment, since such a successor may have started work before.

--- a/internal/codec/encoder/batch.go
+++ b/internal/codec/encoder/batch.go
@@ -69,8 +69,9 @@
 }
 
 // Gift moves part of a team's upper limit to another partition. The giver
-// appends it to its own stream after reducing its allotment; the receiver
-// appends a copy with Received set to its own stream after reading it.
+// appends it to its own stream after reducing its allotment, and again with
+// Released set once no successor can take over without having read it; the
+// receiver appends a copy with Received set to its own stream after that.
 type Gift struct {
 	// Seq counts the gifts of the giving partition from 1.
 	Seq  uint64              `msgpack:"i"`
@@ -82,6 +83,7 @@
 	Parts modeler.Resources `msgpack:"n"`
 	// Shape identifies the partitions and weights that Parts refers to.
 	Shape    uint64 `msgpack:"h"`
+	Released bool   `msgpack:"l,omitempty"`
 	Received bool   `msgpack:"v,omitempty"`
 }
 
--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -34,6 +34,7 @@
 		LastGiven: state.Gifts.LastGiven, LastReceived: map[modeler.PartitionID]uint64{},
 		Net: map[uint64]map[modeler.TeamID]modeler.Resources{},
 	}
+	c.restoreGifts(state.Gifts.Given)
 	for from, seq := range state.Gifts.LastReceived {
 		c.gifts.LastReceived[from] = seq
 	}
--- a/internal/partition/owner/journal.go
+++ b/internal/partition/owner/journal.go
@@ -139,6 +139,7 @@
 func (c *Core) changeTerm(msg TermMsg) {
 	c.term, c.journal.seq = msg.Term, msg.Seq
 	c.journal.inFlight, c.journal.raise = false, nil
+	c.coverGifts()
 	for _, e := range c.endpoints {
 		// The endpoints report these again; by now the job is known or void.
 		clear(e.orphans)
--- a/internal/partition/owner/messages.go
+++ b/internal/partition/owner/messages.go
@@ -244,8 +244,10 @@
 	Endpoint modeler.InstanceID
 }
 
-// RaiseCmd tells that an endpoint has seen a later term although the owner has
-// kept its majority; it is to claim the next epoch.
+// RaiseCmd asks for a claim of the next epoch, because an endpoint has seen a
+// later term although the owner has kept its majority, or because gifts wait
+// for their release.
 type RaiseCmd struct {
+	// Endpoint is empty when gifts are the reason.
 	Endpoint modeler.InstanceID
 }
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -69,7 +69,12 @@
 	lastCall     uint64
 	resolves     map[replayer.RequestKey][]Waiter
 	gifts        replayer.Gifts
-	journal      journal
+	// unreleased lists the gifts of this partition that the receiver must not
+	// use yet, in the order of their numbers.
+	unreleased []*unreleased
+	// claimAsked is when a claim was last asked for to release gifts.
+	claimAsked time.Time
+	journal    journal
 
 	// majorityAt is when a majority of the endpoints was first raised to a
 	// term of this owner; zero before.
@@ -214,6 +219,7 @@
 		c.tickEndpoint(e)
 	}
 	c.tickTakeover()
+	c.tickRelease()
 	c.tickRefused()
 	c.expireWaits()
 	c.expireCalls()
--- a/internal/partition/owner/team.go
+++ b/internal/partition/owner/team.go
@@ -184,10 +184,13 @@
 			Seq: c.gifts.LastGiven + 1, From: c.partition, To: msg.To, Team: msg.Team, Parts: parts, Shape: shape,
 		}
 		c.applyGift(gift)
+		held := &unreleased{gift: gift}
+		c.unreleased = append(c.unreleased, held)
 		// A gift is not taken back when its caller gives up: its number was
 		// used, and the receiver learns of it from the stream.
 		w := &wait{waiters: []Waiter{msg.Waiter}, expires: c.now.Add(c.patience), keep: true}
 		w.done = func(ok bool) {
+			held.logged = ok
 			for _, waiter := range w.waiters {
 				if ok {
 					c.answer(waiter, nil, nil)
--- a/internal/partition/replayer/apply.go
+++ b/internal/partition/replayer/apply.go
@@ -165,6 +165,14 @@
 func (s *State) addGift(gift encoder.Gift) {
 	parts := gift.Parts
 	switch {
+	case gift.Released && !gift.Received:
+		for i := range s.Gifts.Given {
+			if s.Gifts.Given[i].Seq == gift.Seq {
+				s.Gifts.Given[i].Released = true
+			}
+		}
+
+		return
 	case !gift.Received && gift.From == s.Partition:
 		if gift.Seq <= s.Gifts.LastGiven {
 			return
--- a/internal/partition/runner/claim.go
+++ b/internal/partition/runner/claim.go
@@ -198,7 +198,9 @@
 // term than this one: that of an instance that raised no majority, or that
 // owned the endpoint for another partition.
 func (r *Runner) raise(ctx context.Context, cmd owner.RaiseCmd) {
-	r.set.Logger.Warn("endpoint has seen a later term", "partition", r.set.Partition.Name, "endpoint", cmd.Endpoint, "term", r.core.Term())
+	if cmd.Endpoint != "" {
+		r.set.Logger.Warn("endpoint has seen a later term", "partition", r.set.Partition.Name, "endpoint", cmd.Endpoint, "term", r.core.Term())
+	}
 	if !r.draining.Load() && r.claim == nil {
 		r.update(ctx, r.core, owner.RaiseMsg{Successors: elector.Successors(r.electorView(), r.set.Clock())})
 	}
--- a/internal/partition/runner/queries.go
+++ b/internal/partition/runner/queries.go
@@ -72,7 +72,7 @@
 	defer r.mu.RUnlock()
 	var gifts []encoder.Gift
 	for _, gift := range r.state.Gifts.Given {
-		if gift.To == to {
+		if gift.To == to && gift.Released {
 			gifts = append(gifts, gift)
 		}
 	}
