Add completion scripts for bash and zsh

The commands and their flags had to be looked up in the help.

completion prints a script whose words come from the fields of the command struct by reflection, so that a new flag needs no further change. zsh loads it through bashcompinit.

A test runs the script in bash. The script for zsh was not run, because zsh is not installed on the machine of the test.

--- a/internal/cli/commander/commands.go
+++ b/internal/cli/commander/commands.go
@@ -30,6 +30,8 @@
 	State   *StateCmd   `arg:"subcommand:state" help:"show owners, loads and peers"`
 	Version *VersionCmd `arg:"subcommand:version" help:"show the version"`
 
+	Completion *CompletionCmd `arg:"subcommand:completion" help:"print a completion script for bash or zsh"`
+
 	Check   *CheckCmd   `arg:"subcommand:check" help:"check configuration files"`
 	Render  *RenderCmd  `arg:"subcommand:render" help:"show the merged configuration"`
 	Diff    *DiffCmd    `arg:"subcommand:diff" help:"compare configuration files with the document in force"`
--- /dev/null
+++ b/internal/cli/commander/completion_test.go
@@ -0,0 +1,55 @@
+package commander
+
+import (
+	"os/exec"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// TestCompletion_Bash guards against a script that bash does not accept, and
+// against words that the command at that place does not have.
+func TestCompletion_Bash(t *testing.T) {
+	bash, err := exec.LookPath("bash")
+	if err != nil {
+		t.Skip("bash is not installed")
+	}
+	code, script := execute("completion bash")
+	if code != codeOK {
+		t.Fatalf("exit code %d: %s", code, script)
+	}
+	cases := []struct {
+		line string
+		want []string
+	}{
+		{"ver", []string{"verify", "version"}},
+		{"key ", []string{"--help", "grant", "new", "withdraw"}},
+		{"key grant --d", []string{"--digest"}},
+		{"submit --job plume --run", []string{"--runtime"}},
+		{"report burn --dep", []string{"--deployment"}},
+		{"report measures --dep", nil},
+		{"wait j-1 --ti", []string{"--timeout"}},
+		{"nonsense --", nil},
+	}
+	for _, c := range cases {
+		words := strings.Split("greengagewall "+c.line, " ")
+		line := script + "\nCOMP_WORDS=(\"$@\"); COMP_CWORD=$(($# - 1)); _greengagewall; printf '%s\\n' \"${COMPREPLY[@]}\""
+		out, err := exec.Command(bash, append([]string{"-c", line, "bash"}, words...)...).CombinedOutput()
+		got := strings.Fields(string(out))
+		slices.Sort(got)
+		if err != nil || !slices.Equal(got, c.want) {
+			t.Errorf("%q: %v, want %v: %v", c.line, got, c.want, err)
+		}
+	}
+}
+
+// TestCompletion_Shells guards against a script for a shell that is not known,
+// and against one for zsh that does not load the completion of bash.
+func TestCompletion_Shells(t *testing.T) {
+	if code, out := execute("completion fish"); code != codeUsage || !strings.Contains(out, "bash or zsh") {
+		t.Errorf("exit code %d: %s", code, out)
+	}
+	if code, out := execute("completion zsh"); code != codeOK || !strings.HasPrefix(out, "autoload -U +X bashcompinit") {
+		t.Errorf("exit code %d: %s", code, out)
+	}
+}
