--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -68,11 +68,7 @@
 	largest modeler.Resources
 	// changed is set when a pass may start what the last one could not, apart
 	// from releases, which servedRelease compares.
-	changed bool
-	// limited is set when a job was held back since askedAgain by its team's
-	// limit, or by something that ends with time alone.
-	askedAgain    time.Time
-	limited       bool
+	changed       bool
 	servedRelease uint64
 	// wide is an all-at-once job that the last pass had no budget for.
 	wide *job
