--- a/internal/partition/runner/errand.go
+++ b/internal/partition/runner/errand.go
@@ -106,8 +106,7 @@
 	return owner.TaskDoneMsg{Endpoint: cmd.Endpoint.ID, Action: cmd.Action, Request: cmd.Request, Err: act(ctx, cmd.Request)}
 }
 
-// tokens asks the other partitions for tokens, those of the own region first,
-// until one has given some. The gift arrives through the giver's stream.
+// tokens asks the other partitions for tokens until one has given some. The gift arrives through the giver's stream.
 func (e *errand) tokens(ctx context.Context, cmd owner.TokensCmd) {
 	set := e.runner.set
 	if set.Tokens == nil {
@@ -119,15 +118,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tokensTimeout)
 	defer cancel()
-	for _, near := range []bool{true, false} {
-		for _, giver := range doc.Partitions {
-			if giver.Name == set.Partition.Name || (giver.Region == set.Partition.Region) != near {
-				continue
-			}
-			msg := modeler.TokensMsg{Partition: giver.Name, To: set.Partition.Name, Team: cmd.Team, Wanted: cmd.Wanted, Since: cmd.Since}
-			if err := set.Tokens.RequestTokens(ctx, msg); err == nil {
-				return
-			}
+	for _, giver := range givers(doc.Partitions, set.Partition, set.Clock()) {
+		msg := modeler.TokensMsg{Partition: giver, To: set.Partition.Name, Team: cmd.Team, Wanted: cmd.Wanted, Since: cmd.Since}
+		if err := set.Tokens.RequestTokens(ctx, msg); err == nil {
+			return
 		}
 	}
 }
