Give up a partition when another owner may have held its endpoints

Cause: an owner with a later claim that was cut off from its endpoints won them back by its higher term, without noticing that a successor of the earlier claim had taken over by rank meanwhile; it started tasks again that ran at endpoints it had not yet reached. Ruled out: starts that reach an endpoint after its new session. Change: the owner notes endpoints whose session lapsed or whose session numbers have a gap; when those and the ones it does not hold are a majority within 2 s, it gives up and takes over anew, with the bounds of a takeover.

--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -47,6 +47,9 @@
 	// contact is the latest time at which a renewal or a start may have
 	// reached the endpoint and extended a task lease. A hello extends none.
 	contact time.Time
+	// regained is when the endpoint granted a session after it may have granted
+	// one to another owner.
+	regained time.Time
 	// silent is when the session was lost.
 	silent time.Time
 	// sent is when the last hello or renewal was sent; busy while it is open.
@@ -244,6 +247,7 @@
 
 		return
 	}
+	c.noteGap(e, msg.Reply.Session)
 	e.fire(triggerGranted)
 	e.session, e.term, e.raised, e.renew = msg.Reply.Session, msg.Term, true, false
 	e.fresh, e.capacity = msg.Sent, msg.Reply.Capacity
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -221,6 +221,7 @@
 	c.tickTakeover()
 	c.tickRelease()
 	c.tickRefused()
+	c.tickDisplaced()
 	c.expireWaits()
 	c.expireCalls()
 	if c.teamsDirty {
