Raise only quiet endpoints, and let a blocked job return to avoided ones

Change: a gift raises endpoints without a start or call on its way; a job avoids at most half of the endpoints, and none after a minute without room.

--- a/internal/core/scheduler/health.go
+++ b/internal/core/scheduler/health.go
@@ -52,8 +52,13 @@
 	maxAvoided = 8
 )
 
-// avoids reports whether tasks of j keep away from an endpoint.
+// avoids reports whether tasks of j keep away from an endpoint. A job that has
+// waited for room as long as it avoids an endpoint after one failure takes any:
+// the endpoints that it avoids may be the only ones with room for it.
 func (j *job) avoids(at int, now time.Time) bool {
+	if !j.blocked.IsZero() && now.Sub(j.blocked) >= avoidFailed {
+		return false
+	}
 	for _, a := range j.avoided {
 		if a.at == at && now.Before(a.until) {
 			return true
@@ -64,8 +69,8 @@
 }
 
 // avoid keeps the tasks of j away from an endpoint for a while, and for longer
-// after repeated failures.
-func (j *job) avoid(at int, now time.Time, pause time.Duration) {
+// after repeated failures. It keeps away from most endpoints at a time.
+func (j *job) avoid(at int, now time.Time, pause time.Duration, most int) {
 	for i := range j.avoided {
 		if a := &j.avoided[i]; a.at == at {
 			if now.Before(a.until) {
@@ -79,12 +84,19 @@
 			return
 		}
 	}
-	if len(j.avoided) == maxAvoided {
+	if len(j.avoided) > 0 && len(j.avoided) >= most {
 		j.avoided = j.avoided[1:]
 	}
+	if most == 0 {
+		return
+	}
 	j.avoided = append(j.avoided, avoidance{at, now.Add(pause), 1})
 }
 
+// mostAvoided returns how many endpoints a job may keep away from: half of
+// them, so that a job that fails everywhere is not left without any.
+func (s *Scheduler) mostAvoided() int { return min(maxAvoided, s.ledger.Count()/2) }
+
 // suspectFor is how long a task that may run only once waits for an endpoint
 // without recent failures; it cannot be tried again elsewhere.
 const suspectFor = 10 * time.Second
@@ -107,9 +119,9 @@
 
 		return
 	case ResultFailed:
-		j.avoid(at, now, avoidFailed)
+		j.avoid(at, now, avoidFailed, s.mostAvoided())
 	case ResultRefused:
-		j.avoid(at, now, avoidRefused)
+		j.avoid(at, now, avoidRefused, s.mostAvoided())
 	case ResultRequeue, ResultUnknown:
 		return
 	}
--- a/internal/partition/owner/release.go
+++ b/internal/partition/owner/release.go
@@ -74,7 +74,8 @@
 }
 
 // raisedTo reports whether a majority of the endpoints has granted a session
-// under term or later, and asks as many others as are missing for one. Without
+// under term or later, and asks as many others as are missing for one, when
+// nothing is on its way to them. Without
 // endpoints a successor has nothing to start work on.
 func (c *Core) raisedTo(term modeler.Term) bool {
 	raised, listed := c.count(func(e *endpoint) bool { return e.state == endpointOpen && e.term >= term })
@@ -83,7 +84,7 @@
 		return true
 	}
 	for _, e := range ordered(c.endpoints) {
-		if missing > 0 && e.listed && e.state == endpointOpen && e.term < term {
+		if missing > 0 && e.listed && e.state == endpointOpen && e.term < term && e.quiet() {
 			e.renew = true
 			missing--
 		}
@@ -92,6 +93,18 @@
 	return false
 }
 
+// quiet reports whether no start or call is on its way to the endpoint. A new
+// session would make the endpoint refuse it.
+func (e *endpoint) quiet() bool {
+	for _, t := range e.tasks {
+		if t.state == modeler.TaskStarting {
+			return false
+		}
+	}
+
+	return len(e.calls) == 0
+}
+
 // settled reports whether the team's work fits its allotment and no endpoint
 // may run work that the owner does not know of. Work that a successor without
 // the log had started before it was fenced may exceed the reduced allotment.
