--- a/internal/cli/commander/config_client.go
+++ b/internal/cli/commander/config_client.go
@@ -49,6 +49,11 @@
 	Server string `arg:"--server,env:GREENGAGEWALL_SERVER" default:"http://127.0.0.1:8080" help:"URL of an entry instance or of the load balancer"`
 }
 
+// OperatorKey holds the key of an operator.
+type OperatorKey struct {
+	Key string `arg:"--key,env:GREENGAGEWALL_KEY" help:"key of the operator; needed once the document in force has operators"`
+}
+
 // inForce is the answer to GET and PUT /v1/config.
 type inForce struct {
 	Offset   modeler.Offset   `json:"offset"`
@@ -132,9 +137,10 @@
 }
 
 // current returns the document in force; its offset is -1 if there is none.
-func (t Target) current(ctx context.Context, env Env) (inForce, error) {
+// The key is that of an operator.
+func (t Target) current(ctx context.Context, env Env, key string) (inForce, error) {
 	var reply inForce
-	err := t.get(ctx, env, "/v1/config", "", &reply)
+	err := t.get(ctx, env, "/v1/config", key, &reply)
 	if isCode(err, modeler.CodeStaleConfig) {
 		return inForce{Offset: -1}, nil
 	}
--- a/internal/cli/commander/config_key.go
+++ b/internal/cli/commander/config_key.go
@@ -41,7 +41,7 @@
 
 // KeyNewCmd makes a secret.
 type KeyNewCmd struct {
-	Team string `arg:"positional,required" help:"name of the team"`
+	Team string `arg:"positional,required" help:"name of the team or operator"`
 	Format
 }
 
@@ -74,8 +74,9 @@
 
 // change holds what the commands that change one key have in common.
 type change struct {
-	Team string `arg:"positional,required" help:"name of the team"`
-	Name string `arg:"positional,required" help:"name of the key"`
+	Team   string `arg:"positional,required" help:"name of the team or operator"`
+	Name   string `arg:"positional,required" help:"name of the key"`
+	Holder string `arg:"--holder" default:"team" help:"whether the key is that of a team or of an operator"`
 	Target
 	Format
 	Operator
@@ -89,13 +90,12 @@
 
 // Run adds the key and publishes the document.
 func (c *KeyGrantCmd) Run(ctx context.Context, env Env) (int, error) {
-	return c.publishChange(ctx, env, "granted", func(team *modeler.Team) error {
-		if slices.ContainsFunc(team.Keys, func(k modeler.Key) bool { return k.Name == c.Name }) {
-			return errors.Errorf("team %q already has a key %q", c.Team, c.Name)
+	return c.publishChange(ctx, env, "granted", func(keys []modeler.Key) ([]modeler.Key, error) {
+		if slices.ContainsFunc(keys, func(k modeler.Key) bool { return k.Name == c.Name }) {
+			return nil, errors.Errorf("%s %q already has a key %q", c.Holder, c.Team, c.Name)
 		}
-		team.Keys = append(slices.Clone(team.Keys), modeler.Key{Name: c.Name, Digest: c.Digest})
 
-		return nil
+		return append(keys, modeler.Key{Name: c.Name, Digest: c.Digest}), nil
 	})
 }
 
@@ -106,17 +106,16 @@
 
 // Run marks the key as withdrawn and publishes the document.
 func (c *KeyWithdrawCmd) Run(ctx context.Context, env Env) (int, error) {
-	return c.publishChange(ctx, env, "withdrawn", func(team *modeler.Team) error {
-		team.Keys = slices.Clone(team.Keys)
-		for i := range team.Keys {
-			if team.Keys[i].Name == c.Name {
-				team.Keys[i].Withdrawn = true
+	return c.publishChange(ctx, env, "withdrawn", func(keys []modeler.Key) ([]modeler.Key, error) {
+		for i := range keys {
+			if keys[i].Name == c.Name {
+				keys[i].Withdrawn = true
 
-				return nil
+				return keys, nil
 			}
 		}
 
-		return errors.Errorf("team %q has no key %q", c.Team, c.Name)
+		return nil, errors.Errorf("%s %q has no key %q", c.Holder, c.Team, c.Name)
 	})
 }
 
@@ -125,13 +124,25 @@
 // the same on every document.
 const changeTries = 5
 
-// publishChange reads the document in force, edits the team and publishes.
-func (c *change) publishChange(ctx context.Context, env Env, done string, edit func(*modeler.Team) error) (int, error) {
+// edit changes a copy of the keys of one holder.
+type edit func(keys []modeler.Key) ([]modeler.Key, error)
+
+// The values of --holder.
+const (
+	holderTeam     = "team"
+	holderOperator = "operator"
+)
+
+// publishChange reads the document in force, edits the keys and publishes.
+func (c *change) publishChange(ctx context.Context, env Env, done string, edit edit) (int, error) {
 	if err := c.check(); err != nil {
 		return exitFault, err
 	}
+	if c.Holder != holderTeam && c.Holder != holderOperator {
+		return exitFault, errors.Errorf("--holder is %q; it must be team or operator", c.Holder)
+	}
 	for try := 1; ; try++ {
-		current, err := c.current(ctx, env)
+		current, err := c.current(ctx, env, c.Key)
 		if err != nil {
 			return exitOf(err), err
 		}
@@ -139,7 +150,7 @@
 		if err != nil {
 			return exitFault, err
 		}
-		offset, err := c.publish(ctx, env, c.name(), current.Offset, doc)
+		offset, err := c.publish(ctx, env, c.Operator, current.Offset, doc)
 		if isCode(err, modeler.CodeConflict) && try < changeTries {
 			continue
 		}
@@ -150,23 +161,44 @@
 
 		return exitOK, c.write(env.Out, reply, func(w io.Writer) error {
 			p := printer{w: w}
-			p.printf("key %s of team %s %s at offset %d; make the same change in the files\n", c.Name, c.Team, done, offset)
+			p.printf("key %s of %s %s %s at offset %d; make the same change in the files\n", c.Name, c.Holder, c.Team, done, offset)
 
 			return p.err
 		})
 	}
 }
 
-// apply returns a copy of doc with the team edited.
-func (c *change) apply(doc modeler.Document, edit func(*modeler.Team) error) (modeler.Document, error) {
-	doc.Teams = slices.Clone(doc.Teams)
-	i := slices.IndexFunc(doc.Teams, func(t modeler.Team) bool { return string(t.Name) == c.Team })
-	if i < 0 {
-		return doc, errors.Errorf("team %q is not declared", c.Team)
+// apply returns a copy of doc with the keys of the holder edited.
+func (c *change) apply(doc modeler.Document, edit edit) (modeler.Document, error) {
+	keys, err := c.keys(&doc)
+	if err != nil {
+		return doc, err
 	}
-	if err := edit(&doc.Teams[i]); err != nil {
+	if *keys, err = edit(slices.Clone(*keys)); err != nil {
 		return doc, err
 	}
 
 	return doc, checker.Check(doc)
 }
+
+// keys returns the keys of the holder in doc, whose lists it copies. An
+// operator consists of its keys only, so one that is not declared is added.
+func (c *change) keys(doc *modeler.Document) (*[]modeler.Key, error) {
+	if c.Holder == holderTeam {
+		doc.Teams = slices.Clone(doc.Teams)
+		i := slices.IndexFunc(doc.Teams, func(t modeler.Team) bool { return string(t.Name) == c.Team })
+		if i < 0 {
+			return nil, errors.Errorf("team %q is not declared", c.Team)
+		}
+
+		return &doc.Teams[i].Keys, nil
+	}
+	doc.Operators = slices.Clone(doc.Operators)
+	i := slices.IndexFunc(doc.Operators, func(o modeler.Operator) bool { return o.Name == c.Team })
+	if i < 0 {
+		i = len(doc.Operators)
+		doc.Operators = append(doc.Operators, modeler.Operator{Name: c.Team})
+	}
+
+	return &doc.Operators[i].Keys, nil
+}
--- a/internal/cli/commander/config_measures.go
+++ b/internal/cli/commander/config_measures.go
@@ -13,6 +13,7 @@
 	Target
 	Exports
 	Format
+	OperatorAccess
 	Interval time.Duration `arg:"--interval" default:"1s" help:"time over which the control cost is measured"`
 }
 
@@ -30,12 +31,12 @@
 	if err := c.check(); err != nil {
 		return exitFault, err
 	}
-	current, err := c.current(ctx, env)
+	current, err := c.current(ctx, env, c.OperatorKey)
 	if err != nil {
 		return exitOf(err), err
 	}
 	var state reporter.State
-	if err := c.get(ctx, env, "/v1/state", "", &state); err != nil {
+	if err := c.get(ctx, env, "/v1/state", c.OperatorKey, &state); err != nil {
 		return exitOf(err), err
 	}
 	records, _, err := c.records(ctx, env, c.Target)
--- a/internal/cli/commander/config_publish.go
+++ b/internal/cli/commander/config_publish.go
@@ -17,7 +17,8 @@
 
 // Operator names who publishes.
 type Operator struct {
-	Operator string `arg:"--operator,env:GREENGAGEWALL_OPERATOR" help:"name for the audit trail; the user's name by default"`
+	OperatorKey
+	Operator string `arg:"--operator,env:GREENGAGEWALL_OPERATOR" help:"name for the audit trail while the document in force has no operators; the user's name by default"`
 }
 
 // name returns the operator's name.
@@ -57,11 +58,14 @@
 
 // publish sends a document.
 func (t Target) publish(
-	ctx context.Context, env Env, operator string, parent modeler.Offset, doc modeler.Document,
+	ctx context.Context, env Env, operator Operator, parent modeler.Offset, doc modeler.Document,
 ) (modeler.Offset, error) {
 	header := http.Header{}
-	if operator != "" {
-		header.Set(operatorHeader, operator)
+	if name := operator.name(); name != "" {
+		header.Set(operatorHeader, name)
+	}
+	if operator.Key != "" {
+		header.Set("Authorization", "Bearer "+operator.Key)
 	}
 	var reply inForce
 	err := t.send(ctx, env, http.MethodPut, "/v1/config", header, publishRequest{Parent: parent, Document: doc}, &reply)
@@ -79,7 +83,7 @@
 	if err != nil {
 		return exitFault, err
 	}
-	current, err := c.current(ctx, env)
+	current, err := c.current(ctx, env, c.Key)
 	if err != nil {
 		return exitOf(err), err
 	}
@@ -92,7 +96,7 @@
 			"the files would admit or drop withdrawn keys (%s); nothing was published. Mark them withdrawn in the files, or give --reinstate",
 			strings.Join(lost, ", "))
 	}
-	offset, err := c.publish(ctx, env, c.name(), parent, result.Document)
+	offset, err := c.publish(ctx, env, c.Operator, parent, result.Document)
 	if isCode(err, modeler.CodeConflict) {
 		return exitConflict, c.conflict(ctx, env, current, err)
 	}
@@ -132,7 +136,7 @@
 // conflict prints what is in force now and what changed since this command
 // read the configuration.
 func (c *PublishCmd) conflict(ctx context.Context, env Env, before inForce, cause error) error {
-	now, err := c.current(ctx, env)
+	now, err := c.current(ctx, env, c.Key)
 	if err != nil {
 		return cause
 	}
--- a/internal/cli/commander/config_query.go
+++ b/internal/cli/commander/config_query.go
@@ -98,6 +98,7 @@
 	Source
 	Target
 	Format
+	OperatorKey
 }
 
 // diffReply is the JSON form of a diff.
@@ -119,7 +120,7 @@
 	if err != nil {
 		return exitFault, err
 	}
-	current, err := c.current(ctx, env)
+	current, err := c.current(ctx, env, c.Key)
 	if err != nil {
 		return exitFault, err
 	}
--- a/internal/cli/commander/config_report.go
+++ b/internal/cli/commander/config_report.go
@@ -37,6 +37,12 @@
 	Records []string `arg:"--records,separate" help:"file with exported records, instead of the server; may be repeated"`
 }
 
+// OperatorAccess holds the key of an operator in commands whose --key is that
+// of a team.
+type OperatorAccess struct {
+	OperatorKey string `arg:"--operator-key,env:GREENGAGEWALL_OPERATOR_KEY" help:"key of an operator, to read the configuration and the usage"`
+}
+
 // records reads all records, and the outcomes of calls where the server has
 // them.
 func (e Exports) records(ctx context.Context, env Env, target Target) ([]modeler.Record, []burner.Outcome, error) {
@@ -79,6 +85,7 @@
 	Source
 	Target
 	Exports
+	OperatorAccess
 	Output string     `arg:"--output" default:"text" help:"text, json or html"`
 	At     *time.Time `arg:"--at" help:"time of the report in RFC 3339 (default: now)"`
 }
@@ -119,7 +126,7 @@
 
 		return result.Document, err
 	}
-	current, err := c.current(ctx, env)
+	current, err := c.current(ctx, env, c.OperatorKey)
 	if err == nil && current.Offset < 0 {
 		err = modeler.NotRun(modeler.CodeStaleConfig, time.Second, "no configuration is in force; give --deployment or --base")
 	}
--- a/internal/cli/commander/config_router_test.go
+++ b/internal/cli/commander/config_router_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/config/follower"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/entry/authenticator"
 	"gitlab.com/greengagewall/greengagewall/internal/entry/router"
 	"gitlab.com/greengagewall/greengagewall/internal/platform/connector"
 	"gitlab.com/greengagewall/greengagewall/internal/standin/logger"
@@ -21,6 +23,27 @@
 func (alone) Peers() []modeler.Peer         { return nil }
 func (alone) Endpoints() []modeler.Instance { return nil }
 
+// freshness is that of the only entry instance.
+type freshness struct{ *follower.Follower }
+
+func (freshness) Majority(time.Time) bool { return false }
+
+// demoKey returns the secret of the operator of the example.
+func demoKey(t *testing.T) string {
+	t.Helper()
+	data, err := os.ReadFile("../../../examples/humo-andino/keys.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(data), "operator:cartographer demo ")
+	secret, _, ok := strings.Cut(rest, "\n")
+	if !ok {
+		t.Fatal("the example has no key of an operator")
+	}
+
+	return secret
+}
+
 // TestAgainstRouter guards against commands that do not fit the HTTP API of an
 // entry instance, whose body is decoded strictly.
 func TestAgainstRouter(t *testing.T) {
@@ -37,12 +60,23 @@
 		<-config.Done()
 	})
 	s := newSession(t)
+	key := demoKey(t)
 	s.server.Config.Handler = router.New(
 		router.WithSelf(modeler.Instance{ID: "entry-1"}), router.WithPublisher(config),
 		router.WithConfiguration(config), router.WithMembership(alone{}),
+		router.WithAuthenticator(authenticator.New(config, freshness{config})),
 	)
 	s.wants(exitDiffers, "diff "+humo)
 	s.wants(exitOK, "publish "+humo+" --wait 1s")
+	for _, line := range []string{"diff " + humo, "publish " + humo, "key withdraw health lima"} {
+		if out := s.wants(exitFault, line); !strings.Contains(out, "bad-key (not run)") {
+			t.Errorf("%s without a key: %s", line, out)
+		}
+	}
+	t.Setenv("GREENGAGEWALL_KEY", key)
+	if out := s.wants(exitFault, "key withdraw cartographer demo --holder operator"); !strings.Contains(out, "no operator has a usable key") {
+		t.Errorf("last key withdrawn: %s", out)
+	}
 	s.wants(exitOK, "diff "+humo)
 	s.wants(exitOK, "key grant health piura --digest "+strings.Repeat("ab", 32))
 	s.wants(exitOK, "key withdraw health lima")
--- a/internal/config/checker/checker.go
+++ b/internal/config/checker/checker.go
@@ -43,7 +43,7 @@
 
 // Check returns every fault of doc as Problems, or nil.
 func Check(doc modeler.Document) error {
-	c := &check{doc: doc, teams: map[modeler.TeamID]bool{}, queues: map[modeler.QueueID]modeler.Queue{}}
+	c := &check{doc: doc, teams: map[modeler.TeamID]bool{}, queues: map[modeler.QueueID]modeler.Queue{}, digests: map[string]string{}}
 	c.expectf(doc.Cell != "", "cell", "the cell needs a name")
 	c.expectf(len(doc.Partitions) > 0, "partitions", "at least one partition is needed")
 	c.expectf(len(doc.Teams) > 0, "teams", "at least one team is needed")
@@ -52,6 +52,7 @@
 	c.allQueues()
 	c.services()
 	c.jobs()
+	c.operators()
 	if len(c.problems) == 0 {
 		return nil
 	}
@@ -61,9 +62,11 @@
 
 // check holds the state of one check.
 type check struct {
-	doc      modeler.Document
-	teams    map[modeler.TeamID]bool
-	queues   map[modeler.QueueID]modeler.Queue
+	doc    modeler.Document
+	teams  map[modeler.TeamID]bool
+	queues map[modeler.QueueID]modeler.Queue
+	// digests maps the digest of every key to its path.
+	digests  map[string]string
 	problems Problems
 }
 
@@ -98,7 +101,6 @@
 // allTeams checks shares, limits and keys.
 func (c *check) allTeams() {
 	unique(c, c.doc.Teams, "teams", func(t modeler.Team) string { return string(t.Name) })
-	digests := map[string]string{}
 	for _, t := range c.doc.Teams {
 		c.teams[t.Name] = true
 		path := "teams/" + string(t.Name)
@@ -106,16 +108,33 @@
 		c.amount(t.Limit, path+"/limit", "the limit")
 		c.expectf(t.Limit.Slots > 0 || t.Limit.Millis > 0 && t.Limit.Memory > 0, path+"/limit",
 			"the limit admits no work: it needs slots for calls, or processors and memory for jobs")
-		unique(c, t.Keys, path+"/keys", func(k modeler.Key) string { return k.Name })
-		for _, k := range t.Keys {
-			where := path + "/keys/" + k.Name
-			c.expectf(digestForm.MatchString(k.Digest), where+"/digest", "the digest is not a SHA-256 digest in lower-case hexadecimal")
-			if first, double := digests[k.Digest]; double {
-				c.expectf(false, where+"/digest", "the digest is also that of %s", first)
-			}
-			digests[k.Digest] = where
+		c.keys(t.Keys, path+"/keys")
+	}
+}
+
+// keys checks names and digests. A digest occurs once in a document, so that
+// no key belongs to two holders.
+func (c *check) keys(keys []modeler.Key, path string) {
+	unique(c, keys, path, func(k modeler.Key) string { return k.Name })
+	for _, k := range keys {
+		where := path + "/" + k.Name
+		c.expectf(digestForm.MatchString(k.Digest), where+"/digest", "the digest is not a SHA-256 digest in lower-case hexadecimal")
+		if first, double := c.digests[k.Digest]; double {
+			c.expectf(false, where+"/digest", "the digest is also that of %s", first)
 		}
+		c.digests[k.Digest] = where
+	}
+}
+
+// operators checks names and keys. A list of operators without a usable key
+// would let nobody publish again.
+func (c *check) operators() {
+	unique(c, c.doc.Operators, "operators", func(o modeler.Operator) string { return o.Name })
+	for _, o := range c.doc.Operators {
+		c.keys(o.Keys, "operators/"+o.Name+"/keys")
 	}
+	c.expectf(len(c.doc.Operators) == 0 || slices.ContainsFunc(c.doc.Operators, modeler.Operator.Usable),
+		"operators", "no operator has a usable key; nobody could publish again")
 }
 
 // amount checks that no component is negative.
--- a/internal/config/checker/checker_test.go
+++ b/internal/config/checker/checker_test.go
@@ -33,6 +33,9 @@
 			{Name: "x", Team: "b", Queue: "jobs", Tasks: 2, Needs: modeler.Resources{Millis: 600}},
 			{Name: "y", Team: "nobody", Queue: "open", Deadline: modeler.Deadline{Clock: "06:00", Zone: "Nowhere"}},
 		},
+		Operators: []modeler.Operator{
+			{Name: "amy", Keys: []modeler.Key{{Name: "stolen", Digest: digest, Withdrawn: true}}}, {Name: "amy"},
+		},
 	})
 	goldie.New(t).Assert(t, "problems", []byte(err.Error()+"\n"))
 	if err := checker.Check(modeler.Document{}); err == nil {
--- a/internal/config/differ/differ.go
+++ b/internal/config/differ/differ.go
@@ -73,25 +73,35 @@
 // or gone in another. A key that is gone could be granted again by mistake.
 func Reinstated(from, to modeler.Document) []string {
 	kept := map[string]bool{}
-	for _, team := range to.Teams {
-		for _, key := range team.Keys {
-			if key.Withdrawn {
-				kept[key.Digest] = true
-			}
+	eachKey(to, func(_ string, key modeler.Key) {
+		if key.Withdrawn {
+			kept[key.Digest] = true
 		}
-	}
+	})
 	var lost []string
-	for _, team := range from.Teams {
-		for _, key := range team.Keys {
-			if key.Withdrawn && !kept[key.Digest] {
-				lost = append(lost, fmt.Sprintf("teams/%s/keys/%s", team.Name, key.Name))
-			}
+	eachKey(from, func(path string, key modeler.Key) {
+		if key.Withdrawn && !kept[key.Digest] {
+			lost = append(lost, path)
 		}
-	}
+	})
 
 	return lost
 }
 
+// eachKey calls visit for the keys of all teams and operators.
+func eachKey(doc modeler.Document, visit func(path string, key modeler.Key)) {
+	for _, team := range doc.Teams {
+		for _, key := range team.Keys {
+			visit("teams/"+string(team.Name)+"/keys/"+key.Name, key)
+		}
+	}
+	for _, operator := range doc.Operators {
+		for _, key := range operator.Keys {
+			visit("operators/"+operator.Name+"/keys/"+key.Name, key)
+		}
+	}
+}
+
 // fields collects the values of a document by path.
 type fields map[string]string
 
@@ -126,6 +136,10 @@
 	for _, j := range doc.Jobs {
 		f.job("jobs/"+j.Name, j)
 	}
+	eachKey(doc, func(path string, key modeler.Key) {
+		f.put(path+"/digest", key.Digest)
+		f.flag(path+"/withdrawn", key.Withdrawn)
+	})
 
 	return f
 }
@@ -134,10 +148,6 @@
 func (f fields) team(path string, t modeler.Team) {
 	f.put(path+"/share", strconv.FormatInt(t.Share, 10))
 	f.amount(path+"/limit", t.Limit)
-	for _, k := range t.Keys {
-		f.put(path+"/keys/"+k.Name+"/digest", k.Digest)
-		f.flag(path+"/keys/"+k.Name+"/withdrawn", k.Withdrawn)
-	}
 }
 
 // queue adds the fields of a queue.
--- a/internal/config/differ/differ_test.go
+++ b/internal/config/differ/differ_test.go
@@ -20,6 +20,10 @@
 	if got := differ.Reinstated(from, to); !slices.Equal(got, []string{"teams/a/keys/one", "teams/a/keys/two"}) {
 		t.Errorf("got %v", got)
 	}
+	from.Operators = []modeler.Operator{{Name: "amy", Keys: []modeler.Key{{Name: "laptop", Digest: "4", Withdrawn: true}}}}
+	if got := differ.Reinstated(from, modeler.Document{Teams: from.Teams}); !slices.Equal(got, []string{"operators/amy/keys/laptop"}) {
+		t.Errorf("got %v for a dropped operator", got)
+	}
 	if got := differ.Reinstated(from, from); got != nil {
 		t.Errorf("got %v for no change", got)
 	}
--- a/internal/config/follower/follower_test.go
+++ b/internal/config/follower/follower_test.go
@@ -272,6 +272,27 @@
 	x.refused(err, modeler.CodeBadConfig, modeler.OutcomeNotRun)
 }
 
+// TestLastOperatorKey guards against a publication that opens the configuration
+// to everybody by dropping the operators, also on top of another one's document.
+func TestLastOperatorKey(t *testing.T) {
+	x := newFixture(t)
+	f := x.follower()
+	open := modeler.Document{Cell: "open"}
+	closed := modeler.Document{Cell: "closed"}
+	closed.Operators = []modeler.Operator{{Name: "amy", Keys: []modeler.Key{{Name: "laptop", Digest: strings.Repeat("a", 64)}}}}
+	first, err := f.Publish(context.Background(), none, closed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = f.Publish(context.Background(), first, open)
+	x.refused(err, modeler.CodeBadConfig, modeler.OutcomeNotRun)
+	replaced := closed
+	replaced.Operators = []modeler.Operator{{Name: "bob", Keys: []modeler.Key{{Name: "laptop", Digest: strings.Repeat("b", 64)}}}}
+	if _, err := f.Publish(context.Background(), first, replaced); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestOfferNeverLowers guards against a peer that takes an instance back to an
 // older configuration, in which a withdrawn key works again.
 func TestOfferNeverLowers(t *testing.T) {
--- a/internal/config/follower/publish.go
+++ b/internal/config/follower/publish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -57,6 +58,9 @@
 	if f.parentInForce() != parent {
 		return none, f.conflict(parent)
 	}
+	if err := f.keepsOperators(parent, doc); err != nil {
+		return none, err
+	}
 	data, err := f.encode(operator, parent, doc)
 	if err != nil {
 		return none, modeler.NotRun(modeler.CodeInternal, 0, "%v", err)
@@ -65,6 +69,19 @@
 	return f.append(ctx, parent, data)
 }
 
+// keepsOperators refuses a document without a usable operator key when the
+// document in force at parent has one. Dropping all operators would open the
+// configuration to everybody who reaches an entry instance.
+func (f *Follower) keepsOperators(parent modeler.Offset, doc modeler.Document) error {
+	current, offset, ok := f.InForce()
+	if !ok || offset != parent || !slices.ContainsFunc(current.Operators, modeler.Operator.Usable) ||
+		slices.ContainsFunc(doc.Operators, modeler.Operator.Usable) {
+		return nil
+	}
+
+	return modeler.NotRun(modeler.CodeBadConfig, 0, "operators: the document removes the last usable operator key")
+}
+
 // encode returns the record of a publication: a patch when the document in
 // force came from the log and the patch is the smaller of the two.
 func (f *Follower) encode(operator string, parent modeler.Offset, doc modeler.Document) ([]byte, error) {
--- a/internal/config/merger/apply.go
+++ b/internal/config/merger/apply.go
@@ -9,6 +9,7 @@
 func keyName(k parser.Key) parser.Field[string]             { return k.Name }
 func queueName(q parser.Queue) parser.Field[string]         { return q.Name }
 func serviceName(s parser.Service) parser.Field[string]     { return s.Name }
+func operatorName(o parser.Operator) parser.Field[string]   { return o.Name }
 func jobName(j parser.Job) parser.Field[string]             { return j.Name }
 
 // index records where the entries of the base are declared.
@@ -24,6 +25,13 @@
 			m.positions[path+"/keys/"+k.Name.Value] = k.Name.At
 		}
 	}
+	for _, o := range file.Operators {
+		path := "operators/" + o.Name.Value
+		m.positions[path] = o.Name.At
+		for _, k := range o.Keys {
+			m.positions[path+"/keys/"+k.Name.Value] = k.Name.At
+		}
+	}
 	for _, q := range file.Queues {
 		m.positions["queues/"+q.Name.Value] = q.Name.At
 	}
@@ -51,16 +59,24 @@
 			override(m, path+"/timeout", &base.Timeout, change.Timeout)
 		})
 	match(m, "jobs", file.Jobs, over.Jobs, jobName, m.applyJob)
+	match(m, "operators", file.Operators, over.Operators, operatorName,
+		func(path string, base *parser.Operator, change parser.Operator) {
+			m.applyKeys(path+"/keys", base.Keys, change.Keys)
+		})
 }
 
 // applyTeam applies the changes of a team.
 func (m *merge) applyTeam(path string, base *parser.Team, change parser.Team) {
 	override(m, path+"/share", &base.Share, change.Share)
 	m.applyAmount(path+"/limit", &base.Limit, change.Limit)
-	match(m, path+"/keys", base.Keys, change.Keys, keyName,
-		func(path string, base *parser.Key, change parser.Key) {
-			override(m, path+"/withdrawn", &base.Withdrawn, change.Withdrawn)
-		})
+	m.applyKeys(path+"/keys", base.Keys, change.Keys)
+}
+
+// applyKeys applies the changes of the keys of a team or an operator.
+func (m *merge) applyKeys(path string, base, change []parser.Key) {
+	match(m, path, base, change, keyName, func(path string, base *parser.Key, change parser.Key) {
+		override(m, path+"/withdrawn", &base.Withdrawn, change.Withdrawn)
+	})
 }
 
 // applyAmount applies the changes of a set of resources.
--- a/internal/config/merger/document.go
+++ b/internal/config/merger/document.go
@@ -29,6 +29,9 @@
 	for _, j := range file.Jobs {
 		doc.Jobs = append(doc.Jobs, template(j))
 	}
+	for _, o := range file.Operators {
+		doc.Operators = append(doc.Operators, modeler.Operator{Name: o.Name.Value, Keys: keys(o.Keys)})
+	}
 
 	return doc
 }
@@ -42,11 +45,19 @@
 
 // team converts a team and its keys.
 func team(t parser.Team) modeler.Team {
-	converted := modeler.Team{Name: modeler.TeamID(t.Name.Value), Share: t.Share.Value, Limit: amount(t.Limit)}
-	for _, k := range t.Keys {
-		converted.Keys = append(converted.Keys, modeler.Key{
-			Name: k.Name.Value, Digest: k.Digest.Value, Withdrawn: k.Withdrawn.Value,
-		})
+	return modeler.Team{
+		Name: modeler.TeamID(t.Name.Value), Share: t.Share.Value, Limit: amount(t.Limit), Keys: keys(t.Keys),
+	}
+}
+
+// keys converts the keys of a team or an operator.
+func keys(list []parser.Key) []modeler.Key {
+	if len(list) == 0 {
+		return nil
+	}
+	converted := make([]modeler.Key, len(list))
+	for i, k := range list {
+		converted[i] = modeler.Key{Name: k.Name.Value, Digest: k.Digest.Value, Withdrawn: k.Withdrawn.Value}
 	}
 
 	return converted
--- a/internal/config/merger/examples_test.go
+++ b/internal/config/merger/examples_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -66,14 +67,24 @@
 			digests[parts[0]+"/"+parts[1]] = hex.EncodeToString(sum[:])
 		}
 	}
-	for _, team := range doc.Teams {
-		for _, key := range team.Keys {
-			if name := string(team.Name) + "/" + key.Name; digests[name] != key.Digest {
+	match := func(holder string, keys []modeler.Key) {
+		for _, key := range keys {
+			name := holder + "/" + key.Name
+			if digests[name] != key.Digest {
 				t.Errorf("the digest of %s does not match its demo secret", name)
 			}
-			delete(digests, string(team.Name)+"/"+key.Name)
+			delete(digests, name)
 		}
 	}
+	for _, team := range doc.Teams {
+		match(string(team.Name), team.Keys)
+	}
+	for _, operator := range doc.Operators {
+		match("operator:"+operator.Name, operator.Keys)
+	}
+	if !slices.ContainsFunc(doc.Operators, modeler.Operator.Usable) {
+		t.Error("the example has no usable operator key")
+	}
 	if len(digests) > 0 {
 		t.Errorf("demo secrets without a key: %v", digests)
 	}
--- a/internal/config/merger/merger.go
+++ b/internal/config/merger/merger.go
@@ -135,6 +135,10 @@
 	file.Queues = slices.Clone(file.Queues)
 	file.Services = slices.Clone(file.Services)
 	file.Jobs = slices.Clone(file.Jobs)
+	file.Operators = slices.Clone(file.Operators)
+	for i := range file.Operators {
+		file.Operators[i].Keys = slices.Clone(file.Operators[i].Keys)
+	}
 
 	return file
 }
--- a/internal/config/merger/merger_test.go
+++ b/internal/config/merger/merger_test.go
@@ -27,6 +27,9 @@
   - {name: lookup, queue: plumes, idempotent: true, timeout: 2s}
 jobs:
   - {name: nightly, team: forecasts, queue: plumes, needs: {processors: 1}, runtime: 1h}
+operators:
+  - name: amy
+    keys: [{name: laptop, digest: fcde2b2edba56bf408601fb721fe9b5c338d10ee429ea04fae5511b68fbf8fb9}]
 `
 
 // costa changes every field that an overlay may change.
@@ -41,6 +44,7 @@
   - {name: plumes, class: standard, depth: 9, attempts: 5, within: 1h, objective: {target: 0.9}}
 services: [{name: lookup, timeout: 3s}]
 jobs: [{name: nightly, tasks: 4, needs: {memory: 1GiB}, runtime: 2h, deadline: 06:00, command: [run]}]
+operators: [{name: amy, keys: [{name: laptop, withdrawn: true}]}]
 `
 
 // sierra has every fault that merging reports.
@@ -52,6 +56,7 @@
 queues: [{name: plumes, depth: 9}, {name: lookups, depth: 3}]
 services: [{name: missing, timeout: 3s}]
 jobs: [{name: missing, tasks: 3}]
+operators: [{name: amy, keys: [{name: desktop, withdrawn: true}]}, {name: bob}]
 `
 
 // parse returns the base and the overlays of the named texts.
--- a/internal/config/parser/file.go
+++ b/internal/config/parser/file.go
@@ -21,6 +21,7 @@
 	Queues     []Queue
 	Services   []Service
 	Jobs       []Job
+	Operators  []Operator
 }
 
 // Partition is an entry of the list partitions.
@@ -37,7 +38,13 @@
 	Keys  []Key
 }
 
-// Key is an entry of the list keys of a team.
+// Operator is an entry of the list operators.
+type Operator struct {
+	Name Field[string]
+	Keys []Key
+}
+
+// Key is an entry of the list keys of a team or an operator.
 type Key struct {
 	Name, Digest Field[string]
 	Withdrawn    Field[bool]
@@ -97,6 +104,8 @@
 			func(s Service) Field[string] { return s.Name })},
 		{name: "jobs", read: items(r, &file.Jobs, "job", r.readJob,
 			func(j Job) Field[string] { return j.Name })},
+		{name: "operators", read: items(r, &file.Operators, "operator", r.readOperator,
+			func(o Operator) Field[string] { return o.Name })},
 	}
 	if r.overlay {
 		entries = append(entries, entry{name: "site", read: value(r, &file.Site, label)})
@@ -132,6 +141,17 @@
 	return t
 }
 
+// readOperator reads an entry of operators.
+func (r *reader) readOperator(node ast.Node) (o Operator) {
+	r.mapping(node, "an operator", []entry{
+		{name: nameField, read: value(r, &o.Name, label), need: true},
+		{name: "keys", need: true, read: items(r, &o.Keys, "key", r.readKey,
+			func(k Key) Field[string] { return k.Name })},
+	})
+
+	return o
+}
+
 // readKey reads an entry of keys.
 func (r *reader) readKey(node ast.Node) (k Key) {
 	r.mapping(node, "a key", []entry{
--- a/internal/config/parser/parser_test.go
+++ b/internal/config/parser/parser_test.go
@@ -52,6 +52,10 @@
     deadline: 25:00
   - &anchor
     name: [a]
+operators:
+  - name: amy
+    limit: {slots: 1}
+  - keys: [{name: laptop, digest: short}]
 `
 
 // TestProblems guards against a fault that is not reported, or reported at the
@@ -75,6 +79,7 @@
 queues:
   - name: plumes
     kind: batch
+operators: [{name: amy, keys: [{name: laptop, digest: 00}]}]
 `))
 	goldie.New(t).Assert(t, "overlay", []byte(err.Error()+"\n"))
 }
--- a/internal/config/patcher/patcher.go
+++ b/internal/config/patcher/patcher.go
@@ -23,6 +23,7 @@
 	Queues     List[modeler.QueueID, modeler.Queue]         `msgpack:"q,omitempty"`
 	Services   List[string, modeler.Service]                `msgpack:"s,omitempty"`
 	Jobs       List[string, modeler.Template]               `msgpack:"j,omitempty"`
+	Operators  List[string, modeler.Operator]               `msgpack:"o,omitempty"`
 }
 
 // List is the change of one list of named entries.
@@ -41,6 +42,7 @@
 func queueName(q modeler.Queue) modeler.QueueID             { return q.Name }
 func serviceName(s modeler.Service) string                  { return s.Name }
 func jobName(j modeler.Template) string                     { return j.Name }
+func operatorName(o modeler.Operator) string                { return o.Name }
 
 // Make returns the patch that turns from into to. Names must be unique within
 // each list.
@@ -52,6 +54,7 @@
 		Queues:     compare(from.Queues, to.Queues, queueName),
 		Services:   compare(from.Services, to.Services, serviceName),
 		Jobs:       compare(from.Jobs, to.Jobs, jobName),
+		Operators:  compare(from.Operators, to.Operators, operatorName),
 	}
 }
 
@@ -72,7 +75,10 @@
 	if to.Services, err = merge(from.Services, patch.Services, serviceName); err != nil {
 		return to, err
 	}
-	to.Jobs, err = merge(from.Jobs, patch.Jobs, jobName)
+	if to.Jobs, err = merge(from.Jobs, patch.Jobs, jobName); err != nil {
+		return to, err
+	}
+	to.Operators, err = merge(from.Operators, patch.Operators, operatorName)
 
 	return to, err
 }
--- a/internal/config/patcher/patcher_test.go
+++ b/internal/config/patcher/patcher_test.go
@@ -22,6 +22,9 @@
 			Keys: []modeler.Key{{Name: "k", Withdrawn: rapid.Bool().Draw(t, label)}},
 		})
 		doc.Partitions = append(doc.Partitions, modeler.Partition{Name: modeler.PartitionID(name), Weight: 1})
+		doc.Operators = append(doc.Operators, modeler.Operator{
+			Name: name, Keys: []modeler.Key{{Name: "k", Withdrawn: rapid.Bool().Draw(t, label)}},
+		})
 		doc.Services = append(doc.Services, modeler.Service{Name: name, Idempotent: rapid.Bool().Draw(t, label)})
 	}
 
--- a/internal/config/renderer/renderer.go
+++ b/internal/config/renderer/renderer.go
@@ -22,6 +22,7 @@
 	Queues     []queue     `yaml:"queues"`
 	Services   []service   `yaml:"services,omitempty"`
 	Jobs       []job       `yaml:"jobs,omitempty"`
+	Operators  []operator  `yaml:"operators,omitempty"`
 }
 
 type partition struct {
@@ -50,6 +51,11 @@
 	Keys  []key  `yaml:"keys,omitempty"`
 }
 
+type operator struct {
+	Name string `yaml:"name"`
+	Keys []key  `yaml:"keys"`
+}
+
 type objective struct {
 	Wait   quantity `yaml:"wait"`
 	Target float64  `yaml:"target"`
@@ -140,6 +146,9 @@
 	for _, j := range doc.Jobs {
 		out.Jobs = append(out.Jobs, renderJob(j))
 	}
+	for _, o := range doc.Operators {
+		out.Operators = append(out.Operators, operator{Name: o.Name, Keys: renderKeys(o.Keys)})
+	}
 	data, err := yaml.MarshalWithOptions(out, yaml.IndentSequence(true))
 
 	return data, errors.Wrap(err, "render configuration")
@@ -160,9 +169,14 @@
 
 // renderTeam converts a team and its keys.
 func renderTeam(t modeler.Team) team {
-	out := team{Name: string(t.Name), Share: t.Share, Limit: renderAmount(t.Limit)}
-	for _, k := range t.Keys {
-		out.Keys = append(out.Keys, key(k))
+	return team{Name: string(t.Name), Share: t.Share, Limit: renderAmount(t.Limit), Keys: renderKeys(t.Keys)}
+}
+
+// renderKeys converts the keys of a team or an operator.
+func renderKeys(keys []modeler.Key) []key {
+	out := make([]key, len(keys))
+	for i, k := range keys {
+		out[i] = key(k)
 	}
 
 	return out
--- a/internal/config/renderer/renderer_test.go
+++ b/internal/config/renderer/renderer_test.go
@@ -1,6 +1,7 @@
 package renderer_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -30,6 +31,9 @@
 			Cell:       name.Draw(t, "cell"),
 			Partitions: []modeler.Partition{{Name: modeler.PartitionID(name.Draw(t, "partition")), Region: name.Draw(t, "region"), Weight: 1}},
 			Teams:      []modeler.Team{{Name: modeler.TeamID(name.Draw(t, "team")), Share: 1, Limit: amount}},
+			Operators: []modeler.Operator{{Name: name.Draw(t, "operator"), Keys: []modeler.Key{{
+				Name: name.Draw(t, "key"), Digest: strings.Repeat("0", 64), Withdrawn: rapid.Bool().Draw(t, "withdrawn"),
+			}}}},
 			Queues: []modeler.Queue{{
 				Name: "q", Kind: modeler.WorkBatch, Class: modeler.ClassUrgent, Teams: []modeler.TeamID{modeler.TeamID(name.Draw(t, "team"))},
 				Within: time.Duration(rapid.Int64Range(1, int64(24*time.Hour)).Draw(t, "within")),
--- a/internal/domain/modeler/document.go
+++ b/internal/domain/modeler/document.go
@@ -1,6 +1,9 @@
 package modeler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Document is a whole configuration: the base file with one site's overlay or
 // all sites' overlays merged, as it is published in the stream "config".
@@ -11,6 +14,9 @@
 	Queues     []Queue     `json:"queues"`
 	Services   []Service   `json:"services,omitempty"`
 	Jobs       []Template  `json:"jobs,omitempty"`
+	// Operators may read and publish the configuration. Without any, no key is
+	// needed for either.
+	Operators []Operator `json:"operators,omitempty"`
 }
 
 // Partition groups endpoints of a region under one owner.
@@ -32,7 +38,18 @@
 	Keys  []Key     `json:"keys,omitempty"`
 }
 
-// Key admits a team's work. Only the digest of the secret is stored.
+// Operator is a person or program that publishes configurations.
+type Operator struct {
+	Name string `json:"name"`
+	Keys []Key  `json:"keys,omitempty"`
+}
+
+// Usable reports whether the operator has a key that is not withdrawn.
+func (o Operator) Usable() bool {
+	return slices.ContainsFunc(o.Keys, func(k Key) bool { return !k.Withdrawn })
+}
+
+// Key admits a team's work or an operator's publications. Only the digest of the secret is stored.
 type Key struct {
 	Name string `json:"name"`
 	// Digest is the SHA-256 of the secret in lower-case hexadecimal.
--- a/internal/entry/authenticator/authenticator.go
+++ b/internal/entry/authenticator/authenticator.go
@@ -1,4 +1,4 @@
-// Package authenticator finds the team of a bearer key in the configuration in
+// Package authenticator finds the team or operator of a bearer key in the configuration in
 // force.
 package authenticator
 
@@ -47,8 +47,10 @@
 }
 
 type key struct {
-	digest    [sha256.Size]byte
+	digest [sha256.Size]byte
+	// team is empty for the key of an operator.
 	team      modeler.TeamID
+	operator  string
 	withdrawn bool
 }
 
@@ -60,16 +62,43 @@
 // Team returns the team of the Authorization header's bearer key (RFC 6750).
 // Errors are of type *modeler.Refusal.
 func (a *Authenticator) Team(header string) (modeler.TeamID, error) {
-	secret, err := parse(header)
+	found, err := a.holder(header)
+	if err == nil && found.operator != "" {
+		err = modeler.NotRun(modeler.CodeWrongTeam, 0, "the key belongs to an operator and to no team")
+	}
 	if err != nil {
 		return "", err
 	}
+
+	return found.team, nil
+}
+
+// Operator returns the name of the operator of the Authorization header's
+// bearer key. Errors are of type *modeler.Refusal.
+func (a *Authenticator) Operator(header string) (string, error) {
+	found, err := a.holder(header)
+	if err == nil && found.operator == "" {
+		err = modeler.NotRun(modeler.CodeWrongTeam, 0, "the key belongs to a team and to no operator")
+	}
+	if err != nil {
+		return "", err
+	}
+
+	return found.operator, nil
+}
+
+// holder returns the key of the configuration that a header presents.
+func (a *Authenticator) holder(header string) (key, error) {
+	secret, err := parse(header)
+	if err != nil {
+		return key{}, err
+	}
 	doc, offset, ok := a.config.InForce()
 	if !ok {
-		return "", modeler.NotRun(modeler.CodeStaleConfig, time.Second, "this instance has no configuration yet")
+		return key{}, modeler.NotRun(modeler.CodeStaleConfig, time.Second, "this instance has no configuration yet")
 	}
 	if err := a.fresh(); err != nil {
-		return "", err
+		return key{}, err
 	}
 
 	return a.index(doc, offset).find(sha256.Sum256([]byte(secret)))
@@ -116,38 +145,48 @@
 	}
 	made := &index{offset: offset}
 	for _, team := range doc.Teams {
-		for _, k := range team.Keys {
-			entry := key{team: team.Name, withdrawn: k.Withdrawn}
-			digest, err := hex.DecodeString(k.Digest)
-			if err != nil || copy(entry.digest[:], digest) != sha256.Size || len(digest) != sha256.Size {
-				continue
-			}
-			made.keys[digest[0]] = append(made.keys[digest[0]], entry)
-		}
+		made.add(team.Keys, key{team: team.Name})
+	}
+	for _, operator := range doc.Operators {
+		made.add(operator.Keys, key{operator: operator.Name})
 	}
 	a.cache.Store(made)
 
 	return made
 }
 
+// add adds the keys of one holder; keys with a malformed digest match nothing.
+func (i *index) add(keys []modeler.Key, entry key) {
+	for _, k := range keys {
+		digest, err := hex.DecodeString(k.Digest)
+		if err != nil || copy(entry.digest[:], digest) != sha256.Size || len(digest) != sha256.Size {
+			continue
+		}
+		entry.withdrawn = k.Withdrawn
+		i.keys[digest[0]] = append(i.keys[digest[0]], entry)
+	}
+}
+
 // find compares digest with every key of the same first byte, so that the time
 // taken does not depend on which one matches. A digest that is withdrawn anywhere is refused.
-func (i *index) find(digest [sha256.Size]byte) (modeler.TeamID, error) {
-	var team modeler.TeamID
+func (i *index) find(digest [sha256.Size]byte) (key, error) {
+	var match key
 	var found, withdrawn bool
 	keys := i.keys[digest[0]]
 	for n := range keys {
 		if subtle.ConstantTimeCompare(keys[n].digest[:], digest[:]) == 1 {
-			team, found = keys[n].team, true
+			match, found = keys[n], true
 			withdrawn = withdrawn || keys[n].withdrawn
 		}
 	}
 	switch {
 	case !found:
-		return "", modeler.NotRun(modeler.CodeUnknownKey, 0, "the key belongs to no team")
+		return key{}, modeler.NotRun(modeler.CodeUnknownKey, 0, "the key belongs to no team or operator")
+	case withdrawn && match.operator != "":
+		return key{}, modeler.NotRun(modeler.CodeWithdrawnKey, 0, "the key of operator %s was withdrawn", match.operator)
 	case withdrawn:
-		return "", modeler.NotRun(modeler.CodeWithdrawnKey, 0, "the key of team %s was withdrawn", team)
+		return key{}, modeler.NotRun(modeler.CodeWithdrawnKey, 0, "the key of team %s was withdrawn", match.team)
 	}
 
-	return team, nil
+	return match, nil
 }
--- a/internal/entry/authenticator/authenticator_test.go
+++ b/internal/entry/authenticator/authenticator_test.go
@@ -23,7 +23,11 @@
 	sum := sha256.Sum256([]byte("secret-of-crops"))
 	key := modeler.Key{Digest: hex.EncodeToString(sum[:]), Withdrawn: s.withdrawn}
 
-	return modeler.Document{Teams: []modeler.Team{
+	operator := sha256.Sum256([]byte("secret-of-amy"))
+
+	return modeler.Document{Operators: []modeler.Operator{
+		{Name: "amy", Keys: []modeler.Key{{Digest: hex.EncodeToString(operator[:]), Withdrawn: s.withdrawn}}},
+	}, Teams: []modeler.Team{
 		{Name: "odd", Keys: []modeler.Key{{Digest: "00"}, {Digest: "not hexadecimal"}}},
 		{Name: "crops", Keys: []modeler.Key{key}},
 	}}, s.offset, s.offset >= 0
@@ -60,3 +64,31 @@
 	s.confirmed, s.age, s.withdrawn, s.offset = true, 0, true, 2
 	expect("withdrawn", modeler.CodeWithdrawnKey)
 }
+
+// TestOperator guards against a team's key that publishes a configuration, and
+// against an operator's key that submits work.
+func TestOperator(t *testing.T) {
+	s := &state{offset: 1, confirmed: true}
+	a := New(s, s)
+	code := func(err error) modeler.Code {
+		refusal := new(modeler.Refusal)
+		if !errors.As(err, &refusal) {
+			return ""
+		}
+
+		return refusal.Code
+	}
+	if name, err := a.Operator("Bearer secret-of-amy"); err != nil || name != "amy" {
+		t.Errorf("got %q, %v", name, err)
+	}
+	if name, err := a.Operator("Bearer secret-of-crops"); code(err) != modeler.CodeWrongTeam || name != "" {
+		t.Errorf("key of a team: got %q, %v", name, err)
+	}
+	if team, err := a.Team("Bearer secret-of-amy"); code(err) != modeler.CodeWrongTeam || team != "" {
+		t.Errorf("key of an operator: got %q, %v", team, err)
+	}
+	s.withdrawn, s.offset = true, 2
+	if name, err := a.Operator("Bearer secret-of-amy"); code(err) != modeler.CodeWithdrawnKey || name != "" {
+		t.Errorf("withdrawn: got %q, %v", name, err)
+	}
+}
--- a/internal/entry/router/access.go
+++ b/internal/entry/router/access.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"time"
@@ -79,6 +80,40 @@
 	return teams, true, nil
 }
 
+// operator returns the operator of a request. It is empty, and no key is
+// needed, while the document in force has no operators.
+func (r *Router) operator(req *http.Request) (string, error) {
+	doc, _, ok := r.config.InForce()
+	if !ok || len(doc.Operators) == 0 {
+		return "", nil
+	}
+
+	return r.authenticator.Operator(req.Header.Get("Authorization"))
+}
+
+// publisherOf returns the operator to record for a publication on top of
+// parent. The key is judged by a document that is at least as new as parent:
+// an instance that has not read it yet would let everybody publish on top of a
+// first document that has operators.
+func (r *Router) publisherOf(req *http.Request, parent modeler.Offset) (string, error) {
+	ctx, cancel := context.WithTimeout(req.Context(), parentWait)
+	defer cancel()
+	for r.offset() < parent {
+		select {
+		case <-ctx.Done():
+			return "", modeler.NotRun(modeler.CodeStaleConfig, time.Second,
+				"this instance has not read the document at offset %d yet", parent)
+		case <-time.After(pollShortest):
+		}
+	}
+	operator, err := r.operator(req)
+	if err == nil && operator == "" {
+		operator = req.Header.Get(HeaderOperator)
+	}
+
+	return operator, err
+}
+
 // isOpen reports whether queue takes work without a key.
 func (r *Router) isOpen(name modeler.QueueID) bool {
 	_, queue, err := r.queue(name)
--- a/internal/entry/router/commands.go
+++ b/internal/entry/router/commands.go
@@ -294,7 +294,13 @@
 	}
 	ctx, cancel := context.WithTimeout(req.Context(), submitTimeout)
 	defer cancel()
-	offset, err := r.publisher.PublishAs(ctx, req.Header.Get(HeaderOperator), body.Parent, body.Document)
+	operator, err := r.publisherOf(req, body.Parent)
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	offset, err := r.publisher.PublishAs(ctx, operator, body.Parent, body.Document)
 	if err != nil {
 		r.problem(w, err)
 
--- a/internal/entry/router/queries.go
+++ b/internal/entry/router/queries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -189,7 +190,12 @@
 }
 
 // configuration serves GET /v1/config.
-func (r *Router) configuration(w http.ResponseWriter, _ *http.Request) {
+func (r *Router) configuration(w http.ResponseWriter, req *http.Request) {
+	if _, err := r.operator(req); err != nil {
+		r.problem(w, err)
+
+		return
+	}
 	doc, offset, ok := r.config.InForce()
 	if !ok {
 		r.problem(w, noConfiguration())
@@ -223,13 +229,31 @@
 	return -1
 }
 
-// state serves GET /v1/state.
-func (r *Router) state(w http.ResponseWriter, _ *http.Request) {
-	r.answer(w, http.StatusOK, StateReply{
+// state serves GET /v1/state. Only operators are shown what each team uses.
+func (r *Router) state(w http.ResponseWriter, req *http.Request) {
+	reply := StateReply{
 		Instance: r.self, Ready: r.unready() == "", Draining: r.draining(), Config: r.offset(),
 		Ownership: r.queries.Ownership(), Loads: r.queries.Loads(),
 		Peers: r.membership.Peers(), Endpoints: len(r.membership.Endpoints()),
-	})
+	}
+	if _, err := r.operator(req); err != nil {
+		reply.Loads = withoutTeams(reply.Loads)
+		reply.Peers = slices.Clone(reply.Peers)
+		for i := range reply.Peers {
+			reply.Peers[i].Loads = withoutTeams(reply.Peers[i].Loads)
+		}
+	}
+	r.answer(w, http.StatusOK, reply)
+}
+
+// withoutTeams returns a copy of loads without the parts that name teams.
+func withoutTeams(loads []modeler.Load) []modeler.Load {
+	loads = slices.Clone(loads)
+	for i := range loads {
+		loads[i].Usage, loads[i].Idle = nil, nil
+	}
+
+	return loads
 }
 
 // healthz serves GET /healthz: the process serves requests.
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -21,6 +21,9 @@
 	submitTimeout = 10 * time.Second
 	// callTimeout bounds a call of a service without a timeout of its own.
 	callTimeout = 10 * time.Second
+	// parentWait bounds the wait for the document that a publication was made
+	// from; a caller may have read it from an instance that follows faster.
+	parentWait = 2 * time.Second
 	// longestWait bounds the parameter wait of GET /v1/jobs/{id}.
 	longestWait = time.Minute
 	// pollShortest and pollLongest bound the pauses of a waiting query, which
@@ -31,9 +34,10 @@
 	queriesOpen = 4096
 )
 
-// Authenticator finds the team of an Authorization header.
+// Authenticator finds the team or the operator of an Authorization header.
 type Authenticator interface {
 	Team(header string) (modeler.TeamID, error)
+	Operator(header string) (string, error)
 }
 
 // Admitter bounds the requests in flight.
--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -32,6 +32,9 @@
 	known     bool
 	stale     bool
 	served    *Router
+	// offset is in force; publisher is the operator of the last publication.
+	offset    modeler.Offset
+	publisher string
 }
 
 func digest(secret string) string {
@@ -44,6 +47,7 @@
 	large := modeler.Resources{Millis: 16_000, Memory: 64 << 30}
 
 	return &world{
+		offset: 7,
 		doc: modeler.Document{
 			Partitions: []modeler.Partition{{Name: "costa-1", Region: "costa"}, {Name: "sierra-1", Region: "sierra"}},
 			Teams: []modeler.Team{
@@ -74,15 +78,17 @@
 	}
 }
 
-func (w *world) InForce() (modeler.Document, modeler.Offset, bool) { return w.doc, 7, true }
-func (w *world) Fresh(time.Time) (time.Duration, bool)             { return time.Second, !w.stale }
-func (w *world) Majority(time.Time) bool                           { return false }
-func (w *world) Peers() []modeler.Peer                             { return nil }
-func (w *world) Endpoints() []modeler.Instance                     { return nil }
-func (w *world) Loads() []modeler.Load                             { return w.loads }
-func (w *world) Ownership() []modeler.Ownership                    { return nil }
-func (w *world) Records(modeler.TeamID, string) []modeler.Record   { return nil }
-func (w *world) To(modeler.InstanceID) (modeler.Commands, bool)    { return w, true }
+func (w *world) InForce() (modeler.Document, modeler.Offset, bool) {
+	return w.doc, w.offset, w.offset >= 0
+}
+func (w *world) Fresh(time.Time) (time.Duration, bool)           { return time.Second, !w.stale }
+func (w *world) Majority(time.Time) bool                         { return false }
+func (w *world) Peers() []modeler.Peer                           { return nil }
+func (w *world) Endpoints() []modeler.Instance                   { return nil }
+func (w *world) Loads() []modeler.Load                           { return w.loads }
+func (w *world) Ownership() []modeler.Ownership                  { return nil }
+func (w *world) Records(modeler.TeamID, string) []modeler.Record { return nil }
+func (w *world) To(modeler.InstanceID) (modeler.Commands, bool)  { return w, true }
 func (w *world) Export(modeler.TeamID) map[modeler.PartitionID][]modeler.Record {
 	return map[modeler.PartitionID][]modeler.Record{}
 }
@@ -105,11 +111,13 @@
 
 func (w *world) Origin() (operator string, at time.Time) { return "amy", time.Time{} }
 
-func (w *world) PublishAs(_ context.Context, _ string, parent modeler.Offset, _ modeler.Document) (modeler.Offset, error) {
+func (w *world) PublishAs(_ context.Context, operator string, parent modeler.Offset, _ modeler.Document) (modeler.Offset, error) {
 	if parent != 7 {
 		return 0, modeler.NotRun(modeler.CodeConflict, 0, "offset 7 is in force, not %d", parent)
 	}
 
+	w.publisher = operator
+
 	return 8, nil
 }
 
--- a/internal/proof/breaker/breaker.go
+++ b/internal/proof/breaker/breaker.go
@@ -147,7 +147,7 @@
 		return err
 	}
 	msg := publishRequest{Parent: -1, Document: document()}
-	if err := launcher.Put(ctx, entries[0], "/v1/config", msg, nil); err != nil {
+	if err := launcher.PutAs(ctx, operatorSecret, entries[0], "/v1/config", msg, nil); err != nil {
 		return err
 	}
 
--- a/internal/proof/breaker/document.go
+++ b/internal/proof/breaker/document.go
@@ -34,9 +34,18 @@
 	alert  = caller.Service{Name: "alert"}
 )
 
+// operatorSecret is the key that configurations are read and published with.
+const operatorSecret = "chaos-operator"
+
 // secret returns the key of a team.
 func secret(team string, n int) string { return fmt.Sprintf("chaos-%s-%d", team, n) }
 
+func digest(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+
+	return hex.EncodeToString(sum[:])
+}
+
 func teamOf(team string) caller.Team {
 	return caller.Team{Name: modeler.TeamID(team), Secret: secret(team, 0)}
 }
@@ -65,6 +74,9 @@
 			{Name: alert.Name, Queue: queueCalls, Timeout: 5 * time.Second},
 		},
 	}
+	doc.Operators = []modeler.Operator{{
+		Name: "chaos", Keys: []modeler.Key{{Name: "run", Digest: digest(operatorSecret)}},
+	}}
 	for _, region := range regions {
 		doc.Partitions = append(doc.Partitions, modeler.Partition{
 			Name: modeler.PartitionID(region + "-1"), Region: region, Weight: 1,
@@ -73,10 +85,7 @@
 	for _, name := range []string{teamBatch, teamGang, teamCalls, teamProbe} {
 		team := modeler.Team{Name: modeler.TeamID(name), Share: 10, Limit: limits[modeler.TeamID(name)]}
 		for n := range probes + 1 {
-			digest := sha256.Sum256([]byte(secret(name, n)))
-			team.Keys = append(team.Keys, modeler.Key{
-				Name: fmt.Sprintf("key-%d", n), Digest: hex.EncodeToString(digest[:]),
-			})
+			team.Keys = append(team.Keys, modeler.Key{Name: fmt.Sprintf("key-%d", n), Digest: digest(secret(name, n))})
 		}
 		doc.Teams = append(doc.Teams, team)
 	}
--- a/internal/proof/breaker/withdraw.go
+++ b/internal/proof/breaker/withdraw.go
@@ -64,7 +64,7 @@
 	defer stop()
 	for try := 0; ctx.Err() == nil; try++ {
 		time.Sleep(200 * time.Millisecond)
-		config, err := b.cluster.Config(ctx)
+		config, err := b.cluster.Config(ctx, operatorSecret)
 		if err != nil {
 			continue
 		}
@@ -82,7 +82,7 @@
 		entry := b.cluster.Entries[try%len(b.cluster.Entries)]
 		var reply launcher.Config
 		msg := publishRequest{Parent: config.Offset, Document: config.Document}
-		if launcher.Put(ctx, entry.Listen, "/v1/config", msg, &reply) == nil {
+		if launcher.PutAs(ctx, operatorSecret, entry.Listen, "/v1/config", msg, &reply) == nil {
 			return reply.Offset, time.Now(), true
 		}
 	}
@@ -130,7 +130,7 @@
 		for {
 			var config launcher.Config
 			once, end := context.WithTimeout(ctx, 500*time.Millisecond)
-			err := launcher.Get(once, entry.Listen, "/v1/config", &config)
+			err := launcher.GetAs(once, operatorSecret, entry.Listen, "/v1/config", &config)
 			end()
 			if err == nil && config.Offset >= offset {
 				break
--- a/internal/proof/demonstrator/demo.go
+++ b/internal/proof/demonstrator/demo.go
@@ -110,7 +110,7 @@
 // publish publishes the example configuration with the product's command.
 func (d *demo) publish(ctx context.Context) error {
 	output, err := d.product(ctx, "publish", "--deployment", d.settings.Deployment,
-		"--server", "http://"+d.entries[0].String(), "--wait", "15s")
+		"--server", "http://"+d.entries[0].String(), "--wait", "15s", "--key", d.secrets[operatorKey])
 	lines := strings.Split(strings.TrimSpace(output), "\n")
 	d.printf("$ greengagewall publish --deployment %s\n", d.settings.Deployment)
 	for i, line := range lines {
@@ -123,6 +123,9 @@
 	return errors.Wrap(err, "publish")
 }
 
+// operatorKey is the key in keys.txt that the demo publishes with.
+const operatorKey = "operator:cartographer/demo"
+
 // product runs a command of the product.
 func (d *demo) product(ctx context.Context, args ...string) (string, error) {
 	output, err := exec.CommandContext(ctx, d.settings.Binary, args...).CombinedOutput() //nolint:gosec // the binary to demonstrate
--- a/internal/proof/demonstrator/report.go
+++ b/internal/proof/demonstrator/report.go
@@ -105,7 +105,7 @@
 
 // limits returns the upper limits of the published configuration.
 func (d *demo) limits(ctx context.Context) (map[modeler.TeamID]modeler.Resources, error) {
-	doc, err := d.cluster.Config(ctx)
+	doc, err := d.cluster.Config(ctx, d.secrets[operatorKey])
 	limits := make(map[modeler.TeamID]modeler.Resources)
 	for _, team := range doc.Document.Teams {
 		limits[team.Name] = team.Limit
--- a/internal/proof/launcher/control.go
+++ b/internal/proof/launcher/control.go
@@ -23,20 +23,26 @@
 
 // Get decodes the answer to a GET request.
 func Get(ctx context.Context, address netip.AddrPort, path string, out any) error {
-	return send(ctx, http.MethodGet, address, path, nil, out)
+	return send(ctx, http.MethodGet, address, path, "", nil, out)
+}
+
+// GetAs is Get with the key of an operator; without one it is empty.
+func GetAs(ctx context.Context, key string, address netip.AddrPort, path string, out any) error {
+	return send(ctx, http.MethodGet, address, path, key, nil, out)
 }
 
 // Post sends a JSON request; in and out may be nil.
 func Post(ctx context.Context, address netip.AddrPort, path string, in, out any) error {
-	return send(ctx, http.MethodPost, address, path, in, out)
+	return send(ctx, http.MethodPost, address, path, "", in, out)
 }
 
-// Put sends a JSON request.
-func Put(ctx context.Context, address netip.AddrPort, path string, in, out any) error {
-	return send(ctx, http.MethodPut, address, path, in, out)
+// PutAs sends a JSON request with the key of an operator; without one it is
+// empty.
+func PutAs(ctx context.Context, key string, address netip.AddrPort, path string, in, out any) error {
+	return send(ctx, http.MethodPut, address, path, key, in, out)
 }
 
-func send(ctx context.Context, method string, address netip.AddrPort, path string, in, out any) error {
+func send(ctx context.Context, method string, address netip.AddrPort, path, key string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	var body bytes.Buffer
@@ -49,6 +55,9 @@
 	if err != nil {
 		return err
 	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err
@@ -187,13 +196,13 @@
 }
 
 // Config returns the configuration in force at the first instance that
-// answers.
-func (c *Cluster) Config(ctx context.Context) (Config, error) {
+// answers; key is that of an operator.
+func (c *Cluster) Config(ctx context.Context, key string) (Config, error) {
 	err := errors.New("no entry instance")
 	for _, entry := range c.Entries {
 		once, stop := context.WithTimeout(ctx, time.Second)
 		var config Config
-		err = Get(once, entry.Listen, "/v1/config", &config)
+		err = GetAs(once, key, entry.Listen, "/v1/config", &config)
 		stop()
 		if err == nil {
 			return config, nil
