Choose the home of a call among partitions of its service

The home of a non-idempotent call was hashed over all partitions. Where that partition had no executor of the service, the call was refused with no-executor for ever under its request key.

A partition of the configuration may list the services that its executors answer; without the list it answers all, and an empty list means none. The home is hashed among the partitions that list the service. The checker refuses a service that no partition lists. A query for a request does not name the service, so each partition that may be its home is asked, and "not run" needs the answer of all of them.

Changing a list moves the home of some requests, as adding a partition does, and a request resent across the change can run twice. Asking the owners of all other partitions was rejected: without a void in each of their streams it leaves the race with an entry instance on the old configuration, and with it every call costs an append in every partition and fails while any has no owner.

--- a/internal/config/checker/checker.go
+++ b/internal/config/checker/checker.go
@@ -95,6 +95,11 @@
 		path := "partitions/" + string(p.Name)
 		c.expectf(p.Region != "", path+"/region", "a partition needs a region")
 		c.expectf(p.Weight >= 1 && p.Weight <= maxWeight, path+"/weight", "weight %d is out of range 1 to %d", p.Weight, maxWeight)
+		unique(c, p.Services, path+"/services", func(name string) string { return name })
+		for _, name := range p.Services {
+			declared := slices.ContainsFunc(c.doc.Services, func(s modeler.Service) bool { return s.Name == name })
+			c.expectf(declared, path+"/services", "service %q is not declared", name)
+		}
 	}
 }
 
@@ -183,6 +188,8 @@
 		queue, ok := c.queues[s.Queue]
 		c.expectf(ok, path+"/queue", "queue %q is not declared", s.Queue)
 		c.expectf(!ok || queue.Kind == modeler.WorkService, path+"/queue", "queue %q is of kind %s, not service", s.Queue, queue.Kind)
+		served := slices.ContainsFunc(c.doc.Partitions, func(p modeler.Partition) bool { return p.Serves(s.Name) })
+		c.expectf(served, path, "no partition lists the service")
 		c.expectf(s.Timeout > 0 && s.Timeout <= time.Hour, path+"/timeout", "timeout %s is out of range 0s to 1h", s.Timeout)
 	}
 }
--- a/internal/config/checker/checker_test.go
+++ b/internal/config/checker/checker_test.go
@@ -15,7 +15,7 @@
 func TestCheck(t *testing.T) {
 	digest := "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"
 	err := checker.Check(modeler.Document{
-		Partitions: []modeler.Partition{{Name: "costa-1"}, {Name: "costa-1", Region: "costa", Weight: 2000}},
+		Partitions: []modeler.Partition{{Name: "costa-1", Services: []string{}}, {Name: "costa-1", Region: "costa", Weight: 2000, Services: []string{"s", "s", "u"}}},
 		Teams: []modeler.Team{
 			{Name: "a", Share: 0, Limit: modeler.Resources{Millis: 1, Memory: -1}},
 			{Name: "b", Share: 1, Limit: modeler.Resources{Millis: 1000, Memory: 1 << 30}, Keys: []modeler.Key{
--- a/internal/config/differ/differ.go
+++ b/internal/config/differ/differ.go
@@ -120,6 +120,9 @@
 		path := "partitions/" + string(p.Name)
 		f.put(path+"/region", p.Region)
 		f.put(path+"/weight", strconv.FormatInt(p.Weight, 10))
+		if p.Services != nil {
+			f.put(path+"/services", "["+strings.Join(slices.Sorted(slices.Values(p.Services)), ", ")+"]")
+		}
 	}
 	for _, t := range doc.Teams {
 		f.team("teams/"+string(t.Name), t)
--- a/internal/config/merger/document.go
+++ b/internal/config/merger/document.go
@@ -12,6 +12,7 @@
 	for _, p := range file.Partitions {
 		doc.Partitions = append(doc.Partitions, modeler.Partition{
 			Name: modeler.PartitionID(p.Name.Value), Region: p.Region.Value, Weight: max(p.Weight.Value, 1),
+			Services: p.Services.Value,
 		})
 	}
 	for _, t := range file.Teams {
--- a/internal/config/parser/file.go
+++ b/internal/config/parser/file.go
@@ -28,6 +28,7 @@
 type Partition struct {
 	Name, Region Field[string]
 	Weight       Field[int64]
+	Services     Field[[]string]
 }
 
 // Team is an entry of the list teams.
@@ -124,6 +125,7 @@
 		{name: nameField, read: value(r, &p.Name, label), need: true},
 		{name: "region", read: value(r, &p.Region, label), need: true, fixed: true},
 		{name: "weight", read: value(r, &p.Weight, integer(1, 1000))},
+		{name: "services", read: values(r, &p.Services, "services", label), fixed: true},
 	})
 
 	return p
--- a/internal/config/parser/parser_test.go
+++ b/internal/config/parser/parser_test.go
@@ -19,6 +19,7 @@
   - name: costa-1
     region: costa
     color: red
+    services: [Lookup, 7.5]
 teams:
   - name: forecasts
     share: -3
@@ -72,6 +73,7 @@
 partitions:
   - name: costa-1
     region: sierra
+    services: []
 teams:
   - name: forecasts
     keys: [{name: first, digest: 00}]
--- a/internal/config/patcher/patcher_test.go
+++ b/internal/config/patcher/patcher_test.go
@@ -21,7 +21,10 @@
 			Name: modeler.TeamID(name), Share: rapid.Int64Range(1, 2).Draw(t, label),
 			Keys: []modeler.Key{{Name: "k", Withdrawn: rapid.Bool().Draw(t, label)}},
 		})
-		doc.Partitions = append(doc.Partitions, modeler.Partition{Name: modeler.PartitionID(name), Weight: 1})
+		doc.Partitions = append(doc.Partitions, modeler.Partition{
+			Name: modeler.PartitionID(name), Weight: 1,
+			Services: rapid.SampledFrom([][]string{nil, {}, {name}}).Draw(t, label),
+		})
 		doc.Operators = append(doc.Operators, modeler.Operator{
 			Name: name, Keys: []modeler.Key{{Name: "k", Withdrawn: rapid.Bool().Draw(t, label)}},
 		})
@@ -51,6 +54,11 @@
 		if diff := cmp.Diff(to, got, cmpopts.EquateEmpty()); diff != "" {
 			t.Fatalf("document differs (-want +got):\n%s", diff)
 		}
+		for i, p := range to.Partitions {
+			if (got.Partitions[i].Services == nil) != (p.Services == nil) {
+				t.Fatalf("partition %s: no service and every service are confused", p.Name)
+			}
+		}
 	})
 }
 
--- a/internal/config/renderer/renderer.go
+++ b/internal/config/renderer/renderer.go
@@ -29,6 +29,9 @@
 	Name   string `yaml:"name"`
 	Region string `yaml:"region"`
 	Weight int64  `yaml:"weight"`
+	// Services is a pointer, because an absent list means all services and an
+	// empty one none.
+	Services *[]string `yaml:"services,omitempty,flow"`
 }
 
 type amount struct {
@@ -130,7 +133,11 @@
 func Render(doc modeler.Document) ([]byte, error) {
 	out := file{Cell: doc.Cell}
 	for _, p := range doc.Partitions {
-		out.Partitions = append(out.Partitions, partition{Name: string(p.Name), Region: p.Region, Weight: p.Weight})
+		part := partition{Name: string(p.Name), Region: p.Region, Weight: p.Weight}
+		if p.Services != nil {
+			part.Services = &p.Services
+		}
+		out.Partitions = append(out.Partitions, part)
 	}
 	for _, t := range doc.Teams {
 		out.Teams = append(out.Teams, renderTeam(t))
--- a/internal/config/renderer/renderer_test.go
+++ b/internal/config/renderer/renderer_test.go
@@ -28,9 +28,10 @@
 			Slots: rapid.Int64Range(0, 9).Draw(t, "slots"),
 		}
 		doc := modeler.Document{
-			Cell:       name.Draw(t, "cell"),
-			Partitions: []modeler.Partition{{Name: modeler.PartitionID(name.Draw(t, "partition")), Region: name.Draw(t, "region"), Weight: 1}},
-			Teams:      []modeler.Team{{Name: modeler.TeamID(name.Draw(t, "team")), Share: 1, Limit: amount}},
+			Cell: name.Draw(t, "cell"),
+			Partitions: []modeler.Partition{{Name: modeler.PartitionID(name.Draw(t, "partition")), Region: name.Draw(t, "region"), Weight: 1,
+				Services: rapid.SampledFrom([][]string{nil, {}, {"true", "1e3"}}).Draw(t, "services")}},
+			Teams: []modeler.Team{{Name: modeler.TeamID(name.Draw(t, "team")), Share: 1, Limit: amount}},
 			Operators: []modeler.Operator{{Name: name.Draw(t, "operator"), Keys: []modeler.Key{{
 				Name: name.Draw(t, "key"), Digest: strings.Repeat("0", 64), Withdrawn: rapid.Bool().Draw(t, "withdrawn"),
 			}}}},
--- a/internal/domain/modeler/document.go
+++ b/internal/domain/modeler/document.go
@@ -26,6 +26,15 @@
 	// Weight sets the part of every team's upper limit that the partition
 	// holds before any transfer.
 	Weight int64 `json:"weight"`
+	// Services lists the services that the executors of the partition answer;
+	// nil means all, and an empty list none. It decides which partition is the
+	// home of a non-idempotent call.
+	Services []string `json:"services,omitzero"`
+}
+
+// Serves reports whether the partition lists a service.
+func (p Partition) Serves(service string) bool {
+	return p.Services == nil || slices.Contains(p.Services, service)
 }
 
 // Team is an owner of work.
--- a/internal/entry/dispatcher/call.go
+++ b/internal/entry/dispatcher/call.go
@@ -27,7 +27,9 @@
 	if msg.Idempotent {
 		return d.callAnywhere(ctx, doc, msg)
 	}
-	msg.Partition = Home(doc.Partitions, msg.Team, string(msg.Request))
+	if msg.Partition = HomeOfCall(doc.Partitions, msg.Service, msg.Team, msg.Request); msg.Partition == "" {
+		return modeler.CallReply{}, modeler.NotRun(modeler.CodeNoExecutor, time.Second, "no partition lists service %q", msg.Service)
+	}
 	var reply modeler.CallReply
 	err := d.atHome(ctx, msg.Partition, func(ctx context.Context, owner modeler.Commands) (err error) {
 		reply, err = call(ctx, owner, msg)
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -139,13 +139,37 @@
 	})
 }
 
-// Resolve asks what became of a call.
+// Resolve asks what became of a call. The service of the request is not known,
+// so every partition that may be its home is asked. Those that have not seen
+// the request void it, so that "not run" from all of them is true; any other
+// answer is decisive.
 func (d *Dispatcher) Resolve(ctx context.Context, team modeler.TeamID, request modeler.RequestID) (modeler.ResolveReply, error) {
 	doc, _, ok := d.config.InForce()
 	if !ok {
 		return modeler.ResolveReply{}, noConfiguration()
 	}
-	msg := modeler.ResolveMsg{Team: team, Request: request, Partition: Home(doc.Partitions, team, string(request))}
+	var reply modeler.ResolveReply
+	var failed error
+	for _, home := range homesOfRequest(doc, team, request) {
+		answer, err := d.resolveAt(ctx, modeler.ResolveMsg{Team: team, Request: request, Partition: home})
+		switch {
+		case err != nil:
+			failed = err
+		case answer.Outcome == modeler.OutcomeRan:
+			return answer, nil
+		case reply.Outcome != modeler.OutcomeUnknown:
+			reply = answer
+		}
+	}
+	if failed != nil {
+		return modeler.ResolveReply{}, failed
+	}
+
+	return reply, nil
+}
+
+// resolveAt asks the owner of one partition what became of a call.
+func (d *Dispatcher) resolveAt(ctx context.Context, msg modeler.ResolveMsg) (modeler.ResolveReply, error) {
 	var reply modeler.ResolveReply
 	err := d.atHome(ctx, msg.Partition, func(ctx context.Context, owner modeler.Commands) (err error) {
 		reply, err = owner.Resolve(ctx, msg)
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -24,6 +24,8 @@
 	slow    map[modeler.InstanceID]time.Duration
 	spent   int
 	budget  int
+	// outcomes gives the answers to Resolve.
+	outcomes map[modeler.InstanceID]modeler.Outcome
 }
 
 func newCell(partitions ...modeler.Partition) *cell {
@@ -92,6 +94,10 @@
 	return modeler.SubmitReply{Job: msg.Job.ID}, o.next()
 }
 
+func (o *owner) Resolve(_ context.Context, msg modeler.ResolveMsg) (modeler.ResolveReply, error) {
+	return modeler.ResolveReply{Request: msg.Request, Outcome: o.cell.outcomes[o.id]}, o.next()
+}
+
 func (o *owner) Call(ctx context.Context, msg modeler.CallMsg) (modeler.CallReply, error) {
 	err := o.next()
 	if slow := o.cell.slow[o.id]; slow > msg.Timeout && msg.Timeout > 0 {
--- a/internal/entry/dispatcher/home.go
+++ b/internal/entry/dispatcher/home.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -28,6 +29,41 @@
 	return choose(partitions, team, item, func(modeler.PartitionID) bool { return true })
 }
 
+// HomeOfCall returns the home partition of a non-idempotent call: the one that
+// rendezvous hashing selects among the partitions that list the service. It is
+// a function of the configuration alone, so that a resend reaches the same
+// partition whatever executors are present.
+func HomeOfCall(partitions []modeler.Partition, service string, team modeler.TeamID, request modeler.RequestID) modeler.PartitionID {
+	listing := make([]modeler.Partition, 0, len(partitions))
+	for _, p := range partitions {
+		if p.Serves(service) {
+			listing = append(listing, p)
+		}
+	}
+
+	return Home(listing, team, string(request))
+}
+
+// homesOfRequest returns the partitions that may be the home of a request whose
+// service is not known. It is one partition unless partitions list different
+// non-idempotent services.
+func homesOfRequest(doc modeler.Document, team modeler.TeamID, request modeler.RequestID) []modeler.PartitionID {
+	var homes []modeler.PartitionID
+	for _, s := range doc.Services {
+		if s.Idempotent {
+			continue
+		}
+		if home := HomeOfCall(doc.Partitions, s.Name, team, request); home != "" && !slices.Contains(homes, home) {
+			homes = append(homes, home)
+		}
+	}
+	if len(homes) == 0 {
+		homes = append(homes, Home(doc.Partitions, team, string(request)))
+	}
+
+	return homes
+}
+
 // choose returns the partition of the highest score among those allowed, or
 // among all if none is.
 func choose(partitions []modeler.Partition, team modeler.TeamID, item string,
