--- a/internal/cli/commander/config_report.go
+++ b/internal/cli/commander/config_report.go
@@ -39,6 +39,12 @@
 	Records []string `arg:"--records,separate" help:"file with exported records, instead of the server; may be repeated"`
 }
 
+// OperatorAccess holds the key of an operator in commands whose --key is that
+// of a team.
+type OperatorAccess struct {
+	OperatorKey string `arg:"--operator-key,env:GREENGAGEWALL_OPERATOR_KEY" help:"key of an operator, to read the configuration and the usage"`
+}
+
 // records reads all records.
 func (e Exports) records(ctx context.Context, env Env, target Target) ([]modeler.Record, error) {
 	var records []modeler.Record
@@ -114,6 +120,7 @@
 	Source
 	Target
 	Exports
+	OperatorAccess
 	Output string     `arg:"--output" default:"text" help:"text, json or html"`
 	At     *time.Time `arg:"--at" help:"time of the report in RFC 3339 (default: now)"`
 }
@@ -158,7 +165,7 @@
 
 		return result.Document, faulty(err)
 	}
-	current, err := c.current(ctx, env)
+	current, err := c.current(ctx, env, c.OperatorKey)
 	if err == nil && current.Offset < 0 {
 		err = modeler.NotRun(modeler.CodeStaleConfig, time.Second, "no configuration is in force; give --deployment or --base")
 	}
--- a/internal/config/parser/file.go
+++ b/internal/config/parser/file.go
@@ -21,12 +21,14 @@
 	Queues     []Queue
 	Services   []Service
 	Jobs       []Job
+	Operators  []Operator
 }
 
 // Partition is an entry of the list partitions.
 type Partition struct {
 	Name, Region Field[string]
 	Weight       Field[int64]
+	Services     Field[[]string]
 }
 
 // Team is an entry of the list teams.
@@ -37,7 +39,13 @@
 	Keys  []Key
 }
 
-// Key is an entry of the list keys of a team.
+// Operator is an entry of the list operators.
+type Operator struct {
+	Name Field[string]
+	Keys []Key
+}
+
+// Key is an entry of the list keys of a team or an operator.
 type Key struct {
 	Name, Digest Field[string]
 	Withdrawn    Field[bool]
@@ -97,6 +105,8 @@
 			func(s Service) Field[string] { return s.Name })},
 		{name: "jobs", read: items(r, &file.Jobs, "job", r.readJob,
 			func(j Job) Field[string] { return j.Name })},
+		{name: "operators", read: items(r, &file.Operators, "operator", r.readOperator,
+			func(o Operator) Field[string] { return o.Name })},
 	}
 	if r.overlay {
 		entries = append(entries, entry{name: "site", read: value(r, &file.Site, label)})
@@ -115,6 +125,7 @@
 		{name: nameField, read: value(r, &p.Name, label), need: true},
 		{name: "region", read: value(r, &p.Region, label), need: true, fixed: true},
 		{name: "weight", read: value(r, &p.Weight, integer(1, 1000))},
+		{name: "services", read: values(r, &p.Services, "services", label), fixed: true},
 	})
 
 	return p
@@ -132,6 +143,17 @@
 	return t
 }
 
+// readOperator reads an entry of operators.
+func (r *reader) readOperator(node ast.Node) (o Operator) {
+	r.mapping(node, "an operator", []entry{
+		{name: nameField, read: value(r, &o.Name, label), need: true},
+		{name: "keys", need: true, read: items(r, &o.Keys, "key", r.readKey,
+			func(k Key) Field[string] { return k.Name })},
+	})
+
+	return o
+}
+
 // readKey reads an entry of keys.
 func (r *reader) readKey(node ast.Node) (k Key) {
 	r.mapping(node, "a key", []entry{
--- a/internal/config/parser/parser_test.go
+++ b/internal/config/parser/parser_test.go
@@ -19,6 +19,7 @@
   - name: costa-1
     region: costa
     color: red
+    services: [Lookup, 7.5]
 teams:
   - name: forecasts
     share: -3
@@ -52,6 +53,10 @@
     deadline: 25:00
   - &anchor
     name: [a]
+operators:
+  - name: amy
+    limit: {slots: 1}
+  - keys: [{name: laptop, digest: short}]
 `
 
 // TestProblems guards against a fault that is not reported, or reported at the
@@ -68,6 +73,7 @@
 partitions:
   - name: costa-1
     region: sierra
+    services: []
 teams:
   - name: forecasts
     keys: [{name: first, digest: 00}]
@@ -75,6 +81,7 @@
 queues:
   - name: plumes
     kind: batch
+operators: [{name: amy, keys: [{name: laptop, digest: 00}]}]
 `))
 	goldie.New(t).Assert(t, "overlay", []byte(err.Error()+"\n"))
 }
--- a/internal/config/renderer/renderer.go
+++ b/internal/config/renderer/renderer.go
@@ -22,12 +22,16 @@
 	Queues     []queue     `yaml:"queues"`
 	Services   []service   `yaml:"services,omitempty"`
 	Jobs       []job       `yaml:"jobs,omitempty"`
+	Operators  []operator  `yaml:"operators,omitempty"`
 }
 
 type partition struct {
 	Name   string `yaml:"name"`
 	Region string `yaml:"region"`
 	Weight int64  `yaml:"weight"`
+	// Services is a pointer, because an absent list means all services and an
+	// empty one none.
+	Services *[]string `yaml:"services,omitempty,flow"`
 }
 
 type amount struct {
@@ -50,6 +54,11 @@
 	Keys  []key  `yaml:"keys,omitempty"`
 }
 
+type operator struct {
+	Name string `yaml:"name"`
+	Keys []key  `yaml:"keys"`
+}
+
 type objective struct {
 	Wait   quantity `yaml:"wait"`
 	Target float64  `yaml:"target"`
@@ -124,7 +133,11 @@
 func Render(doc modeler.Document) ([]byte, error) {
 	out := file{Cell: doc.Cell}
 	for _, p := range doc.Partitions {
-		out.Partitions = append(out.Partitions, partition{Name: string(p.Name), Region: p.Region, Weight: p.Weight})
+		part := partition{Name: string(p.Name), Region: p.Region, Weight: p.Weight}
+		if p.Services != nil {
+			part.Services = &p.Services
+		}
+		out.Partitions = append(out.Partitions, part)
 	}
 	for _, t := range doc.Teams {
 		out.Teams = append(out.Teams, renderTeam(t))
@@ -140,6 +153,9 @@
 	for _, j := range doc.Jobs {
 		out.Jobs = append(out.Jobs, renderJob(j))
 	}
+	for _, o := range doc.Operators {
+		out.Operators = append(out.Operators, operator{Name: o.Name, Keys: renderKeys(o.Keys)})
+	}
 	data, err := yaml.MarshalWithOptions(out, yaml.IndentSequence(true))
 
 	return data, errors.Wrap(err, "render configuration")
@@ -160,9 +176,14 @@
 
 // renderTeam converts a team and its keys.
 func renderTeam(t modeler.Team) team {
-	out := team{Name: string(t.Name), Share: t.Share, Limit: renderAmount(t.Limit)}
-	for _, k := range t.Keys {
-		out.Keys = append(out.Keys, key(k))
+	return team{Name: string(t.Name), Share: t.Share, Limit: renderAmount(t.Limit), Keys: renderKeys(t.Keys)}
+}
+
+// renderKeys converts the keys of a team or an operator.
+func renderKeys(keys []modeler.Key) []key {
+	out := make([]key, len(keys))
+	for i, k := range keys {
+		out[i] = key(k)
 	}
 
 	return out
--- a/internal/proof/demonstrator/demo.go
+++ b/internal/proof/demonstrator/demo.go
@@ -7,10 +7,12 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -110,7 +112,7 @@
 // publish publishes the example configuration with the product's command.
 func (d *demo) publish(ctx context.Context) error {
 	output, err := d.product(ctx, "publish", "--deployment", d.settings.Deployment,
-		"--server", "http://"+d.entries[0].String(), "--wait", "15s")
+		"--server", "http://"+d.entries[0].String(), "--wait", "15s", "--key", d.plan.operator)
 	lines := strings.Split(strings.TrimSpace(output), "\n")
 	d.printf("$ greengagewall publish --deployment %s\n", d.settings.Deployment)
 	for i, line := range lines {
@@ -145,7 +147,22 @@
 		return plan{}, err
 	}
 
-	return newPlan(result.Document, secrets)
+	p, err := newPlan(result.Document, secrets)
+	p.operator = operatorSecret(secrets)
+
+	return p, err
+}
+
+// operatorSecret returns the secret of an operator, whose lines in keys.txt
+// begin with "operator:".
+func operatorSecret(secrets map[string]string) string {
+	for _, name := range slices.Sorted(maps.Keys(secrets)) {
+		if strings.HasPrefix(name, "operator:") {
+			return secrets[name]
+		}
+	}
+
+	return ""
 }
 
 // readSecrets reads lines of team, key and secret.
--- a/internal/proof/timer/timer.go
+++ b/internal/proof/timer/timer.go
@@ -123,7 +123,7 @@
 		Parent   modeler.Offset   `json:"parent"`
 		Document modeler.Document `json:"document"`
 	}{-1, document()}
-	if err := launcher.Put(ctx, t.cluster.Entries[0].Listen, "/v1/config", msg, nil); err != nil {
+	if err := launcher.PutAs(ctx, "", t.cluster.Entries[0].Listen, "/v1/config", msg, nil); err != nil {
 		return err
 	}
 
