--- a/internal/cli/commander/config_report.go
+++ b/internal/cli/commander/config_report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/report/burner"
+	"gitlab.com/greengagewall/greengagewall/internal/report/reporter"
 )
 
 // ReportCmd holds the reports.
@@ -27,7 +29,7 @@
 		return c.Measures.Run(ctx, env)
 	}
 
-	return exitFault, errors.New("give burn or measures")
+	return codeUsage, errors.New("give burn or measures")
 }
 
 // Exports names where decision records come from. Each team's records need a
@@ -43,11 +45,9 @@
 	OperatorKey string `arg:"--operator-key,env:GREENGAGEWALL_OPERATOR_KEY" help:"key of an operator, to read the configuration and the usage"`
 }
 
-// records reads all records, and the outcomes of calls where the server has
-// them.
-func (e Exports) records(ctx context.Context, env Env, target Target) ([]modeler.Record, []burner.Outcome, error) {
+// records reads all records.
+func (e Exports) records(ctx context.Context, env Env, target Target) ([]modeler.Record, error) {
 	var records []modeler.Record
-	var outcomes []burner.Outcome
 	take := func(export map[modeler.PartitionID][]modeler.Record) {
 		for _, list := range export {
 			records = append(records, list...)
@@ -56,28 +56,63 @@
 	for _, path := range e.Records {
 		data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
 		if err != nil {
-			return nil, nil, errors.Wrap(err, "read records")
+			return nil, faulty(errors.Wrap(err, "read records"))
 		}
 		var export map[modeler.PartitionID][]modeler.Record
 		if err := json.Unmarshal(data, &export); err != nil {
-			return nil, nil, errors.Wrapf(err, "%s is not an export of records", path)
+			return nil, faulty(errors.Wrapf(err, "%s is not an export of records", path))
 		}
 		take(export)
 	}
 	for _, key := range e.Key {
 		var export map[modeler.PartitionID][]modeler.Record
 		if err := target.get(ctx, env, "/v1/records", key, &export); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		take(export)
-		var calls []burner.Outcome
-		if err := target.get(ctx, env, "/v1/outcomes", key, &calls); err != nil && !isCode(err, modeler.CodeUnknownItem) {
-			return nil, nil, err
+	}
+
+	return records, nil
+}
+
+// outcomes reads the outcomes of idempotent calls. They are in no log: each
+// instance counts the calls that it took, so all of them are asked, and one
+// that does not answer is named on the error output.
+func (e Exports) outcomes(ctx context.Context, env Env, target Target) ([]burner.Outcome, error) {
+	if len(e.Key) == 0 {
+		return nil, nil
+	}
+	var state reporter.State
+	if err := target.get(ctx, env, "/v1/state", "", &state); err != nil {
+		return nil, err
+	}
+	instances := []modeler.Instance{state.Instance}
+	for _, peer := range state.Peers {
+		instances = append(instances, peer.Instance)
+	}
+	var outcomes []burner.Outcome
+	for i, instance := range instances {
+		// A load balancer may send the next request to another instance.
+		one := Target{Server: "http://" + instance.Address.String()}
+		if i == 0 && !instance.Address.IsValid() {
+			one = target
+		}
+		for _, key := range e.Key {
+			var calls []burner.Outcome
+			err := errors.New("its address is not known")
+			if i == 0 || instance.Address.IsValid() {
+				err = one.get(ctx, env, "/v1/outcomes", key, &calls)
+			}
+			if err != nil {
+				_, _ = fmt.Fprintf(env.Err, "calls that instance %s took are missing: %v\n", instance.ID, err)
+
+				break
+			}
+			outcomes = append(outcomes, calls...)
 		}
-		outcomes = append(outcomes, calls...)
 	}
 
-	return records, outcomes, nil
+	return outcomes, nil
 }
 
 // BurnCmd reports the use of the error budgets.
@@ -94,18 +129,22 @@
 // else from the configuration in force.
 func (c *BurnCmd) Run(ctx context.Context, env Env) (int, error) {
 	if c.Output != "html" && (Format{c.Output}).check() != nil {
-		return exitFault, errors.Errorf("--output is %q; it must be text, json or html", c.Output)
+		return codeUsage, errors.Errorf("--output is %q; it must be text, json or html", c.Output)
 	}
 	if len(c.Key)+len(c.Records) == 0 {
-		return exitFault, errors.New("give --key or --records")
+		return codeUsage, errors.New("give --key or --records")
 	}
 	doc, err := c.document(ctx, env)
 	if err != nil {
-		return exitOf(err), err
+		return codeOf(err), err
+	}
+	records, err := c.records(ctx, env, c.Target)
+	if err != nil {
+		return codeOf(err), err
 	}
-	records, outcomes, err := c.records(ctx, env, c.Target)
+	outcomes, err := c.outcomes(ctx, env, c.Target)
 	if err != nil {
-		return exitOf(err), err
+		return codeOf(err), err
 	}
 	now := env.Now()
 	if c.At != nil {
@@ -113,10 +152,10 @@
 	}
 	report := burner.Compute(doc, append(outcomes, burner.FromRecords(doc, records, now)...), now)
 	if c.Output == "html" {
-		return exitOK, report.HTML(env.Out)
+		return codeOK, report.HTML(env.Out)
 	}
 
-	return exitOK, Format{c.Output}.write(env.Out, report, report.Text)
+	return codeOK, Format{c.Output}.write(env.Out, report, report.Text)
 }
 
 // document returns the configuration that the objectives are taken from.
@@ -124,7 +163,7 @@
 	if c.Deployment != "" || c.Base != "" {
 		result, err := c.load()
 
-		return result.Document, err
+		return result.Document, faulty(err)
 	}
 	current, err := c.current(ctx, env, c.OperatorKey)
 	if err == nil && current.Offset < 0 {
--- a/internal/cli/commander/config_report_test.go
+++ b/internal/cli/commander/config_report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -37,6 +38,7 @@
 	case path == "/v1/state":
 		reply(w, reporter.State{Instance: modeler.Instance{ID: "entry-1"}, Config: s.api.offset, Peers: []modeler.Peer{
 			{Instance: modeler.Instance{ID: "entry-2"}},
+			{Instance: modeler.Instance{ID: "entry-3", Address: s.server.Listener.Addr().(*net.TCPAddr).AddrPort()}},
 		}})
 	case path == "/debug/vars":
 		s.now = s.now.Add(time.Millisecond)
@@ -51,17 +53,21 @@
 }
 
 // TestReports guards against reports that miss the records of a partition, the
-// outcomes of calls, or an instance that cannot be reached.
+// outcomes of the calls that one instance took, or an instance that cannot be
+// reached.
 func TestReports(t *testing.T) {
 	s := newSession(t)
-	s.wants(exitOK, "publish "+humo)
+	s.wants(codeOK, "publish "+humo)
 	s.server.Config.Handler = http.HandlerFunc(s.reports)
 	var out strings.Builder
-	out.WriteString(s.wants(exitOK, "report burn --key secret"))
-	out.WriteString(s.wants(exitOK, "report measures --key secret"))
-	s.wants(exitFault, "report burn --key other")
-	s.wants(exitFault, "report burn")
-	if page := s.wants(exitOK, "report burn --key secret --output html"); !strings.Contains(page, "<svg") {
+	out.WriteString(s.wants(codeOK, "report burn --key secret"))
+	out.WriteString(s.wants(codeOK, "report measures --key secret"))
+	if out := s.wants(codeOK, "report burn --key secret --output json"); !strings.Contains(out, `"good": 198`) {
+		t.Errorf("the calls of two instances are not added up: %s", out)
+	}
+	s.wants(codeRefused, "report burn --key other")
+	s.wants(codeUsage, "report burn")
+	if page := s.wants(codeOK, "report burn --key secret --output html"); !strings.Contains(page, "<svg") {
 		t.Error("no plot in the page")
 	}
 	data, err := json.Marshal(export(s.now))
@@ -73,7 +79,7 @@
 		t.Fatal(err)
 	}
 	exit, text := s.run("report burn --records " + path + " --at 2023-11-14T22:15:00Z " + humo)
-	if exit != exitOK {
+	if exit != codeOK {
 		t.Errorf("exit %d offline: %s", exit, text)
 	}
 	out.WriteString("$ report burn --records export.json --at 2023-11-14T22:15:00Z " + humo + "\n" + text)
--- a/internal/cli/commander/config_router_test.go
+++ b/internal/cli/commander/config_router_test.go
@@ -66,30 +66,30 @@
 		router.WithConfiguration(config), router.WithMembership(alone{}),
 		router.WithAuthenticator(authenticator.New(config, freshness{config})),
 	)
-	s.wants(exitDiffers, "diff "+humo)
-	s.wants(exitOK, "publish "+humo+" --wait 1s")
+	s.wants(codeNegative, "diff "+humo)
+	s.wants(codeOK, "publish "+humo+" --wait 1s")
 	for _, line := range []string{"diff " + humo, "publish " + humo, "key withdraw health lima"} {
-		if out := s.wants(exitFault, line); !strings.Contains(out, "bad-key (not run)") {
+		if out := s.wants(codeRefused, line); !strings.Contains(out, "bad-key (not run)") {
 			t.Errorf("%s without a key: %s", line, out)
 		}
 	}
 	t.Setenv("GREENGAGEWALL_KEY", key)
-	if out := s.wants(exitFault, "key withdraw cartographer demo --holder operator"); !strings.Contains(out, "no operator has a usable key") {
+	if out := s.wants(codeUsage, "key withdraw cartographer demo --holder operator"); !strings.Contains(out, "no operator has a usable key") {
 		t.Errorf("last key withdrawn: %s", out)
 	}
-	s.wants(exitOK, "diff "+humo)
-	s.wants(exitOK, "key grant health piura --digest "+strings.Repeat("ab", 32))
-	s.wants(exitOK, "key withdraw health lima")
-	if out := s.wants(exitFault, "publish "+humo); !strings.Contains(out, "teams/health/keys/lima") {
+	s.wants(codeOK, "diff "+humo)
+	s.wants(codeOK, "key grant health piura --digest "+strings.Repeat("ab", 32))
+	s.wants(codeOK, "key withdraw health lima")
+	if out := s.wants(codeRefused, "publish "+humo); !strings.Contains(out, "teams/health/keys/lima") {
 		t.Errorf("withdrawn key not named: %s", out)
 	}
-	s.wants(exitConflict, "publish "+humo+" --reinstate --parent 0")
-	s.wants(exitOK, "publish "+humo+" --reinstate")
-	if out := s.wants(exitOK, "offsets"); !strings.Contains(out, "offset 3 is in force everywhere") {
+	s.wants(codeConflict, "publish "+humo+" --reinstate --parent 0")
+	s.wants(codeOK, "publish "+humo+" --reinstate")
+	if out := s.wants(codeOK, "offsets"); !strings.Contains(out, "offset 3 is in force everywhere") {
 		t.Error(out)
 	}
 	platform.Close()
-	if out := s.wants(exitFault, "publish "+humo); !strings.Contains(out, "log-down (not run)") {
+	if out := s.wants(codeRefused, "publish "+humo); !strings.Contains(out, "log-down (not run)") {
 		t.Error(out)
 	}
 }
--- a/internal/core/scheduler/chore.go
+++ b/internal/core/scheduler/chore.go
@@ -21,12 +21,6 @@
 		return
 	}
 	s.ticked = now
-	if s.limited && now.Sub(s.askedAgain) >= askEvery {
-		// A request for more of a limit may have been refused or lost, so a job
-		// that waits behind its limit asks again without another change. In the
-		// same way the time ends during which a job avoids an endpoint.
-		s.changed, s.limited, s.askedAgain = true, false, now
-	}
 	for range due {
 		s.runChore(s.chore, now)
 		s.chore = (s.chore + 1) % chores
@@ -37,6 +31,9 @@
 	switch number {
 	case 0:
 		s.shares.Balance()
+		// What holds a job back can also end by time alone: a request for more
+		// of a limit, a worker that the job avoids, a plan that was put off.
+		s.changed = s.changed || s.stats.Queued > 0
 	case 1:
 		s.reviewDeadlines(now)
 	case 2, 12:
--- a/internal/entry/router/queries.go
+++ b/internal/entry/router/queries.go
@@ -95,7 +95,8 @@
 }
 
 // await looks for a job until it is final, wait has passed, the caller is gone
-// or this instance shuts down.
+// or this instance shuts down. It looks for an unknown job for the time
+// followLag only: a longer wait would hold up callers and a shutdown.
 func (r *Router) await(ctx context.Context, wait time.Duration, look func() (modeler.JobStatus, bool)) (modeler.JobStatus, bool) {
 	ctx, cancel := context.WithTimeout(ctx, max(wait, followLag))
 	defer cancel()
@@ -106,6 +107,9 @@
 		if ok && (status.Final || r.draining() || time.Since(started) >= wait) {
 			return status, true
 		}
+		if !ok && time.Since(started) >= followLag {
+			return status, false
+		}
 		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
@@ -189,6 +193,18 @@
 	r.answer(w, http.StatusOK, r.queries.Export(team))
 }
 
+// outcomes serves GET /v1/outcomes: the idempotent calls of the key's team that
+// this instance took, by queue and interval, since its start.
+func (r *Router) outcomes(w http.ResponseWriter, req *http.Request) {
+	team, err := r.authenticator.Team(req.Header.Get("Authorization"))
+	if err != nil {
+		r.problem(w, err)
+
+		return
+	}
+	r.answer(w, http.StatusOK, r.tally.Outcomes(team))
+}
+
 // configuration serves GET /v1/config.
 func (r *Router) configuration(w http.ResponseWriter, req *http.Request) {
 	if _, err := r.operator(req); err != nil {
--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -35,6 +35,8 @@
 	// offset is in force; publisher is the operator of the last publication.
 	offset    modeler.Offset
 	publisher string
+	// failure is what calls end with.
+	failure error
 }
 
 func digest(secret string) string {
@@ -105,6 +107,9 @@
 
 func (w *world) Call(_ context.Context, msg modeler.CallMsg) (modeler.CallReply, error) {
 	w.called = append(w.called, msg)
+	if w.failure != nil {
+		return modeler.CallReply{}, w.failure
+	}
 
 	return modeler.CallReply{Request: msg.Request, Answer: append([]byte("answer to "), msg.Body...), Endpoint: "x1"}, nil
 }
@@ -263,6 +268,16 @@
 	}
 }
 
+// TestRouter_UnknownJobWait guards against a query for an unknown job that
+// waits for its whole time, which delayed a shutdown by up to a minute.
+func TestRouter_UnknownJobWait(t *testing.T) {
+	started := time.Now()
+	got := newWorld().send("GET /v1/jobs/j-1?wait=20s", "", "Authorization", goodKey)
+	if took := time.Since(started); got.Code != http.StatusNotFound || took < followLag || took > 10*time.Second {
+		t.Errorf("status %d after %s", got.Code, took)
+	}
+}
+
 // TestRouter_Ready guards against traffic to an instance that cannot route it,
 // and against a new partition that makes every instance unready.
 func TestRouter_Ready(t *testing.T) {
--- a/internal/proof/demonstrator/demo.go
+++ b/internal/proof/demonstrator/demo.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"gitlab.com/greengagewall/greengagewall/internal/config/merger"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/proof/caller"
 	"gitlab.com/greengagewall/greengagewall/internal/proof/launcher"
@@ -43,7 +44,7 @@
 	settings Settings
 	cluster  *launcher.Cluster
 	recorder *caller.Recorder
-	secrets  map[string]string
+	plan     plan
 	entries  []netip.AddrPort
 	rows     []row
 	// explained is the job whose records are printed.
@@ -71,12 +72,12 @@
 
 func (d *demo) run(ctx context.Context, processes *launcher.Launcher) error {
 	var err error
-	if d.secrets, err = readSecrets(filepath.Join(d.settings.Deployment, "keys.txt")); err != nil {
+	if d.plan, err = readPlan(d.settings.Deployment); err != nil {
 		return err
 	}
 	begun := time.Now()
 	d.cluster, err = launcher.Start(ctx, processes, launcher.Settings{
-		Binary: d.settings.Binary, Standin: d.settings.Standin, Regions: []string{"costa", "sierra", "selva"},
+		Binary: d.settings.Binary, Standin: d.settings.Standin, Regions: d.plan.regions,
 		Entries: 2, Workers: 16, Executors: 8, Cores: 16, Memory: 64, ServiceTime: 5 * time.Millisecond,
 	})
 	if err != nil {
@@ -110,7 +111,7 @@
 // publish publishes the example configuration with the product's command.
 func (d *demo) publish(ctx context.Context) error {
 	output, err := d.product(ctx, "publish", "--deployment", d.settings.Deployment,
-		"--server", "http://"+d.entries[0].String(), "--wait", "15s", "--key", d.secrets[operatorKey])
+		"--server", "http://"+d.entries[0].String(), "--wait", "15s", "--key", d.plan.operator)
 	lines := strings.Split(strings.TrimSpace(output), "\n")
 	d.printf("$ greengagewall publish --deployment %s\n", d.settings.Deployment)
 	for i, line := range lines {
@@ -123,9 +124,6 @@
 	return errors.Wrap(err, "publish")
 }
 
-// operatorKey is the key in keys.txt that the demo publishes with.
-const operatorKey = "operator:cartographer/demo"
-
 // product runs a command of the product.
 func (d *demo) product(ctx context.Context, args ...string) (string, error) {
 	output, err := exec.CommandContext(ctx, d.settings.Binary, args...).CombinedOutput() //nolint:gosec // the binary to demonstrate
@@ -137,9 +135,35 @@
 	_, _ = fmt.Fprintf(d.settings.Out, format, args...)
 }
 
-// team returns a team with one of its keys.
-func (d *demo) team(team, key string) caller.Team {
-	return caller.Team{Name: modeler.TeamID(team), Secret: d.secrets[team+"/"+key]}
+// readPlan reads a deployment directory.
+func readPlan(dir string) (plan, error) {
+	secrets, err := readSecrets(filepath.Join(dir, "keys.txt"))
+	if err != nil {
+		return plan{}, err
+	}
+	result, err := merger.Load(dir)
+	if err != nil {
+		return plan{}, err
+	}
+
+	p, err := newPlan(result.Document, secrets)
+	p.operator = operatorSecret(result.Document, secrets)
+
+	return p, err
+}
+
+// operatorSecret returns the secret of a usable operator key; empty if there is
+// none.
+func operatorSecret(doc modeler.Document, secrets map[string]string) string {
+	for _, operator := range doc.Operators {
+		for _, key := range operator.Keys {
+			if secret := secrets["operator:"+operator.Name+"/"+key.Name]; !key.Withdrawn && secret != "" {
+				return secret
+			}
+		}
+	}
+
+	return ""
 }
 
 // readSecrets reads lines of team, key and secret.
--- a/internal/proof/demonstrator/report.go
+++ b/internal/proof/demonstrator/report.go
@@ -70,7 +70,7 @@
 
 // explain prints the records of the all-at-once job.
 func (d *demo) explain(ctx context.Context) error {
-	team := d.team("forecasts", "plumes")
+	team := d.plan.gang.team
 	for _, entry := range d.cluster.Entries {
 		if !entry.Process().Alive() {
 			continue
@@ -105,7 +105,7 @@
 
 // limits returns the upper limits of the published configuration.
 func (d *demo) limits(ctx context.Context) (map[modeler.TeamID]modeler.Resources, error) {
-	doc, err := d.cluster.Config(ctx, d.secrets[operatorKey])
+	doc, err := d.cluster.Config(ctx, d.plan.operator)
 	limits := make(map[modeler.TeamID]modeler.Resources)
 	for _, team := range doc.Document.Teams {
 		limits[team.Name] = team.Limit
