--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -32,11 +32,11 @@
 	known     bool
 	stale     bool
 	served    *Router
-	// failure is what calls end with.
-	failure error
 	// offset is in force; publisher is the operator of the last publication.
 	offset    modeler.Offset
 	publisher string
+	// failure is what calls end with.
+	failure error
 }
 
 func digest(secret string) string {
--- a/internal/proof/demonstrator/demo.go
+++ b/internal/proof/demonstrator/demo.go
@@ -7,18 +7,17 @@
 	"context"
 	"fmt"
 	"io"
-	"maps"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"gitlab.com/greengagewall/greengagewall/internal/config/merger"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 	"gitlab.com/greengagewall/greengagewall/internal/proof/caller"
 	"gitlab.com/greengagewall/greengagewall/internal/proof/launcher"
 )
@@ -148,17 +147,19 @@
 	}
 
 	p, err := newPlan(result.Document, secrets)
-	p.operator = operatorSecret(secrets)
+	p.operator = operatorSecret(result.Document, secrets)
 
 	return p, err
 }
 
-// operatorSecret returns the secret of an operator, whose lines in keys.txt
-// begin with "operator:".
-func operatorSecret(secrets map[string]string) string {
-	for _, name := range slices.Sorted(maps.Keys(secrets)) {
-		if strings.HasPrefix(name, "operator:") {
-			return secrets[name]
+// operatorSecret returns the secret of a usable operator key; empty if there is
+// none.
+func operatorSecret(doc modeler.Document, secrets map[string]string) string {
+	for _, operator := range doc.Operators {
+		for _, key := range operator.Keys {
+			if secret := secrets["operator:"+operator.Name+"/"+key.Name]; !key.Withdrawn && secret != "" {
+				return secret
+			}
 		}
 	}
 
--- a/internal/proof/demonstrator/plan.go
+++ b/internal/proof/demonstrator/plan.go
@@ -18,9 +18,9 @@
 
 // plan says which teams, queues and services of a deployment are shown.
 type plan struct {
-	regions []string
 	// operator is the secret that the configuration is published with.
 	operator string
+	regions  []string
 	// idempotent and once are calls with a key, open is one without.
 	idempotent, once, open          caller.Service
 	idempotentTeam, onceTeam, owner caller.Team
