Name the endpoints of a partition in its claim

Cause: a new owner waited only for the endpoints in its own list of instances. An endpoint that had come back 0.3 s before was in the old owner's list and not yet in the new one's, and a task that ran there was started again. Ruled out: the fence of terms (worker-15 was never asked). Change: claims name the endpoints that may run work; an owner uses no other one, and a new owner raises those as well as the listed ones. A changed list makes the owner claim anew, at most once a second.

--- a/internal/codec/encoder/batch.go
+++ b/internal/codec/encoder/batch.go
@@ -33,6 +33,10 @@
 // Successors[k-1].
 type Claim struct {
 	Successors []modeler.InstanceID `msgpack:"u,omitempty"`
+	// Endpoints lists every endpoint that may run work of the partition. The
+	// owner uses no other one, so that a later owner, whose list of instances
+	// lags, knows all that it has to raise.
+	Endpoints []modeler.Instance `msgpack:"e,omitempty"`
 }
 
 // TaskChange sets the state of a task.
--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -21,6 +21,7 @@
 // endpoint are placed there; all jobs are held back from the decider until no
 // endpoint can run work that this owner does not know of.
 func (c *Core) restore(state *replayer.State) {
+	c.restoreRoster(state.Endpoints)
 	for id := range state.Jobs {
 		c.restoreJob(state.Jobs[id])
 	}
--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -47,6 +47,10 @@
 	// contact is the latest time at which a renewal or a start may have
 	// reached the endpoint and extended a task lease. A hello extends none.
 	contact time.Time
+	// enrolled is the term of the first claim that names the endpoint; admitted
+	// is set once a majority has seen that term.
+	enrolled modeler.Term
+	admitted bool
 	// regained is when the endpoint granted a session after it may have granted
 	// one to another owner.
 	regained time.Time
@@ -129,7 +133,7 @@
 
 // usable reports whether new work may be sent under the present session.
 func (e *endpoint) usable(now time.Time) bool {
-	return e.state == endpointOpen && !e.renew && e.listed && !e.leaving && now.Sub(e.fresh) <= FreshFor
+	return e.state == endpointOpen && e.admitted && !e.renew && e.listed && !e.leaving && now.Sub(e.fresh) <= FreshFor
 }
 
 // list takes over the platform's list of the partition's endpoints.
--- a/internal/partition/owner/journal.go
+++ b/internal/partition/owner/journal.go
@@ -117,6 +117,7 @@
 		return
 	}
 	if j.raise != nil {
+		j.raise.Endpoints = c.nextRoster()
 		claim := encoder.Batch{Term: modeler.NewTerm(c.term.Epoch()+1, 0), Author: c.self, Seq: 1, Claim: j.raise}
 		j.raise, j.inFlight, j.sealed = nil, true, c.now
 		c.emit(AppendCmd{Batch: claim})
@@ -140,6 +141,7 @@
 	c.term, c.journal.seq = msg.Term, msg.Seq
 	c.journal.inFlight, c.journal.raise = false, nil
 	c.coverGifts()
+	c.takeRoster()
 	for _, e := range c.endpoints {
 		// The endpoints report these again; by now the job is known or void.
 		clear(e.orphans)
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -72,9 +72,13 @@
 	// unreleased lists the gifts of this partition that the receiver must not
 	// use yet, in the order of their numbers.
 	unreleased []*unreleased
-	// claimAsked is when a claim was last asked for to release gifts.
+	// claimAsked is when a claim was last asked for to release gifts or to
+	// enrol endpoints.
 	claimAsked time.Time
-	journal    journal
+	// roster is the endpoints of the claim in force, claiming those of the
+	// claim that is on its way.
+	roster, claiming map[modeler.InstanceID]bool
+	journal          journal
 
 	// majorityAt is when a majority of the endpoints was first raised to a
 	// term of this owner; zero before.
@@ -220,6 +224,7 @@
 	}
 	c.tickTakeover()
 	c.tickRelease()
+	c.tickRoster()
 	c.tickRefused()
 	c.tickDisplaced()
 	c.expireWaits()
--- a/internal/partition/owner/owner_test.go
+++ b/internal/partition/owner/owner_test.go
@@ -35,9 +35,6 @@
 		tasks: map[modeler.InstanceID]map[modeler.TaskID]messenger.Task{},
 	}
 	state := replayer.New("costa-1")
-	b.core = New("a", modeler.NewTerm(1, 0), 1, state, WithDecider(decider), WithViolation(func(invariant, _ string) {
-		b.violations = append(b.violations, invariant)
-	}))
 	instances := make([]modeler.Instance, 0, workers+executors)
 	for i := range workers + executors {
 		kind := modeler.KindWorker
@@ -49,6 +46,10 @@
 			Address: netip.MustParseAddrPort("127.0.0.1:1"),
 		})
 	}
+	state.Endpoints = instances
+	b.core = New("a", modeler.NewTerm(1, 0), 1, state, WithDecider(decider), WithViolation(func(invariant, _ string) {
+		b.violations = append(b.violations, invariant)
+	}))
 	limit := modeler.Resources{Millis: 1 << 40, Memory: 1 << 60, Slots: 1 << 40}
 	b.send(ConfigMsg{Offset: 1, Document: modeler.Document{
 		Partitions: []modeler.Partition{{Name: "costa-1", Region: "costa", Weight: 1}},
--- a/internal/partition/replayer/apply.go
+++ b/internal/partition/replayer/apply.go
@@ -61,6 +61,7 @@
 		}
 	case batch.Term == modeler.NewTerm(s.Term.Epoch()+1, 0) && batch.Claim != nil:
 		s.Successors = slices.Clone(batch.Claim.Successors)
+		s.Endpoints = slices.Clone(batch.Claim.Endpoints)
 	default:
 		// The state was restored from a snapshot that a superseded owner wrote
 		// late, or claims are missing: wait for a snapshot of the new term.
--- a/internal/partition/replayer/snapshot.go
+++ b/internal/partition/replayer/snapshot.go
@@ -9,6 +9,7 @@
 type image struct {
 	Partition  modeler.PartitionID       `msgpack:"p"`
 	Successors []modeler.InstanceID      `msgpack:"u"`
+	Endpoints  []modeler.Instance        `msgpack:"e,omitempty"`
 	Jobs       []Job                     `msgpack:"j"`
 	Requests   []encoder.RequestChange   `msgpack:"q"`
 	Chains     map[modeler.TeamID]*Chain `msgpack:"c"`
@@ -18,7 +19,7 @@
 // Snapshot encodes the state for encoder.Snapshot.
 func (s *State) Snapshot() ([]byte, error) {
 	content := image{
-		Partition: s.Partition, Successors: s.Successors, Chains: s.Chains, Gifts: s.Gifts,
+		Partition: s.Partition, Successors: s.Successors, Endpoints: s.Endpoints, Chains: s.Chains, Gifts: s.Gifts,
 		Jobs:     make([]Job, 0, len(s.Jobs)),
 		Requests: make([]encoder.RequestChange, 0, len(s.Requests)),
 	}
@@ -42,7 +43,7 @@
 	fresh := New(s.Partition)
 	fresh.Next = s.Next
 	fresh.Term, fresh.Owner, fresh.LastSeq = batch.Term, batch.Author, batch.Seq
-	fresh.Successors = content.Successors
+	fresh.Successors, fresh.Endpoints = content.Successors, content.Endpoints
 	for _, job := range content.Jobs {
 		fresh.Jobs[job.Job.ID] = &job
 	}
--- a/internal/partition/replayer/state.go
+++ b/internal/partition/replayer/state.go
@@ -17,6 +17,8 @@
 	Term       modeler.Term
 	Owner      modeler.InstanceID
 	Successors []modeler.InstanceID
+	// Endpoints is the list of the present claim.
+	Endpoints []modeler.Instance
 	// LastSeq is the last batch of the present term.
 	LastSeq uint64
 	// Next is the offset after the last record applied.
--- a/internal/partition/runner/claim.go
+++ b/internal/partition/runner/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/codec/encoder"
@@ -57,11 +58,26 @@
 	r.claim = &claim{term: modeler.NewTerm(r.state.Term.Epoch()+1, 0), at: now, asked: asked}
 	r.append.put(encoder.Batch{
 		Term: r.claim.term, Author: r.set.Self.ID, Seq: 1,
-		Claim: &encoder.Claim{Successors: elector.Successors(r.electorView(), now)},
+		Claim: &encoder.Claim{
+			Successors: elector.Successors(r.electorView(), now), Endpoints: join(r.view.endpoints, r.state.Endpoints),
+		},
 	})
 	r.set.Logger.Info("claiming partition", "partition", r.set.Partition.Name, "term", r.claim.term, "owner", r.state.Owner)
 }
 
+// join returns the listed endpoints and those of the claim before, which may
+// still run work although they are no longer listed.
+func join(listed, claimed []modeler.Instance) []modeler.Instance {
+	all := slices.Clone(listed)
+	for _, endpoint := range claimed {
+		if !slices.ContainsFunc(listed, func(e modeler.Instance) bool { return e.ID == endpoint.ID }) {
+			all = append(all, endpoint)
+		}
+	}
+
+	return all
+}
+
 // pursue looks at an open claim while the log does not answer: the claim is
 // given up when the owner, or another successor, was heard in the meantime;
 // otherwise this instance takes the term of its rank.
