Let a blocked job return to avoided endpoints after five minutes

Cause: on a full cluster a job waits longer than a minute as a rule, and the worker that fails everything is the one with room, so ending the avoidance after a minute cost attempts. The completion test fails without bash instead of being skipped.

--- a/internal/cli/commander/completion_test.go
+++ b/internal/cli/commander/completion_test.go
@@ -12,7 +12,7 @@
 func TestCompletion_Bash(t *testing.T) {
 	bash, err := exec.LookPath("bash")
 	if err != nil {
-		t.Skip("bash is not installed")
+		t.Fatal("this test needs bash, as .ci/run does")
 	}
 	code, script := execute("completion bash")
 	if code != codeOK {
--- a/internal/core/scheduler/health.go
+++ b/internal/core/scheduler/health.go
@@ -48,15 +48,19 @@
 	avoidLonger = 15 * time.Minute
 	// avoidRefused is short, since a refusal tells of a state that passes.
 	avoidRefused = 2 * time.Second
+	// avoidUntilBlocked ends all avoidance of a job that has waited for room so
+	// long. On a full cluster a worker that fails everything has room, so that a
+	// short time costs attempts.
+	avoidUntilBlocked = 5 * time.Minute
 	// maxAvoided bounds the list; a job that fails in more places is at fault.
 	maxAvoided = 8
 )
 
 // avoids reports whether tasks of j keep away from an endpoint. A job that has
-// waited for room as long as it avoids an endpoint after one failure takes any:
-// the endpoints that it avoids may be the only ones with room for it.
+// waited long for room takes any: the endpoints that it avoids may be the only
+// ones that are large enough for it.
 func (j *job) avoids(at int, now time.Time) bool {
-	if !j.blocked.IsZero() && now.Sub(j.blocked) >= avoidFailed {
+	if !j.blocked.IsZero() && now.Sub(j.blocked) >= avoidUntilBlocked {
 		return false
 	}
 	for _, a := range j.avoided {
