--- a/internal/partition/replayer/apply.go
+++ b/internal/partition/replayer/apply.go
@@ -51,6 +51,13 @@
 		if batch.Author != s.Owner || batch.Seq <= s.LastSeq {
 			return false
 		}
+		if batch.Seq > s.LastSeq+1 {
+			// An owner writes its batches without a gap, so this reader began at
+			// a late copy of a snapshot: wait for the next one.
+			s.Complete = false
+
+			return false
+		}
 		s.LastSeq = batch.Seq
 
 		return true
--- a/internal/partition/replayer/replayer_test.go
+++ b/internal/partition/replayer/replayer_test.go
@@ -123,3 +123,23 @@
 		t.Fatalf("states differ (-full +late):\n%s", diff)
 	}
 }
+
+// TestApply_LateCopyOfASnapshot guards against a reader that begins at a
+// snapshot whose append was repeated after its answer was lost, and misses the
+// batches between the two copies.
+func TestApply_LateCopyOfASnapshot(t *testing.T) {
+	full, late := New("costa-1"), New("costa-1")
+	apply(t, full, claim(1, "a"))
+	data, err := full.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	snapshot := encoder.Batch{Term: modeler.NewTerm(1, 0), Author: "a", Seq: 2, Snapshot: &encoder.Snapshot{State: data}}
+	if valid, err := late.Apply(7, snapshot); err != nil || !valid {
+		t.Fatal(valid, err)
+	}
+	missed := encoder.Batch{Term: modeler.NewTerm(1, 0), Author: "a", Seq: 4}
+	if valid, err := late.Apply(8, missed); err != nil || valid || late.Complete {
+		t.Fatalf("batch after a gap: valid %t, complete %t, error %v", valid, late.Complete, err)
+	}
+}
