--- /dev/null
+++ b/cmd/entry/main.go
@@ -0,0 +1,31 @@
+// Command entry runs an entry instance of the cluster scheduler on the users'
+// platform. Its settings come from the platform's settings file.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"gitlab.com/greengagewall/greengagewall/platform"
+)
+
+// version is set by the linker.
+var version = "dev"
+
+type arguments struct {
+	MetricsPort uint16 `arg:"--metrics-port,env:GREENGAGEWALL_METRICS_PORT" help:"port of the metrics on the instance's address, 0 for none" default:"0"`
+}
+
+// Version implements the version flag.
+func (arguments) Version() string { return "entry " + version }
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	if err := platform.Run(version, args.MetricsPort); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/cell/leader/calls.go
@@ -0,0 +1,266 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/planner"
+)
+
+const (
+	// startTimeout bounds a start. The members of a gang must all be there within the gang's wait, so it is short.
+	startTimeout = 700 * time.Millisecond
+	// stopTimeout bounds a stop, and stopPause is the pause before it is repeated.
+	stopTimeout = 700 * time.Millisecond
+	stopPause   = 150 * time.Millisecond
+	// renewWait is how long an endpoint waits for an end before it answers a renewal.
+	renewWait = 1000 * time.Millisecond
+	// renewSlack is how much longer than its wait a renewal may take.
+	renewSlack = 700 * time.Millisecond
+	// renewPause is the pause after a failed renewal.
+	renewPause = 250 * time.Millisecond
+	// renewGap is the least time between two renewals of an endpoint; ends that come closer are reported together.
+	renewGap = 40 * time.Millisecond
+	// askSlack is how much longer than its cost a question may take.
+	askSlack = 2 * time.Second
+)
+
+// startCall starts a task.
+type startCall struct {
+	leader *Leader
+	target definer.Target
+	order  definer.StartOrder
+	since  definer.Instant
+}
+
+func (c *startCall) run(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	verdict, err := c.leader.endpoints.Start(callCtx, c.target, c.order)
+	if err != nil && ctx.Err() == nil {
+		c.leader.logger.Warn("start failed", "job", c.order.Task.Job, "endpoint", c.target.ID, "run", c.order.Run, "error", err)
+	}
+	c.leader.metrics.Observe("start", definer.Since(c.since))
+	c.leader.post(startedMsg{id: c.target.ID, order: c.order, verdict: verdict})
+}
+
+type startedMsg struct {
+	id      string
+	order   definer.StartOrder
+	verdict definer.Verdict
+}
+
+func (m startedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
+	if m.verdict == definer.VerdictFenced {
+		l.fenced(m.id)
+	}
+	l.planner.Started(m.id, m.order, m.verdict, now)
+}
+
+// fenced stops this owner: an endpoint has seen a higher term.
+func (l *Leader) fenced(id string) {
+	l.logger.Warn("fenced by an endpoint", "endpoint", id, "term", l.settings.Term)
+	l.cancel(ErrDeposed)
+}
+
+// stopCall stops a run; it is repeated until it is answered or the endpoint is gone.
+type stopCall struct {
+	leader *Leader
+	target definer.Target
+	order  definer.StopOrder
+}
+
+func (c *stopCall) run(ctx context.Context) {
+	for attempt := 1; ctx.Err() == nil; attempt++ {
+		callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
+		verdict, err := c.leader.endpoints.Stop(callCtx, c.target, c.order)
+		cancel()
+		switch {
+		case err == nil && verdict != definer.VerdictUnknown:
+			c.leader.post(stoppedMsg{id: c.target.ID, order: c.order, verdict: verdict})
+
+			return
+		case attempt >= stopAttempts:
+			c.leader.logger.Warn("stop given up", "job", c.order.Task.Job, "endpoint", c.target.ID, "run", c.order.Run, "error", err)
+
+			return
+		}
+		if !sleep(ctx, stopPause) {
+			return
+		}
+	}
+}
+
+// stopAttempts bounds the repeats of a stop: they outlast every lease.
+const stopAttempts = 24
+
+type stoppedMsg struct {
+	id      string
+	order   definer.StopOrder
+	verdict definer.Verdict
+}
+
+func (m stoppedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
+	switch m.verdict {
+	case definer.VerdictFenced:
+		l.fenced(m.id)
+	case definer.VerdictOtherLife:
+		l.planner.Replaced(m.id, now)
+	case definer.VerdictUnknown, definer.VerdictDone, definer.VerdictRefused, definer.VerdictTicket:
+		l.planner.Stopped(m.id, m.order, now)
+	}
+}
+
+// askCall asks a placement policy.
+type askCall struct {
+	leader  *Leader
+	command planner.AskCmd
+}
+
+func (c *askCall) run(ctx context.Context) {
+	began := definer.Now()
+	question := &forwarder.Question{
+		Job: c.command.Job, Occurrence: c.command.Occurrence, Step: c.command.Step, Endpoints: c.command.Endpoints,
+		Priority: c.command.Priority, Patience: 2*c.command.Cost + askSlack,
+	}
+	advice := c.leader.questions.Ask(ctx, question, c.command.Cost)
+	c.leader.metrics.Observe("advice", definer.Since(began))
+	c.leader.post(advisedMsg{command: c.command, advice: advice})
+}
+
+type advisedMsg struct {
+	command planner.AskCmd
+	advice  *forwarder.Advice
+}
+
+func (m advisedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
+	c := m.command
+	l.planner.Advised(c.Job, c.Occurrence, c.Step, c.Endpoints, m.advice.Tickets, m.advice.Answered, now.Add(-m.advice.Age))
+}
+
+// renewal paces the renewals of an endpoint.
+type renewal struct {
+	outstanding bool
+	due         definer.Instant
+	lost        bool
+}
+
+// renewDue sends the renewals whose time has come.
+func (l *Leader) renewDue(ctx context.Context, now definer.Instant) {
+	for _, id := range l.planner.Endpoints() {
+		r := l.renewal[id]
+		if r == nil {
+			r = &renewal{}
+			l.renewal[id] = r
+		}
+		if !r.outstanding && now >= r.due {
+			wait := renewWait
+			if r.due == 0 {
+				wait = 0
+			}
+			r.outstanding = true
+			l.renew(ctx, id, wait, false, now)
+		}
+	}
+}
+
+// renew sends a renewal. An extra one does not take the place of the regular ones.
+func (l *Leader) renew(ctx context.Context, id string, wait time.Duration, extra bool, now definer.Instant) {
+	target, order, ok := l.planner.RenewOrder(id, now)
+	if !ok {
+		return
+	}
+	order.Term, order.Wait = l.settings.Term, wait
+	l.spawn(ctx, &renewCall{leader: l, target: target, order: order, extra: extra})
+}
+
+// renewCall renews the lease of an endpoint.
+type renewCall struct {
+	leader *Leader
+	target definer.Target
+	order  definer.RenewOrder
+	extra  bool
+}
+
+func (c *renewCall) run(ctx context.Context) {
+	sent := definer.Now()
+	callCtx, cancel := context.WithTimeout(ctx, c.order.Wait+renewSlack)
+	defer cancel()
+	report, verdict, err := c.leader.endpoints.Renew(callCtx, c.target, c.order)
+	c.leader.post(reportMsg{target: c.target, sent: sent, report: report, verdict: verdict, err: err, extra: c.extra})
+}
+
+type reportMsg struct {
+	target  definer.Target
+	sent    definer.Instant
+	report  definer.Report
+	verdict definer.Verdict
+	err     error
+	extra   bool
+}
+
+func (m reportMsg) apply(ctx context.Context, l *Leader, now definer.Instant) {
+	id := m.target.ID
+	if m.extra {
+		if m.verdict == definer.VerdictDone {
+			l.planner.Report(id, m.sent, now, m.report)
+		}
+
+		return
+	}
+	r := l.renewal[id]
+	if r == nil {
+		r = &renewal{}
+		l.renewal[id] = r
+	}
+	r.outstanding = false
+	r.due = max(m.sent.Add(renewGap), now)
+	switch {
+	case m.verdict == definer.VerdictDone:
+		if r.lost {
+			r.lost = false
+			l.logger.Info("endpoint regained", "endpoint", id)
+		}
+		l.planner.Report(id, m.sent, now, m.report)
+		if r.due <= now {
+			r.outstanding = true
+			l.renew(ctx, id, renewWait, false, now)
+		}
+	case m.verdict == definer.VerdictFenced:
+		l.fenced(id)
+	default:
+		if m.verdict == definer.VerdictOtherLife {
+			l.planner.Replaced(id, now)
+		}
+		if !r.lost && ctx.Err() == nil {
+			r.lost = true
+			l.logger.Warn("endpoint lost", "endpoint", id, "verdict", int(m.verdict), "error", m.err)
+		}
+		r.due = now.Add(renewPause)
+	}
+}
+
+// listed takes a record of the endpoint list.
+func (l *Leader) listed(record definer.Record) {
+	l.post(listedMsg{record})
+}
+
+type listedMsg struct{ record definer.Record }
+
+func (m listedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
+	if len(m.record.Value) == 0 {
+		l.planner.Unlist(m.record.Key)
+
+		return
+	}
+	listing, err := l.decoder.Endpoint(m.record)
+	if err != nil {
+		l.logger.Warn("endpoint entry ignored", "key", m.record.Key, "error", err)
+		l.planner.Unlist(m.record.Key)
+
+		return
+	}
+	l.planner.List(listing, now)
+}
--- /dev/null
+++ b/internal/cell/leader/leader.go
@@ -0,0 +1,322 @@
+// Package leader runs the cell at its owner: it feeds the planner with what
+// callers, endpoints and the store say, carries out its commands, and keeps
+// the state table of the store up to date.
+package leader
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/journaler"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/planner"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/recorder"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/watcher"
+	"gitlab.com/greengagewall/greengagewall/internal/container/buffer"
+)
+
+// Settings configure an owner.
+type Settings struct {
+	Planner planner.Settings
+	// Claim is the record that made this instance the owner.
+	Claim journaler.Claim
+	// Term is the fencing token; End is the offset after the claim.
+	Term, End int64
+}
+
+// Questioner asks a placement policy by way of some instance.
+type Questioner interface {
+	Ask(ctx context.Context, question *forwarder.Question, cost time.Duration) *forwarder.Advice
+}
+
+// Leader is the owner of a cell.
+type Leader struct {
+	settings  Settings
+	store     definer.Store
+	endpoints definer.Endpoints
+	questions Questioner
+	decoder   definer.Decoder
+	logger    hclog.Logger
+	metrics   *recorder.Metrics
+
+	inbox   *buffer.Ring[message]
+	planner *planner.Planner
+	// config is the newest configuration that is to be applied.
+	config atomic.Pointer[definer.Configuration]
+	// storedAt is when the store last answered an append.
+	storedAt atomic.Int64
+	opened   atomic.Bool
+	cancel   context.CancelCauseFunc
+	done     chan struct{}
+	work     sync.WaitGroup
+
+	// The fields below belong to loop.
+	journal journal
+	renewal map[string]*renewal
+	drain   bool
+	noted   definer.Instant
+}
+
+// message is something that loop handles.
+type message interface{ apply(ctx context.Context, l *Leader, now definer.Instant) }
+
+const (
+	// inboxSize bounds the messages that wait for loop.
+	inboxSize = 16384
+	// tickEvery is how often time-dependent state advances.
+	tickEvery = 50 * time.Millisecond
+	// batchMost is how many messages are handled before the planner runs.
+	batchMost = 256
+	// unheldLimit is how long an owner without a majority of the endpoints keeps the cell.
+	unheldLimit = 3 * time.Second
+)
+
+// ErrDeposed means that another instance owns the cell.
+var ErrDeposed = errors.New("another instance owns the cell")
+
+// ErrUnheld means that most endpoints do not answer to this instance.
+var ErrUnheld = errors.New("most endpoints do not answer")
+
+// ErrHandedOver means that the cell has been given to another instance.
+var ErrHandedOver = errors.New("handed over")
+
+// New returns an owner; Run makes it work.
+func New(settings Settings, store definer.Store, endpoints definer.Endpoints, questions Questioner,
+	decoder definer.Decoder, config *definer.Configuration, logger hclog.Logger, metrics *recorder.Metrics,
+) *Leader {
+	l := &Leader{
+		settings: settings, store: store, endpoints: endpoints, questions: questions, decoder: decoder, logger: logger, metrics: metrics,
+		inbox: buffer.NewRing[message](inboxSize), planner: planner.New(settings.Planner), done: make(chan struct{}),
+		renewal: map[string]*renewal{}, journal: newJournal(),
+	}
+	l.journal.end = settings.End
+	l.config.Store(config)
+	l.storedAt.Store(int64(definer.Now()))
+
+	return l
+}
+
+// Done is closed when Run has returned.
+func (l *Leader) Done() <-chan struct{} { return l.done }
+
+// Term returns the fencing token.
+func (l *Leader) Term() int64 { return l.settings.Term }
+
+// StoreAge returns how long ago the store last answered an append.
+func (l *Leader) StoreAge() time.Duration {
+	return definer.Since(definer.Instant(l.storedAt.Load()))
+}
+
+// Configure hands a newer configuration to the owner.
+func (l *Leader) Configure(config *definer.Configuration) {
+	l.config.Store(config)
+	l.post(configMsg{})
+}
+
+// Depose makes the owner stop because another instance owns the cell.
+func (l *Leader) Depose() {
+	l.post(endMsg{ErrDeposed})
+}
+
+// post hands a message to loop. A full ring means that loop is far behind;
+// the sender waits, since a lost answer of an endpoint would block its run.
+func (l *Leader) post(m message) {
+	for !l.inbox.Push(m) {
+		select {
+		case <-l.done:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// Run loads the state and works until ctx ends or the ownership is lost, and
+// returns why.
+func (l *Leader) Run(parent context.Context) error {
+	ctx, cancel := context.WithCancelCause(parent)
+	l.cancel = cancel
+	defer close(l.done)
+	defer l.work.Wait()
+	defer cancel(context.Canceled)
+	began := definer.Now()
+	state, err := l.load(ctx)
+	if err != nil {
+		return err
+	}
+	state.Restore(l.planner, definer.Now(), time.Now())
+	l.planner.Configure(l.config.Load())
+	l.logger.Info("owner loaded", "term", l.settings.Term, "jobs", len(state.Jobs), "final", len(state.Progress), "endpoints", len(state.Endpoints), "took", definer.Since(began).String())
+	feed := watcher.New(watcher.Settings{Table: definer.TableEndpoints, Wait: listWait, Gap: listGap}, l.store, l.logger, l.listed, nil)
+	l.work.Add(1)
+	go func() {
+		defer l.work.Done()
+		feed.Run(ctx)
+	}()
+	l.loop(ctx)
+
+	return context.Cause(ctx)
+}
+
+const (
+	// listWait and listGap pace the reading of the endpoint list; each endpoint writes to it with every heartbeat.
+	listWait = 2 * time.Second
+	listGap  = 400 * time.Millisecond
+	// loadTimeout bounds the reading of a page of the state, and loadPause the pause after a failure.
+	loadTimeout = 1500 * time.Millisecond
+	loadPause   = 50 * time.Millisecond
+)
+
+// load reads the state table up to the claim. Only the owner appends to it,
+// and every append names its offset, so that the pages are consistent.
+func (l *Leader) load(ctx context.Context) (*journaler.State, error) {
+	state := journaler.NewState()
+	after := ""
+	for {
+		if ctx.Err() != nil {
+			return nil, context.Cause(ctx)
+		}
+		callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+		page, err := l.store.Newest(callCtx, definer.TableState, after)
+		cancel()
+		if err != nil {
+			l.logger.Warn("state not read", "after", after, "error", err)
+			if !sleep(ctx, loadPause) {
+				return nil, context.Cause(ctx)
+			}
+
+			continue
+		}
+		if page.End != l.settings.End {
+			return nil, ErrDeposed
+		}
+		for _, record := range page.Records {
+			if err := state.Apply(record); err != nil {
+				l.logger.Error("unreadable record in the state table", "key", record.Key, "error", err)
+			}
+			after = record.Key
+		}
+		if !page.More || len(page.Records) == 0 {
+			return state, nil
+		}
+	}
+}
+
+// loop owns the planner.
+func (l *Leader) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	unheldSince := definer.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			l.refuseAll()
+
+			return
+		case <-ticker.C:
+			now := definer.Now()
+			l.journal.dropped = append(l.journal.dropped, l.planner.Tick(now, time.Now())...)
+			l.renewDue(ctx, now)
+			l.journal.refuseStale(l, now)
+			if fresh, stored := l.planner.Held(now); fresh*2 > stored || stored == 0 {
+				unheldSince = now
+				l.opened.Store(stored > 0)
+			} else if now.Sub(unheldSince) > unheldLimit+l.settings.Planner.LeaseBound() {
+				l.cancel(ErrUnheld)
+			}
+			l.act(ctx, now)
+		case <-l.inbox.Ready():
+			now := definer.Now()
+			for range batchMost {
+				m, ok := l.inbox.TryPop()
+				if !ok {
+					break
+				}
+				m.apply(ctx, l, now)
+			}
+			l.act(ctx, now)
+		}
+	}
+}
+
+// act plans and carries out what the planner wants.
+func (l *Leader) act(ctx context.Context, now definer.Instant) {
+	if !l.drain {
+		l.planner.Plan(now)
+	}
+	for _, note := range l.planner.Notes() {
+		l.record(note)
+	}
+	for _, command := range l.planner.Commands() {
+		l.execute(ctx, command, now)
+	}
+	l.journal.advance(ctx, l, now)
+}
+
+func (l *Leader) record(note planner.Note) {
+	args := append([]any{"job", note.Job, "term", l.settings.Term}, note.Args...)
+	l.logger.Info(note.Event, args...)
+	l.metrics.Count(note.Event)
+}
+
+// execute carries out a command in a goroutine of its own.
+func (l *Leader) execute(ctx context.Context, command planner.Command, now definer.Instant) {
+	switch c := command.(type) {
+	case planner.StartCmd:
+		c.Order.Term = l.settings.Term
+		l.spawn(ctx, &startCall{leader: l, target: c.Target, order: c.Order, since: now})
+	case planner.StopCmd:
+		c.Order.Term = l.settings.Term
+		l.spawn(ctx, &stopCall{leader: l, target: c.Target, order: c.Order})
+	case planner.AskCmd:
+		l.spawn(ctx, &askCall{leader: l, command: c})
+	case planner.LookCmd:
+		l.renew(ctx, c.Endpoint, 0, true, now)
+	case planner.RememberCmd:
+		l.journal.remember = append(l.journal.remember, c.Endpoint)
+	case planner.ForgetCmd:
+		l.journal.forget = append(l.journal.forget, c.Endpoint)
+		delete(l.renewal, c.Endpoint)
+	}
+}
+
+// runner is a call in a goroutine of its own.
+type runner interface{ run(ctx context.Context) }
+
+func (l *Leader) spawn(ctx context.Context, r runner) {
+	l.work.Add(1)
+	go func() {
+		defer l.work.Done()
+		r.run(ctx)
+	}()
+}
+
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// endMsg ends the ownership.
+type endMsg struct{ cause error }
+
+func (m endMsg) apply(_ context.Context, l *Leader, _ definer.Instant) { l.cancel(m.cause) }
+
+// configMsg applies the newest configuration.
+type configMsg struct{}
+
+func (configMsg) apply(_ context.Context, l *Leader, _ definer.Instant) {
+	config := l.config.Load()
+	l.planner.Configure(config)
+	l.logger.Info("configuration applied by owner", "version", config.Version)
+}
--- /dev/null
+++ b/internal/cell/leader/requests.go
@@ -0,0 +1,179 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
+)
+
+// request hands a message to loop and waits for the answer.
+func (l *Leader) request(ctx context.Context, patience time.Duration, reply chan *forwarder.Reply, m message) *forwarder.Reply {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	l.post(m)
+	select {
+	case answer := <-reply:
+		return answer
+	case <-l.done:
+		select {
+		case answer := <-reply:
+			return answer
+		default:
+			return &forwarder.Reply{Outcome: forwarder.OutcomeUnknown}
+		}
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+
+	return &forwarder.Reply{Outcome: forwarder.OutcomeUnknown}
+}
+
+// Submit accepts a job: it is stored when the reply says done.
+func (l *Leader) Submit(ctx context.Context, s *forwarder.Submission) *forwarder.Reply {
+	reply := make(chan *forwarder.Reply, 1)
+
+	return l.request(ctx, s.Patience, reply, submitMsg{job: s.Job, reply: reply})
+}
+
+// Cancel cancels a job: that is stored when the reply says done.
+func (l *Leader) Cancel(ctx context.Context, lookup *forwarder.Lookup) *forwarder.Reply {
+	reply := make(chan *forwarder.Reply, 1)
+
+	return l.request(ctx, lookup.Patience, reply, cancelMsg{lookup: *lookup, reply: reply})
+}
+
+// Query returns the state of a job.
+func (l *Leader) Query(ctx context.Context, lookup *forwarder.Lookup) *forwarder.Reply {
+	reply := make(chan *forwarder.Reply, 1)
+
+	return l.request(ctx, lookup.Patience, reply, queryMsg{lookup: *lookup, reply: reply})
+}
+
+// Count returns the number of waiting jobs of a queue.
+func (l *Leader) Count(ctx context.Context, lookup *forwarder.Lookup) *forwarder.Reply {
+	reply := make(chan *forwarder.Reply, 1)
+
+	return l.request(ctx, lookup.Patience, reply, countMsg{queue: lookup.Queue, reply: reply})
+}
+
+type submitMsg struct {
+	job   definer.Job
+	reply chan *forwarder.Reply
+}
+
+func (m submitMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
+	if _, _, known := l.planner.State(m.job.ID); known {
+		l.logger.Info("submission repeated", "job", m.job.ID)
+		m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeDone}
+
+		return
+	}
+	if waiting := l.journal.byID[m.job.ID]; waiting != nil {
+		waiting.waiters = append(waiting.waiters, m.reply)
+
+		return
+	}
+	if l.drain {
+		m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeNotOwner}
+
+		return
+	}
+	s := &submission{job: m.job, waiters: []chan *forwarder.Reply{m.reply}, since: now}
+	l.journal.queue = append(l.journal.queue, s)
+	l.journal.byID[m.job.ID] = s
+}
+
+type cancelMsg struct {
+	lookup forwarder.Lookup
+	reply  chan *forwarder.Reply
+}
+
+func (m cancelMsg) apply(_ context.Context, l *Leader, _ definer.Instant) {
+	id := m.lookup.Job
+	state, queue, known := l.planner.State(id)
+	if !known || queue != m.lookup.Queue {
+		m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeMissing}
+
+		return
+	}
+	if state.Final() {
+		m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeDone}
+
+		return
+	}
+	l.logger.Info("cancellation", "job", id, "state", string(state))
+	l.planner.Cancel(id)
+	c := l.journal.cancels[id]
+	if c == nil {
+		c = &cancellation{id: id}
+		l.journal.cancels[id] = c
+	}
+	c.waiters = append(c.waiters, m.reply)
+}
+
+type queryMsg struct {
+	lookup forwarder.Lookup
+	reply  chan *forwarder.Reply
+}
+
+func (m queryMsg) apply(_ context.Context, l *Leader, _ definer.Instant) {
+	state, queue, known := l.planner.State(m.lookup.Job)
+	if !known || queue != m.lookup.Queue {
+		m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeMissing}
+
+		return
+	}
+	m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeDone, State: state}
+}
+
+type countMsg struct {
+	queue string
+	reply chan *forwarder.Reply
+}
+
+func (m countMsg) apply(_ context.Context, l *Leader, _ definer.Instant) {
+	m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeDone, Count: l.planner.Pending(m.queue)}
+}
+
+// HandOver finishes the last append, stops all orders and returns the end of
+// the state table, so that a successor can claim it at once.
+func (l *Leader) HandOver(ctx context.Context) (int64, bool) {
+	reply := make(chan int64, 1)
+	l.post(handOverMsg{reply: reply})
+	select {
+	case end := <-reply:
+		return end, true
+	case <-l.done:
+	case <-ctx.Done():
+	}
+
+	return 0, false
+}
+
+type handOverMsg struct{ reply chan int64 }
+
+func (m handOverMsg) apply(ctx context.Context, l *Leader, now definer.Instant) {
+	if !l.drain {
+		l.drain = true
+		l.logger.Info("owner hands over", "term", l.settings.Term)
+	}
+	if !l.journal.outstanding && len(l.journal.queue) == 0 && len(l.journal.cancels) == 0 && !l.planner.Changed() {
+		m.reply <- l.journal.end
+		l.cancel(ErrHandedOver)
+
+		return
+	}
+	l.work.Add(1)
+	go m.run(ctx, l)
+	_ = now
+}
+
+// run asks again shortly after.
+func (m handOverMsg) run(ctx context.Context, l *Leader) {
+	defer l.work.Done()
+	if sleep(ctx, lingerUrgent) {
+		l.post(m)
+	}
+}
--- /dev/null
+++ b/internal/cell/planner/admission.go
@@ -0,0 +1,131 @@
+package planner
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+)
+
+const (
+	// initialAdmission is the share of endpoints assumed to be admitted until a queue's policy has answered.
+	initialAdmission = 0.5
+	// admissionGain is the weight of a new answer in the mean.
+	admissionGain = 0.2
+	// ticketMargin is the remaining validity that a ticket needs when a start is sent.
+	ticketMargin = 150 * time.Millisecond
+	// mostAsked is the most endpoints that one question may name.
+	mostAsked = 100
+	// spareAsked is how many endpoints more than needed are asked for.
+	spareAsked = 4
+	// askTimeout is when a question counts as lost, beyond the time of its decision.
+	askTimeout = 2500 * time.Millisecond
+)
+
+// admission is what the placement policy of a queue has said of a step.
+type admission struct {
+	// known holds the answer for each endpoint asked for.
+	known map[*endpoint]ticket
+	// asking is when the outstanding question counts as lost, or 0.
+	asking definer.Instant
+}
+
+// ticket admits a step on an endpoint for a time.
+type ticket struct {
+	admitted bool
+	value    string
+	life     int64
+	expires  definer.Instant
+}
+
+func (a *admission) expire(e *endpoint) {
+	if t, ok := a.known[e]; ok {
+		t.expires = 0
+		a.known[e] = t
+	}
+}
+
+// valid reports whether a start on e may be sent now.
+func (a *admission) valid(e *endpoint, now definer.Instant) bool {
+	t := a.known[e]
+
+	return t.admitted && t.life == e.life && now.Add(ticketMargin) < t.expires
+}
+
+// refusedFor reports whether the policy has refused e.
+func (a *admission) refusedFor(e *endpoint) bool {
+	t, ok := a.known[e]
+
+	return ok && !t.admitted
+}
+
+// ask emits a question about endpoints; it is a no-op while one is outstanding.
+func (p *Planner) ask(s *step, endpoints []*endpoint, now definer.Instant) {
+	if len(endpoints) == 0 || s.admission.asking != 0 && now < s.admission.asking {
+		return
+	}
+	if len(endpoints) > mostAsked {
+		endpoints = endpoints[:mostAsked]
+	}
+	policy := s.job.Queue.Policy
+	cost := policy.Decide + time.Duration(len(endpoints))*policy.Each
+	s.admission.asking = now.Add(cost*2 + askTimeout)
+	ids := make([]string, len(endpoints))
+	for i, e := range endpoints {
+		ids[i] = e.ID
+	}
+	p.emit(AskCmd{Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.index, Endpoints: ids, Cost: cost, Priority: s.job.Queue.Priority})
+}
+
+// Advised takes the answer of a placement policy. asked is when the question
+// was sent; a ticket is valid from its decision on, which came later.
+func (p *Planner) Advised(id string, occurrence, index int, endpoints []string, tickets []definer.Ticket, answered bool, now definer.Instant) {
+	j := p.jobs[id]
+	if j == nil {
+		return
+	}
+	o := j.occurrence(occurrence)
+	if o == nil {
+		return
+	}
+	s := o.steps[index]
+	s.admission.asking = 0
+	if !answered {
+		return
+	}
+	if s.admission.known == nil {
+		s.admission.known = map[*endpoint]ticket{}
+	}
+	for _, endpointID := range endpoints {
+		if e := p.endpoints[endpointID]; e != nil {
+			s.admission.known[e] = ticket{life: e.life}
+		}
+	}
+	for _, admitted := range tickets {
+		if e := p.endpoints[admitted.Endpoint]; e != nil {
+			s.admission.known[e] = ticket{admitted: true, value: admitted.Value, life: e.life, expires: now.Add(j.Queue.Policy.Validity)}
+		}
+	}
+	q := p.stats(j.Queue.Name)
+	q.admitted += admissionGain * (float64(len(tickets))/float64(max(len(endpoints), 1)) - q.admitted)
+	q.admitted = max(q.admitted, 0.05)
+}
+
+// question chooses the endpoints to ask for: those with room first, as many
+// as the queue's share of admissions calls for.
+func (p *Planner) question(s *step, candidates []*endpoint, pending int) []*endpoint {
+	fresh := make([]*endpoint, 0, len(candidates))
+	for _, e := range candidates {
+		if _, ok := s.admission.known[e]; !ok {
+			fresh = append(fresh, e)
+		}
+	}
+	if s.def.Gang {
+		return fresh
+	}
+	sort.Slice(fresh, func(a, b int) bool { return fresh[a].room().Millis > fresh[b].room().Millis })
+	want := int(math.Ceil(float64(pending)/p.stats(s.job.Queue.Name).admitted)) + spareAsked
+
+	return fresh[:min(want, len(fresh))]
+}
--- /dev/null
+++ b/internal/cell/planner/endpoint.go
@@ -0,0 +1,314 @@
+package planner
+
+import (
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// endpoint is an endpoint as the owner knows it.
+type endpoint struct {
+	definer.Listing
+	// listed means that the endpoint list names it.
+	listed bool
+	// stored means that the store names the endpoint, so that a successor looks for its tasks.
+	stored bool
+	// held means that the endpoint has answered under the owner's term.
+	held bool
+	// life is the birth of the life that answered last.
+	life int64
+	// answered is the sending time of the last answered renewal, and sent that of the last renewal sent.
+	answered, sent definer.Instant
+	// clockAt and clock are the last reading of the endpoint's clock in milliseconds.
+	clockAt definer.Instant
+	clock   int64
+	runs    map[runKey]*run
+	used    modeler.Resources
+	// unknown counts the runs whose needs are not known; nothing is started beside them.
+	unknown int
+	// seen is the highest end processed, and acknowledged the highest that is stored.
+	seen, acknowledged int64
+	// failures counts the failed ends without a good one between them.
+	failures int
+	// failedJob is the job of the last failed end, so that a hopeless job does not count repeatedly.
+	failedJob string
+	// quarantinedUntil and quarantine delay further starts after failures.
+	quarantinedUntil definer.Instant
+	quarantine       time.Duration
+	// speed is the mean ratio of estimates to run times.
+	speed float64
+}
+
+// runKey names a run on an endpoint.
+type runKey struct {
+	task definer.TaskName
+	run  int
+}
+
+// phase is the state of a run.
+type phase int
+
+const (
+	// phaseSent means that the start has not been answered.
+	phaseSent phase = iota
+	// phaseRunning means that the endpoint runs it.
+	phaseRunning
+	// phaseStopping means that a stop has been sent.
+	phaseStopping
+	// phaseStopped means that the endpoint has accepted the stop; the run is over when the inventory no longer has it.
+	phaseStopped
+)
+
+// run is a run of a task on an endpoint. It takes room until its end is known.
+type run struct {
+	// task is nil for a run of an unknown task.
+	task     *task
+	name     definer.TaskName
+	number   int
+	endpoint *endpoint
+	phase    phase
+	need     modeler.Resources
+	account  *account
+	sentAt   definer.Instant
+	// settledAt is when the last order for the run was answered.
+	settledAt  definer.Instant
+	checkpoint string
+	percent    int
+	changedAt  definer.Instant
+	confirmed  bool
+}
+
+const (
+	// quarantineFirst and quarantineMost bound how long an endpoint gets no work after failing repeatedly.
+	quarantineFirst = 3 * time.Second
+	quarantineMost  = 24 * time.Second
+	// failuresToQuarantine is how many tasks of different jobs have to fail in a row.
+	failuresToQuarantine = 3
+)
+
+// List takes an entry of the endpoint list.
+func (p *Planner) List(listing definer.Listing, now definer.Instant) {
+	e := p.endpoints[listing.ID]
+	if e == nil {
+		e = &endpoint{runs: map[runKey]*run{}, speed: 1}
+		p.endpoints[listing.ID] = e
+		e.Listing = listing
+		p.emit(RememberCmd{Endpoint: listing.ID})
+	}
+	if e.life != 0 && listing.Born > e.life {
+		p.newLife(e, listing.Born, now)
+	}
+	if listing.Draining && !e.Draining {
+		p.note("endpoint leaving", "", "endpoint", e.ID, "remaining", listing.Remaining)
+	}
+	e.Listing = listing
+	e.listed = true
+}
+
+// Recall takes an endpoint that an earlier owner has used.
+func (p *Planner) Recall(id string, listing definer.Listing) {
+	if p.endpoints[id] == nil {
+		listing.ID = id
+		p.endpoints[id] = &endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1, stored: true}
+	}
+}
+
+// Stored marks an endpoint as named by the store.
+func (p *Planner) Stored(id string) {
+	if e := p.endpoints[id]; e != nil {
+		e.stored = true
+	}
+}
+
+// Unlist takes the removal of an entry of the endpoint list.
+func (p *Planner) Unlist(id string) {
+	if e := p.endpoints[id]; e != nil {
+		e.listed = false
+	}
+}
+
+// EndpointListing returns what the list says of an endpoint.
+func (p *Planner) EndpointListing(id string) (definer.Listing, bool) {
+	if e := p.endpoints[id]; e != nil {
+		return e.Listing, true
+	}
+
+	return definer.Listing{}, false
+}
+
+// Endpoints returns the ids of all endpoints.
+func (p *Planner) Endpoints() []string {
+	ids := make([]string, 0, len(p.endpoints))
+	for id := range p.endpoints {
+		ids = append(ids, id)
+	}
+
+	return ids
+}
+
+// RenewOrder returns the next renewal for an endpoint and notes that it is
+// sent. A renewal extends the lease only while the endpoint answers, so that
+// the lease of one that does not answer runs out.
+func (p *Planner) RenewOrder(id string, now definer.Instant) (definer.Target, definer.RenewOrder, bool) {
+	e := p.endpoints[id]
+	if e == nil {
+		return definer.Target{}, definer.RenewOrder{}, false
+	}
+	order := definer.RenewOrder{Acknowledged: e.acknowledged}
+	if e.held && now.Sub(e.answered) < p.settings.Freshness {
+		order.Until = e.until(now, p.settings.Lease)
+		e.sent = now
+	}
+
+	return definer.Target{ID: e.ID, Address: e.Address}, order, true
+}
+
+// until returns the end of a lease on the endpoint's clock in milliseconds.
+func (e *endpoint) until(now definer.Instant, lease time.Duration) int64 {
+	return e.clock + now.Sub(e.clockAt).Milliseconds() + lease.Milliseconds()
+}
+
+// usable reports whether tasks may be started on e.
+func (e *endpoint) usable(now definer.Instant, freshness time.Duration) bool {
+	return e.held && e.listed && e.stored && !e.Draining && e.unknown == 0 && now >= e.quarantinedUntil && now.Sub(e.answered) < freshness
+}
+
+func (e *endpoint) room() modeler.Resources { return e.Capacity.Sub(e.used) }
+
+// open reports whether a majority of the stored endpoints has lately
+// answered under the owner's term. Without it nothing is started, because
+// another owner may have taken the cell over.
+func (p *Planner) open(now definer.Instant) bool {
+	stored, fresh := 0, 0
+	for _, e := range p.endpoints {
+		if !e.stored {
+			continue
+		}
+		stored++
+		if e.held && now.Sub(e.answered) < p.settings.Freshness {
+			fresh++
+		}
+	}
+	majority := fresh*2 > stored
+	if majority && p.openedAt == 0 {
+		p.openedAt = now
+	}
+
+	return majority
+}
+
+// Held reports how many of the stored endpoints have answered lately.
+func (p *Planner) Held(now definer.Instant) (fresh, stored int) {
+	for _, e := range p.endpoints {
+		if !e.stored {
+			continue
+		}
+		stored++
+		if e.held && now.Sub(e.answered) < p.settings.Freshness {
+			fresh++
+		}
+	}
+
+	return fresh, stored
+}
+
+// settled reports whether every endpoint that an earlier owner used has
+// answered, or the lease that the earlier owner may have given has run out.
+func (p *Planner) settled(now definer.Instant) bool {
+	if p.openedAt != 0 && now.Sub(p.openedAt) > p.settings.Freshness+p.settings.LeaseBound() {
+		return true
+	}
+	for _, e := range p.endpoints {
+		if e.stored && !e.held {
+			return false
+		}
+	}
+
+	return true
+}
+
+// newLife takes note that an endpoint has restarted: nothing runs there.
+func (p *Planner) newLife(e *endpoint, born int64, now definer.Instant) {
+	p.note("endpoint restarted", "", "endpoint", e.ID, "runs", len(e.runs))
+	e.life = born
+	e.seen, e.acknowledged = 0, 0
+	e.failures, e.quarantinedUntil, e.quarantine = 0, 0, 0
+	for _, r := range e.runs {
+		if r.phase == phaseSent || r.phase == phaseStopping && !r.confirmed {
+			// The order may still be carried out, now by the new life: it has to be stopped there.
+			p.stop(r)
+
+			continue
+		}
+		p.lose(r, now)
+	}
+}
+
+// lose ends a run that its endpoint no longer runs and will not report.
+func (p *Planner) lose(r *run, now definer.Instant) {
+	if r.task != nil && r.task.run == r {
+		r.task.writtenOff = max(r.task.writtenOff, r.number)
+	}
+	p.release(r)
+	p.requeue(r, r.checkpoint, now)
+}
+
+// lapse ends the runs of endpoints whose lease has run out unanswered, and
+// drops endpoints that are gone.
+func (p *Planner) lapse(now definer.Instant) {
+	for id, e := range p.endpoints {
+		if now.Sub(e.answered) < p.settings.Freshness {
+			continue
+		}
+		if now.Sub(e.sent) <= p.settings.LeaseBound() {
+			continue
+		}
+		for _, r := range e.runs {
+			if now.Sub(r.sentAt) <= p.settings.LeaseBound() {
+				continue
+			}
+			p.note("lease ran out", r.name.Job, "endpoint", e.ID, "step", r.name.Step, "index", r.name.Index, "run", r.number)
+			p.lose(r, now)
+		}
+		if len(e.runs) == 0 && !e.listed && (e.held || p.settled(now)) {
+			delete(p.endpoints, id)
+			p.emit(ForgetCmd{Endpoint: id})
+			p.note("endpoint gone", "", "endpoint", id)
+		}
+	}
+}
+
+// failedOn counts a failed end against the endpoint.
+func (e *endpoint) failedOn(job string, now definer.Instant) bool {
+	if e.failedJob != job || e.failures == 0 {
+		e.failures++
+	}
+	e.failedJob = job
+	if e.failures < failuresToQuarantine {
+		return false
+	}
+	e.quarantine = min(max(e.quarantine*2, quarantineFirst), quarantineMost)
+	e.quarantinedUntil = now.Add(e.quarantine)
+	// One more failure after the pause renews it.
+	e.failures = failuresToQuarantine - 1
+
+	return true
+}
+
+// doneOn takes note of a good end.
+func (e *endpoint) doneOn() { e.failures, e.quarantine = 0, 0 }
+
+// Replaced takes note that another life answers at the address of an
+// endpoint: nothing that was started on it still runs.
+func (p *Planner) Replaced(id string, now definer.Instant) {
+	e := p.endpoints[id]
+	if e == nil {
+		return
+	}
+	e.held = true
+	e.answered = 0
+	for _, r := range e.runs {
+		p.lose(r, now)
+	}
+}
--- /dev/null
+++ b/internal/cell/planner/place.go
@@ -0,0 +1,448 @@
+package planner
+
+import (
+	"sort"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+const (
+	// unsettledShare is the share of an account's limit that is used while
+	// tasks of an earlier owner may run on endpoints that have not answered.
+	unsettledShare = 0.85
+	// mostReserving is how many waiting gangs may hold endpoints back for themselves.
+	mostReserving = 4
+)
+
+// Tick advances what depends on time.
+func (p *Planner) Tick(now definer.Instant, wall time.Time) (dropped []string) {
+	for j := range p.timed {
+		p.advance(j, wall)
+	}
+	p.lapse(now)
+
+	return p.expire(now)
+}
+
+// Plan starts what can be started.
+func (p *Planner) Plan(now definer.Instant) {
+	if len(p.ready) == 0 || !p.open(now) {
+		return
+	}
+	pass := &pass{planner: p, now: now, settled: p.settled(now), reserved: map[*endpoint]int{}}
+	for _, e := range p.endpoints {
+		if e.usable(now, p.settings.Freshness) {
+			pass.usable = append(pass.usable, e)
+		}
+	}
+	// A fixed order makes the decisions repeatable.
+	sort.Slice(pass.usable, func(a, b int) bool { return pass.usable[a].ID < pass.usable[b].ID })
+	steps := make([]*step, 0, len(p.ready))
+	for s := range p.ready {
+		steps = append(steps, s)
+	}
+	sort.Slice(steps, func(a, b int) bool { return steps[a].before(steps[b]) })
+	for _, s := range steps {
+		pass.place(s)
+	}
+}
+
+// before orders the steps to start: work that its account is owed first, then
+// by the priority of the queue and the end of the objective.
+func (s *step) before(o *step) bool {
+	a, b := s.job, o.job
+	switch {
+	case a.excess != b.excess:
+		return !a.excess
+	case a.Queue.Priority != b.Queue.Priority:
+		return a.Queue.Priority < b.Queue.Priority
+	case a.deadline != b.deadline:
+		return a.deadline < b.deadline
+	case a.ID != b.ID:
+		return a.ID < b.ID
+	default:
+		return s.index < o.index
+	}
+}
+
+// pass is one round of placement.
+type pass struct {
+	planner *Planner
+	now     definer.Instant
+	settled bool
+	usable  []*endpoint
+	// reserved holds the endpoints that waiting gangs hold back, with the priority of the gang's queue.
+	reserved  map[*endpoint]int
+	reserving int
+}
+
+// place starts tasks of a step as far as there is room.
+func (ps *pass) place(s *step) {
+	p := ps.planner
+	if s.job.inherited && !ps.settled {
+		return
+	}
+	pending := s.pending()
+	if len(pending) == 0 {
+		// An ended run lists the step again.
+		delete(p.ready, s)
+
+		return
+	}
+	if s.def.Gang {
+		if s.gang == 0 && len(pending) == s.left {
+			ps.placeGang(s, pending)
+		}
+
+		return
+	}
+	ps.placeEach(s, pending)
+}
+
+// pending returns the tasks of s that are neither done nor running.
+func (s *step) pending() []*task {
+	var pending []*task
+	for _, t := range s.tasks {
+		if !t.done && t.run == nil {
+			pending = append(pending, t)
+		}
+	}
+
+	return pending
+}
+
+// limitShare is the share of an account's limit that may be used.
+func (ps *pass) limitShare() float64 {
+	if ps.settled {
+		return 1
+	}
+
+	return unsettledShare
+}
+
+// candidates returns the endpoints that may run a task of s, whether or not
+// there is room now.
+func (ps *pass) candidates(s *step) []*endpoint {
+	need := s.need()
+	var candidates []*endpoint
+	for _, e := range ps.usable {
+		if e.Service != s.job.Queue.Service || s.def.Requires != "" && !e.Label(s.def.Requires) || !need.Fits(e.Capacity) {
+			continue
+		}
+		if s.job.Queue.Policy != nil && s.admission.refusedFor(e) {
+			continue
+		}
+		candidates = append(candidates, e)
+	}
+
+	return candidates
+}
+
+// placeEach starts the tasks of a step one by one.
+func (ps *pass) placeEach(s *step, pending []*task) {
+	p := ps.planner
+	candidates := ps.candidates(s)
+	policy := s.job.Queue.Policy
+	account := p.account(s.job.Account)
+	asked := s.admission.asking != 0 && ps.now < s.admission.asking
+	var expired []*endpoint
+	short := 0
+	for i, t := range pending {
+		if !account.allows(s.def.Need, ps.limitShare()) {
+			return
+		}
+		best, stale := ps.choose(s, t, candidates)
+		if best == nil && stale != nil && !asked {
+			expired = append(expired, stale)
+		}
+		if best == nil {
+			short = len(pending) - i
+
+			break
+		}
+		ps.start(t, best, t.lastRun+1)
+	}
+	if policy == nil || asked || short == 0 {
+		return
+	}
+	if len(expired) > 0 {
+		p.ask(s, ps.renewable(s, candidates, short), ps.now)
+
+		return
+	}
+	roomy := make([]*endpoint, 0, len(candidates))
+	for _, e := range candidates {
+		if s.need().Fits(e.room()) && ps.unreserved(e, s) && s.spreads(e) {
+			roomy = append(roomy, e)
+		}
+	}
+	p.ask(s, p.question(s, roomy, short), ps.now)
+}
+
+// renewable returns admitted endpoints with room whose tickets have expired.
+func (ps *pass) renewable(s *step, candidates []*endpoint, short int) []*endpoint {
+	var found []*endpoint
+	for _, e := range candidates {
+		if s.admission.known[e].admitted && !s.admission.valid(e, ps.now) && s.need().Fits(e.room()) && ps.unreserved(e, s) && s.spreads(e) {
+			found = append(found, e)
+		}
+	}
+	sort.Slice(found, func(a, b int) bool { return found[a].room().Millis > found[b].room().Millis })
+
+	return found[:min(len(found), short+1)]
+}
+
+// spreads reports whether the step may have one more task on e.
+func (s *step) spreads(e *endpoint) bool {
+	return s.def.PerEndpoint == 0 || s.placed[e] < s.def.PerEndpoint
+}
+
+// unreserved reports whether no waiting gang of a more urgent queue holds e back.
+func (ps *pass) unreserved(e *endpoint, s *step) bool {
+	priority, held := ps.reserved[e]
+
+	return !held || s.job.Queue.Priority < priority
+}
+
+// choose returns the endpoint for a task that leaves the least room, and one
+// whose ticket has expired when there is none with a valid one.
+func (ps *pass) choose(s *step, t *task, candidates []*endpoint) (best, stale *endpoint) {
+	need := s.need()
+	bestScore := 0.0
+	for _, e := range candidates {
+		if e == t.avoid && len(candidates) > 1 || !need.Fits(e.room()) || !s.spreads(e) || !ps.unreserved(e, s) {
+			continue
+		}
+		if s.job.Queue.Policy != nil && !s.admission.valid(e, ps.now) {
+			if s.admission.known[e].admitted {
+				stale = e
+			}
+
+			continue
+		}
+		score := s.score(e, need)
+		if best == nil || score > bestScore {
+			best, bestScore = e, score
+		}
+	}
+
+	return best, stale
+}
+
+// score rates an endpoint for a task of s: near its data first, then fast,
+// then tightly packed.
+func (s *step) score(e *endpoint, need modeler.Resources) float64 {
+	score := e.speed + packingWeight*need.Add(e.used).Dominant(e.Capacity) - failureWeight*float64(e.failures)
+	if s.def.DataRack != "" && !e.Label(s.def.DataRack) {
+		score -= farPenalty
+	}
+
+	return score
+}
+
+const (
+	// packingWeight, failureWeight and farPenalty weigh packing, failures and distance against speed.
+	packingWeight = 0.5
+	failureWeight = 0.4
+	farPenalty    = 2.0
+)
+
+// placeGang starts all tasks of a gang at once, or holds endpoints back for it.
+func (ps *pass) placeGang(s *step, pending []*task) {
+	p := ps.planner
+	candidates := ps.candidates(s)
+	policy := s.job.Queue.Policy
+	if policy != nil {
+		if unasked := p.question(s, candidates, len(pending)); len(unasked) > 0 && len(s.admission.known) == 0 {
+			p.ask(s, unasked, ps.now)
+
+			return
+		}
+		admitted := candidates[:0:0]
+		for _, e := range candidates {
+			if s.admission.known[e].admitted {
+				admitted = append(admitted, e)
+			}
+		}
+		candidates = admitted
+	}
+	if !p.account(s.job.Account).allows(s.def.Need.Scale(int64(len(pending))), ps.limitShare()) {
+		return
+	}
+	places := ps.pack(s, len(pending), candidates)
+	if places == nil {
+		if policy != nil && p.slots(s, candidates) < len(pending) {
+			// What was admitted can never hold the gang: ask about the rest.
+			p.ask(s, p.question(s, ps.candidates(s), len(pending)), ps.now)
+		}
+		ps.reserve(s, candidates, len(pending))
+
+		return
+	}
+	if policy != nil {
+		var stale []*endpoint
+		listed := map[*endpoint]bool{}
+		for _, e := range places {
+			if !s.admission.valid(e, ps.now) && !listed[e] {
+				listed[e] = true
+				stale = append(stale, e)
+			}
+		}
+		if len(stale) > 0 {
+			ps.reserve(s, places, len(pending))
+			for _, e := range places {
+				if !listed[e] {
+					listed[e] = true
+					stale = append(stale, e)
+				}
+			}
+			p.ask(s, stale, ps.now)
+
+			return
+		}
+	}
+	number := 0
+	for _, t := range pending {
+		number = max(number, t.lastRun)
+	}
+	number++
+	s.gang, s.gangSince = number, ps.now
+	for i, t := range pending {
+		ps.start(t, places[i], number)
+	}
+}
+
+// slots counts the tasks of s that fit on empty endpoints.
+func (p *Planner) slots(s *step, endpoints []*endpoint) int {
+	total := 0
+	for _, e := range endpoints {
+		total += fitting(s, e.Capacity, s.def.PerEndpoint)
+	}
+
+	return total
+}
+
+// fitting counts the tasks of s that fit in room.
+func fitting(s *step, room modeler.Resources, most int) int {
+	need := s.need()
+	count := 0
+	for need.Fits(room) && count < s.def.Count && (most == 0 || count < most) {
+		room = room.Sub(need)
+		count++
+	}
+
+	return count
+}
+
+// pack returns an endpoint for each of count tasks, or nil. A gang that wants
+// one rack gets the rack with the least room that holds it.
+func (ps *pass) pack(s *step, count int, candidates []*endpoint) []*endpoint {
+	free := func(e *endpoint) int {
+		if !ps.unreserved(e, s) {
+			return 0
+		}
+
+		return fitting(s, e.room(), s.def.PerEndpoint)
+	}
+	if s.def.SameRack {
+		if places := packRack(s, count, candidates, free); places != nil {
+			return places
+		}
+	}
+
+	return packFrom(s, count, candidates, free)
+}
+
+// packFrom fills the endpoints that suit the step best.
+func packFrom(s *step, count int, candidates []*endpoint, free func(*endpoint) int) []*endpoint {
+	need := s.need()
+	ordered := append([]*endpoint(nil), candidates...)
+	sort.SliceStable(ordered, func(a, b int) bool { return s.score(ordered[a], need) > s.score(ordered[b], need) })
+	var places []*endpoint
+	for _, e := range ordered {
+		for range min(free(e), count-len(places)) {
+			places = append(places, e)
+		}
+		if len(places) == count {
+			return places
+		}
+	}
+
+	return nil
+}
+
+// packRack packs the tasks into one rack.
+func packRack(s *step, count int, candidates []*endpoint, free func(*endpoint) int) []*endpoint {
+	racks := map[string][]*endpoint{}
+	var names []string
+	for _, e := range candidates {
+		name := rackOf(e)
+		if racks[name] == nil {
+			names = append(names, name)
+		}
+		racks[name] = append(racks[name], e)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		if places := packFrom(s, count, racks[name], free); places != nil {
+			return places
+		}
+	}
+
+	return nil
+}
+
+// rackOf returns the label that names the rack: the last one.
+func rackOf(e *endpoint) string {
+	if len(e.Labels) == 0 {
+		return ""
+	}
+
+	return e.Labels[len(e.Labels)-1]
+}
+
+// reserve holds endpoints back from less urgent work until the gang fits.
+func (ps *pass) reserve(s *step, candidates []*endpoint, count int) {
+	if ps.reserving >= mostReserving || s.job.excess {
+		return
+	}
+	ps.reserving++
+	ordered := append([]*endpoint(nil), candidates...)
+	sort.SliceStable(ordered, func(a, b int) bool { return ordered[a].room().Millis > ordered[b].room().Millis })
+	for _, e := range ordered {
+		if count <= 0 {
+			return
+		}
+		if _, held := ps.reserved[e]; held {
+			continue
+		}
+		ps.reserved[e] = s.job.Queue.Priority
+		count -= fitting(s, e.Capacity, s.def.PerEndpoint)
+	}
+}
+
+// start sends a task to an endpoint.
+func (ps *pass) start(t *task, e *endpoint, number int) {
+	p := ps.planner
+	s := t.step
+	r := &run{task: t, name: t.name(), number: number, endpoint: e, need: s.need(), account: p.account(s.job.Account),
+		sentAt: ps.now, changedAt: ps.now, checkpoint: t.checkpoint}
+	t.run, t.lastRun = r, number
+	e.runs[runKey{r.name, number}] = r
+	e.used = e.used.Add(r.need)
+	r.account.used = r.account.used.Add(s.def.Need)
+	s.placed[e]++
+	if !s.job.begun {
+		s.job.begun = true
+		p.note("first start", s.job.ID, "waited", ps.now.Sub(s.job.accepted), "endpoint", e.ID)
+	}
+	p.emit(StartCmd{
+		Target: definer.Target{ID: e.ID, Address: e.Address},
+		Order: definer.StartOrder{
+			Task: r.name, Run: number, Spec: s.job.Spec, Checkpoint: t.checkpoint,
+			Ticket: s.admission.known[e].value, Until: e.until(ps.now, p.settings.Lease),
+		},
+	})
+}
--- /dev/null
+++ b/internal/cell/planner/progress.go
@@ -0,0 +1,159 @@
+package planner
+
+import (
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+)
+
+// Progress is what the store keeps of the progress of a job.
+type Progress struct {
+	State definer.JobState
+	Due   int            `msgpack:",omitempty"`
+	Begun bool           `msgpack:",omitempty"`
+	Tasks []TaskProgress `msgpack:",omitempty"`
+}
+
+// TaskProgress is the progress of a task that has been started.
+type TaskProgress struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	Occurrence int
+	Step       int
+	Index      int
+	Done       bool
+	LastRun    int
+	WrittenOff int
+	Failed     []int
+	Checkpoint string
+}
+
+// Snapshot is a job whose record in the store is out of date.
+type Snapshot struct {
+	ID       string
+	Queue    string
+	Account  string
+	Progress Progress
+}
+
+// Dirty returns the progress of the jobs that have changed since the last
+// call, and for each endpoint the highest end that this progress contains.
+func (p *Planner) Dirty() ([]Snapshot, map[string]int64) {
+	var snapshots []Snapshot
+	for j := range p.dirty {
+		snapshots = append(snapshots, Snapshot{ID: j.ID, Queue: j.Queue.Name, Account: j.Account, Progress: j.progress()})
+	}
+	clear(p.dirty)
+	ends := map[string]int64{}
+	for id, e := range p.endpoints {
+		if e.seen > e.acknowledged {
+			ends[id] = e.seen
+		}
+	}
+
+	return snapshots, ends
+}
+
+// Redo marks jobs whose progress could not be stored.
+func (p *Planner) Redo(snapshots []Snapshot) {
+	for i := range snapshots {
+		if j := p.jobs[snapshots[i].ID]; j != nil {
+			p.dirty[j] = struct{}{}
+		}
+	}
+}
+
+// Acknowledge notes that the ends are stored; lives holds the life of each
+// endpoint at the time of the snapshot.
+func (p *Planner) Acknowledge(ends map[string]int64, lives map[string]int64) {
+	for id, number := range ends {
+		if e := p.endpoints[id]; e != nil && e.life == lives[id] {
+			e.acknowledged = max(e.acknowledged, number)
+		}
+	}
+}
+
+// Lives returns the life of each endpoint.
+func (p *Planner) Lives() map[string]int64 {
+	lives := make(map[string]int64, len(p.endpoints))
+	for id, e := range p.endpoints {
+		lives[id] = e.life
+	}
+
+	return lives
+}
+
+func (j *job) progress() Progress {
+	progress := Progress{State: j.state, Due: j.due, Begun: j.begun}
+	if j.cancelling {
+		progress.State = definer.JobCancelled
+	}
+	if progress.State.Final() {
+		return progress
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.lastRun == 0 && !t.done {
+					continue
+				}
+				progress.Tasks = append(progress.Tasks, TaskProgress{
+					Occurrence: o.number, Step: s.index, Index: t.index, Done: t.done, LastRun: t.lastRun,
+					WrittenOff: t.writtenOff, Failed: t.failed, Checkpoint: t.checkpoint,
+				})
+			}
+		}
+	}
+
+	return progress
+}
+
+// Restore adds a job from the store with its progress.
+func (p *Planner) Restore(definition definer.Job, progress Progress, now definer.Instant, wall time.Time) {
+	j := p.newJob(definition, now, wall)
+	j.inherited = true
+	j.begun = progress.Begun
+	for number := range progress.Due {
+		p.openOccurrence(j, number)
+	}
+	j.due = progress.Due
+	for i := range progress.Tasks {
+		kept := &progress.Tasks[i]
+		t := p.task(definer.TaskName{Job: j.ID, Occurrence: kept.Occurrence, Step: kept.Step, Index: kept.Index})
+		if t == nil {
+			continue
+		}
+		t.lastRun, t.writtenOff, t.failed, t.checkpoint = kept.LastRun, kept.WrittenOff, kept.Failed, kept.Checkpoint
+		if kept.Done {
+			p.taskDone(t, now)
+		}
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				// The earlier owner may have started one run that the store does not name.
+				t.lastRun++
+			}
+		}
+	}
+	p.advance(j, wall)
+}
+
+// RestoreFinal adds a final job from the store.
+func (p *Planner) RestoreFinal(id, queue, account string, state definer.JobState, now definer.Instant) {
+	j := &job{Job: definer.Job{ID: id, Account: account, Queue: definer.Queue{Name: queue}}, state: state, finishedAt: now}
+	p.jobs[id] = j
+}
+
+// Changed reports whether there is progress that the store does not have.
+func (p *Planner) Changed() bool {
+	if len(p.dirty) > 0 {
+		return true
+	}
+	for _, e := range p.endpoints {
+		if e.seen > e.acknowledged {
+			return true
+		}
+	}
+
+	return false
+}
