Look at a new owner before claiming, and ask only live instances

Change: after a newer owner is learned it gets a heartbeat first; questions go to instances that have lately sent a heartbeat; a question that was not answered pauses 150 ms.

--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -78,7 +78,9 @@
 	barredUntil definer.Instant
 	wake        chan struct{}
 	loads       map[netip.AddrPort]time.Duration
-	done        chan struct{}
+	// seen is when each instance last sent a heartbeat to this one.
+	seen map[netip.AddrPort]definer.Instant
+	done chan struct{}
 }
 
 // New returns an elector; Run makes it work.
@@ -87,9 +89,9 @@
 ) *Elector {
 	return &Elector{
 		settings: settings, store: store, endpoints: endpoints, decoder: decoder, pool: forwarder.NewPool(),
-		desk: newDesk(adviser), logger: logger, metrics: metrics, storeAge: storeAge, storeTrip: storeTrip,
+		desk: newDesk(adviser, logger), logger: logger, metrics: metrics, storeAge: storeAge, storeTrip: storeTrip,
 		changed: make(chan struct{}), peers: map[string]Instance{}, wake: make(chan struct{}, 1),
-		loads: map[netip.AddrPort]time.Duration{}, done: make(chan struct{}),
+		loads: map[netip.AddrPort]time.Duration{}, seen: map[netip.AddrPort]definer.Instant{}, done: make(chan struct{}),
 	}
 }
 
--- a/internal/cell/elector/follow.go
+++ b/internal/cell/elector/follow.go
@@ -56,6 +56,11 @@
 			continue
 		}
 		reply := e.exchange(ctx, owner.Address, false)
+		if newer, _ := e.Owner(); newer.Term > owner.Term {
+			missed = 0
+
+			continue
+		}
 		switch {
 		case reply == nil:
 			missed++
--- a/internal/cell/elector/serve.go
+++ b/internal/cell/elector/serve.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/leader"
@@ -52,6 +54,7 @@
 		e.learn(Ownership{Term: beat.Term, Address: beat.Address, Name: beat.Name}, "heartbeat")
 	}
 	e.mu.Lock()
+	e.seen[beat.Address] = definer.Now()
 	if _, known := e.peers[beat.Name]; !known && beat.Name != e.settings.Name {
 		e.peers[beat.Name] = Instance{Name: beat.Name, Address: beat.Address}
 	}
@@ -96,6 +99,8 @@
 const (
 	// askAttempts is how many instances are tried for a question.
 	askAttempts = 2
+	// seenWithin is how lately an instance must have sent a heartbeat to be asked.
+	seenWithin = 1200 * time.Millisecond
 	// askLocalBias favours this instance, whose questions cross no link.
 	askLocalBias = 20 * time.Millisecond
 	// longCost is the time from which a question counts as long, and longShare the share of the instances that take long ones.
@@ -131,7 +136,9 @@
 	defer e.mu.Unlock()
 	addresses := []netip.AddrPort{e.settings.Address}
 	for _, peer := range e.peers {
-		addresses = append(addresses, peer.Address)
+		if definer.Since(e.seen[peer.Address]) < seenWithin {
+			addresses = append(addresses, peer.Address)
+		}
 	}
 	sort.Slice(addresses, func(a, b int) bool { return addresses[a].Compare(addresses[b]) < 0 })
 	if cost >= longCost && attempt == 0 {
@@ -167,6 +174,7 @@
 // desk asks the placement policy, urgent queues first.
 type desk struct {
 	adviser definer.Adviser
+	logger  hclog.Logger
 	mu      sync.Mutex
 	busy    int
 	waiting []*visitor
@@ -177,7 +185,9 @@
 	turn     chan struct{}
 }
 
-func newDesk(adviser definer.Adviser) *desk { return &desk{adviser: adviser} }
+func newDesk(adviser definer.Adviser, logger hclog.Logger) *desk {
+	return &desk{adviser: adviser, logger: logger}
+}
 
 func (d *desk) ask(ctx context.Context, question *forwarder.Question) *forwarder.Advice {
 	if !d.enter(ctx, question.Priority) {
@@ -186,6 +196,8 @@
 	defer d.leave()
 	tickets, err := d.adviser.Advise(ctx, question.Job, question.Occurrence, question.Step, question.Endpoints)
 	if err != nil {
+		d.logger.Warn("policy did not answer", "job", question.Job, "step", question.Step, "endpoints", len(question.Endpoints), "error", err)
+
 		return &forwarder.Advice{}
 	}
 
--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -53,6 +53,7 @@
 }
 
 func (m startedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
+	l.starting--
 	if m.verdict == definer.VerdictFenced {
 		l.fenced(m.id)
 	}
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -60,19 +60,25 @@
 	journal journal
 	renewal map[string]*renewal
 	drain   bool
-	noted   definer.Instant
+	// starting counts the starts that are not answered.
+	starting int
+	planned  definer.Instant
 }
 
 // message is something that loop handles.
-type message interface{ apply(ctx context.Context, l *Leader, now definer.Instant) }
+type message interface {
+	apply(ctx context.Context, l *Leader, now definer.Instant)
+}
 
 const (
 	// inboxSize bounds the messages that wait for loop.
 	inboxSize = 16384
 	// tickEvery is how often time-dependent state advances.
-	tickEvery = 50 * time.Millisecond
+	tickEvery = 20 * time.Millisecond
 	// batchMost is how many messages are handled before the planner runs.
 	batchMost = 256
+	// planGap is the least time between two rounds of placement; what comes in between is decided together.
+	planGap = 10 * time.Millisecond
 	// unheldLimit is how long an owner without a majority of the endpoints keeps the cell.
 	unheldLimit = 3 * time.Second
 )
@@ -246,8 +252,10 @@
 
 // act plans and carries out what the planner wants.
 func (l *Leader) act(ctx context.Context, now definer.Instant) {
-	if !l.drain {
+	if !l.drain && now.Sub(l.planned) >= planGap {
+		l.planned = now
 		l.planner.Plan(now)
+		l.planCost(now)
 	}
 	for _, note := range l.planner.Notes() {
 		l.record(note)
@@ -258,6 +266,11 @@
 	l.journal.advance(ctx, l, now)
 }
 
+// planCost observes how long the planner took.
+func (l *Leader) planCost(began definer.Instant) {
+	l.metrics.Observe("plan", definer.Since(began))
+}
+
 func (l *Leader) record(note planner.Note) {
 	args := append([]any{"job", note.Job, "term", l.settings.Term}, note.Args...)
 	l.logger.Info(note.Event, args...)
@@ -269,6 +282,7 @@
 	switch c := command.(type) {
 	case planner.StartCmd:
 		c.Order.Term = l.settings.Term
+		l.starting++
 		l.spawn(ctx, &startCall{leader: l, target: c.Target, order: c.Order, since: now})
 	case planner.StopCmd:
 		c.Order.Term = l.settings.Term
--- a/internal/cell/leader/requests.go
+++ b/internal/cell/leader/requests.go
@@ -80,6 +80,13 @@
 
 		return
 	}
+	if refusal := l.planner.Admit(&m.job, now); refusal != nil {
+		l.logger.Info("submission refused", "job", m.job.ID, "account", m.job.Account, "queue", m.job.Queue.Name, "reason", refusal.Reason, "retry", refusal.Retry.String())
+		l.metrics.Count("refused: " + refusal.Reason)
+		m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeRefused, Retry: refusal.Retry}
+
+		return
+	}
 	s := &submission{job: m.job, waiters: []chan *forwarder.Reply{m.reply}, since: now}
 	l.journal.queue = append(l.journal.queue, s)
 	l.journal.byID[m.job.ID] = s
@@ -154,12 +161,12 @@
 
 type handOverMsg struct{ reply chan int64 }
 
-func (m handOverMsg) apply(ctx context.Context, l *Leader, now definer.Instant) {
+func (m handOverMsg) apply(ctx context.Context, l *Leader, _ definer.Instant) {
 	if !l.drain {
 		l.drain = true
 		l.logger.Info("owner hands over", "term", l.settings.Term)
 	}
-	if !l.journal.outstanding && len(l.journal.queue) == 0 && len(l.journal.cancels) == 0 && !l.planner.Changed() {
+	if l.starting == 0 && !l.journal.outstanding && len(l.journal.queue) == 0 && len(l.journal.cancels) == 0 && !l.planner.Changed() {
 		m.reply <- l.journal.end
 		l.cancel(ErrHandedOver)
 
@@ -167,7 +174,6 @@
 	}
 	l.work.Add(1)
 	go m.run(ctx, l)
-	_ = now
 }
 
 // run asks again shortly after.
--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -19,6 +19,8 @@
 	mostAsked = 100
 	// spareAsked is how many endpoints more than needed are asked for.
 	spareAsked = 4
+	// askPause is the pause after a question that was not answered.
+	askPause = 150 * time.Millisecond
 	// askTimeout is when a question counts as lost, beyond the time of its decision.
 	askTimeout = 2500 * time.Millisecond
 )
@@ -90,10 +92,12 @@
 		return
 	}
 	s := o.steps[index]
-	s.admission.asking = 0
 	if !answered {
+		s.admission.asking = now.Add(askPause)
+
 		return
 	}
+	s.admission.asking = 0
 	if s.admission.known == nil {
 		s.admission.known = map[*endpoint]ticket{}
 	}
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -51,6 +51,8 @@
 	// gangSince is when the current run of the gang began.
 	gangSince definer.Instant
 	admission admission
+	// urgency is that of the job at the time of the current pass.
+	urgency int
 }
 
 // task is a task of a step.
@@ -81,7 +83,7 @@
 		return
 	}
 	j := p.newJob(definition, now, wall)
-	j.excess = p.overRate(p.account(j.Account), now)
+	j.excess = p.account(j.Account).charge(now)
 	p.note("accepted", j.ID, "account", j.Account, "queue", j.Queue.Name, "excess", j.excess)
 	p.advance(j, wall)
 }
@@ -115,14 +117,22 @@
 	return time.Duration(float64(chain)*max(j.Queue.Stretch, 1)) + j.Queue.Target
 }
 
-// overRate reports whether the account has sent more jobs than its weight a second.
-func (p *Planner) overRate(a *account, now definer.Instant) bool {
-	if a.weight <= 0 {
-		return false
-	}
+// refill adds to the account's bucket what has come in since the last time.
+func (a *account) refill(now definer.Instant) {
 	a.credit = min(a.credit+a.weight*now.Sub(a.creditedAt).Seconds(), a.weight*creditSeconds)
 	a.creditedAt = now
-	if a.credit < 1 {
+}
+
+// overRate reports whether the account has sent more jobs than its weight a second.
+func (a *account) overRate(now definer.Instant) bool {
+	a.refill(now)
+
+	return a.weight > 0 && a.credit < 1
+}
+
+// charge takes a job from the account's bucket and reports whether it was beyond it.
+func (a *account) charge(now definer.Instant) bool {
+	if a.overRate(now) {
 		return true
 	}
 	a.credit--
@@ -313,18 +323,57 @@
 	return count
 }
 
+// Refusal tells why and until when a job is not admitted.
+type Refusal struct {
+	Reason string
+	Retry  time.Duration
+}
+
+const (
+	// excessBacklog is the backlog above which jobs beyond an account's rate are refused.
+	excessBacklog = 300 * time.Millisecond
+	// backlogMargin is the share of the time in which a job is worth something that the backlog may take.
+	backlogMargin = 0.8
+	// retryLeast and retryMost bound when a refused job may come again.
+	retryLeast = time.Second
+	retryMost  = 10 * time.Second
+)
+
+// Admit decides whether a job may be accepted: jobs beyond the account's rate
+// only while nothing waits, and others only while they can be done in time to
+// be worth something.
+func (p *Planner) Admit(j *definer.Job, now definer.Instant) *Refusal {
+	a := p.account(j.Account)
+	wait := p.wait(j.Queue.Priority)
+	retry := min(max(wait, retryLeast), retryMost)
+	if a.overRate(now) && wait > excessBacklog {
+		return &Refusal{Reason: "account is over its rate", Retry: retry}
+	}
+	if limit := time.Duration(backlogMargin * lateFactor * float64(objective(j))); wait > limit {
+		return &Refusal{Reason: "backlog", Retry: retry}
+	}
+
+	return nil
+}
+
+// wait estimates how long a job of a priority waits for the work before it.
+func (p *Planner) wait(priority int) time.Duration {
+	work, processors := p.Backlog(priority)
+	if processors == 0 {
+		return 0
+	}
+
+	return time.Duration(work / processors * float64(time.Second))
+}
+
 // Backlog returns the work of the steps that are not started, in core-seconds
 // of their estimates, and the processors of all usable endpoints.
 func (p *Planner) Backlog(priority int) (work, processors float64) {
 	for s := range p.ready {
-		if s.job.Queue.Priority > priority {
+		if s.job.Queue.Priority > priority || s.job.excess {
 			continue
 		}
-		for _, t := range s.tasks {
-			if !t.done && t.run == nil {
-				work += float64(s.def.Need.Millis) / millisPerProcessor * s.def.Estimate.Seconds()
-			}
-		}
+		work += float64(len(s.pending())) * float64(s.def.Need.Millis) / millisPerProcessor * s.def.Estimate.Seconds()
 	}
 	for _, e := range p.endpoints {
 		if e.listed && !e.Draining {
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -31,16 +31,18 @@
 	if len(p.ready) == 0 || !p.open(now) {
 		return
 	}
-	pass := &pass{planner: p, now: now, settled: p.settled(now), reserved: map[*endpoint]int{}}
+	pass := &pass{planner: p, now: now, settled: p.settled(now), reserved: map[*endpoint]int{}, largest: map[string]modeler.Resources{}}
 	for _, e := range p.endpoints {
 		if e.usable(now, p.settings.Freshness) {
 			pass.usable = append(pass.usable, e)
+			pass.largest[e.Service] = maximum(pass.largest[e.Service], e.room())
 		}
 	}
 	// A fixed order makes the decisions repeatable.
 	sort.Slice(pass.usable, func(a, b int) bool { return pass.usable[a].ID < pass.usable[b].ID })
 	steps := make([]*step, 0, len(p.ready))
 	for s := range p.ready {
+		s.urgency = s.job.urgency(now)
 		steps = append(steps, s)
 	}
 	sort.Slice(steps, func(a, b int) bool { return steps[a].before(steps[b]) })
@@ -49,13 +51,46 @@
 	}
 }
 
-// before orders the steps to start: work that its account is owed first, then
-// by the priority of the queue and the end of the objective.
+// maximum returns the componentwise maximum.
+func maximum(a, b modeler.Resources) modeler.Resources {
+	return modeler.Resources{
+		Millis: max(a.Millis, b.Millis), Memory: max(a.Memory, b.Memory), Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
+// The urgencies of a job: it can still meet its objective, it is late but
+// still worth something, it is worth nothing any more, or its account has sent
+// more than it is owed.
+const (
+	urgencyOnTime = iota
+	urgencyLate
+	urgencyMissed
+	urgencyExcess
+)
+
+// lateFactor is how many times its objective a job may take until it is worth nothing.
+const lateFactor = 3
+
+func (j *job) urgency(now definer.Instant) int {
+	switch {
+	case j.excess:
+		return urgencyExcess
+	case now > j.accepted.Add(lateFactor*j.deadline.Sub(j.accepted)):
+		return urgencyMissed
+	case now > j.deadline:
+		return urgencyLate
+	default:
+		return urgencyOnTime
+	}
+}
+
+// before orders the steps to start: by urgency, then by the priority of the
+// queue and the end of the objective.
 func (s *step) before(o *step) bool {
 	a, b := s.job, o.job
 	switch {
-	case a.excess != b.excess:
-		return !a.excess
+	case s.urgency != o.urgency:
+		return s.urgency < o.urgency
 	case a.Queue.Priority != b.Queue.Priority:
 		return a.Queue.Priority < b.Queue.Priority
 	case a.deadline != b.deadline:
@@ -76,6 +111,8 @@
 	// reserved holds the endpoints that waiting gangs hold back, with the priority of the gang's queue.
 	reserved  map[*endpoint]int
 	reserving int
+	// largest bounds the room on any endpoint of a service.
+	largest map[string]modeler.Resources
 }
 
 // place starts tasks of a step as far as there is room.
@@ -92,15 +129,25 @@
 		return
 	}
 	if s.def.Gang {
-		if s.gang == 0 && len(pending) == s.left {
+		switch {
+		case s.gang == 0 && len(pending) == s.left:
 			ps.placeGang(s, pending)
+		case s.gang != 0 && ps.settled && ps.now.Sub(s.gangSince) > incompleteAfter:
+			// Another owner started the gang and did not finish.
+			p.disband(s)
 		}
 
 		return
 	}
-	ps.placeEach(s, pending)
+	if s.need().Fits(ps.largest[s.job.Queue.Service]) {
+		ps.placeEach(s, pending)
+	}
 }
 
+// incompleteAfter is how long a gang may lack members after it was taken over;
+// it is shorter than their wait at the endpoints.
+const incompleteAfter = 700 * time.Millisecond
+
 // pending returns the tasks of s that are neither done nor running.
 func (s *step) pending() []*task {
 	var pending []*task
@@ -271,6 +318,9 @@
 	if !p.account(s.job.Account).allows(s.def.Need.Scale(int64(len(pending))), ps.limitShare()) {
 		return
 	}
+	if ps.reserving >= mostReserving {
+		return
+	}
 	places := ps.pack(s, len(pending), candidates)
 	if places == nil {
 		if policy != nil && p.slots(s, candidates) < len(pending) {
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -360,6 +360,10 @@
 			p.note("start not answered", r.name.Job, "endpoint", e.ID, "step", r.name.Step, "index", r.name.Index, "run", r.number)
 			p.strike(e, now)
 			p.stop(r)
+			if r.task != nil && r.task.step.def.Gang {
+				// The others would wait for this member.
+				p.disband(r.task.step)
+			}
 		}
 	case definer.VerdictTicket:
 		r.task.step.admission.expire(e)
