Place gangs without blocking the rest of the queue

Cause: a gang whose admitted endpoints could never hold it kept endpoints reserved and stopped all gangs behind it; each round looked at every gang, which cost the owner most of its processor and made followers take over.

--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -55,6 +55,18 @@
 	return t.admitted && t.life == e.life && now.Add(ticketMargin) < t.expires
 }
 
+// admitted returns the endpoints that the policy has admitted.
+func (a *admission) admitted(endpoints []*endpoint) []*endpoint {
+	var admitted []*endpoint
+	for _, e := range endpoints {
+		if a.known[e].admitted {
+			admitted = append(admitted, e)
+		}
+	}
+
+	return admitted
+}
+
 // refusedFor reports whether the policy has refused e.
 func (a *admission) refusedFor(e *endpoint) bool {
 	t, ok := a.known[e]
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -14,6 +14,8 @@
 	unsettledShare = 0.85
 	// mostReserving is how many waiting gangs may hold endpoints back for themselves.
 	mostReserving = 4
+	// mostExploring is how many gangs may wait for their first answer of a placement policy at once.
+	mostExploring = 12
 )
 
 // Tick advances what depends on time.
@@ -111,6 +113,9 @@
 	// reserved holds the endpoints that waiting gangs hold back, with the priority of the gang's queue.
 	reserved  map[*endpoint]int
 	reserving int
+	exploring int
+	// scratch is reused for lists of candidates.
+	scratch []*endpoint
 	// largest bounds the room on any endpoint of a service.
 	largest map[string]modeler.Resources
 }
@@ -170,10 +175,10 @@
 }
 
 // candidates returns the endpoints that may run a task of s, whether or not
-// there is room now.
+// there is room now. The list is valid until the next call.
 func (ps *pass) candidates(s *step) []*endpoint {
 	need := s.need()
-	var candidates []*endpoint
+	candidates := ps.scratch[:0]
 	for _, e := range ps.usable {
 		if e.Service != s.job.Queue.Service || s.def.Requires != "" && !e.Label(s.def.Requires) || !need.Fits(e.Capacity) {
 			continue
@@ -183,6 +188,7 @@
 		}
 		candidates = append(candidates, e)
 	}
+	ps.scratch = candidates
 
 	return candidates
 }
@@ -299,59 +305,41 @@
 // placeGang starts all tasks of a gang at once, or holds endpoints back for it.
 func (ps *pass) placeGang(s *step, pending []*task) {
 	p := ps.planner
-	candidates := ps.candidates(s)
 	policy := s.job.Queue.Policy
-	if policy != nil {
-		if unasked := p.question(s, candidates, len(pending)); len(unasked) > 0 && len(s.admission.known) == 0 {
-			p.ask(s, unasked, ps.now)
-
-			return
-		}
-		admitted := candidates[:0:0]
-		for _, e := range candidates {
-			if s.admission.known[e].admitted {
-				admitted = append(admitted, e)
-			}
-		}
-		candidates = admitted
+	asking := s.admission.asking != 0 && ps.now < s.admission.asking
+	if ps.reserving >= mostReserving || !p.account(s.job.Account).allows(s.def.Need.Scale(int64(len(pending))), ps.limitShare()) {
+		return
 	}
-	if !p.account(s.job.Account).allows(s.def.Need.Scale(int64(len(pending))), ps.limitShare()) {
+	if policy != nil && len(s.admission.known) == 0 {
+		if !asking && ps.exploring < mostExploring {
+			p.ask(s, p.question(s, ps.candidates(s), len(pending)), ps.now)
+		}
+		ps.exploring++
+
 		return
 	}
-	if ps.reserving >= mostReserving {
+	candidates := ps.candidates(s)
+	if policy != nil {
+		candidates = s.admission.admitted(candidates)
+	}
+	if slots(s, candidates) < len(pending) {
+		if policy != nil && !asking {
+			// What was admitted can never hold the gang: ask about endpoints that have come since.
+			p.ask(s, p.question(s, ps.candidates(s), len(pending)), ps.now)
+		}
+
 		return
 	}
 	places := ps.pack(s, len(pending), candidates)
 	if places == nil {
-		if policy != nil && p.slots(s, candidates) < len(pending) {
-			// What was admitted can never hold the gang: ask about the rest.
-			p.ask(s, p.question(s, ps.candidates(s), len(pending)), ps.now)
-		}
 		ps.reserve(s, candidates, len(pending))
 
 		return
 	}
-	if policy != nil {
-		var stale []*endpoint
-		listed := map[*endpoint]bool{}
-		for _, e := range places {
-			if !s.admission.valid(e, ps.now) && !listed[e] {
-				listed[e] = true
-				stale = append(stale, e)
-			}
-		}
-		if len(stale) > 0 {
-			ps.reserve(s, places, len(pending))
-			for _, e := range places {
-				if !listed[e] {
-					listed[e] = true
-					stale = append(stale, e)
-				}
-			}
-			p.ask(s, stale, ps.now)
+	if policy != nil && !ps.admits(s, places) {
+		ps.reserve(s, places, len(pending))
 
-			return
-		}
+		return
 	}
 	number := 0
 	for _, t := range pending {
@@ -364,8 +352,28 @@
 	}
 }
 
+// admits reports whether all places have valid tickets, and asks for new ones
+// for all of them when not.
+func (ps *pass) admits(s *step, places []*endpoint) bool {
+	valid := true
+	listed := map[*endpoint]bool{}
+	var distinct []*endpoint
+	for _, e := range places {
+		if !listed[e] {
+			listed[e] = true
+			distinct = append(distinct, e)
+			valid = valid && s.admission.valid(e, ps.now)
+		}
+	}
+	if !valid {
+		ps.planner.ask(s, distinct, ps.now)
+	}
+
+	return valid
+}
+
 // slots counts the tasks of s that fit on empty endpoints.
-func (p *Planner) slots(s *step, endpoints []*endpoint) int {
+func slots(s *step, endpoints []*endpoint) int {
 	total := 0
 	for _, e := range endpoints {
 		total += fitting(s, e.Capacity, s.def.PerEndpoint)
