Ask tickets for the places that a gang keeps

A stop that was given up was never sent again.

Change: a gang starts on endpoints with valid tickets if it fits there, and otherwise keeps the places that it asks tickets for. A stop is repeated while its run is still there. Renewals of an endpoint are 150 ms apart.

--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -22,7 +22,7 @@
 	// renewPause is the pause after a failed renewal.
 	renewPause = 250 * time.Millisecond
 	// renewGap is the least time between two renewals of an endpoint; ends that come closer are reported together.
-	renewGap = 40 * time.Millisecond
+	renewGap = 150 * time.Millisecond
 	// askSlack is how much longer than its cost a question may take.
 	askSlack = 2 * time.Second
 )
@@ -74,16 +74,16 @@
 }
 
 func (c *stopCall) run(ctx context.Context) {
-	for attempt := 1; ctx.Err() == nil; attempt++ {
+	for began := definer.Now(); ctx.Err() == nil; {
 		callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
 		verdict, err := c.leader.endpoints.Stop(callCtx, c.target, c.order)
 		cancel()
 		switch {
-		case err == nil && verdict != definer.VerdictUnknown:
+		case err == nil && verdict != definer.VerdictUnknown && verdict != definer.VerdictRefused:
 			c.leader.post(stoppedMsg{id: c.target.ID, order: c.order, verdict: verdict})
 
 			return
-		case attempt >= stopAttempts:
+		case definer.Since(began) > planner.StopAttempts:
 			c.leader.logger.Warn("stop given up", "job", c.order.Task.Job, "endpoint", c.target.ID, "run", c.order.Run, "error", err)
 
 			return
@@ -94,9 +94,6 @@
 	}
 }
 
-// stopAttempts bounds the repeats of a stop: they outlast every lease.
-const stopAttempts = 24
-
 type stoppedMsg struct {
 	id      string
 	order   definer.StopOrder
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -72,7 +72,9 @@
 	account  *account
 	sentAt   definer.Instant
 	// settledAt is when the last order for the run was answered.
-	settledAt  definer.Instant
+	settledAt definer.Instant
+	// stopAt is when a stop was last asked for.
+	stopAt     definer.Instant
 	checkpoint string
 	percent    int
 	changedAt  definer.Instant
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -24,6 +24,7 @@
 
 // Tick advances what depends on time.
 func (p *Planner) Tick(now definer.Instant, wall time.Time) (dropped []string) {
+	p.now = now
 	for j := range p.timed {
 		p.advance(j, wall)
 	}
@@ -34,6 +35,7 @@
 
 // Plan starts what can be started.
 func (p *Planner) Plan(now definer.Instant) {
+	p.now = now
 	if len(p.ready) == 0 || !p.open(now) {
 		return
 	}
@@ -344,14 +346,19 @@
 
 		return
 	}
-	places := ps.pack(s, len(pending), candidates)
+	places := ps.pack(s, len(pending), ps.ready(s, candidates))
 	if places == nil {
-		ps.reserve(s, candidates, len(pending))
+		places = ps.pack(s, len(pending), candidates)
+		if places == nil {
+			ps.reserve(s, candidates, len(pending))
 
-		return
-	}
-	if policy != nil && !ps.admits(s, places) {
-		ps.reserve(s, places, len(pending))
+			return
+		}
+		// There is room, but the tickets have expired: keep it while new ones are asked for.
+		ps.keep(s, places)
+		if !asking {
+			p.ask(s, s.held, ps.now)
+		}
 
 		return
 	}
@@ -367,24 +374,41 @@
 	}
 }
 
-// admits reports whether all places have valid tickets, and asks for new ones
-// for all of them when not.
-func (ps *pass) admits(s *step, places []*endpoint) bool {
-	valid := true
-	listed := map[*endpoint]bool{}
-	var distinct []*endpoint
+// ready returns the candidates on which a start may be sent now.
+func (ps *pass) ready(s *step, candidates []*endpoint) []*endpoint {
+	if s.job.Queue.Policy == nil {
+		return candidates
+	}
+	var ready []*endpoint
+	for _, e := range candidates {
+		if s.admission.valid(e, ps.now) {
+			ready = append(ready, e)
+		}
+	}
+
+	return ready
+}
+
+// keep reserves the distinct endpoints among places for a gang.
+func (ps *pass) keep(s *step, places []*endpoint) {
+	s.held = nil
 	for _, e := range places {
-		if !listed[e] {
-			listed[e] = true
-			distinct = append(distinct, e)
-			valid = valid && s.admission.valid(e, ps.now)
+		if ps.reserved[e] != s || !contains(s.held, e) {
+			ps.reserved[e] = s
+			s.held = append(s.held, e)
 		}
 	}
-	if !valid {
-		ps.planner.ask(s, distinct, ps.now)
+	ps.reserving++
+}
+
+func contains(endpoints []*endpoint, e *endpoint) bool {
+	for _, other := range endpoints {
+		if other == e {
+			return true
+		}
 	}
 
-	return valid
+	return false
 }
 
 // slots counts the tasks of s that fit on empty endpoints.
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -55,6 +55,8 @@
 	dirty map[*job]struct{}
 	// openedAt is when a majority of the endpoints had accepted the owner's term, or 0.
 	openedAt definer.Instant
+	// now is the time of the last message.
+	now      definer.Instant
 	commands []Command
 	notes    []Note
 }
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -19,6 +19,7 @@
 // Report takes an endpoint's inventory. sent is when the renewal was sent: the
 // inventory is at least as new.
 func (p *Planner) Report(id string, sent, now definer.Instant, report definer.Report) {
+	p.now = now
 	e := p.endpoints[id]
 	if e == nil {
 		return
@@ -55,9 +56,23 @@
 		if !listed[key] {
 			p.missing(r, sent, now)
 		}
+		if r.phase == phaseStopping && now.Sub(r.stopAt) > stopGivenUp || r.phase == phaseStopped && now.Sub(r.stopAt) > stopRepeat {
+			// The stop was given up, or was answered and not carried out.
+			r.phase = phaseRunning
+			p.stop(r)
+		}
 	}
 }
 
+const (
+	// StopAttempts is how long the caller repeats a stop that is not answered.
+	StopAttempts = 7 * time.Second
+	// stopGivenUp is when a stop that was not answered is asked for anew.
+	stopGivenUp = StopAttempts + 2*time.Second
+	// stopRepeat is when a stop that was answered is sent again while the run is still there.
+	stopRepeat = 2 * time.Second
+)
+
 // running takes a row of the inventory.
 func (p *Planner) running(e *endpoint, row definer.RunningTask, now definer.Instant) {
 	r := e.runs[runKey{row.Task, row.Run}]
@@ -335,12 +350,13 @@
 	if r.phase == phaseStopping || r.phase == phaseStopped {
 		return
 	}
-	r.phase = phaseStopping
+	r.phase, r.stopAt = phaseStopping, p.now
 	p.emit(StopCmd{Target: definer.Target{ID: r.endpoint.ID, Address: r.endpoint.Address}, Order: definer.StopOrder{Task: r.name, Run: r.number}})
 }
 
 // Started takes the answer to a start.
 func (p *Planner) Started(id string, order definer.StartOrder, verdict definer.Verdict, now definer.Instant) {
+	p.now = now
 	e := p.endpoints[id]
 	if e == nil {
 		return
