Serve first what can still be on time

Change: steps that can no longer meet their objective go behind those that can; accounts above their share go behind the others of a priority; a question names all endpoints while that at most doubles its time; the first waiting steps have tickets before there is room; the owner gives out only as many questions as the instances can have under way.

--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -58,8 +58,10 @@
 	decoder   definer.Decoder
 	pool      *forwarder.Pool
 	desk      *desk
-	logger    hclog.Logger
-	metrics   *recorder.Metrics
+	// gate bounds the questions that this instance gives to all instances as the owner.
+	gate    gate
+	logger  hclog.Logger
+	metrics *recorder.Metrics
 	// storeAge tells how long ago this instance heard of the store, and storeTrip how long a call takes.
 	storeAge  func() time.Duration
 	storeTrip func() time.Duration
@@ -87,12 +89,15 @@
 func New(settings Settings, store definer.Store, endpoints definer.Endpoints, adviser definer.Adviser, decoder definer.Decoder,
 	storeAge, storeTrip func() time.Duration, logger hclog.Logger, metrics *recorder.Metrics,
 ) *Elector {
-	return &Elector{
+	e := &Elector{
 		settings: settings, store: store, endpoints: endpoints, decoder: decoder, pool: forwarder.NewPool(),
 		desk: newDesk(adviser, logger), logger: logger, metrics: metrics, storeAge: storeAge, storeTrip: storeTrip,
 		changed: make(chan struct{}), peers: map[string]Instance{}, wake: make(chan struct{}, 1),
 		loads: map[netip.AddrPort]time.Duration{}, seen: map[netip.AddrPort]definer.Instant{}, done: make(chan struct{}),
 	}
+	e.gate.slots = e.askSlots
+
+	return e
 }
 
 // Done is closed when Run has returned.
--- a/internal/cell/elector/serve.go
+++ b/internal/cell/elector/serve.go
@@ -95,6 +95,12 @@
 // Ask implements leader.Questioner: it gives the question to the instance with
 // the least to ask, since the policy serves each instance one question at a time.
 func (e *Elector) Ask(ctx context.Context, question *forwarder.Question, cost time.Duration) *forwarder.Advice {
+	gateCtx, cancel := context.WithTimeout(ctx, question.Patience)
+	defer cancel()
+	if !e.gate.enter(gateCtx, question.Priority) {
+		return &forwarder.Advice{}
+	}
+	defer e.gate.leave()
 	for attempt := range askAttempts {
 		address := e.assign(cost, attempt)
 		advice := e.askAt(ctx, address, question)
@@ -171,6 +177,20 @@
 	return best
 }
 
+// askSlots is how many questions may be under way in the whole cell.
+func (e *Elector) askSlots() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	live := 1
+	for _, peer := range e.peers {
+		if definer.Since(e.seen[peer.Address]) < seenWithin {
+			live++
+		}
+	}
+
+	return live * deskSlots
+}
+
 func (e *Elector) unassign(address netip.AddrPort, cost time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -179,14 +199,21 @@
 	}
 }
 
-// deskSlots is how many questions are under way at once: the policy answers
-// one at a time, and the second one covers the way there and back.
+// deskSlots is how many questions of an instance are under way at once: the
+// policy answers one at a time, and the second one covers the way there and back.
 const deskSlots = 2
 
-// desk asks the placement policy, urgent queues first.
+// desk asks the placement policy.
 type desk struct {
+	gate
 	adviser definer.Adviser
 	logger  hclog.Logger
+}
+
+// gate lets a number of visitors in at once, the most urgent first.
+type gate struct {
+	// slots returns how many may be in.
+	slots   func() int
 	mu      sync.Mutex
 	busy    int
 	waiting []*visitor
@@ -198,7 +225,7 @@
 }
 
 func newDesk(adviser definer.Adviser, logger hclog.Logger) *desk {
-	return &desk{adviser: adviser, logger: logger}
+	return &desk{gate: gate{slots: func() int { return deskSlots }}, adviser: adviser, logger: logger}
 }
 
 func (d *desk) ask(ctx context.Context, question *forwarder.Question) *forwarder.Advice {
@@ -217,9 +244,10 @@
 }
 
 // enter waits for the caller's turn.
-func (d *desk) enter(ctx context.Context, priority int) bool {
+func (d *gate) enter(ctx context.Context, priority int) bool {
+	slots := d.slots()
 	d.mu.Lock()
-	if d.busy < deskSlots {
+	if d.busy < slots {
 		d.busy++
 		d.mu.Unlock()
 
@@ -251,14 +279,14 @@
 	return false
 }
 
-func (d *desk) leave() {
+func (d *gate) leave() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.pass()
 }
 
 // pass gives the turn to the next visitor; the caller holds the lock.
-func (d *desk) pass() {
+func (d *gate) pass() {
 	if len(d.waiting) == 0 {
 		d.busy--
 
--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -128,20 +128,33 @@
 	q.admitted = max(q.admitted, 0.05)
 }
 
-// question chooses the endpoints to ask for: those with room first, as many
-// as the queue's share of admissions calls for.
-func (p *Planner) question(s *step, candidates []*endpoint, pending int) []*endpoint {
-	fresh := make([]*endpoint, 0, len(candidates))
-	for _, e := range candidates {
-		if _, ok := s.admission.known[e]; !ok {
-			fresh = append(fresh, e)
+// unasked returns the endpoints that the policy has not been asked about.
+func (a *admission) unasked(endpoints []*endpoint) []*endpoint {
+	var unasked []*endpoint
+	for _, e := range endpoints {
+		if _, ok := a.known[e]; !ok {
+			unasked = append(unasked, e)
 		}
 	}
+
+	return unasked
+}
+
+// question chooses the endpoints to ask about: all that may run the step, in
+// the order of their room, while that at most doubles the time of a decision,
+// and as many as the tasks are likely to need. The policy's answer for an
+// endpoint does not change, only its tickets expire.
+func (p *Planner) question(s *step, candidates []*endpoint, pending int) []*endpoint {
+	ordered := append([]*endpoint(nil), candidates...)
 	if s.def.Gang {
-		return fresh
+		return ordered
 	}
-	sort.Slice(fresh, func(a, b int) bool { return fresh[a].room().Millis > fresh[b].room().Millis })
+	sort.SliceStable(ordered, func(a, b int) bool { return ordered[a].room().Millis > ordered[b].room().Millis })
+	policy := s.job.Queue.Policy
 	want := int(math.Ceil(float64(pending)/p.stats(s.job.Queue.Name).admitted)) + spareAsked
+	if policy.Each > 0 {
+		want = max(want, int(policy.Decide/policy.Each))
+	}
 
-	return fresh[:min(want, len(fresh))]
+	return ordered[:min(want, len(ordered))]
 }
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -56,8 +56,11 @@
 	heldSince definer.Instant
 	// preempted means that work has been stopped for the gang.
 	preempted bool
-	// urgency is that of the job at the time of the current pass.
-	urgency int
+	// tail is the estimated time from the start of the step to the end of its job.
+	tail time.Duration
+	// urgency and overShare hold for the current round.
+	urgency   int
+	overShare bool
 }
 
 // task is a task of a step.
@@ -170,6 +173,13 @@
 		}
 		o.steps = append(o.steps, s)
 	}
+	for i := len(o.steps) - 1; i >= 0; i-- {
+		s := o.steps[i]
+		s.tail += s.def.Estimate
+		for _, before := range s.def.After {
+			o.steps[before].tail = max(o.steps[before].tail, s.tail)
+		}
+	}
 	j.occurrences = append(j.occurrences, o)
 	for _, s := range o.steps {
 		p.makeReady(s)
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -20,6 +20,8 @@
 	reservedPenalty = 4.0
 	// mostExploring is how many gangs may wait for their first answer of a placement policy at once.
 	mostExploring = 12
+	// mostPrepared is how many waiting steps have tickets asked for before there is room.
+	mostPrepared = 6
 )
 
 // Tick advances what depends on time.
@@ -48,9 +50,11 @@
 	}
 	// A fixed order makes the decisions repeatable.
 	sort.Slice(pass.usable, func(a, b int) bool { return pass.usable[a].ID < pass.usable[b].ID })
+	fair := p.fairUse()
 	steps := make([]*step, 0, len(p.ready))
 	for s := range p.ready {
-		s.urgency = s.job.urgency(now)
+		s.overShare = p.account(s.job.Account).over(fair)
+		s.urgency = s.rate(now)
 		steps = append(steps, s)
 	}
 	sort.Slice(steps, func(a, b int) bool { return steps[a].before(steps[b]) })
@@ -66,6 +70,30 @@
 	}
 }
 
+// fairUse returns the processors in use for each unit of weight, over the accounts that have jobs.
+func (p *Planner) fairUse() float64 {
+	var used, weight float64
+	for _, a := range p.accounts {
+		if a.active > 0 {
+			used += float64(a.used.Millis)
+			weight += a.weight
+		}
+	}
+	if weight == 0 {
+		return 0
+	}
+
+	return used / weight
+}
+
+// shareMargin is how far above its share an account may be before others go first.
+const shareMargin = 1.2
+
+// over reports whether the account uses more than its share.
+func (a *account) over(fair float64) bool {
+	return a.weight > 0 && float64(a.used.Millis)/a.weight > fair*shareMargin
+}
+
 // maximum returns the componentwise maximum.
 func maximum(a, b modeler.Resources) modeler.Resources {
 	return modeler.Resources{
@@ -73,9 +101,10 @@
 	}
 }
 
-// The urgencies of a job: it can still meet its objective, it is late but
-// still worth something, it is worth nothing any more, or its account has sent
-// more than it is owed.
+// The urgencies of a step: its job can still meet its objective, is late but
+// still worth something, is worth nothing any more, or its account has sent
+// more than it is owed. A cell that is short of room serves what it can still
+// serve in time; by deadline alone it would be late with everything.
 const (
 	urgencyOnTime = iota
 	urgencyLate
@@ -83,16 +112,24 @@
 	urgencyExcess
 )
 
-// lateFactor is how many times its objective a job may take until it is worth nothing.
-const lateFactor = 3
+const (
+	// lateFactor is how many times its objective a job may take until it is worth nothing.
+	lateFactor = 3
+	// tailMargin and tailSlack allow for estimates that are short and for the way to the caller.
+	tailMargin = 1.1
+	tailSlack  = 150 * time.Millisecond
+)
 
-func (j *job) urgency(now definer.Instant) int {
+// rate returns the urgency of s.
+func (s *step) rate(now definer.Instant) int {
+	j := s.job
+	end := now.Add(time.Duration(tailMargin*float64(s.tail)) + tailSlack)
 	switch {
 	case j.excess:
 		return urgencyExcess
-	case now > j.accepted.Add(lateFactor*j.deadline.Sub(j.accepted)):
+	case end > j.accepted.Add(lateFactor*j.deadline.Sub(j.accepted)):
 		return urgencyMissed
-	case now > j.deadline:
+	case end > j.deadline:
 		return urgencyLate
 	default:
 		return urgencyOnTime
@@ -100,7 +137,7 @@
 }
 
 // before orders the steps to start: by urgency, then by the priority of the
-// queue and the end of the objective.
+// queue, the share that the account has and the end of the objective.
 func (s *step) before(o *step) bool {
 	a, b := s.job, o.job
 	switch {
@@ -108,6 +145,8 @@
 		return s.urgency < o.urgency
 	case a.Queue.Priority != b.Queue.Priority:
 		return a.Queue.Priority < b.Queue.Priority
+	case s.overShare != o.overShare:
+		return !s.overShare
 	case a.deadline != b.deadline:
 		return a.deadline < b.deadline
 	case a.ID != b.ID:
@@ -127,6 +166,7 @@
 	reserved  map[*endpoint]*step
 	reserving int
 	exploring int
+	prepared  int
 	// scratch is reused for lists of candidates.
 	scratch []*endpoint
 	// largest bounds the room on any endpoint of a service.
@@ -159,6 +199,8 @@
 	}
 	if s.need().Fits(ps.largest[s.job.Queue.Service]) {
 		ps.placeEach(s, pending)
+	} else {
+		ps.prepare(s)
 	}
 }
 
@@ -233,31 +275,31 @@
 	if policy == nil || asked || short == 0 {
 		return
 	}
-	if len(expired) > 0 {
-		p.ask(s, ps.renewable(s, candidates, short), ps.now)
+	if len(expired) > 0 || len(s.admission.known) == 0 {
+		p.ask(s, p.question(s, candidates, short), ps.now)
 
 		return
 	}
-	roomy := make([]*endpoint, 0, len(candidates))
-	for _, e := range candidates {
-		if s.need().Fits(e.room()) && ps.unreserved(e, s) && s.spreads(e) {
-			roomy = append(roomy, e)
-		}
-	}
-	p.ask(s, p.question(s, roomy, short), ps.now)
+	ps.prepare(s)
 }
 
-// renewable returns admitted endpoints with room whose tickets have expired.
-func (ps *pass) renewable(s *step, candidates []*endpoint, short int) []*endpoint {
-	var found []*endpoint
+// prepare asks for tickets for a step that waits for room, so that it can
+// start as soon as there is some. Only the first in line are prepared.
+func (ps *pass) prepare(s *step) {
+	if s.job.Queue.Policy == nil || s.urgency > urgencyLate || ps.prepared >= mostPrepared {
+		return
+	}
+	ps.prepared++
+	if s.admission.asking != 0 && ps.now < s.admission.asking {
+		return
+	}
+	candidates := ps.candidates(s)
 	for _, e := range candidates {
-		if s.admission.known[e].admitted && !s.admission.valid(e, ps.now) && s.need().Fits(e.room()) && ps.unreserved(e, s) && s.spreads(e) {
-			found = append(found, e)
+		if s.admission.valid(e, ps.now) {
+			return
 		}
 	}
-	sort.Slice(found, func(a, b int) bool { return found[a].room().Millis > found[b].room().Millis })
-
-	return found[:min(len(found), short+1)]
+	ps.planner.ask(s, ps.planner.question(s, candidates, s.def.Count), ps.now)
 }
 
 // spreads reports whether the step may have one more task on e.
@@ -341,7 +383,7 @@
 	if slots(s, candidates) < len(pending) {
 		if policy != nil && !asking {
 			// What was admitted can never hold the gang: ask about endpoints that have come since.
-			p.ask(s, p.question(s, ps.candidates(s), len(pending)), ps.now)
+			p.ask(s, s.admission.unasked(ps.candidates(s)), ps.now)
 		}
 
 		return
