Bound questions to the placement policies by their cost

Change: the owner lets questions out up to a budget of decision time for each instance, urgent ones first, with a budget of their own for long ones.

--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -57,11 +57,11 @@
 	endpoints definer.Endpoints
 	decoder   definer.Decoder
 	pool      *forwarder.Pool
-	desk      *desk
-	// gate bounds the questions that this instance gives to all instances as the owner.
-	gate    gate
-	logger  hclog.Logger
-	metrics *recorder.Metrics
+	adviser   definer.Adviser
+	// short and long bound the questions that this instance gives to all instances as the owner.
+	short, long gate
+	logger      hclog.Logger
+	metrics     *recorder.Metrics
 	// storeAge tells how long ago this instance heard of the store, and storeTrip how long a call takes.
 	storeAge  func() time.Duration
 	storeTrip func() time.Duration
@@ -91,11 +91,12 @@
 ) *Elector {
 	e := &Elector{
 		settings: settings, store: store, endpoints: endpoints, decoder: decoder, pool: forwarder.NewPool(),
-		desk: newDesk(adviser, logger), logger: logger, metrics: metrics, storeAge: storeAge, storeTrip: storeTrip,
+		adviser: adviser, logger: logger, metrics: metrics, storeAge: storeAge, storeTrip: storeTrip,
 		changed: make(chan struct{}), peers: map[string]Instance{}, wake: make(chan struct{}, 1),
 		loads: map[netip.AddrPort]time.Duration{}, seen: map[netip.AddrPort]definer.Instant{}, done: make(chan struct{}),
 	}
-	e.gate.slots = e.askSlots
+	e.short.budget = func() time.Duration { return time.Duration(e.live()) * shortBudget }
+	e.long.budget = func() time.Duration { return time.Duration(e.live()) * longBudget }
 
 	return e
 }
--- a/internal/cell/elector/serve.go
+++ b/internal/cell/elector/serve.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/leader"
@@ -89,7 +87,19 @@
 
 // Advise implements forwarder.Server.
 func (e *Elector) Advise(ctx context.Context, question *forwarder.Question) (*forwarder.Advice, error) {
-	return e.desk.ask(ctx, question), nil
+	return e.advise(ctx, question), nil
+}
+
+// advise asks the placement policy from this instance.
+func (e *Elector) advise(ctx context.Context, question *forwarder.Question) *forwarder.Advice {
+	tickets, err := e.adviser.Advise(ctx, question.Job, question.Occurrence, question.Step, question.Endpoints)
+	if err != nil {
+		e.logger.Warn("policy did not answer", "job", question.Job, "step", question.Step, "endpoints", len(question.Endpoints), "error", err)
+
+		return &forwarder.Advice{}
+	}
+
+	return &forwarder.Advice{Answered: true, Tickets: tickets}
 }
 
 // Ask implements leader.Questioner: it gives the question to the instance with
@@ -97,10 +107,14 @@
 func (e *Elector) Ask(ctx context.Context, question *forwarder.Question, cost time.Duration) *forwarder.Advice {
 	gateCtx, cancel := context.WithTimeout(ctx, question.Patience)
 	defer cancel()
-	if !e.gate.enter(gateCtx, question.Priority) {
+	way := &e.short
+	if cost >= longCost {
+		way = &e.long
+	}
+	if !way.enter(gateCtx, question.Priority, cost) {
 		return &forwarder.Advice{}
 	}
-	defer e.gate.leave()
+	defer way.leave(cost)
 	for attempt := range askAttempts {
 		address := e.assign(cost, attempt)
 		advice := e.askAt(ctx, address, question)
@@ -130,7 +144,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, question.Patience)
 	defer cancel()
 	if address == e.settings.Address {
-		return e.desk.ask(callCtx, question)
+		return e.advise(callCtx, question)
 	}
 	advice, err := forwarder.Call[forwarder.Question, forwarder.Advice](callCtx, e.pool, address, "Advise", question)
 	if err != nil {
@@ -177,8 +191,8 @@
 	return best
 }
 
-// askSlots is how many questions may be under way in the whole cell.
-func (e *Elector) askSlots() int {
+// live counts the instances that can be asked.
+func (e *Elector) live() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	live := 1
@@ -188,7 +202,7 @@
 		}
 	}
 
-	return live * deskSlots
+	return live
 }
 
 func (e *Elector) unassign(address netip.AddrPort, cost time.Duration) {
@@ -199,100 +213,77 @@
 	}
 }
 
-// deskSlots is how many questions of an instance are under way at once: the
-// policy answers one at a time, and the second one covers the way there and back.
-const deskSlots = 2
-
-// desk asks the placement policy.
-type desk struct {
-	gate
-	adviser definer.Adviser
-	logger  hclog.Logger
-}
+const (
+	// shortBudget and longBudget are the times of decision that may be under
+	// way for each instance. The policy answers an instance's questions one at
+	// a time; short ones have to cover the way there and back, too.
+	shortBudget = 200 * time.Millisecond
+	longBudget  = 500 * time.Millisecond
+)
 
-// gate lets a number of visitors in at once, the most urgent first.
+// gate lets visitors in up to a budget, the most urgent first.
 type gate struct {
-	// slots returns how many may be in.
-	slots   func() int
+	// budget returns the sum of the costs that may be in.
+	budget  func() time.Duration
 	mu      sync.Mutex
-	busy    int
+	used    time.Duration
 	waiting []*visitor
 }
 
 type visitor struct {
 	priority int
+	cost     time.Duration
 	turn     chan struct{}
 }
 
-func newDesk(adviser definer.Adviser, logger hclog.Logger) *desk {
-	return &desk{gate: gate{slots: func() int { return deskSlots }}, adviser: adviser, logger: logger}
-}
-
-func (d *desk) ask(ctx context.Context, question *forwarder.Question) *forwarder.Advice {
-	if !d.enter(ctx, question.Priority) {
-		return &forwarder.Advice{}
-	}
-	defer d.leave()
-	tickets, err := d.adviser.Advise(ctx, question.Job, question.Occurrence, question.Step, question.Endpoints)
-	if err != nil {
-		d.logger.Warn("policy did not answer", "job", question.Job, "step", question.Step, "endpoints", len(question.Endpoints), "error", err)
-
-		return &forwarder.Advice{}
-	}
-
-	return &forwarder.Advice{Answered: true, Tickets: tickets}
-}
-
-// enter waits for the caller's turn.
-func (d *gate) enter(ctx context.Context, priority int) bool {
-	slots := d.slots()
-	d.mu.Lock()
-	if d.busy < slots {
-		d.busy++
-		d.mu.Unlock()
-
-		return true
-	}
-	v := &visitor{priority: priority, turn: make(chan struct{}, 1)}
-	at := sort.Search(len(d.waiting), func(i int) bool { return d.waiting[i].priority > priority })
-	d.waiting = append(d.waiting, nil)
-	copy(d.waiting[at+1:], d.waiting[at:])
-	d.waiting[at] = v
-	d.mu.Unlock()
+// enter waits for the caller's turn. A visitor whose cost is above the whole
+// budget comes in alone.
+func (g *gate) enter(ctx context.Context, priority int, cost time.Duration) bool {
+	v := &visitor{priority: priority, cost: cost, turn: make(chan struct{}, 1)}
+	budget := g.budget()
+	g.mu.Lock()
+	at := sort.Search(len(g.waiting), func(i int) bool { return g.waiting[i].priority > priority })
+	g.waiting = append(g.waiting, nil)
+	copy(g.waiting[at+1:], g.waiting[at:])
+	g.waiting[at] = v
+	g.admit(budget)
+	g.mu.Unlock()
 	select {
 	case <-v.turn:
 		return true
 	case <-ctx.Done():
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for i, other := range d.waiting {
+	g.mu.Lock()
+	for i, other := range g.waiting {
 		if other == v {
-			d.waiting = append(d.waiting[:i], d.waiting[i+1:]...)
+			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
+			g.mu.Unlock()
 
 			return false
 		}
 	}
+	g.mu.Unlock()
 	// The turn came at the same moment: pass it on.
-	d.pass()
+	g.leave(cost)
 
 	return false
 }
 
-func (d *gate) leave() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.pass()
+// leave gives back the cost of a visitor.
+func (g *gate) leave(cost time.Duration) {
+	budget := g.budget()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.used -= cost
+	g.admit(budget)
 }
 
-// pass gives the turn to the next visitor; the caller holds the lock.
-func (d *gate) pass() {
-	if len(d.waiting) == 0 {
-		d.busy--
-
-		return
+// admit lets in whoever fits; the caller holds the lock.
+func (g *gate) admit(budget time.Duration) {
+	for len(g.waiting) > 0 && (g.used == 0 || g.used+g.waiting[0].cost <= budget) {
+		next := g.waiting[0]
+		g.waiting = g.waiting[1:]
+		g.used += next.cost
+		next.turn <- struct{}{}
 	}
-	next := d.waiting[0]
-	d.waiting = d.waiting[1:]
-	next.turn <- struct{}{}
 }
