--- a/internal/cell/elector/serve.go
+++ b/internal/cell/elector/serve.go
@@ -17,7 +17,7 @@
 var notOwner = &forwarder.Reply{Outcome: forwarder.OutcomeNotOwner}
 
 // serve calls the owner when it is this instance.
-func serve[Q any](e *Elector, ctx context.Context, request *Q, call func(*leader.Leader, context.Context, *Q) *forwarder.Reply) (*forwarder.Reply, error) {
+func serve[Q any](ctx context.Context, e *Elector, request *Q, call func(*leader.Leader, context.Context, *Q) *forwarder.Reply) (*forwarder.Reply, error) {
 	lead := e.Local()
 	if lead == nil {
 		return notOwner, nil
@@ -28,22 +28,22 @@
 
 // Submit implements forwarder.Server.
 func (e *Elector) Submit(ctx context.Context, s *forwarder.Submission) (*forwarder.Reply, error) {
-	return serve(e, ctx, s, (*leader.Leader).Submit)
+	return serve(ctx, e, s, (*leader.Leader).Submit)
 }
 
 // Query implements forwarder.Server.
 func (e *Elector) Query(ctx context.Context, lookup *forwarder.Lookup) (*forwarder.Reply, error) {
-	return serve(e, ctx, lookup, (*leader.Leader).Query)
+	return serve(ctx, e, lookup, (*leader.Leader).Query)
 }
 
 // Cancel implements forwarder.Server.
 func (e *Elector) Cancel(ctx context.Context, lookup *forwarder.Lookup) (*forwarder.Reply, error) {
-	return serve(e, ctx, lookup, (*leader.Leader).Cancel)
+	return serve(ctx, e, lookup, (*leader.Leader).Cancel)
 }
 
 // Count implements forwarder.Server.
 func (e *Elector) Count(ctx context.Context, lookup *forwarder.Lookup) (*forwarder.Reply, error) {
-	return serve(e, ctx, lookup, (*leader.Leader).Count)
+	return serve(ctx, e, lookup, (*leader.Leader).Count)
 }
 
 // Exchange implements forwarder.Server.
--- a/internal/cell/forwarder/forwarder.go
+++ b/internal/cell/forwarder/forwarder.go
@@ -237,21 +237,16 @@
 	if p.conns[address] != c {
 		return
 	}
-	switch status.Code(err) {
-	case codes.DeadlineExceeded:
+	if code := status.Code(err); code == codes.DeadlineExceeded {
 		if c.missed++; c.missed < redialAfter {
 			return
 		}
-	case codes.Unavailable:
-		// gRPC waits longer and longer between its attempts; a new connection tries at once.
-		if c.grpc.GetState() == connectivity.Ready {
-			return
-		}
-	default:
+	} else if code != codes.Unavailable || c.grpc.GetState() == connectivity.Ready {
 		c.missed = 0
 
 		return
 	}
+	// gRPC waits longer and longer between its attempts; a new connection tries at once.
 	delete(p.conns, address)
 	go c.run()
 }
--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -215,8 +215,8 @@
 	}
 	r.outstanding = false
 	r.due = max(m.sent.Add(renewGap), now)
-	switch {
-	case m.verdict == definer.VerdictDone:
+	switch m.verdict { //nolint:exhaustive // All others mean that the endpoint did not renew.
+	case definer.VerdictDone:
 		if r.lost {
 			r.lost = false
 			l.logger.Info("endpoint regained", "endpoint", id)
@@ -226,7 +226,7 @@
 			r.outstanding = true
 			l.renew(ctx, id, renewWait, false, now)
 		}
-	case m.verdict == definer.VerdictFenced:
+	case definer.VerdictFenced:
 		l.fenced(id)
 	default:
 		if m.verdict == definer.VerdictOtherLife {
--- a/internal/cell/planner/cell_test.go
+++ b/internal/cell/planner/cell_test.go
@@ -85,7 +85,7 @@
 	c.plan()
 	for len(c.asked) > 0 {
 		for _, ask := range c.take() {
-			var tickets []definer.Ticket
+			tickets := make([]definer.Ticket, 0, len(ask.Endpoints))
 			for _, id := range ask.Endpoints {
 				tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "ticket"})
 			}
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -243,17 +243,17 @@
 
 			continue
 		}
-		p.lose(r, now)
+		p.lose(r)
 	}
 }
 
 // lose ends a run that its endpoint no longer runs and will not report.
-func (p *Planner) lose(r *run, now definer.Instant) {
+func (p *Planner) lose(r *run) {
 	if r.task != nil && r.task.run == r {
 		r.task.writtenOff = max(r.task.writtenOff, r.number)
 	}
 	p.release(r)
-	p.requeue(r, r.checkpoint, now)
+	p.requeue(r, r.checkpoint)
 }
 
 // lapse ends the runs of endpoints whose lease has run out unanswered, and
@@ -271,7 +271,7 @@
 				continue
 			}
 			p.note("lease ran out", r.name.Job, "endpoint", e.ID, "step", r.name.Step, "index", r.name.Index, "run", r.number)
-			p.lose(r, now)
+			p.lose(r)
 		}
 		if len(e.runs) == 0 && !e.listed && (e.held || p.settled(now)) {
 			delete(p.endpoints, id)
@@ -311,6 +311,6 @@
 	e.held = true
 	e.answered = 0
 	for _, r := range e.runs {
-		p.lose(r, now)
+		p.lose(r)
 	}
 }
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -164,7 +164,7 @@
 }
 
 // openOccurrence creates an occurrence of j.
-func (p *Planner) openOccurrence(j *job, number int) *occurrence {
+func (p *Planner) openOccurrence(j *job, number int) {
 	o := &occurrence{number: number, left: len(j.Steps)}
 	for i := range j.Steps {
 		s := &step{job: j, occurrence: o, index: i, def: &j.Steps[i], left: j.Steps[i].Count, placed: map[*endpoint]int{}}
@@ -184,8 +184,6 @@
 	for _, s := range o.steps {
 		p.makeReady(s)
 	}
-
-	return o
 }
 
 // makeReady lists s among the steps to start when what it waits for is done.
--- a/internal/cell/planner/planner_test.go
+++ b/internal/cell/planner/planner_test.go
@@ -18,8 +18,9 @@
 
 func (c *cell) accept(job definer.Job) { c.planner.Accept(job, c.now, c.wall) }
 
-func (c *cell) state(id string) definer.JobState {
-	state, _, _ := c.planner.State(id)
+// state returns the state of job "a".
+func (c *cell) state() definer.JobState {
+	state, _, _ := c.planner.State("a")
 
 	return state
 }
@@ -50,11 +51,11 @@
 	}
 	c.finish()
 	c.settle()
-	if diff := cmp.Diff(definer.JobRunning, c.state("a")); diff != "" {
+	if diff := cmp.Diff(definer.JobRunning, c.state()); diff != "" {
 		t.Errorf("state after the first step (-want +got):\n%s", diff)
 	}
 	c.finish()
-	if diff := cmp.Diff(definer.JobCompleted, c.state("a")); diff != "" {
+	if diff := cmp.Diff(definer.JobCompleted, c.state()); diff != "" {
 		t.Errorf("state after the last step (-want +got):\n%s", diff)
 	}
 }
@@ -215,7 +216,7 @@
 		t.Fatal("task started although an endpoint runs it")
 	}
 	c.end("e002", name, 1, definer.EndDone)
-	if diff := cmp.Diff(definer.JobCompleted, c.state("a")); diff != "" {
+	if diff := cmp.Diff(definer.JobCompleted, c.state()); diff != "" {
 		t.Errorf("state after the end of the adopted run (-want +got):\n%s", diff)
 	}
 }
@@ -232,8 +233,8 @@
 		c.pass(100*time.Millisecond, "e002")
 		c.plan()
 	}
-	if len(c.started) != 0 || c.state("a") != definer.JobCompleted {
-		t.Errorf("state %s with %d starts, want completed with none", c.state("a"), len(c.started))
+	if len(c.started) != 0 || c.state() != definer.JobCompleted {
+		t.Errorf("state %s with %d starts, want completed with none", c.state(), len(c.started))
 	}
 }
 
@@ -257,13 +258,13 @@
 	c.planner.Restore(c.job("a", simple(1)), Progress{Tasks: []TaskProgress{{LastRun: 1, Failed: []int{1}}}}, c.now, c.wall)
 	c.ends["e000"] = []definer.EndedTask{{Number: 1, Task: name, Run: 1, End: definer.EndFailed}}
 	c.list("e000")
-	if state := c.state("a"); state == definer.JobFailed {
+	if state := c.state(); state == definer.JobFailed {
 		t.Error("job failed after one of two attempts")
 	}
 	c.settle()
 	row := c.running["e000"][0]
 	c.end("e000", row.Task, row.Run, definer.EndFailed)
-	if diff := cmp.Diff(definer.JobFailed, c.state("a")); diff != "" {
+	if diff := cmp.Diff(definer.JobFailed, c.state()); diff != "" {
 		t.Errorf("state after two attempts (-want +got):\n%s", diff)
 	}
 }
--- a/internal/cell/planner/progress.go
+++ b/internal/cell/planner/progress.go
@@ -16,7 +16,7 @@
 
 // TaskProgress is the progress of a task that has been started.
 type TaskProgress struct {
-	_msgpack   struct{} `msgpack:",as_array"`
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // The encoder looks for this field.
 	Occurrence int
 	Step       int
 	Index      int
@@ -38,7 +38,7 @@
 // Dirty returns the progress of the jobs that have changed since the last
 // call, and for each endpoint the highest end that this progress contains.
 func (p *Planner) Dirty() ([]Snapshot, map[string]int64) {
-	var snapshots []Snapshot
+	snapshots := make([]Snapshot, 0, len(p.dirty))
 	for j := range p.dirty {
 		snapshots = append(snapshots, Snapshot{ID: j.ID, Queue: j.Queue.Name, Account: j.Account, Progress: j.progress()})
 	}
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -175,7 +175,7 @@
 	switch r.phase {
 	case phaseRunning, phaseStopped:
 		if sent > r.settledAt {
-			p.lose(r, now)
+			p.lose(r)
 		}
 	case phaseSent, phaseStopping:
 		// The order may still be carried out.
@@ -191,7 +191,7 @@
 	}
 	if t == nil || t.done || row.Run <= t.writtenOff && (t.run == nil || t.run != r) {
 		if r != nil {
-			p.requeue(r, row.Checkpoint, now)
+			p.requeue(r, row.Checkpoint)
 		}
 
 		return
@@ -210,7 +210,7 @@
 		if row.End == definer.EndAlone || row.End == definer.EndLapsed {
 			p.note("run ended", row.Task.Job, "how", string(row.End), "endpoint", e.ID, "step", row.Task.Step, "index", row.Task.Index, "run", row.Run)
 		}
-		p.requeue(r, row.Checkpoint, now)
+		p.requeue(r, row.Checkpoint)
 	}
 }
 
@@ -220,7 +220,7 @@
 	s := t.step
 	r.endpoint.doneOn()
 	if s.def.LongRunning {
-		p.requeue(r, "", now)
+		p.requeue(r, "")
 
 		return
 	}
@@ -254,7 +254,7 @@
 	t.avoid = r.endpoint
 	for _, counted := range t.failed {
 		if counted == row.Run {
-			p.requeue(r, row.Checkpoint, now)
+			p.requeue(r, row.Checkpoint)
 
 			return
 		}
@@ -263,12 +263,12 @@
 	p.dirty[j] = struct{}{}
 	p.note("task failed", j.ID, "endpoint", r.endpoint.ID, "step", s.index, "index", t.index, "run", row.Run, "attempts", len(t.failed), "most", j.Queue.MaxAttempts)
 	if !s.def.LongRunning && s.attempts(t) >= max(j.Queue.MaxAttempts, 1) && !j.state.Final() && !j.cancelling {
-		p.requeue(r, row.Checkpoint, now)
+		p.requeue(r, row.Checkpoint)
 		p.finish(j, definer.JobFailed, now)
 
 		return
 	}
-	p.requeue(r, row.Checkpoint, now)
+	p.requeue(r, row.Checkpoint)
 }
 
 // attempts returns how many attempts of t, or of its gang, have failed.
@@ -303,7 +303,7 @@
 }
 
 // requeue makes the task of an ended run startable again.
-func (p *Planner) requeue(r *run, checkpoint string, now definer.Instant) {
+func (p *Planner) requeue(r *run, checkpoint string) {
 	t := r.task
 	if t == nil || t.run != r {
 		return
@@ -383,11 +383,11 @@
 		}
 	case definer.VerdictTicket:
 		r.task.step.admission.expire(e)
-		p.refused(r, now)
+		p.refused(r)
 	case definer.VerdictFenced, definer.VerdictRefused, definer.VerdictOtherLife:
 		p.note("start refused", r.name.Job, "endpoint", e.ID, "step", r.name.Step, "index", r.name.Index, "run", r.number, "verdict", int(verdict))
 		p.strike(e, now)
-		p.refused(r, now)
+		p.refused(r)
 	}
 }
 
@@ -400,9 +400,9 @@
 const strikePause = 800 * time.Millisecond
 
 // refused ends a run that was never started.
-func (p *Planner) refused(r *run, now definer.Instant) {
+func (p *Planner) refused(r *run) {
 	p.release(r)
-	p.requeue(r, "", now)
+	p.requeue(r, "")
 }
 
 // Stopped takes the answer to a stop. The run is over once an inventory that
