Let waiting gangs hold all endpoints that they need or none

Change: a gang that cannot hold a whole set holds nothing; members at 100% are not watched; bounds on waiting gangs grow with the endpoints.

--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -105,7 +105,7 @@
 	case definer.VerdictFenced:
 		l.fenced(m.id)
 	case definer.VerdictOtherLife:
-		l.planner.Replaced(m.id, now)
+		l.planner.Replaced(m.id)
 	case definer.VerdictUnknown, definer.VerdictDone, definer.VerdictRefused, definer.VerdictTicket:
 		l.planner.Stopped(m.id, m.order, now)
 	}
@@ -230,7 +230,7 @@
 		l.fenced(id)
 	default:
 		if m.verdict == definer.VerdictOtherLife {
-			l.planner.Replaced(id, now)
+			l.planner.Replaced(id)
 		}
 		if !r.lost && ctx.Err() == nil {
 			r.lost = true
@@ -247,7 +247,7 @@
 
 type listedMsg struct{ record definer.Record }
 
-func (m listedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
+func (m listedMsg) apply(_ context.Context, l *Leader, _ definer.Instant) {
 	if len(m.record.Value) == 0 {
 		l.planner.Unlist(m.record.Key)
 
@@ -260,5 +260,5 @@
 
 		return
 	}
-	l.planner.List(listing, now)
+	l.planner.List(listing)
 }
--- a/internal/cell/planner/cell_test.go
+++ b/internal/cell/planner/cell_test.go
@@ -46,7 +46,7 @@
 	c.planner.List(definer.Listing{
 		ID: id, Service: "service", Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: 1,
 		Capacity: modeler.Resources{Millis: 16000, Memory: 64 << 30}, Labels: []string{"a", "r1-" + id[len(id)-1:]},
-	}, c.now)
+	})
 	c.planner.Stored(id)
 	c.report(id)
 }
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -90,7 +90,7 @@
 )
 
 // List takes an entry of the endpoint list.
-func (p *Planner) List(listing definer.Listing, now definer.Instant) {
+func (p *Planner) List(listing definer.Listing) {
 	e := p.endpoints[listing.ID]
 	if e == nil {
 		e = &endpoint{runs: map[runKey]*run{}, speed: 1}
@@ -99,7 +99,7 @@
 		p.emit(RememberCmd{Endpoint: listing.ID})
 	}
 	if e.life != 0 && listing.Born > e.life {
-		p.newLife(e, listing.Born, now)
+		p.newLife(e, listing.Born)
 	}
 	if listing.Draining && !e.Draining {
 		p.note("endpoint leaving", "", "endpoint", e.ID, "remaining", listing.Remaining)
@@ -231,7 +231,7 @@
 }
 
 // newLife takes note that an endpoint has restarted: nothing runs there.
-func (p *Planner) newLife(e *endpoint, born int64, now definer.Instant) {
+func (p *Planner) newLife(e *endpoint, born int64) {
 	p.note("endpoint restarted", "", "endpoint", e.ID, "runs", len(e.runs))
 	e.life = born
 	e.seen, e.acknowledged = 0, 0
@@ -303,7 +303,7 @@
 
 // Replaced takes note that another life answers at the address of an
 // endpoint: nothing that was started on it still runs.
-func (p *Planner) Replaced(id string, now definer.Instant) {
+func (p *Planner) Replaced(id string) {
 	e := p.endpoints[id]
 	if e == nil {
 		return
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -12,16 +12,16 @@
 	// unsettledShare is the share of an account's limit that is used while
 	// tasks of an earlier owner may run on endpoints that have not answered.
 	unsettledShare = 0.85
-	// mostReserving is how many waiting gangs may hold endpoints back for themselves.
-	mostReserving = 4
+	// reservingShare bounds the gangs that may hold endpoints back for themselves, by the number of endpoints.
+	reservingShare = 1.0 / 12
 	// preemptAfter is how long a gang waits for room before less urgent work is stopped for it.
 	preemptAfter = 800 * time.Millisecond
 	// reservedPenalty keeps more urgent work off reserved endpoints while there are others.
 	reservedPenalty = 4.0
-	// mostExploring is how many gangs may wait for their first answer of a placement policy at once.
-	mostExploring = 12
-	// mostPrepared is how many waiting steps have tickets asked for before there is room.
-	mostPrepared = 6
+	// exploringShare bounds the gangs that may wait for their first answer of a placement policy.
+	exploringShare = 1.0 / 4
+	// preparedShare bounds the waiting steps that have tickets asked for before there is room.
+	preparedShare = 1.0 / 8
 )
 
 // Tick advances what depends on time.
@@ -173,6 +173,9 @@
 	largest map[string]modeler.Resources
 }
 
+// most returns a bound that grows with the number of usable endpoints.
+func (ps *pass) most(share float64) int { return 1 + int(share*float64(len(ps.usable))) }
+
 // place starts tasks of a step as far as there is room.
 func (ps *pass) place(s *step) {
 	p := ps.planner
@@ -286,7 +289,7 @@
 // prepare asks for tickets for a step that waits for room, so that it can
 // start as soon as there is some. Only the first in line are prepared.
 func (ps *pass) prepare(s *step) {
-	if s.job.Queue.Policy == nil || s.urgency > urgencyLate || ps.prepared >= mostPrepared {
+	if s.job.Queue.Policy == nil || s.urgency > urgencyLate || ps.prepared >= ps.most(preparedShare) {
 		return
 	}
 	ps.prepared++
@@ -365,11 +368,11 @@
 	p := ps.planner
 	policy := s.job.Queue.Policy
 	asking := s.admission.asking != 0 && ps.now < s.admission.asking
-	if ps.reserving >= mostReserving || !p.account(s.job.Account).allows(s.def.Need.Scale(int64(len(pending))), ps.limitShare()) {
+	if ps.reserving >= ps.most(reservingShare) || !p.account(s.job.Account).allows(s.def.Need.Scale(int64(len(pending))), ps.limitShare()) {
 		return
 	}
 	if policy != nil && len(s.admission.known) == 0 {
-		if !asking && ps.exploring < mostExploring {
+		if !asking && ps.exploring < ps.most(exploringShare) {
 			p.ask(s, p.question(s, ps.candidates(s), len(pending)), ps.now)
 		}
 		ps.exploring++
@@ -545,20 +548,20 @@
 // reserve holds endpoints back from other work until the gang fits. The same
 // endpoints stay reserved from round to round, so that they empty.
 func (ps *pass) reserve(s *step, candidates []*endpoint, count int) {
-	if ps.reserving >= mostReserving || s.job.excess {
+	if ps.reserving >= ps.most(reservingShare) || s.job.excess {
 		return
 	}
 	ps.reserving++
 	if !ps.stillHeld(s, count) {
 		s.held = ps.hold(s, candidates, count)
-		s.preempted = false
+		s.heldSince, s.preempted = ps.now, false
+	}
+	if len(s.held) == 0 {
+		return
 	}
 	for _, e := range s.held {
 		ps.reserved[e] = s
 	}
-	if s.heldSince == 0 {
-		s.heldSince = ps.now
-	}
 	if !s.preempted && ps.now.Sub(s.heldSince) > preemptAfter {
 		s.preempted = true
 		ps.preempt(s, count)
@@ -591,14 +594,14 @@
 	sort.SliceStable(options, func(a, b int) bool { return options[a].slots > options[b].slots })
 	var held []*endpoint
 	for _, o := range options {
-		if count <= 0 {
-			break
-		}
 		held = append(held, o.endpoint)
-		count -= max(o.slots, 1)
+		if count -= fitting(s, o.endpoint.Capacity, s.def.PerEndpoint); count <= 0 {
+			return held
+		}
 	}
 
-	return held
+	// Two gangs that each hold a part of what they need would wait for each other.
+	return nil
 }
 
 // yields reports whether a run may be stopped for the gang: it loses little,
--- a/internal/cell/planner/planner_test.go
+++ b/internal/cell/planner/planner_test.go
@@ -268,3 +268,30 @@
 		t.Errorf("state after two attempts (-want +got):\n%s", diff)
 	}
 }
+
+// TestWaitingGangsDoNotBlockEachOther guards against gangs that each hold a
+// part of the endpoints that they need (seen as LOST on deploy/days/silent-endpoints).
+func TestWaitingGangsDoNotBlockEachOther(t *testing.T) {
+	c := newCell(t, 5)
+	c.accept(c.job("filler", simple(20)))
+	c.settle()
+	for _, id := range []string{"a", "b", "c"} {
+		gang := simple(12)
+		gang.Gang = true
+		c.accept(c.job(id, gang))
+	}
+	for range 20 {
+		c.pass(100 * time.Millisecond)
+		c.settle()
+	}
+	for range 6 {
+		c.finish()
+		c.pass(10 * time.Millisecond)
+		c.settle()
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		if state, _, _ := c.planner.State(id); state != definer.JobCompleted {
+			t.Errorf("gang %s is %s after all work has ended, want completed", id, state)
+		}
+	}
+}
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -9,6 +9,8 @@
 const (
 	// stallAfter is how long the progress of a task may stand still before it is moved.
 	stallAfter = 2500 * time.Millisecond
+	// wholePercent is the progress of a task that has done its work.
+	wholePercent = 100
 	// stallShare is the share of the estimate that stallAfter is raised to for long tasks.
 	stallShare = 0.4
 	// durationGain and speedGain are the weights of a new run time in the means.
@@ -28,7 +30,7 @@
 		if report.Born < e.life {
 			return // A delayed answer of an earlier life.
 		}
-		p.newLife(e, report.Born, now)
+		p.newLife(e, report.Born)
 	}
 	e.life = report.Born
 	if !e.held {
@@ -54,7 +56,7 @@
 	}
 	for key, r := range e.runs {
 		if !listed[key] {
-			p.missing(r, sent, now)
+			p.missing(r, sent)
 		}
 		if r.phase == phaseStopping && now.Sub(r.stopAt) > stopGivenUp || r.phase == phaseStopped && now.Sub(r.stopAt) > stopRepeat {
 			// The stop was given up, or was answered and not carried out.
@@ -100,7 +102,8 @@
 	if t == nil || t.step.def.LongRunning {
 		return
 	}
-	if t.step.def.Gang && !t.step.together(now) {
+	if t.step.def.Gang && (r.percent >= wholePercent || !t.step.together(now)) {
+		// A member that has done its part waits for the others.
 		return
 	}
 	limit := max(stallAfter, time.Duration(stallShare*float64(t.step.def.Estimate)))
@@ -171,7 +174,7 @@
 }
 
 // missing takes note that the inventory does not list a run.
-func (p *Planner) missing(r *run, sent, now definer.Instant) {
+func (p *Planner) missing(r *run, sent definer.Instant) {
 	switch r.phase {
 	case phaseRunning, phaseStopped:
 		if sent > r.settledAt {
