--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -146,10 +146,10 @@
 // endpoint does not change, only its tickets expire.
 func (p *Planner) question(s *step, candidates []*endpoint, pending int) []*endpoint {
 	ordered := append([]*endpoint(nil), candidates...)
+	sort.SliceStable(ordered, func(a, b int) bool { return ordered[a].room().Millis > ordered[b].room().Millis })
 	if s.def.Gang {
 		return ordered
 	}
-	sort.SliceStable(ordered, func(a, b int) bool { return ordered[a].room().Millis > ordered[b].room().Millis })
 	policy := s.job.Queue.Policy
 	want := int(math.Ceil(float64(pending)/p.stats(s.job.Queue.Name).admitted)) + spareAsked
 	if policy.Each > 0 {
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -392,6 +392,12 @@
 		return
 	}
 	places := ps.pack(s, len(pending), ps.ready(s, candidates))
+	if places == nil && asking && len(s.held) > 0 {
+		// The places that tickets are asked for stay reserved until the answer.
+		ps.reserving++
+
+		return
+	}
 	if places == nil {
 		places = ps.pack(s, len(pending), candidates)
 		if places == nil {
