--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -58,16 +58,31 @@
 		steps = append(steps, s)
 	}
 	sort.Slice(steps, func(a, b int) bool { return steps[a].before(steps[b]) })
+	pass.recall(steps)
 	for _, s := range steps {
+		pass.place(s)
+	}
+}
+
+// recall reserves again what the first waiting gangs held in the last round;
+// the others give up theirs, which nobody could use.
+func (ps *pass) recall(steps []*step) {
+	holders := 0
+	for _, s := range steps {
+		if len(s.held) == 0 {
+			continue
+		}
+		if holders++; holders > ps.most(reservingShare) {
+			s.held, s.heldSince = nil, 0
+
+			continue
+		}
 		for _, e := range s.held {
-			if pass.reserved[e] == nil {
-				pass.reserved[e] = s
+			if ps.reserved[e] == nil {
+				ps.reserved[e] = s
 			}
 		}
 	}
-	for _, s := range steps {
-		pass.place(s)
-	}
 }
 
 // fairUse returns the processors in use for each unit of weight, over the accounts that have jobs.
