--- /dev/null
+++ b/internal/cell/receiver/cell_test.go
@@ -0,0 +1,128 @@
+package receiver
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/leader"
+)
+
+func newCell(t *testing.T, length time.Duration) (*memoryStore, *fakeEndpoints, []*node) {
+	t.Helper()
+	store := newMemoryStore()
+	for i := range 4 {
+		store.tables[definer.TableEndpoints] = append(store.tables[definer.TableEndpoints], definer.Record{Key: fmt.Sprintf("e%d", i), Value: []byte{1}})
+	}
+	endpoints := newFakeEndpoints(t, length)
+	var nodes []*node
+	for _, name := range []string{"a", "b", "c"} {
+		nodes = append(nodes, newNode(t, name, store, endpoints))
+	}
+
+	return store, endpoints, nodes
+}
+
+// TestJobsSurviveTheOwner guards against accepted work that is lost or done
+// twice when the owner dies while it runs.
+func TestJobsSurviveTheOwner(t *testing.T) {
+	_, endpoints, nodes := newCell(t, 400*time.Millisecond)
+	first, others := owner(t, nodes...)
+	for i := range 10 {
+		others[i%2].submit(t, fmt.Sprintf("job-%d", i), 3)
+	}
+	time.Sleep(100 * time.Millisecond)
+	first.kill()
+	for i := range 10 {
+		others[i%2].await(t, fmt.Sprintf("job-%d", i), definer.JobCompleted, 15*time.Second)
+	}
+	if endpoints.starts != 30 {
+		t.Errorf("%d starts of 30 tasks", endpoints.starts)
+	}
+}
+
+// TestOwnerWithoutStoreIsReplaced guards against a cell that accepts nothing
+// while the store turns only the owner away, and against a second run of tasks
+// whose ends only that owner knew.
+func TestOwnerWithoutStoreIsReplaced(t *testing.T) {
+	store, _, nodes := newCell(t, 200*time.Millisecond)
+	first, others := owner(t, nodes...)
+	others[0].submit(t, "before", 3)
+	store.mu.Lock()
+	store.refused[first.name] = true
+	store.mu.Unlock()
+	second, _ := owner(t, others...)
+	if second == first {
+		t.Fatal("the owner without the store still owns the cell")
+	}
+	others[0].submit(t, "after", 3)
+	others[0].await(t, "before", definer.JobCompleted, 10*time.Second)
+	others[0].await(t, "after", definer.JobCompleted, 10*time.Second)
+}
+
+// TestHandOver guards against an instance that keeps the cell while it stops.
+func TestHandOver(t *testing.T) {
+	_, _, nodes := newCell(t, 300*time.Millisecond)
+	first, others := owner(t, nodes...)
+	others[0].submit(t, "job", 4)
+	first.elector.Resign(context.Background())
+	if first.elector.Local() != nil {
+		t.Error("the cell is still owned by the instance that resigned")
+	}
+	owner(t, others...)
+	first.await(t, "job", definer.JobCompleted, 10*time.Second)
+}
+
+// TestSameJobTwice guards against one id that becomes two jobs when it comes
+// at two instances at once.
+func TestSameJobTwice(t *testing.T) {
+	_, endpoints, nodes := newCell(t, 50*time.Millisecond)
+	owner(t, nodes...)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		nodes[1].submit(t, "job", 2)
+	}()
+	nodes[0].submit(t, "job", 2)
+	<-done
+	nodes[2].await(t, "job", definer.JobCompleted, 5*time.Second)
+	if endpoints.starts != 2 {
+		t.Errorf("%d starts of 2 tasks", endpoints.starts)
+	}
+}
+
+// TestNoOwnerIsNotRun guards against a refusal that says that a request did
+// not run although it may: without any owner nothing was sent.
+func TestNoOwnerIsNotRun(t *testing.T) {
+	store := newMemoryStore()
+	lonely := newNode(t, "a", store, newFakeEndpoints(t, time.Second))
+	lonely.elector.Resign(context.Background())
+	r := request()
+	r.Patience = 300 * time.Millisecond
+	result := lonely.receiver.Submit(context.Background(), r, &definer.Job{ID: "job", Queue: testQueue})
+	if lead := lonely.elector.Local(); lead == nil && (result.Answer != AnswerUnavailable || result.Retry <= 0) {
+		t.Errorf("answer %d with retry %s, want a refusal with a time to come back", result.Answer, result.Retry)
+	}
+}
+
+// TestLostAnswers guards against an append that lands twice, or counts as
+// lost, when its answer does not come.
+func TestLostAnswers(t *testing.T) {
+	store := newMemoryStore()
+	store.loseAnswers = 1
+	view := &client{store: store}
+	records := []definer.Record{{Key: "k", Value: []byte("mine")}, {Key: "l", Value: []byte("too")}}
+	reply, err := leader.Append(context.Background(), view, 0, records)
+	if err != nil || !reply.Landed || reply.End != 2 {
+		t.Errorf("append without an answer: %+v, %v; want that it landed", reply, err)
+	}
+	reply, err = leader.Append(context.Background(), view, 0, []definer.Record{{Key: "k", Value: []byte("other")}})
+	if err != nil || reply.Landed {
+		t.Errorf("append at a taken offset: %+v, %v; want that it did not land", reply, err)
+	}
+	if got := len(store.tables[definer.TableState]); got != 2 {
+		t.Errorf("%d records in the table, want 2", got)
+	}
+}
--- /dev/null
+++ b/internal/cell/receiver/fakes_test.go
@@ -0,0 +1,332 @@
+package receiver
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/elector"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/planner"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/recorder"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/watcher"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// memoryStore plays the platform's store.
+type memoryStore struct {
+	mu     sync.Mutex
+	tables map[definer.Table][]definer.Record
+	// refused names the instances that the store turns away.
+	refused map[string]bool
+	// loseAnswers makes appends land without an answer.
+	loseAnswers int
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{tables: map[definer.Table][]definer.Record{}, refused: map[string]bool{}}
+}
+
+// client is the store as one instance sees it.
+type client struct {
+	store *memoryStore
+	name  string
+}
+
+var errRefused = &definer.NotDoneError{Reason: "turned away"}
+
+func (c *client) Append(_ context.Context, table definer.Table, at int64, records []definer.Record) (definer.AppendReply, error) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	if c.store.refused[c.name] {
+		return definer.AppendReply{}, errRefused
+	}
+	end := int64(len(c.store.tables[table]))
+	if at != definer.Anywhere && at != end {
+		return definer.AppendReply{End: end}, nil
+	}
+	c.store.tables[table] = append(c.store.tables[table], records...)
+	if c.store.loseAnswers > 0 {
+		c.store.loseAnswers--
+
+		return definer.AppendReply{}, errors.New("answer lost")
+	}
+
+	return definer.AppendReply{Landed: true, End: int64(len(c.store.tables[table]))}, nil
+}
+
+func (c *client) Newest(_ context.Context, table definer.Table, after string) (definer.Page, error) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	if c.store.refused[c.name] {
+		return definer.Page{}, errRefused
+	}
+	page := definer.Page{End: int64(len(c.store.tables[table]))}
+	if after != "" {
+		return page, nil
+	}
+	newest := map[string]int{}
+	for i, record := range c.store.tables[table] {
+		newest[record.Key] = i
+	}
+	for i, record := range c.store.tables[table] {
+		if newest[record.Key] == i && len(record.Value) > 0 {
+			page.Records = append(page.Records, record)
+		}
+	}
+
+	return page, nil
+}
+
+func (c *client) Read(ctx context.Context, table definer.Table, from int64, _ int, wait time.Duration) (definer.Tail, error) {
+	for until := time.Now().Add(wait); ; {
+		c.store.mu.Lock()
+		refused := c.store.refused[c.name]
+		records := c.store.tables[table]
+		c.store.mu.Unlock()
+		if refused {
+			return definer.Tail{}, errRefused
+		}
+		end := int64(len(records))
+		if end > from || !time.Now().Before(until) {
+			return definer.Tail{Records: records[from:], Next: end, End: end}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return definer.Tail{}, ctx.Err()
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// fakeEndpoints plays endpoints that run each task for a fixed time. It
+// reports a task that runs twice at the same time or again after its end.
+type fakeEndpoints struct {
+	testing.TB
+	mu      sync.Mutex
+	length  time.Duration
+	terms   map[string]int64
+	running map[string]map[definer.TaskName]fakeRun
+	ended   map[string][]definer.EndedTask
+	done    map[definer.TaskName]bool
+	starts  int
+}
+
+type fakeRun struct {
+	number int
+	until  time.Time
+}
+
+func newFakeEndpoints(tb testing.TB, length time.Duration) *fakeEndpoints {
+	tb.Helper()
+
+	return &fakeEndpoints{
+		TB: tb, length: length, terms: map[string]int64{}, running: map[string]map[definer.TaskName]fakeRun{},
+		ended: map[string][]definer.EndedTask{}, done: map[definer.TaskName]bool{},
+	}
+}
+
+// admit checks the term; the caller holds the lock.
+func (f *fakeEndpoints) admit(id string, term int64) bool {
+	if term < f.terms[id] {
+		return false
+	}
+	f.terms[id] = term
+	for task, run := range f.running[id] {
+		if time.Now().After(run.until) {
+			delete(f.running[id], task)
+			f.done[task] = true
+			f.ended[id] = append(f.ended[id], definer.EndedTask{Number: int64(len(f.ended[id]) + 1), Task: task, Run: run.number, End: definer.EndDone})
+		}
+	}
+
+	return true
+}
+
+func (f *fakeEndpoints) Start(_ context.Context, target definer.Target, order definer.StartOrder) (definer.Verdict, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.admit(target.ID, order.Term) {
+		return definer.VerdictFenced, nil
+	}
+	for id, tasks := range f.running {
+		if _, twice := tasks[order.Task]; twice {
+			f.Errorf("task %v started on %s while it runs on %s", order.Task, target.ID, id)
+		}
+	}
+	if f.done[order.Task] {
+		f.Errorf("task %v started after its end", order.Task)
+	}
+	if f.running[target.ID] == nil {
+		f.running[target.ID] = map[definer.TaskName]fakeRun{}
+	}
+	f.running[target.ID][order.Task] = fakeRun{number: order.Run, until: time.Now().Add(f.length)}
+	f.starts++
+
+	return definer.VerdictDone, nil
+}
+
+func (f *fakeEndpoints) Stop(_ context.Context, target definer.Target, order definer.StopOrder) (definer.Verdict, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.admit(target.ID, order.Term) {
+		return definer.VerdictFenced, nil
+	}
+	delete(f.running[target.ID], order.Task)
+
+	return definer.VerdictDone, nil
+}
+
+func (f *fakeEndpoints) Renew(ctx context.Context, target definer.Target, order definer.RenewOrder) (definer.Report, definer.Verdict, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(min(order.Wait, 50*time.Millisecond)):
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.admit(target.ID, order.Term) {
+		return definer.Report{}, definer.VerdictFenced, nil
+	}
+	report := definer.Report{Clock: time.Now().UnixMilli(), Born: 1}
+	for task, run := range f.running[target.ID] {
+		report.Running = append(report.Running, definer.RunningTask{Task: task, Run: run.number})
+	}
+	for _, end := range f.ended[target.ID] {
+		if end.Number > order.Acknowledged {
+			report.Ended = append(report.Ended, end)
+		}
+	}
+
+	return report, definer.VerdictDone, nil
+}
+
+// fakeDecoder reads configurations and endpoints that the test keeps.
+type fakeDecoder struct{}
+
+func (fakeDecoder) Endpoint(record definer.Record) (definer.Listing, error) {
+	return definer.Listing{
+		ID: record.Key, Service: "service", Address: netip.MustParseAddrPort("127.0.0.1:1"), Born: 1,
+		Capacity: modeler.Resources{Millis: 16000, Memory: 64 << 30},
+	}, nil
+}
+
+func (fakeDecoder) Configuration(definer.Record) (*definer.Configuration, error) {
+	return testConfiguration, nil
+}
+
+var testConfiguration = &definer.Configuration{
+	Version:  1,
+	Routes:   []definer.Route{{Host: "host", Prefix: "/q/", Queue: testQueue}},
+	Accounts: []definer.Account{{Name: "account", Keys: []string{"key"}}},
+}
+
+var testQueue = definer.Queue{Name: "queue", Service: "service", MaxAttempts: 2, Stretch: 2, Target: time.Minute}
+
+type noAdviser struct{}
+
+func (noAdviser) Advise(context.Context, string, int, int, []string) ([]definer.Ticket, error) {
+	return nil, errors.New("no policy")
+}
+
+// node is an instance of the cell in the test's process.
+type node struct {
+	name     string
+	elector  *elector.Elector
+	receiver *Receiver
+	kill     func()
+}
+
+// newNode starts an instance.
+func newNode(t *testing.T, name string, store *memoryStore, endpoints definer.Endpoints) *node {
+	t.Helper()
+	var listen net.ListenConfig
+	listener, err := listen.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	view := &client{store: store, name: name}
+	ctx, cancel := context.WithCancel(context.Background())
+	logger := hclog.NewNullLogger()
+	metrics := recorder.NewMetrics()
+	feed := watcher.New(watcher.Settings{Table: definer.TableOperator, Wait: 100 * time.Millisecond}, view, logger, func(definer.Record) {}, nil)
+	n := &node{name: name}
+	age := func() time.Duration { return definer.Since(feed.AsOf()) }
+	n.elector = elector.New(elector.Settings{
+		Name: name, Address: address, Life: time.Now().UnixNano(),
+		Planner: planner.Settings{Lease: 2 * time.Second, Freshness: time.Second},
+	}, view, endpoints, noAdviser{}, fakeDecoder{}, age, feed.Trip, logger, metrics)
+	n.receiver = New(Settings{Revocation: 5 * time.Second}, n.elector, feed.AsOf, logger, metrics)
+	n.elector.Configure(testConfiguration)
+	n.receiver.Configure(testConfiguration)
+	instances := watcher.New(watcher.Settings{Table: definer.TableInstances, Wait: 100 * time.Millisecond}, view, logger, n.elector.Apply, nil)
+	server := forwarder.NewServer(n.elector)
+	go func() { _ = server.Serve(listener) }()
+	go feed.Run(ctx)
+	go instances.Run(ctx)
+	n.elector.Register(ctx)
+	<-instances.Ready()
+	go n.elector.Run(ctx)
+	n.kill = func() {
+		cancel()
+		server.Stop()
+		<-n.elector.Done()
+	}
+	t.Cleanup(n.kill)
+
+	return n
+}
+
+// request returns a request that waits for a while.
+func request() *Request {
+	return &Request{Host: "host", Path: "/q/", Key: "key", Arrived: definer.Now(), Patience: 10 * time.Second}
+}
+
+// submit hands a job with the given number of tasks in.
+func (n *node) submit(t *testing.T, id string, count int) {
+	t.Helper()
+	job := &definer.Job{
+		ID: id, Account: "account", Queue: testQueue, Spec: "spec", Accepted: time.Now(),
+		Steps: []definer.Step{{Count: count, Need: modeler.Resources{Millis: 1000}, Estimate: 100 * time.Millisecond}},
+	}
+	if result := n.receiver.Submit(context.Background(), request(), job); result.Answer != AnswerDone {
+		t.Fatalf("job %s: answer %d", id, result.Answer)
+	}
+}
+
+// await waits until the job is in the state.
+func (n *node) await(t *testing.T, id string, want definer.JobState, within time.Duration) {
+	t.Helper()
+	place := &Place{Route: &testConfiguration.Routes[0], Name: id}
+	var result Result
+	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if result = n.receiver.Query(context.Background(), request(), place); result.State == want {
+			return
+		}
+	}
+	t.Fatalf("job %s is %q (answer %d) after %s, want %q", id, result.State, result.Answer, within, want)
+}
+
+// owner waits until one of the nodes owns the cell, and returns it and the others.
+func owner(t *testing.T, nodes ...*node) (*node, []*node) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		for i, n := range nodes {
+			if n.elector.Local() != nil {
+				others := append(append([]*node(nil), nodes[:i]...), nodes[i+1:]...)
+
+				return n, others
+			}
+		}
+	}
+	t.Fatal("no owner")
+
+	return nil, nil
+}
