Keep working while a handover waits for the store

Change: submissions queue and tasks start until the append is answered; then the cell is handed over at once, and unstored progress goes to the successor.

--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -82,14 +82,12 @@
 
 // advance begins the next append when one is due.
 func (j *journal) advance(ctx context.Context, l *Leader, now definer.Instant) {
-	if j.outstanding || ctx.Err() != nil {
+	if j.outstanding || l.leaving || ctx.Err() != nil {
 		return
 	}
 	passed := now.Sub(j.began)
 	urgent := len(j.queue) > 0 || len(j.cancels) > 0 || len(j.remember) > 0
 	switch {
-	case l.drain && passed < beatEvery && !urgent && !l.planner.Changed():
-		return
 	case urgent && passed >= lingerUrgent:
 	case l.planner.Changed() && passed >= lingerProgress:
 	case passed >= beatEvery:
@@ -291,4 +289,11 @@
 	for _, s := range l.journal.queue {
 		s.answer(&forwarder.Reply{Outcome: forwarder.OutcomeNotOwner})
 	}
+	l.journal.queue = nil
+	for _, c := range l.journal.cancels {
+		for _, waiter := range c.waiters {
+			waiter <- &forwarder.Reply{Outcome: forwarder.OutcomeNotOwner}
+		}
+	}
+	clear(l.journal.cancels)
 }
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -61,6 +61,8 @@
 	// The fields below belong to loop.
 	journal journal
 	renewal map[string]*renewal
+	// leaving means that a handover is asked for, and drain that no task starts and nothing is appended any more.
+	leaving bool
 	drain   bool
 	// starting counts the starts that are not answered.
 	starting int
--- a/internal/cell/leader/requests.go
+++ b/internal/cell/leader/requests.go
@@ -75,11 +75,6 @@
 
 		return
 	}
-	if l.drain {
-		m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeNotOwner}
-
-		return
-	}
 	if refusal := l.planner.Admit(&m.job, now); refusal != nil {
 		l.logger.Info("submission refused", "job", m.job.ID, "account", m.job.Account, "queue", m.job.Queue.Name, "reason", refusal.Reason, "retry", refusal.Retry.String())
 		l.metrics.Count("refused: " + refusal.Reason)
@@ -144,8 +139,9 @@
 	m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeDone, Count: l.planner.Pending(m.queue)}
 }
 
-// HandOver finishes the last append, stops all orders and returns the end of
-// the state table, so that a successor can claim it at once.
+// HandOver waits for the outstanding append, stops all orders and returns the
+// end of the state table, so that a successor can claim it at once. What is not
+// stored by then is left to the successor.
 func (l *Leader) HandOver(ctx context.Context) (int64, bool) {
 	reply := make(chan int64, 1)
 	l.post(handOverMsg{reply: reply})
@@ -162,11 +158,17 @@
 type handOverMsg struct{ reply chan int64 }
 
 func (m handOverMsg) apply(ctx context.Context, l *Leader, _ definer.Instant) {
-	if !l.drain {
+	if !l.leaving {
+		l.leaving = true
+		l.logger.Info("owner hands over", "term", l.settings.Term, "append outstanding", l.journal.outstanding, "store age", l.StoreAge().String())
+	}
+	// While the store does not answer, the cell goes on working: submissions
+	// queue and tasks start.
+	if !l.journal.outstanding {
 		l.drain = true
-		l.logger.Info("owner hands over", "term", l.settings.Term)
 	}
-	if l.starting == 0 && !l.journal.outstanding && len(l.journal.queue) == 0 && len(l.journal.cancels) == 0 && !l.planner.Changed() {
+	if l.drain && l.starting == 0 {
+		l.refuseAll()
 		m.reply <- l.journal.end
 		l.cancel(ErrHandedOver)
 
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -149,7 +149,7 @@
 }
 
 // creditSeconds is how many seconds of its rate an account may send at once.
-const creditSeconds = 1.0
+const creditSeconds = 2.0
 
 // advance creates the occurrences that have become due and readies their first steps.
 func (p *Planner) advance(j *job, wall time.Time) {
--- a/internal/cell/receiver/cell_test.go
+++ b/internal/cell/receiver/cell_test.go
@@ -17,7 +17,7 @@
 		store.tables[definer.TableEndpoints] = append(store.tables[definer.TableEndpoints], definer.Record{Key: fmt.Sprintf("e%d", i), Value: []byte{1}})
 	}
 	endpoints := newFakeEndpoints(t, length)
-	var nodes []*node
+	nodes := make([]*node, 0, 3)
 	for _, name := range []string{"a", "b", "c"} {
 		nodes = append(nodes, newNode(t, name, store, endpoints))
 	}
@@ -36,7 +36,7 @@
 	time.Sleep(100 * time.Millisecond)
 	first.kill()
 	for i := range 10 {
-		others[i%2].await(t, fmt.Sprintf("job-%d", i), definer.JobCompleted, 15*time.Second)
+		others[i%2].awaitDone(t, fmt.Sprintf("job-%d", i), 15*time.Second)
 	}
 	if endpoints.starts != 30 {
 		t.Errorf("%d starts of 30 tasks", endpoints.starts)
@@ -58,8 +58,8 @@
 		t.Fatal("the owner without the store still owns the cell")
 	}
 	others[0].submit(t, "after", 3)
-	others[0].await(t, "before", definer.JobCompleted, 10*time.Second)
-	others[0].await(t, "after", definer.JobCompleted, 10*time.Second)
+	others[0].awaitDone(t, "before", 10*time.Second)
+	others[0].awaitDone(t, "after", 10*time.Second)
 }
 
 // TestHandOver guards against an instance that keeps the cell while it stops.
@@ -72,7 +72,31 @@
 		t.Error("the cell is still owned by the instance that resigned")
 	}
 	owner(t, others...)
-	first.await(t, "job", definer.JobCompleted, 10*time.Second)
+	first.awaitDone(t, "job", 10*time.Second)
+}
+
+// TestHandOverWithSlowStore guards against an owner that refuses all work while
+// its last append takes long (seen in incident inc-89d2: 4.8 s).
+func TestHandOverWithSlowStore(t *testing.T) {
+	store, _, nodes := newCell(t, 100*time.Millisecond)
+	first, others := owner(t, nodes...)
+	others[0].submit(t, "warm", 1)
+	store.mu.Lock()
+	store.delay = 400 * time.Millisecond
+	store.mu.Unlock()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		time.Sleep(50 * time.Millisecond)
+		first.elector.Resign(context.Background())
+	}()
+	began := time.Now()
+	others[1].submit(t, "job", 2)
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("submission took %s during a handover with appends of 400 ms", took)
+	}
+	<-stopped
+	others[0].awaitDone(t, "job", 10*time.Second)
 }
 
 // TestSameJobTwice guards against one id that becomes two jobs when it comes
@@ -87,7 +111,7 @@
 	}()
 	nodes[0].submit(t, "job", 2)
 	<-done
-	nodes[2].await(t, "job", definer.JobCompleted, 5*time.Second)
+	nodes[2].awaitDone(t, "job", 5*time.Second)
 	if endpoints.starts != 2 {
 		t.Errorf("%d starts of 2 tasks", endpoints.starts)
 	}
--- a/internal/cell/receiver/fakes_test.go
+++ b/internal/cell/receiver/fakes_test.go
@@ -26,6 +26,8 @@
 	tables map[definer.Table][]definer.Record
 	// refused names the instances that the store turns away.
 	refused map[string]bool
+	// delay is how long an append takes.
+	delay time.Duration
 	// loseAnswers makes appends land without an answer.
 	loseAnswers int
 }
@@ -43,6 +45,10 @@
 var errRefused = &definer.NotDoneError{Reason: "turned away"}
 
 func (c *client) Append(_ context.Context, table definer.Table, at int64, records []definer.Record) (definer.AppendReply, error) {
+	c.store.mu.Lock()
+	delay := c.store.delay
+	c.store.mu.Unlock()
+	time.Sleep(delay)
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
 	if c.store.refused[c.name] {
@@ -301,17 +307,17 @@
 	}
 }
 
-// await waits until the job is in the state.
-func (n *node) await(t *testing.T, id string, want definer.JobState, within time.Duration) {
+// awaitDone waits until the job is completed.
+func (n *node) awaitDone(t *testing.T, id string, within time.Duration) {
 	t.Helper()
 	place := &Place{Route: &testConfiguration.Routes[0], Name: id}
 	var result Result
 	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
-		if result = n.receiver.Query(context.Background(), request(), place); result.State == want {
+		if result = n.receiver.Query(context.Background(), request(), place); result.State == definer.JobCompleted {
 			return
 		}
 	}
-	t.Fatalf("job %s is %q (answer %d) after %s, want %q", id, result.State, result.Answer, within, want)
+	t.Fatalf("job %s is %q (answer %d) after %s, want it completed", id, result.State, result.Answer, within)
 }
 
 // owner waits until one of the nodes owns the cell, and returns it and the others.
