--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -23,6 +23,8 @@
 	renewPause = 250 * time.Millisecond
 	// renewGap is the least time between two renewals of an endpoint; ends that come closer are reported together.
 	renewGap = 150 * time.Millisecond
+	// unstoredGap is the least time between two renewals while ends of the endpoint are not stored.
+	unstoredGap = 400 * time.Millisecond
 	// askSlack is how much longer than its cost a question may take.
 	askSlack = 2 * time.Second
 )
@@ -142,7 +144,9 @@
 type renewal struct {
 	outstanding bool
 	due         definer.Instant
-	lost        bool
+	// sent is when the last answered renewal was sent.
+	sent definer.Instant
+	lost bool
 }
 
 // renewDue sends the renewals whose time has come.
@@ -214,7 +218,7 @@
 		l.renewal[id] = r
 	}
 	r.outstanding = false
-	r.due = max(m.sent.Add(renewGap), now)
+	r.sent = m.sent
 	switch m.verdict { //nolint:exhaustive // All others mean that the endpoint did not renew.
 	case definer.VerdictDone:
 		if r.lost {
@@ -222,6 +226,11 @@
 			l.logger.Info("endpoint regained", "endpoint", id)
 		}
 		l.planner.Report(id, m.sent, now, m.report)
+		r.due = max(m.sent.Add(renewGap), now)
+		if l.planner.Unacknowledged(id) {
+			// The endpoint would answer at once with the ends that it has already listed.
+			r.due = max(m.sent.Add(unstoredGap), now)
+		}
 		if r.due <= now {
 			r.outstanding = true
 			l.renew(ctx, id, renewWait, false, now)
--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -258,6 +258,11 @@
 		l.planner.Stored(id)
 	}
 	l.planner.Acknowledge(b.ends, b.lives)
+	for id := range b.ends {
+		if r := l.renewal[id]; r != nil && r.due > now {
+			r.due = max(min(r.due, r.sent.Add(renewGap)), now)
+		}
+	}
 }
 
 func (s *submission) answer(reply *forwarder.Reply) {
--- a/internal/cell/planner/progress.go
+++ b/internal/cell/planner/progress.go
@@ -193,3 +193,10 @@
 	}
 	p.dirty[j] = struct{}{}
 }
+
+// Unacknowledged reports whether ends of the endpoint are not stored.
+func (p *Planner) Unacknowledged(id string) bool {
+	e := p.endpoints[id]
+
+	return e != nil && e.seen > e.acknowledged
+}
