Keep tasks that fill away from tasks that serve

Change: the two kinds never share an endpoint. Tests for this, for tasks that last and for scheduled occurrences.

--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -25,6 +25,8 @@
 	clock   int64
 	runs    map[runKey]*run
 	used    modeler.Resources
+	// serving and filling count the runs that serve users and those that use what others leave over.
+	serving, filling int
 	// unknown counts the runs whose needs are not known; nothing is started beside them.
 	unknown int
 	// seen is the highest end processed, and acknowledged the highest that is stored.
@@ -247,6 +249,30 @@
 	}
 }
 
+// take counts a run as present on its endpoint; release undoes it.
+func (e *endpoint) take(r *run) {
+	e.runs[runKey{r.name, r.number}] = r
+	e.used = e.used.Add(r.need)
+	if r.account == nil {
+		e.unknown++
+
+		return
+	}
+	def := r.task.step.def
+	r.account.used = r.account.used.Add(def.Need)
+	e.count(def, 1)
+}
+
+// count adds to the runs that serve or fill.
+func (e *endpoint) count(def *definer.Step, change int) {
+	if def.TailTarget > 0 {
+		e.serving += change
+	}
+	if def.Fills {
+		e.filling += change
+	}
+}
+
 // lose ends a run that its endpoint no longer runs and will not report.
 func (p *Planner) lose(r *run) {
 	if r.task != nil && r.task.run == r {
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -256,7 +256,7 @@
 		if e.Service != s.job.Queue.Service || s.def.Requires != "" && !e.Label(s.def.Requires) || !need.Fits(e.Capacity) {
 			continue
 		}
-		if s.job.Queue.Policy != nil && s.admission.refusedFor(e) {
+		if s.job.Queue.Policy != nil && s.admission.refusedFor(e) || s.disturbs(e) {
 			continue
 		}
 		candidates = append(candidates, e)
@@ -266,6 +266,13 @@
 	return candidates
 }
 
+// disturbs reports whether a task of s and what runs on e would disturb each
+// other: tasks that fill slow tasks that serve by amounts that are not known,
+// so they never share an endpoint.
+func (s *step) disturbs(e *endpoint) bool {
+	return s.def.Fills && e.serving > 0 || s.def.TailTarget > 0 && e.filling > 0
+}
+
 // placeEach starts the tasks of a step one by one.
 func (ps *pass) placeEach(s *step, pending []*task) {
 	p := ps.planner
@@ -677,9 +684,7 @@
 	r := &run{task: t, name: t.name(), number: number, endpoint: e, need: s.need(), account: p.account(s.job.Account),
 		sentAt: ps.now, changedAt: ps.now, checkpoint: t.checkpoint}
 	t.run, t.lastRun = r, number
-	e.runs[runKey{r.name, number}] = r
-	e.used = e.used.Add(r.need)
-	r.account.used = r.account.used.Add(s.def.Need)
+	e.take(r)
 	s.placed[e]++
 	if !s.job.begun {
 		s.job.begun = true
--- a/internal/cell/planner/planner_test.go
+++ b/internal/cell/planner/planner_test.go
@@ -295,3 +295,67 @@
 		}
 	}
 }
+
+// TestFillingStaysAwayFromServing guards against tasks that fill beside tasks
+// that serve, which would miss their response times.
+func TestFillingStaysAwayFromServing(t *testing.T) {
+	c := newCell(t, 2)
+	serving := simple(1)
+	serving.LongRunning, serving.TailTarget = true, time.Second
+	filling := simple(6)
+	filling.Fills = true
+	c.accept(c.job("a", serving))
+	c.settle()
+	c.accept(c.job("b", filling))
+	c.settle()
+	for id, rows := range c.running {
+		jobs := map[string]bool{}
+		for _, row := range rows {
+			jobs[row.Task.Job] = true
+		}
+		if len(jobs) > 1 {
+			t.Errorf("endpoint %s runs both kinds", id)
+		}
+	}
+}
+
+// TestLongRunningTaskComesBack guards against a task that lasts and is not
+// started again after its end.
+func TestLongRunningTaskComesBack(t *testing.T) {
+	c := newCell(t, 1)
+	lasting := simple(1)
+	lasting.LongRunning = true
+	c.accept(c.job("a", lasting))
+	for range 3 {
+		c.settle()
+		if len(c.running["e000"]) != 1 {
+			t.Fatal("the task does not run")
+		}
+		row := c.running["e000"][0]
+		c.end("e000", row.Task, row.Run, definer.EndFailed)
+	}
+	if state := c.state(); state.Final() {
+		t.Errorf("the job is %s", state)
+	}
+}
+
+// TestOccurrencesWaitForTheirTime guards against a scheduled occurrence that
+// starts before it is due.
+func TestOccurrencesWaitForTheirTime(t *testing.T) {
+	c := newCell(t, 1)
+	job := c.job("a", simple(1))
+	job.First, job.Interval, job.Repeats = c.wall.Add(time.Second), time.Second, 2
+	c.accept(job)
+	c.settle()
+	if len(c.running["e000"]) != 0 {
+		t.Fatal("an occurrence started before its time")
+	}
+	for range 2 {
+		c.pass(time.Second)
+		c.settle()
+		c.finish()
+	}
+	if diff := cmp.Diff(definer.JobCompleted, c.state()); diff != "" {
+		t.Errorf("state after both occurrences (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -136,23 +136,19 @@
 	r := &run{name: row.Task, number: row.Run, endpoint: e, phase: phaseRunning, sentAt: now, settledAt: now,
 		changedAt: now, percent: row.Percent, checkpoint: row.Checkpoint, confirmed: true}
 	t := p.task(row.Task)
-	e.runs[runKey{row.Task, row.Run}] = r
+	r.task = t
 	if t != nil {
 		r.need, r.account = t.step.need(), p.account(t.step.job.Account)
-		e.used = e.used.Add(r.need)
-		r.account.used = r.account.used.Add(t.step.def.Need)
-	} else {
-		e.unknown++
 	}
+	e.take(r)
 	if t == nil || !p.wanted(t, row.Run) {
-		r.task = t
 		p.note("unexpected run", row.Task.Job, "endpoint", e.ID, "step", row.Task.Step, "index", row.Task.Index, "run", row.Run)
 		p.stop(r)
 
 		return r
 	}
 	s := t.step
-	r.task, t.run = t, r
+	t.run = r
 	t.lastRun = max(t.lastRun, row.Run)
 	s.placed[e]++
 	s.job.begun = true
@@ -297,12 +293,14 @@
 	}
 	delete(r.endpoint.runs, key)
 	r.endpoint.used = r.endpoint.used.Sub(r.need)
-	if r.account != nil && r.task != nil {
-		r.account.used = r.account.used.Sub(r.task.step.def.Need)
-	}
 	if r.account == nil {
 		r.endpoint.unknown--
+
+		return
 	}
+	def := r.task.step.def
+	r.account.used = r.account.used.Sub(def.Need)
+	r.endpoint.count(def, -1)
 }
 
 // requeue makes the task of an ended run startable again.
