--- a/internal/cell/planner/planner_test.go
+++ b/internal/cell/planner/planner_test.go
@@ -359,3 +359,19 @@
 		t.Errorf("state after both occurrences (-want +got):\n%s", diff)
 	}
 }
+
+// TestLeavingEndpointGetsNothing guards against starts on an endpoint that
+// leaves, or that the list no longer names.
+func TestLeavingEndpointGetsNothing(t *testing.T) {
+	c := newCell(t, 3)
+	leaving, _ := c.planner.EndpointListing("e000")
+	leaving.Draining = true
+	c.planner.List(leaving)
+	c.planner.Unlist("e001")
+	c.accept(c.job("a", simple(12)))
+	c.settle()
+	if len(c.running["e000"]) != 0 || len(c.running["e001"]) != 0 || len(c.running["e002"]) != 4 {
+		t.Errorf("%d tasks on the leaving endpoint, %d on the unlisted one, %d on the other; want 0, 0 and 4",
+			len(c.running["e000"]), len(c.running["e001"]), len(c.running["e002"]))
+	}
+}
--- /dev/null
+++ b/internal/cell/receiver/resolve_test.go
@@ -0,0 +1,62 @@
+package receiver
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/recorder"
+)
+
+// TestKeysGoStale guards against a withdrawn key that still works at an
+// instance which no longer hears of the configuration.
+func TestKeysGoStale(t *testing.T) {
+	var asOf definer.Instant
+	r := New(Settings{Revocation: 5 * time.Second}, nil, func() definer.Instant { return asOf }, hclog.NewNullLogger(), recorder.NewMetrics())
+	request := &Request{Host: "host", Path: "/q/job", Key: "key", Arrived: definer.Now()}
+	if _, refusal := r.Resolve(request); refusal == nil || refusal.Answer != AnswerUnavailable {
+		t.Errorf("without a configuration: %+v, want unavailable", refusal)
+	}
+	r.Configure(&definer.Configuration{
+		Version: 1,
+		Routes: []definer.Route{
+			{Host: "host", Prefix: "/q/", Queue: definer.Queue{Name: "short"}},
+			{Host: "host", Prefix: "/q/open/", Public: true, Queue: definer.Queue{Name: "open"}},
+		},
+		Accounts: []definer.Account{{Name: "account", Keys: []string{"key"}}},
+	})
+	open := &Request{Host: "host", Path: "/q/open/job", Arrived: request.Arrived}
+	for _, c := range []struct {
+		name string
+		age  time.Duration
+		key  string
+		want Answer
+	}{
+		{"fresh", time.Second, "key", AnswerDone},
+		{"unknown key", time.Second, "other", AnswerNoKey},
+		{"stale", 5 * time.Second, "key", AnswerUnavailable},
+	} {
+		asOf = request.Arrived.Add(-c.age)
+		request.Key = c.key
+		place, refusal := r.Resolve(request)
+		got := AnswerDone
+		if refusal != nil {
+			got = refusal.Answer
+		}
+		if got != c.want {
+			t.Errorf("%s: answer %d, want %d", c.name, got, c.want)
+		}
+		if got == AnswerDone && (place.Account != "account" || place.Name != "job") {
+			t.Errorf("%s: place %+v", c.name, place)
+		}
+		if place, refusal := r.Resolve(open); refusal != nil || place.Route.Queue.Name != "open" {
+			t.Errorf("%s: public route: %+v, %+v; want the longest prefix without a key", c.name, place, refusal)
+		}
+	}
+	request.Path = "/other/job"
+	if _, refusal := r.Resolve(request); refusal == nil || refusal.Answer != AnswerNoQueue {
+		t.Errorf("unknown path: %+v, want no queue", refusal)
+	}
+}
