--- a/internal/cell/definer/clock.go
+++ b/internal/cell/definer/clock.go
@@ -1,6 +1,7 @@
 package definer
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -29,3 +30,21 @@
 
 // Since returns the time that has passed since i.
 func Since(i Instant) time.Duration { return Now().Sub(i) }
+
+// Sleep waits and reports whether it did so to the end; it returns early when
+// ctx ends or wake is closed or sent to. A nil wake is ignored.
+func Sleep(ctx context.Context, pause time.Duration, wake <-chan struct{}) bool {
+	if pause <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-wake:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/cell/definer/definer.go
+++ b/internal/cell/definer/definer.go
@@ -58,8 +58,6 @@
 	Accounts []Account
 	// BodyLimit is the largest request body in bytes; 0 means the default.
 	BodyLimit int64
-	// Dormant names the services whose machines are switched off.
-	Dormant map[string]bool
 }
 
 // Step is a set of equal tasks of a job.
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -147,7 +147,7 @@
 			return
 		}
 		e.logger.Warn("instance not registered", "error", err)
-		sleep(ctx, registerPause)
+		definer.Sleep(ctx, registerPause, nil)
 	}
 }
 
@@ -320,7 +320,7 @@
 // bequeath passes progress that could not be stored to the next owner, which
 // would otherwise repeat tasks whose endpoints are gone.
 func (e *Elector) bequeath(ctx context.Context, term int64, snapshots []planner.Snapshot) {
-	for until := definer.Now().Add(bequeathFor); definer.Now() < until && ctx.Err() == nil; sleep(ctx, bequeathPause) {
+	for until := definer.Now().Add(bequeathFor); definer.Now() < until && ctx.Err() == nil; definer.Sleep(ctx, bequeathPause, nil) {
 		owner, _ := e.Owner()
 		if owner.Term <= term {
 			continue
@@ -371,12 +371,3 @@
 	}
 	group.Wait()
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/cell/elector/follow.go
+++ b/internal/cell/elector/follow.go
@@ -146,7 +146,7 @@
 	if barred || e.config.Load() == nil {
 		return
 	}
-	sleep(ctx, time.Duration(rand.Int64N(int64(rankSpread)))+tripWeight*e.storeTrip())
+	definer.Sleep(ctx, time.Duration(rand.Int64N(int64(rankSpread)))+tripWeight*e.storeTrip(), nil)
 	if owner, _ := e.Owner(); owner.Term > known.Term {
 		return
 	}
@@ -155,7 +155,7 @@
 	cancel()
 	if err != nil {
 		e.logger.Info("contest given up", "why", why, "error", err)
-		sleep(ctx, pauseBetween)
+		definer.Sleep(ctx, pauseBetween, nil)
 
 		return
 	}
--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -90,7 +90,7 @@
 
 			return
 		}
-		if !sleep(ctx, stopPause) {
+		if !definer.Sleep(ctx, stopPause, nil) {
 			return
 		}
 	}
--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -175,7 +175,7 @@
 		}
 		if err != nil {
 			if notDone := new(definer.NotDoneError); errors.As(err, &notDone) {
-				if !sleep(ctx, resolvePause) {
+				if !definer.Sleep(ctx, resolvePause, nil) {
 					break
 				}
 
@@ -187,7 +187,7 @@
 		if err == nil && known {
 			return reply, nil
 		}
-		if err != nil && !sleep(ctx, resolvePause) {
+		if err != nil && !definer.Sleep(ctx, resolvePause, nil) {
 			break
 		}
 	}
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -213,7 +213,7 @@
 		cancel()
 		if err != nil {
 			l.logger.Warn("state not read", "after", after, "error", err)
-			if !sleep(ctx, loadPause) {
+			if !definer.Sleep(ctx, loadPause, nil) {
 				return nil, context.Cause(ctx)
 			}
 
@@ -331,17 +331,6 @@
 	}()
 }
 
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // endMsg ends the ownership.
 type endMsg struct{ cause error }
 
--- a/internal/cell/leader/requests.go
+++ b/internal/cell/leader/requests.go
@@ -181,7 +181,7 @@
 // run asks again shortly after.
 func (m handOverMsg) run(ctx context.Context, l *Leader) {
 	defer l.work.Done()
-	if sleep(ctx, lingerUrgent) {
+	if definer.Sleep(ctx, lingerUrgent, nil) {
 		l.post(m)
 	}
 }
--- a/internal/cell/planner/cell_test.go
+++ b/internal/cell/planner/cell_test.go
@@ -25,7 +25,7 @@
 	asked   []AskCmd
 }
 
-var testSettings = Settings{Lease: 4500 * time.Millisecond, Freshness: 2500 * time.Millisecond, GangWait: 3 * time.Second}
+var testSettings = Settings{Lease: 4500 * time.Millisecond, Freshness: 2500 * time.Millisecond}
 
 // newCell returns a cell whose endpoints have 16 processors and 64 GiB, and have answered once.
 func newCell(tb testing.TB, endpoints int) *cell {
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -16,14 +16,6 @@
 	Lease time.Duration
 	// Freshness is how old the last answered renewal of an endpoint may be when tasks are started.
 	Freshness time.Duration
-	// GangWait is how long members of a gang wait for the others at the endpoint.
-	GangWait time.Duration
-	// Restore is the time that a task takes to resume from a checkpoint.
-	Restore time.Duration
-	// FarFactor is how much longer a task takes away from its data or its gang.
-	FarFactor float64
-	// EndpointStop is how long a stop takes at most.
-	EndpointStop time.Duration
 }
 
 const (
--- a/internal/cell/receiver/receiver.go
+++ b/internal/cell/receiver/receiver.go
@@ -225,7 +225,7 @@
 		owner, changed := r.elector.Owner()
 		lead := r.elector.Local()
 		if owner.Term == 0 {
-			wait(ctx, min(left, retryOwner), changed)
+			definer.Sleep(ctx, min(left, retryOwner), changed)
 
 			continue
 		}
@@ -251,7 +251,7 @@
 		if err != nil || reply.Outcome == forwarder.OutcomeNotOwner {
 			r.elector.Suspect()
 		}
-		wait(ctx, min(left, attemptPause), changed)
+		definer.Sleep(ctx, min(left, attemptPause), changed)
 	}
 	result := Result{Answer: AnswerUnavailable, Retry: retryOwner}
 	if sent {
@@ -292,13 +292,3 @@
 	r.metrics.Count("given up: " + method)
 	r.logger.Warn("request given up", "call", method, "job", id, "owner", owner.Name, "term", owner.Term, "unknown", result.Answer == AnswerUnknown, "took", took.String(), "attempts", attempts, "error", err)
 }
-
-func wait(ctx context.Context, pause time.Duration, changed <-chan struct{}) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-changed:
-	case <-timer.C:
-	}
-}
--- a/internal/cell/watcher/watcher.go
+++ b/internal/cell/watcher/watcher.go
@@ -88,14 +88,14 @@
 		}
 		if err != nil {
 			w.failed(ctx, err)
-			w.sleep(ctx, pause)
+			definer.Sleep(ctx, pause, nil)
 			pause = min(pause*2, pauseMost)
 
 			continue
 		}
 		pause = pauseFirst
 		w.succeeded(sent)
-		w.sleep(ctx, w.settings.Gap-definer.Since(sent))
+		definer.Sleep(ctx, w.settings.Gap-definer.Since(sent), nil)
 	}
 }
 
@@ -182,15 +182,3 @@
 	}
 	w.apply(record)
 }
-
-func (w *Watcher) sleep(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
