Prefer strong instances as owners and widen the choice of gangs

Change: an instance's claim is delayed by how much weaker it is than the strongest; a waiting gang asks about further endpoints until it has room for four times its size on empty ones.

--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/netip"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +30,9 @@
 	Name    string
 	Address netip.AddrPort
 	// Life distinguishes the processes of an instance.
-	Life    int64
+	Life int64
+	// Power is the instance's processor time, in processors.
+	Power   float64
 	Planner planner.Settings
 }
 
@@ -38,6 +41,7 @@
 	Name    string
 	Address netip.AddrPort
 	Life    int64
+	Power   float64
 }
 
 // Ownership names the owner of the cell.
@@ -134,7 +138,7 @@
 // Register writes this instance to the instances table.
 func (e *Elector) Register(ctx context.Context) {
 	for ctx.Err() == nil {
-		value, err := msgpack.Marshal(Instance{Name: e.settings.Name, Address: e.settings.Address, Life: e.settings.Life})
+		value, err := msgpack.Marshal(Instance{Name: e.settings.Name, Address: e.settings.Address, Life: e.settings.Life, Power: e.settings.Power})
 		if err != nil {
 			e.logger.Error("instance not registered", "error", err)
 
@@ -239,7 +243,9 @@
 	if !ok {
 		return
 	}
-	for _, peer := range e.instances() {
+	peers := e.instances()
+	sort.SliceStable(peers, func(a, b int) bool { return peers[a].Power > peers[b].Power })
+	for _, peer := range peers {
 		callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
 		reply, err := forwarder.Call[forwarder.Handover, forwarder.Reply](callCtx, e.pool, peer.Address, "TakeOver", &forwarder.Handover{End: end})
 		cancel()
--- a/internal/cell/elector/follow.go
+++ b/internal/cell/elector/follow.go
@@ -28,6 +28,8 @@
 	rankSpread = 60 * time.Millisecond
 	// tripWeight delays the claim of an instance far from the store: its appends would be slow.
 	tripWeight = 3
+	// weakDelay is the delay of an instance without any processor time of its own.
+	weakDelay = 250 * time.Millisecond
 	// readTimeout bounds a look at the state table.
 	readTimeout = 700 * time.Millisecond
 	// lastKey sorts behind every key of the state table, so that a page holds no records.
@@ -146,7 +148,7 @@
 	if barred || e.config.Load() == nil {
 		return
 	}
-	definer.Sleep(ctx, time.Duration(rand.Int64N(int64(rankSpread)))+tripWeight*e.storeTrip(), nil)
+	definer.Sleep(ctx, time.Duration(rand.Int64N(int64(rankSpread)))+tripWeight*e.storeTrip()+e.weakness(), nil)
 	if owner, _ := e.Owner(); owner.Term > known.Term {
 		return
 	}
@@ -184,6 +186,19 @@
 	e.learnFrom(tail.Records, page.End)
 }
 
+// weakness delays the claim of an instance with less processor time than others.
+func (e *Elector) weakness() time.Duration {
+	strongest := e.settings.Power
+	for _, peer := range e.instances() {
+		strongest = max(strongest, peer.Power)
+	}
+	if strongest <= 0 {
+		return 0
+	}
+
+	return time.Duration(float64(weakDelay) * (1 - e.settings.Power/strongest))
+}
+
 // learnFrom finds the claim of a new owner among records.
 func (e *Elector) learnFrom(records []definer.Record, offset int64) {
 	for i, record := range records {
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -27,6 +27,10 @@
 	}
 }
 
+// choiceFactor is how many times its size a waiting gang has room for on empty
+// admitted endpoints before it stops asking about further ones.
+const choiceFactor = 4
+
 // placeGang starts all tasks of a gang at once, or holds endpoints back for it.
 func (ps *pass) placeGang(s *step, pending []*task) {
 	p := ps.planner
@@ -65,6 +69,9 @@
 	if places == nil {
 		places = ps.pack(s, len(pending), candidates)
 		if places == nil {
+			if policy != nil && !asking && slots(s, candidates) < choiceFactor*len(pending) {
+				p.ask(s, s.admission.unasked(ps.candidates(s)), ps.now)
+			}
 			ps.reserve(s, candidates, len(pending))
 
 			return
