Count the lease that a start gives, and tidy the planner

Cause: an order to start extends the lease of all that runs on an endpoint, but only renewals were counted, so that a task could start elsewhere while an endpoint whose answers were lost still ran it.

Change: a start counts like a renewal. Fields that nothing reads are gone; the placement of gangs is split.

Result: TestStartExtendsTheLease fails before and passes after.

--- a/internal/cell/forwarder/forwarder.go
+++ b/internal/cell/forwarder/forwarder.go
@@ -78,8 +78,6 @@
 type Advice struct {
 	Answered bool
 	Tickets  []definer.Ticket
-	// Age is how long ago the policy answered.
-	Age time.Duration
 }
 
 // Beat is exchanged between instances.
--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -137,7 +137,7 @@
 
 func (m advisedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
 	c := m.command
-	l.planner.Advised(c.Job, c.Occurrence, c.Step, c.Endpoints, m.advice.Tickets, m.advice.Answered, now.Add(-m.advice.Age))
+	l.planner.Advised(c.Job, c.Occurrence, c.Step, c.Endpoints, m.advice.Tickets, m.advice.Answered, now)
 }
 
 // renewal paces the renewals of an endpoint.
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -51,7 +51,6 @@
 	config atomic.Pointer[definer.Configuration]
 	// storedAt is when the store last answered an append.
 	storedAt atomic.Int64
-	opened   atomic.Bool
 	cancel   context.CancelCauseFunc
 	done     chan struct{}
 	work     sync.WaitGroup
@@ -252,7 +251,6 @@
 			l.journal.refuseStale(l, now)
 			if fresh, stored := l.planner.Held(now); fresh*2 > stored || stored == 0 {
 				unheldSince = now
-				l.opened.Store(stored > 0)
 			} else if now.Sub(unheldSince) > unheldLimit+l.settings.Planner.LeaseBound() {
 				l.cancel(ErrUnheld)
 			}
@@ -276,7 +274,7 @@
 	if !l.drain && now.Sub(l.planned) >= planGap {
 		l.planned = now
 		l.planner.Plan(now)
-		l.planCost(now)
+		l.metrics.Observe("plan", definer.Since(now))
 	}
 	for _, note := range l.planner.Notes() {
 		l.record(note)
@@ -287,11 +285,6 @@
 	l.journal.advance(ctx, l, now)
 }
 
-// planCost observes how long the planner took.
-func (l *Leader) planCost(began definer.Instant) {
-	l.metrics.Observe("plan", definer.Since(began))
-}
-
 func (l *Leader) record(note planner.Note) {
 	args := append([]any{"job", note.Job, "term", l.settings.Term}, note.Args...)
 	l.logger.Info(note.Event, args...)
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"sort"
 
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
@@ -53,34 +54,15 @@
 	}
 	if slots(s, candidates) < len(pending) {
 		if policy != nil && !asking {
-			// What was admitted can never hold the gang: ask about endpoints that have come since.
+			// What was admitted can never hold the gang: ask about the endpoints that are left.
 			p.ask(s, s.admission.unasked(ps.candidates(s)), ps.now)
 		}
 
 		return
 	}
 	places := ps.pack(s, len(pending), ps.ready(s, candidates))
-	if places == nil && asking && len(s.held) > 0 {
-		// The places that tickets are asked for stay reserved until the answer.
-		ps.reserving++
-
-		return
-	}
 	if places == nil {
-		places = ps.pack(s, len(pending), candidates)
-		if places == nil {
-			if policy != nil && !asking && slots(s, candidates) < choiceFactor*len(pending) {
-				p.ask(s, s.admission.unasked(ps.candidates(s)), ps.now)
-			}
-			ps.reserve(s, candidates, len(pending))
-
-			return
-		}
-		// There is room, but the tickets have expired: keep it while new ones are asked for.
-		ps.keep(s, places)
-		if !asking {
-			p.ask(s, s.held, ps.now)
-		}
+		ps.await(s, candidates, len(pending), asking)
 
 		return
 	}
@@ -96,6 +78,30 @@
 	}
 }
 
+// await keeps endpoints for a gang that cannot start yet, and asks for what it lacks.
+func (ps *pass) await(s *step, candidates []*endpoint, count int, asking bool) {
+	p := ps.planner
+	if asking && len(s.held) > 0 {
+		// The places that tickets are asked for stay reserved until the answer.
+		ps.reserving++
+
+		return
+	}
+	if places := ps.pack(s, count, candidates); places != nil {
+		// There is room, but the tickets have expired: keep it while new ones are asked for.
+		ps.keep(s, places)
+		if !asking {
+			p.ask(s, s.held, ps.now)
+		}
+
+		return
+	}
+	if s.job.Queue.Policy != nil && !asking && slots(s, candidates) < choiceFactor*count {
+		p.ask(s, s.admission.unasked(ps.candidates(s)), ps.now)
+	}
+	ps.reserve(s, candidates, count)
+}
+
 // ready returns the candidates on which a start may be sent now.
 func (ps *pass) ready(s *step, candidates []*endpoint) []*endpoint {
 	if s.job.Queue.Policy == nil {
@@ -115,7 +121,7 @@
 func (ps *pass) keep(s *step, places []*endpoint) {
 	s.held = nil
 	for _, e := range places {
-		if ps.reserved[e] != s || !contains(s.held, e) {
+		if !slices.Contains(s.held, e) {
 			ps.reserved[e] = s
 			s.held = append(s.held, e)
 		}
@@ -123,16 +129,6 @@
 	ps.reserving++
 }
 
-func contains(endpoints []*endpoint, e *endpoint) bool {
-	for _, other := range endpoints {
-		if other == e {
-			return true
-		}
-	}
-
-	return false
-}
-
 // slots counts the tasks of s that fit on empty endpoints.
 func slots(s *step, endpoints []*endpoint) int {
 	total := 0
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -173,18 +173,15 @@
 	policy := s.job.Queue.Policy
 	account := p.account(s.job.Account)
 	asked := s.admission.asking != 0 && ps.now < s.admission.asking
-	var expired []*endpoint
+	expired := false
 	short := 0
 	for i, t := range pending {
 		if !account.allows(s.def.Need, ps.limitShare()) {
 			return
 		}
 		best, stale := ps.choose(s, t, candidates)
-		if best == nil && stale != nil && !asked {
-			expired = append(expired, stale)
-		}
 		if best == nil {
-			short = len(pending) - i
+			short, expired = len(pending)-i, stale
 
 			break
 		}
@@ -193,7 +190,7 @@
 	if policy == nil || asked || short == 0 {
 		return
 	}
-	if len(expired) > 0 || len(s.admission.known) == 0 {
+	if expired || len(s.admission.known) == 0 {
 		p.ask(s, p.question(s, candidates, short), ps.now)
 
 		return
@@ -232,9 +229,9 @@
 	return holder == nil || holder == s || s.job.Queue.Priority < holder.job.Queue.Priority
 }
 
-// choose returns the endpoint for a task that leaves the least room, and one
-// whose ticket has expired when there is none with a valid one.
-func (ps *pass) choose(s *step, t *task, candidates []*endpoint) (best, stale *endpoint) {
+// choose returns the endpoint with the best score for a task, and whether the
+// ticket of another one with room has expired.
+func (ps *pass) choose(s *step, t *task, candidates []*endpoint) (best *endpoint, stale bool) {
 	need := s.need()
 	bestScore := 0.0
 	for _, e := range candidates {
@@ -242,9 +239,7 @@
 			continue
 		}
 		if s.job.Queue.Policy != nil && !s.admission.valid(e, ps.now) {
-			if s.admission.known[e].admitted {
-				stale = e
-			}
+			stale = stale || s.admission.known[e].admitted
 
 			continue
 		}
@@ -286,6 +281,8 @@
 		sentAt: ps.now, changedAt: ps.now, checkpoint: t.checkpoint}
 	t.run, t.lastRun = r, number
 	e.take(r)
+	// The order extends the lease of all that runs there.
+	e.sent = ps.now
 	s.placed[e]++
 	if !s.job.begun {
 		s.job.begun = true
--- a/internal/cell/planner/planner_test.go
+++ b/internal/cell/planner/planner_test.go
@@ -375,3 +375,29 @@
 			len(c.running["e000"]), len(c.running["e001"]), len(c.running["e002"]))
 	}
 }
+
+// TestStartExtendsTheLease guards against a second run while an endpoint still
+// runs the first, because a later start there extended its lease.
+func TestStartExtendsTheLease(t *testing.T) {
+	c := newCell(t, 3)
+	c.accept(c.job("a", simple(1)))
+	c.plan()
+	first := c.started[0]
+	c.run(first)
+	c.started = nil
+	lost := first.Target.ID
+	// The endpoint stops answering, but still takes a start two seconds later.
+	c.pass(2*time.Second, lost)
+	e := c.planner.endpoints[lost]
+	pass := &pass{planner: c.planner, now: c.now}
+	c.accept(c.job("b", simple(1)))
+	pass.start(c.planner.jobs["b"].occurrences[0].steps[0].tasks[0], e, 1)
+	c.planner.Commands()
+	for passed := time.Duration(0); passed < testSettings.LeaseBound()-200*time.Millisecond; passed += 100 * time.Millisecond {
+		c.pass(100*time.Millisecond, lost)
+		c.plan()
+	}
+	if len(c.started) != 0 {
+		t.Errorf("%v started elsewhere before the lease that the later start gave had run out", c.started)
+	}
+}
