Skip steps that wait for tickets and ask beyond the first question

Cause: a round of placement looked at every endpoint for each step that only waited for its tickets (29 ms a round with 350 endpoints and 1,000 steps), and a step did not ask about endpoints with room that its first question, of at most 100, had left out.

Change: such steps are skipped until a ticket can be valid; endpoints without room are passed over before their admission is looked up; a step asks about unasked endpoints with room.

--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -29,6 +29,8 @@
 type admission struct {
 	// known holds the answer for each endpoint asked for.
 	known map[*endpoint]ticket
+	// validUntil is when the last ticket expires.
+	validUntil definer.Instant
 	// asking is when the outstanding question counts as lost, or 0.
 	asking definer.Instant
 }
@@ -123,6 +125,9 @@
 			s.admission.known[e] = ticket{admitted: true, value: admitted.Value, life: e.life, expires: now.Add(j.Queue.Policy.Validity)}
 		}
 	}
+	if len(tickets) > 0 {
+		s.admission.validUntil = now.Add(j.Queue.Policy.Validity)
+	}
 	q := p.stats(j.Queue.Name)
 	q.admitted += admissionGain * (float64(len(tickets))/float64(max(len(endpoints), 1)) - q.admitted)
 	q.admitted = max(q.admitted, 0.05)
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -146,19 +146,36 @@
 	need := s.need()
 	candidates := ps.scratch[:0]
 	for _, e := range ps.usable {
-		if e.Service != s.job.Queue.Service || s.def.Requires != "" && !e.Label(s.def.Requires) || !need.Fits(e.Capacity) {
-			continue
+		if need.Fits(e.Capacity) && s.suits(e) {
+			candidates = append(candidates, e)
 		}
-		if s.job.Queue.Policy != nil && s.admission.refusedFor(e) || s.disturbs(e) {
-			continue
+	}
+	ps.scratch = candidates
+
+	return candidates
+}
+
+// roomy returns the candidates that have room for a task of s now. The list is
+// valid until the next call of either.
+func (ps *pass) roomy(s *step) []*endpoint {
+	need := s.need()
+	candidates := ps.scratch[:0]
+	for _, e := range ps.usable {
+		if need.Fits(e.room()) && s.suits(e) {
+			candidates = append(candidates, e)
 		}
-		candidates = append(candidates, e)
 	}
 	ps.scratch = candidates
 
 	return candidates
 }
 
+// suits reports whether e may run tasks of s, apart from its room.
+func (s *step) suits(e *endpoint) bool {
+	return e.Service == s.job.Queue.Service && (s.def.Requires == "" || e.Label(s.def.Requires)) &&
+		(s.job.Queue.Policy == nil || !s.admission.refusedFor(e)) && !s.disturbs(e)
+}
+
 // disturbs reports whether a task of s and what runs on e would disturb each
 // other: tasks that fill slow tasks that serve by amounts that are not known,
 // so they never share an endpoint.
@@ -169,10 +186,14 @@
 // placeEach starts the tasks of a step one by one.
 func (ps *pass) placeEach(s *step, pending []*task) {
 	p := ps.planner
-	candidates := ps.candidates(s)
 	policy := s.job.Queue.Policy
 	account := p.account(s.job.Account)
 	asked := s.admission.asking != 0 && ps.now < s.admission.asking
+	if policy != nil && asked && ps.now.Add(ticketMargin) >= s.admission.validUntil {
+		// Nothing can start before the answer.
+		return
+	}
+	candidates := ps.roomy(s)
 	expired := false
 	short := 0
 	for i, t := range pending {
@@ -190,8 +211,13 @@
 	if policy == nil || asked || short == 0 {
 		return
 	}
+	if fresh := s.admission.unasked(candidates); len(fresh) > 0 && len(s.admission.known) > 0 {
+		p.ask(s, p.question(s, fresh, short), ps.now)
+
+		return
+	}
 	if expired || len(s.admission.known) == 0 {
-		p.ask(s, p.question(s, candidates, short), ps.now)
+		p.ask(s, p.question(s, ps.candidates(s), short), ps.now)
 
 		return
 	}
@@ -235,7 +261,7 @@
 	need := s.need()
 	bestScore := 0.0
 	for _, e := range candidates {
-		if e == t.avoid && len(candidates) > 1 || !need.Fits(e.room()) || !s.spreads(e) || !ps.unreserved(e, s) {
+		if e == t.avoid && len(ps.usable) > 1 || !need.Fits(e.room()) || !s.spreads(e) || !ps.unreserved(e, s) {
 			continue
 		}
 		if s.job.Queue.Policy != nil && !s.admission.valid(e, ps.now) {
--- a/internal/cell/planner/planner_test.go
+++ b/internal/cell/planner/planner_test.go
@@ -401,3 +401,22 @@
 		t.Errorf("%v started elsewhere before the lease that the later start gave had run out", c.started)
 	}
 }
+
+// TestRoomBeyondTheFirstQuestion guards against a step that waits although
+// there is room on endpoints that its policy has not been asked about.
+func TestRoomBeyondTheFirstQuestion(t *testing.T) {
+	c := newCell(t, mostAsked+20)
+	job := c.job("a", simple(4*(mostAsked+20)))
+	job.Queue.Policy = &definer.Policy{Decide: time.Second, Each: time.Millisecond, Validity: time.Hour}
+	c.accept(job)
+	c.settle()
+	idle := 0
+	for id := range c.born {
+		if len(c.running[id]) == 0 {
+			idle++
+		}
+	}
+	if idle != 0 {
+		t.Errorf("%d endpoints are idle while tasks wait", idle)
+	}
+}
