Carry orders to endpoints by way of instances in their zones

Change: the owner sends orders in batches over one gRPC stream to a strong instance in each endpoint's zone, which calls the endpoints and returns the answers in batches. Peer messages are arrays instead of maps, and a spec is sent once a batch.

--- a/internal/cell/definer/definer.go
+++ b/internal/cell/definer/definer.go
@@ -207,6 +207,7 @@
 type Target struct {
 	ID      string
 	Address netip.AddrPort
+	Zone    string
 }
 
 // StartOrder tells an endpoint to run a task.
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gitlab.com/greengagewall/greengagewall/internal/cell/courier"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/journaler"
@@ -29,6 +30,7 @@
 type Settings struct {
 	Name    string
 	Address netip.AddrPort
+	Zone    string
 	// Life distinguishes the processes of an instance.
 	Life int64
 	// Power is the instance's processor time, in processors.
@@ -42,6 +44,7 @@
 	Address netip.AddrPort
 	Life    int64
 	Power   float64
+	Zone    string
 }
 
 // Ownership names the owner of the cell.
@@ -62,6 +65,7 @@
 	decoder   definer.Decoder
 	pool      *forwarder.Pool
 	adviser   definer.Adviser
+	courier   *courier.Courier
 	// short and long bound the questions that this instance gives to all instances as the owner.
 	short, long gate
 	logger      hclog.Logger
@@ -95,7 +99,7 @@
 ) *Elector {
 	e := &Elector{
 		settings: settings, store: store, endpoints: endpoints, decoder: decoder, pool: forwarder.NewPool(),
-		adviser: adviser, logger: logger, metrics: metrics, storeAge: storeAge, storeTrip: storeTrip,
+		adviser: adviser, courier: courier.New(endpoints), logger: logger, metrics: metrics, storeAge: storeAge, storeTrip: storeTrip,
 		changed: make(chan struct{}), peers: map[string]Instance{}, wake: make(chan struct{}, 1),
 		loads: map[netip.AddrPort]time.Duration{}, seen: map[netip.AddrPort]definer.Instant{}, done: make(chan struct{}),
 	}
@@ -138,7 +142,7 @@
 // Register writes this instance to the instances table.
 func (e *Elector) Register(ctx context.Context) {
 	for ctx.Err() == nil {
-		value, err := msgpack.Marshal(Instance{Name: e.settings.Name, Address: e.settings.Address, Life: e.settings.Life, Power: e.settings.Power})
+		value, err := msgpack.Marshal(Instance{Name: e.settings.Name, Address: e.settings.Address, Life: e.settings.Life, Power: e.settings.Power, Zone: e.settings.Zone})
 		if err != nil {
 			e.logger.Error("instance not registered", "error", err)
 
@@ -276,8 +280,9 @@
 		return false
 	}
 	term := end + 1
+	fleet := courier.NewFleet(e.endpoints, e.pool, e.courierFor, e.logger, e.metrics)
 	lead := leader.New(leader.Settings{Planner: e.settings.Planner, Claim: claim, Term: term, End: end + 1},
-		e.store, e.endpoints, e, e.decoder, e.config.Load(), e.logger.Named("owner"), e.metrics)
+		e.store, fleet, e, e.decoder, e.config.Load(), e.logger.Named("owner"), e.metrics)
 	e.logger.Info("cell claimed", "term", term, "why", why)
 	e.metrics.Count("claims")
 	e.mu.Lock()
@@ -288,7 +293,7 @@
 	e.mu.Lock()
 	base := e.base
 	e.mu.Unlock()
-	go e.run(base, lead, owner)
+	go e.run(base, lead, fleet, owner)
 
 	return true
 }
@@ -297,9 +302,12 @@
 const claimTimeout = 3 * time.Second
 
 // run runs the cell until the ownership ends.
-func (e *Elector) run(ctx context.Context, lead *leader.Leader, owner Ownership) {
+func (e *Elector) run(ctx context.Context, lead *leader.Leader, fleet *courier.Fleet, owner Ownership) {
 	go e.announceLoop(ctx, lead, owner)
+	fleetCtx, stopFleet := context.WithCancel(ctx)
+	go fleet.Run(fleetCtx)
 	err := lead.Run(ctx)
+	stopFleet()
 	e.mu.Lock()
 	e.lead = nil
 	if errors.Is(err, leader.ErrUnheld) {
--- a/internal/cell/forwarder/forwarder.go
+++ b/internal/cell/forwarder/forwarder.go
@@ -3,6 +3,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/netip"
@@ -116,6 +117,7 @@
 	Exchange(ctx context.Context, beat *Beat) (*Beat, error)
 	TakeOver(ctx context.Context, handover *Handover) (*Reply, error)
 	Inherit(ctx context.Context, legacy *Legacy) (*Reply, error)
+	Carrier
 }
 
 const (
@@ -125,15 +127,26 @@
 	dialTimeout = 500 * time.Millisecond
 	// redialAfter is how long a connection may fail to answer before it is replaced.
 	redialAfter = 2
+	// messageMost bounds a message in bytes.
+	messageMost = 64 << 20
 )
 
-// codec encodes messages as MessagePack.
+// codec encodes messages as MessagePack. Structures are arrays of their fields,
+// so that new fields have to be added at the end.
 type codec struct{}
 
 func (codec) Marshal(v any) ([]byte, error) {
-	data, err := msgpack.Marshal(v)
+	var data bytes.Buffer
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(&data)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(v); err != nil {
+		return nil, errors.Wrap(err, "encode message")
+	}
 
-	return data, errors.Wrap(err, "encode message")
+	return data.Bytes(), nil
 }
 
 func (codec) Unmarshal(data []byte, v any) error {
@@ -169,11 +182,12 @@
 		unary("TakeOver", Server.TakeOver),
 		unary("Inherit", Server.Inherit),
 	},
+	Streams: []grpc.StreamDesc{carry},
 }
 
 // NewServer returns a gRPC server that answers with server.
 func NewServer(server Server) *grpc.Server {
-	s := grpc.NewServer(grpc.ForceServerCodec(codec{}))
+	s := grpc.NewServer(grpc.ForceServerCodec(codec{}), grpc.MaxRecvMsgSize(messageMost))
 	s.RegisterService(&description, server)
 
 	return s
@@ -213,7 +227,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout}
 	client, err := grpc.NewClient("passthrough:///"+address.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{})),
+		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{}), grpc.MaxCallRecvMsgSize(messageMost)),
 		grpc.WithContextDialer(func(ctx context.Context, target string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp4", target)
 		}),
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -165,7 +165,7 @@
 		e.sent = now
 	}
 
-	return definer.Target{ID: e.ID, Address: e.Address}, order, true
+	return e.target(), order, true
 }
 
 // until returns the end of a lease on the endpoint's clock in milliseconds.
@@ -178,6 +178,10 @@
 	return e.held && e.listed && e.stored && !e.Draining && e.unknown == 0 && now >= e.quarantinedUntil && now.Sub(e.answered) < freshness
 }
 
+func (e *endpoint) target() definer.Target {
+	return definer.Target{ID: e.ID, Address: e.Address, Zone: e.Zone}
+}
+
 func (e *endpoint) room() modeler.Resources { return e.Capacity.Sub(e.used) }
 
 // open reports whether a majority of the stored endpoints has lately
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -315,7 +315,7 @@
 		p.note("first start", s.job.ID, "waited", ps.now.Sub(s.job.accepted), "endpoint", e.ID)
 	}
 	p.emit(StartCmd{
-		Target: definer.Target{ID: e.ID, Address: e.Address},
+		Target: e.target(),
 		Order: definer.StartOrder{
 			Task: r.name, Run: number, Spec: s.job.Spec, Checkpoint: t.checkpoint,
 			Ticket: s.admission.known[e].value, Until: e.until(ps.now, p.settings.Lease),
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -352,7 +352,7 @@
 		return
 	}
 	r.phase, r.stopAt = phaseStopping, p.now
-	p.emit(StopCmd{Target: definer.Target{ID: r.endpoint.ID, Address: r.endpoint.Address}, Order: definer.StopOrder{Task: r.name, Run: r.number}})
+	p.emit(StopCmd{Target: r.endpoint.target(), Order: definer.StopOrder{Task: r.name, Run: r.number}})
 }
 
 // Started takes the answer to a start.
