Do not take the cell from an owner that has just claimed it

Each takeover renews all endpoints again.

Change: a contestant reads the last record of the state table and gives up when it is a claim that it did not know.

--- a/internal/cell/elector/follow.go
+++ b/internal/cell/elector/follow.go
@@ -161,6 +161,9 @@
 
 		return
 	}
+	if page.End > 0 && e.claimed(ctx, known, page.End) {
+		return
+	}
 	if page.End == 0 || ended || e.voted(ctx, known) {
 		e.takeOver(ctx, page.End, why)
 
@@ -186,6 +189,24 @@
 	e.learnFrom(tail.Records, page.End)
 }
 
+// claimed reports whether the state table ends with the claim of an owner that
+// this instance did not know. Instances that learn of an owner's end together
+// would otherwise take the cell from one another.
+func (e *Elector) claimed(ctx context.Context, known Ownership, end int64) bool {
+	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	tail, err := e.store.Read(callCtx, definer.TableState, end-1, 1, 0)
+	if err != nil {
+		e.logger.Info("last record not read", "end", end, "error", err)
+
+		return false
+	}
+	e.learnFrom(tail.Records, end-1)
+	owner, _ := e.Owner()
+
+	return owner.Term > known.Term
+}
+
 // weakness delays the claim of an instance with less processor time than others.
 func (e *Elector) weakness() time.Duration {
 	strongest := e.settings.Power
