Make rounds of placement cheaper on large cells

Each step looked up every endpoint in a map of tickets and sorted all candidates of a gang, also when there was no room.

Change: tickets stand in a list by the endpoint's slot; a need for which no endpoint has room is not tried again in the round; a gang is packed only when the free places suffice; endpoints are kept in order; a round is followed by three times its duration for other work, at most 60 ms.

--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -65,7 +65,8 @@
 	drain   bool
 	// starting counts the starts that are not answered.
 	starting int
-	planned  definer.Instant
+	// planDue is when the next round of placement may begin.
+	planDue definer.Instant
 }
 
 // message is something that loop handles.
@@ -82,6 +83,10 @@
 	batchMost = 256
 	// planGap is the least time between two rounds of placement; what comes in between is decided together.
 	planGap = 10 * time.Millisecond
+	// planRest is how many times its own duration a round of placement is followed by other work at least,
+	// so that a long queue leaves the owner time for leases and callers; planGapMost bounds that.
+	planRest    = 3
+	planGapMost = 60 * time.Millisecond
 	// unheldLimit is how long an owner without a majority of the endpoints keeps the cell.
 	unheldLimit = 3 * time.Second
 )
@@ -271,10 +276,12 @@
 
 // act plans and carries out what the planner wants.
 func (l *Leader) act(ctx context.Context, now definer.Instant) {
-	if !l.drain && now.Sub(l.planned) >= planGap {
-		l.planned = now
+	if !l.drain && now >= l.planDue {
+		began := definer.Now()
 		l.planner.Plan(now)
-		l.metrics.Observe("plan", definer.Since(now))
+		took := definer.Since(began)
+		l.planDue = now.Add(min(max(planGap, (1+planRest)*took), planGapMost))
+		l.metrics.Observe("plan", took)
 	}
 	for _, note := range l.planner.Notes() {
 		l.record(note)
--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -27,8 +27,8 @@
 
 // admission is what the placement policy of a queue has said of a step.
 type admission struct {
-	// known holds the answer for each endpoint asked for.
-	known map[*endpoint]ticket
+	// known holds the answer for each endpoint asked for, by the endpoint's slot.
+	known []ticket
 	// validUntil is when the last ticket expires.
 	validUntil definer.Instant
 	// asking is when the outstanding question counts as lost, or 0.
@@ -37,31 +37,66 @@
 
 // ticket admits a step on an endpoint for a time.
 type ticket struct {
+	// endpoint is nil when it has not been asked for; a slot may have had another endpoint before.
+	endpoint *endpoint
 	admitted bool
 	value    string
 	life     int64
 	expires  definer.Instant
 }
 
+// ticket returns the answer for e, or nil when it has not been asked for.
+func (a *admission) ticket(e *endpoint) *ticket {
+	if e.slot >= len(a.known) || a.known[e.slot].endpoint != e {
+		return nil
+	}
+
+	return &a.known[e.slot]
+}
+
+// note keeps the answer for an endpoint.
+func (a *admission) note(e *endpoint, t ticket) {
+	if e.slot >= len(a.known) {
+		a.known = append(a.known, make([]ticket, e.slot+1-len(a.known))...)
+	}
+	t.endpoint = e
+	a.known[e.slot] = t
+}
+
 func (a *admission) expire(e *endpoint) {
-	if t, ok := a.known[e]; ok {
+	if t := a.ticket(e); t != nil {
 		t.expires = 0
-		a.known[e] = t
 	}
 }
 
+// admits reports whether the policy has admitted e.
+func (a *admission) admits(e *endpoint) bool {
+	t := a.ticket(e)
+
+	return t != nil && t.admitted
+}
+
 // valid reports whether a start on e may be sent now.
 func (a *admission) valid(e *endpoint, now definer.Instant) bool {
-	t := a.known[e]
+	t := a.ticket(e)
 
-	return t.admitted && t.life == e.life && now.Add(ticketMargin) < t.expires
+	return t != nil && t.admitted && t.life == e.life && now.Add(ticketMargin) < t.expires
+}
+
+// value returns the ticket for a start on e.
+func (a *admission) value(e *endpoint) string {
+	if t := a.ticket(e); t != nil {
+		return t.value
+	}
+
+	return ""
 }
 
 // admitted returns the endpoints that the policy has admitted.
 func (a *admission) admitted(endpoints []*endpoint) []*endpoint {
 	var admitted []*endpoint
 	for _, e := range endpoints {
-		if a.known[e].admitted {
+		if a.admits(e) {
 			admitted = append(admitted, e)
 		}
 	}
@@ -71,9 +106,9 @@
 
 // refusedFor reports whether the policy has refused e.
 func (a *admission) refusedFor(e *endpoint) bool {
-	t, ok := a.known[e]
+	t := a.ticket(e)
 
-	return ok && !t.admitted
+	return t != nil && !t.admitted
 }
 
 // ask emits a question about endpoints; it is a no-op while one is outstanding.
@@ -112,17 +147,14 @@
 		return
 	}
 	s.admission.asking = 0
-	if s.admission.known == nil {
-		s.admission.known = map[*endpoint]ticket{}
-	}
 	for _, endpointID := range endpoints {
 		if e := p.endpoints[endpointID]; e != nil {
-			s.admission.known[e] = ticket{life: e.life}
+			s.admission.note(e, ticket{life: e.life})
 		}
 	}
 	for _, admitted := range tickets {
 		if e := p.endpoints[admitted.Endpoint]; e != nil {
-			s.admission.known[e] = ticket{admitted: true, value: admitted.Value, life: e.life, expires: now.Add(j.Queue.Policy.Validity)}
+			s.admission.note(e, ticket{admitted: true, value: admitted.Value, life: e.life, expires: now.Add(j.Queue.Policy.Validity)})
 		}
 	}
 	if len(tickets) > 0 {
@@ -137,7 +169,7 @@
 func (a *admission) unasked(endpoints []*endpoint) []*endpoint {
 	var unasked []*endpoint
 	for _, e := range endpoints {
-		if _, ok := a.known[e]; !ok {
+		if a.ticket(e) == nil {
 			unasked = append(unasked, e)
 		}
 	}
--- a/internal/cell/planner/bench_test.go
+++ b/internal/cell/planner/bench_test.go
@@ -35,3 +35,51 @@
 		})
 	}
 }
+
+// BenchmarkPlanFull measures a round of placement on a full cell in which the
+// policies have answered and work of all kinds waits for room.
+func BenchmarkPlanFull(b *testing.B) {
+	for _, size := range []struct{ endpoints, jobs int }{{48, 100}, {350, 400}, {350, 1000}} {
+		b.Run(fmt.Sprintf("%d-endpoints-%d-jobs", size.endpoints, size.jobs), func(b *testing.B) {
+			c := newCell(b, size.endpoints)
+			policy := &definer.Policy{Decide: 46 * time.Millisecond, Each: time.Millisecond, Validity: 1500 * time.Millisecond}
+			for n := range size.jobs {
+				step := definer.Step{Count: 3, Need: modeler.Resources{Millis: 2500, Memory: 7 << 30}, Estimate: time.Second}
+				switch n % 5 {
+				case 0:
+					step = definer.Step{Count: 20, Gang: true, Need: modeler.Resources{Millis: 4500, Memory: 9 << 30}, Estimate: 5 * time.Second}
+				case 1:
+					step = definer.Step{Count: 25, Checkpointing: true, Need: modeler.Resources{Millis: 1700, Memory: 4 << 30}, Estimate: 3 * time.Second}
+				}
+				job := c.job(fmt.Sprintf("%016x", n), step)
+				job.Queue.Policy = policy
+				c.planner.Accept(job, c.now, c.wall)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := range b.N {
+				c.now = c.now.Add(10 * time.Millisecond)
+				for _, e := range c.planner.endpoints {
+					e.answered = c.now
+				}
+				c.planner.Plan(c.now)
+				for _, command := range c.planner.Commands() {
+					if ask, ok := command.(AskCmd); ok {
+						c.admitSome(ask, n)
+					}
+				}
+			}
+		})
+	}
+}
+
+// admitSome answers a question: about half of the endpoints are admitted.
+func (c *cell) admitSome(ask AskCmd, salt int) {
+	var tickets []definer.Ticket
+	for i, id := range ask.Endpoints {
+		if (i+salt)%2 == 0 {
+			tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "t"})
+		}
+	}
+	c.planner.Advised(ask.Job, ask.Occurrence, ask.Step, ask.Endpoints, tickets, true, c.now)
+}
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
@@ -10,6 +12,8 @@
 // endpoint is an endpoint as the owner knows it.
 type endpoint struct {
 	definer.Listing
+	// slot numbers the endpoint among those that are known.
+	slot int
 	// listed means that the endpoint list names it.
 	listed bool
 	// stored means that the store names the endpoint, so that a successor looks for its tasks.
@@ -95,9 +99,7 @@
 func (p *Planner) List(listing definer.Listing) {
 	e := p.endpoints[listing.ID]
 	if e == nil {
-		e = &endpoint{runs: map[runKey]*run{}, speed: 1}
-		p.endpoints[listing.ID] = e
-		e.Listing = listing
+		e = p.add(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1})
 		p.emit(RememberCmd{Endpoint: listing.ID})
 	}
 	if e.life != 0 && listing.Born > e.life {
@@ -110,11 +112,36 @@
 	e.listed = true
 }
 
+// add makes an endpoint known.
+func (p *Planner) add(e *endpoint) *endpoint {
+	p.endpoints[e.ID] = e
+	if last := len(p.vacant) - 1; last >= 0 {
+		e.slot, p.vacant = p.vacant[last], p.vacant[:last]
+	} else {
+		e.slot = len(p.ordered)
+	}
+	at, _ := slices.BinarySearchFunc(p.ordered, e.ID, (*endpoint).compareID)
+	p.ordered = slices.Insert(p.ordered, at, e)
+
+	return e
+}
+
+// remove forgets an endpoint.
+func (p *Planner) remove(e *endpoint) {
+	delete(p.endpoints, e.ID)
+	p.vacant = append(p.vacant, e.slot)
+	if at, found := slices.BinarySearchFunc(p.ordered, e.ID, (*endpoint).compareID); found {
+		p.ordered = slices.Delete(p.ordered, at, at+1)
+	}
+}
+
+func (e *endpoint) compareID(id string) int { return strings.Compare(e.ID, id) }
+
 // Recall takes an endpoint that an earlier owner has used.
 func (p *Planner) Recall(id string, listing definer.Listing) {
 	if p.endpoints[id] == nil {
 		listing.ID = id
-		p.endpoints[id] = &endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1, stored: true}
+		p.add(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1, stored: true})
 	}
 }
 
@@ -304,7 +331,7 @@
 			p.lose(r)
 		}
 		if len(e.runs) == 0 && !e.listed && (e.held || p.settled(now)) {
-			delete(p.endpoints, id)
+			p.remove(e)
 			p.emit(ForgetCmd{Endpoint: id})
 			p.note("endpoint gone", "", "endpoint", id)
 		}
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -142,13 +142,20 @@
 // fitting counts the tasks of s that fit in room.
 func fitting(s *step, room modeler.Resources, most int) int {
 	need := s.need()
-	count := 0
-	for need.Fits(room) && count < s.def.Count && (most == 0 || count < most) {
-		room = room.Sub(need)
-		count++
+	count := int64(s.def.Count)
+	if most > 0 {
+		count = min(count, int64(most))
+	}
+	for _, part := range [...][2]int64{{need.Millis, room.Millis}, {need.Memory, room.Memory}, {need.Accelerators, room.Accelerators}, {need.Slots, room.Slots}} {
+		switch needed, free := part[0], part[1]; {
+		case free < needed:
+			return 0
+		case needed > 0:
+			count = min(count, free/needed)
+		}
 	}
 
-	return count
+	return int(count)
 }
 
 // pack returns an endpoint for each of count tasks, or nil. A gang that wants
@@ -161,6 +168,15 @@
 
 		return fitting(s, e.room(), s.def.PerEndpoint)
 	}
+	total := 0
+	for _, e := range candidates {
+		if total += free(e); total >= count {
+			break
+		}
+	}
+	if total < count {
+		return nil
+	}
 	if s.def.SameRack {
 		if places := packRack(s, count, candidates, free); places != nil {
 			return places
--- a/internal/cell/planner/order.go
+++ b/internal/cell/planner/order.go
@@ -1,10 +1,10 @@
 package planner
 
 import (
+	"cmp"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
-	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
 // fairUse returns the processors in use for each unit of weight, over the accounts that have jobs.
@@ -31,13 +31,6 @@
 	return a.weight > 0 && float64(a.used.Millis)/a.weight > fair*shareMargin
 }
 
-// maximum returns the componentwise maximum.
-func maximum(a, b modeler.Resources) modeler.Resources {
-	return modeler.Resources{
-		Millis: max(a.Millis, b.Millis), Memory: max(a.Memory, b.Memory), Accelerators: max(a.Accelerators, b.Accelerators),
-	}
-}
-
 // The urgencies of a step: its job can still meet its objective, is late but
 // still worth something, is worth nothing any more, or its account has sent
 // more than it is owed. A cell that is short of room serves what it can still
@@ -73,22 +66,37 @@
 	}
 }
 
-// before orders the steps to start: by urgency, then by the priority of the
+// compare orders the steps to start: by urgency, then by the priority of the
 // queue, the share that the account has and the end of the objective.
-func (s *step) before(o *step) bool {
+func (s *step) compare(o *step) int {
 	a, b := s.job, o.job
-	switch {
-	case s.urgency != o.urgency:
-		return s.urgency < o.urgency
-	case a.Queue.Priority != b.Queue.Priority:
-		return a.Queue.Priority < b.Queue.Priority
-	case s.overShare != o.overShare:
-		return !s.overShare
-	case a.deadline != b.deadline:
-		return a.deadline < b.deadline
-	case a.ID != b.ID:
-		return a.ID < b.ID
-	default:
-		return s.index < o.index
+	if s.urgency != o.urgency {
+		return cmp.Compare(s.urgency, o.urgency)
+	}
+	if a.Queue.Priority != b.Queue.Priority {
+		return cmp.Compare(a.Queue.Priority, b.Queue.Priority)
+	}
+	if s.overShare != o.overShare {
+		return compareBool(s.overShare, o.overShare)
+	}
+	if a.deadline != b.deadline {
+		return cmp.Compare(a.deadline, b.deadline)
 	}
+	if a != b {
+		return cmp.Compare(a.ID, b.ID)
+	}
+
+	return cmp.Or(cmp.Compare(s.occurrence.number, o.occurrence.number), cmp.Compare(s.index, o.index))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	if a == b {
+		return 0
+	}
+	if b {
+		return -1
+	}
+
+	return 1
 }
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -1,7 +1,7 @@
 package planner
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
@@ -41,15 +41,12 @@
 	if len(p.ready) == 0 || !p.open(now) {
 		return
 	}
-	pass := &pass{planner: p, now: now, settled: p.settled(now), reserved: map[*endpoint]*step{}, largest: map[string]modeler.Resources{}}
-	for _, e := range p.endpoints {
+	pass := &pass{planner: p, now: now, settled: p.settled(now), reserved: map[*endpoint]*step{}, lacking: map[string][]modeler.Resources{}}
+	for _, e := range p.ordered {
 		if e.usable(now, p.settings.Freshness) {
 			pass.usable = append(pass.usable, e)
-			pass.largest[e.Service] = maximum(pass.largest[e.Service], e.room())
 		}
 	}
-	// A fixed order makes the decisions repeatable.
-	sort.Slice(pass.usable, func(a, b int) bool { return pass.usable[a].ID < pass.usable[b].ID })
 	fair := p.fairUse()
 	steps := make([]*step, 0, len(p.ready))
 	for s := range p.ready {
@@ -57,7 +54,7 @@
 		s.urgency = s.rate(now)
 		steps = append(steps, s)
 	}
-	sort.Slice(steps, func(a, b int) bool { return steps[a].before(steps[b]) })
+	slices.SortFunc(steps, (*step).compare)
 	pass.recall(steps)
 	for _, s := range steps {
 		pass.place(s)
@@ -77,8 +74,8 @@
 	prepared  int
 	// scratch is reused for lists of candidates.
 	scratch []*endpoint
-	// largest bounds the room on any endpoint of a service.
-	largest map[string]modeler.Resources
+	// lacking holds, for each service, needs for which no endpoint has room any more.
+	lacking map[string][]modeler.Resources
 }
 
 // most returns a bound that grows with the number of usable endpoints.
@@ -108,13 +105,26 @@
 
 		return
 	}
-	if s.need().Fits(ps.largest[s.job.Queue.Service]) {
-		ps.placeEach(s, pending)
-	} else {
+	if ps.lacks(s) {
 		ps.prepare(s)
+	} else {
+		ps.placeEach(s, pending)
 	}
 }
 
+// lacks reports whether there is known to be no room for a task of s: room
+// only shrinks during a pass.
+func (ps *pass) lacks(s *step) bool {
+	need := s.need()
+	for _, lacking := range ps.lacking[s.job.Queue.Service] {
+		if lacking.Fits(need) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // incompleteAfter is how long a gang may lack members after it was taken over;
 // it is shorter than their wait at the endpoints.
 const incompleteAfter = 700 * time.Millisecond
@@ -160,12 +170,21 @@
 func (ps *pass) roomy(s *step) []*endpoint {
 	need := s.need()
 	candidates := ps.scratch[:0]
+	fitting := false
+	service := s.job.Queue.Service
 	for _, e := range ps.usable {
-		if need.Fits(e.room()) && s.suits(e) {
+		if e.Service != service || !need.Fits(e.room()) {
+			continue
+		}
+		fitting = true
+		if s.suits(e) {
 			candidates = append(candidates, e)
 		}
 	}
 	ps.scratch = candidates
+	if !fitting {
+		ps.lacking[service] = append(ps.lacking[service], need)
+	}
 
 	return candidates
 }
@@ -234,13 +253,10 @@
 	if s.admission.asking != 0 && ps.now < s.admission.asking {
 		return
 	}
-	candidates := ps.candidates(s)
-	for _, e := range candidates {
-		if s.admission.valid(e, ps.now) {
-			return
-		}
+	if ps.now.Add(ticketMargin) < s.admission.validUntil {
+		return
 	}
-	ps.planner.ask(s, ps.planner.question(s, candidates, s.def.Count), ps.now)
+	ps.planner.ask(s, ps.planner.question(s, ps.candidates(s), s.def.Count), ps.now)
 }
 
 // spreads reports whether the step may have one more task on e.
@@ -265,7 +281,7 @@
 			continue
 		}
 		if s.job.Queue.Policy != nil && !s.admission.valid(e, ps.now) {
-			stale = stale || s.admission.known[e].admitted
+			stale = stale || s.admission.admits(e)
 
 			continue
 		}
@@ -318,7 +334,7 @@
 		Target: e.target(),
 		Order: definer.StartOrder{
 			Task: r.name, Run: number, Spec: s.job.Spec, Checkpoint: t.checkpoint,
-			Ticket: s.admission.known[e].value, Until: e.until(ps.now, p.settings.Lease),
+			Ticket: s.admission.value(e), Until: e.until(ps.now, p.settings.Lease),
 		},
 	})
 }
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -37,8 +37,12 @@
 	config    *definer.Configuration
 	jobs      map[string]*job
 	endpoints map[string]*endpoint
-	accounts  map[string]*account
-	queues    map[string]*queueStats
+	// ordered holds the endpoints by their ids: a fixed order makes decisions repeatable.
+	ordered []*endpoint
+	// vacant are the slots below the highest one that no endpoint has.
+	vacant   []int
+	accounts map[string]*account
+	queues   map[string]*queueStats
 	// ready holds the steps that have tasks to start.
 	ready map[*step]struct{}
 	// timed holds the jobs that have occurrences to come.
