Let tasks leave draining endpoints in time

Cause: what runs on an endpoint that leaves ends with it, and its end is only certain when its lease has run out, 4.9 s later.

Change: a task that will not be done before its endpoint leaves is stopped 1.2 s before, with its progress; one that cannot save it is stopped at once when there is no hope for it, and left running when there is some. Progress and past run times predict the rest.

--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -256,7 +256,7 @@
 
 type listedMsg struct{ record definer.Record }
 
-func (m listedMsg) apply(_ context.Context, l *Leader, _ definer.Instant) {
+func (m listedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
 	if len(m.record.Value) == 0 {
 		l.planner.Unlist(m.record.Key)
 
@@ -269,5 +269,5 @@
 
 		return
 	}
-	l.planner.List(listing)
+	l.planner.List(listing, now)
 }
--- a/internal/cell/planner/cell_test.go
+++ b/internal/cell/planner/cell_test.go
@@ -43,14 +43,19 @@
 
 func (c *cell) list(id string) {
 	c.born[id] = 1
-	c.planner.List(definer.Listing{
-		ID: id, Service: "service", Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: 1,
-		Capacity: modeler.Resources{Millis: 16000, Memory: 64 << 30}, Labels: []string{"a", "r1-" + id[len(id)-1:]},
-	})
+	c.planner.List(c.listing(id), c.now)
 	c.planner.Stored(id)
 	c.report(id)
 }
 
+// listing returns the entry of an endpoint in the list.
+func (c *cell) listing(id string) definer.Listing {
+	return definer.Listing{
+		ID: id, Service: "service", Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: 1,
+		Capacity: modeler.Resources{Millis: 16000, Memory: 64 << 30}, Labels: []string{"a", "r1-" + id[len(id)-1:]},
+	}
+}
+
 // job returns a job with the steps on a queue without a policy.
 func (c *cell) job(id string, steps ...definer.Step) definer.Job {
 	return definer.Job{
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -20,6 +20,8 @@
 	stored bool
 	// held means that the endpoint has answered under the owner's term.
 	held bool
+	// leavesAt is when a draining endpoint leaves at the earliest, or 0.
+	leavesAt definer.Instant
 	// life is the birth of the life that answered last.
 	life int64
 	// answered is the sending time of the last answered renewal, and sent that of the last renewal sent.
@@ -96,7 +98,7 @@
 )
 
 // List takes an entry of the endpoint list.
-func (p *Planner) List(listing definer.Listing) {
+func (p *Planner) List(listing definer.Listing, now definer.Instant) {
 	e := p.endpoints[listing.ID]
 	if e == nil {
 		e = p.add(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1})
@@ -110,6 +112,7 @@
 	}
 	e.Listing = listing
 	e.listed = true
+	e.leave(&listing, now)
 }
 
 // add makes an endpoint known.
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -31,6 +31,7 @@
 		p.advance(j, wall)
 	}
 	p.lapse(now)
+	p.evacuate(now)
 
 	return p.expire(now)
 }
--- a/internal/cell/planner/planner_test.go
+++ b/internal/cell/planner/planner_test.go
@@ -366,7 +366,7 @@
 	c := newCell(t, 3)
 	leaving, _ := c.planner.EndpointListing("e000")
 	leaving.Draining = true
-	c.planner.List(leaving)
+	c.planner.List(leaving, c.now)
 	c.planner.Unlist("e001")
 	c.accept(c.job("a", simple(12)))
 	c.settle()
