Keep limits and run numbers across takeovers, and never repeat a start

The new owner used up to 85% of each limit while up to half of the endpoints had not answered. A start is now left unanswered and stopped; a restarted endpoint gets stops for the starts of the last 15 s that were not answered.

--- a/internal/cell/courier/fleet.go
+++ b/internal/cell/courier/fleet.go
@@ -26,8 +26,9 @@
 type Router func(target definer.Target, usable func(netip.AddrPort) bool) (netip.AddrPort, bool)
 
 // Fleet sends the orders of an owner by way of couriers, and directly where
-// there is none. An order that was lost with its stream is repeated directly:
-// the number of the run makes that harmless.
+// there is none. A stop or renewal that was lost with its stream is repeated
+// directly. A start is not: the courier may still send the first one, and an
+// endpoint that has restarted in between would run it a second time.
 type Fleet struct {
 	direct  definer.Endpoints
 	pool    *forwarder.Pool
@@ -100,7 +101,7 @@
 	}
 	order.Timeout = time.Until(deadline)
 	result, err := l.exchange(ctx, order)
-	if errors.Is(err, errLost) && time.Until(deadline) > leastLeft {
+	if errors.Is(err, errLost) && order.Start == nil && time.Until(deadline) > leastLeft {
 		return send(ctx, f.direct, order)
 	}
 	if err != nil {
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -35,6 +35,8 @@
 	serving, filling int
 	// unknown counts the runs whose needs are not known; nothing is started beside them.
 	unknown int
+	// doubtful holds starts that were not answered and may still be carried out, by the time of their sending.
+	doubtful map[runKey]definer.Instant
 	// seen is the highest end processed, and acknowledged the highest that is stored.
 	seen, acknowledged int64
 	// failures counts the failed ends without a good one between them.
@@ -281,6 +283,29 @@
 		}
 		p.lose(r)
 	}
+	for key, sent := range e.doubtful {
+		if p.now.Sub(sent) < lateOrder {
+			// The new life does not know that the run was stopped; a start that arrives late would begin it again.
+			p.emit(StopCmd{Target: e.target(), Order: definer.StopOrder{Task: key.task, Run: key.run}})
+		}
+	}
+	clear(e.doubtful)
+}
+
+// lateOrder is how long after its sending an unanswered order may be carried out.
+const lateOrder = 15 * time.Second
+
+// doubt notes that a start may still be carried out.
+func (e *endpoint) doubt(r *run, now definer.Instant) {
+	for key, sent := range e.doubtful {
+		if now.Sub(sent) >= lateOrder {
+			delete(e.doubtful, key)
+		}
+	}
+	if e.doubtful == nil {
+		e.doubtful = map[runKey]definer.Instant{}
+	}
+	e.doubtful[runKey{r.name, r.number}] = r.sentAt
 }
 
 // take counts a run as present on its endpoint; release undoes it.
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -37,7 +37,8 @@
 	p := ps.planner
 	policy := s.job.Queue.Policy
 	asking := s.admission.asking != 0 && ps.now < s.admission.asking
-	if ps.reserving >= ps.most(reservingShare) || !p.account(s.job.Account).allows(s.def.Need.Scale(int64(len(pending))), ps.limitShare()) {
+	account := p.account(s.job.Account)
+	if ps.reserving >= ps.most(reservingShare) || !account.allows(s.def.Need.Scale(int64(len(pending))), ps.hidden[account]) {
 		return
 	}
 	if policy != nil && len(s.admission.known) == 0 {
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// unsettledShare is the share of an account's limit that is used while
-	// tasks of an earlier owner may run on endpoints that have not answered.
-	unsettledShare = 0.85
 	// reservingShare bounds the gangs that may hold endpoints back for themselves, by the number of endpoints.
 	reservingShare = 1.0 / 12
 	// preemptAfter is how long a gang waits for room before less urgent work is stopped for it.
@@ -42,7 +39,7 @@
 	if len(p.ready) == 0 || !p.open(now) {
 		return
 	}
-	pass := &pass{planner: p, now: now, settled: p.settled(now), reserved: map[*endpoint]*step{}, lacking: map[string][]modeler.Resources{}}
+	pass := &pass{planner: p, now: now, settled: p.settled(now), hidden: p.hidden(now), reserved: map[*endpoint]*step{}, lacking: map[string][]modeler.Resources{}}
 	for _, e := range p.ordered {
 		if e.usable(now, p.settings.Freshness) {
 			pass.usable = append(pass.usable, e)
@@ -67,7 +64,9 @@
 	planner *Planner
 	now     definer.Instant
 	settled bool
-	usable  []*endpoint
+	// hidden is what each account may have running on endpoints that have not answered.
+	hidden map[*account]modeler.Resources
+	usable []*endpoint
 	// reserved holds the endpoints that waiting gangs hold back.
 	reserved  map[*endpoint]*step
 	reserving int
@@ -142,15 +141,6 @@
 	return pending
 }
 
-// limitShare is the share of an account's limit that may be used.
-func (ps *pass) limitShare() float64 {
-	if ps.settled {
-		return 1
-	}
-
-	return unsettledShare
-}
-
 // candidates returns the endpoints that may run a task of s, whether or not
 // there is room now. The list is valid until the next call.
 func (ps *pass) candidates(s *step) []*endpoint {
@@ -217,7 +207,7 @@
 	expired := false
 	short := 0
 	for i, t := range pending {
-		if !account.allows(s.def.Need, ps.limitShare()) {
+		if !account.allows(s.def.Need, ps.hidden[account]) {
 			return
 		}
 		best, stale := ps.choose(s, t, candidates)
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -191,11 +191,44 @@
 	p.notes = append(p.notes, Note{Event: event, Job: job, Args: args})
 }
 
-// allows reports whether the account may have need more running.
-func (a *account) allows(need modeler.Resources, share float64) bool {
-	after := a.used.Add(need)
-	within := func(used, limit int64) bool { return limit == 0 || float64(used) <= float64(limit)*share }
+// allows reports whether the account may have need more running beside what
+// it may have on endpoints that have not answered.
+func (a *account) allows(need, hidden modeler.Resources) bool {
+	after := a.used.Add(hidden).Add(need)
+	within := func(used, limit int64) bool { return limit == 0 || used <= limit }
 
 	return within(after.Millis, a.limit.Millis) && within(after.Memory, a.limit.Memory) &&
 		within(after.Accelerators, a.limit.Accelerators)
 }
+
+// hidden returns a bound on what each account has running on endpoints that an
+// earlier owner used and that have not answered: its tasks that are not known
+// to run or to be done, and no more than these endpoints hold.
+func (p *Planner) hidden(now definer.Instant) map[*account]modeler.Resources {
+	if p.settled(now) {
+		return nil
+	}
+	var capacity modeler.Resources
+	for _, e := range p.ordered {
+		if e.stored && !e.held {
+			capacity = capacity.Add(e.Capacity)
+		}
+	}
+	hidden := map[*account]modeler.Resources{}
+	for _, j := range p.jobs {
+		if !j.inherited || j.state.Final() {
+			continue
+		}
+		a := p.account(j.Account)
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				hidden[a] = hidden[a].Add(s.def.Need.Scale(int64(len(s.pending()))))
+			}
+		}
+	}
+	for a, need := range hidden {
+		hidden[a] = need.Min(capacity)
+	}
+
+	return hidden
+}
--- a/internal/cell/planner/progress.go
+++ b/internal/cell/planner/progress.go
@@ -127,6 +127,7 @@
 			p.taskDone(t, now)
 		}
 	}
+	p.advance(j, wall)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
@@ -135,7 +136,6 @@
 			}
 		}
 	}
-	p.advance(j, wall)
 }
 
 // RestoreFinal adds a final job from the store.
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -373,6 +373,7 @@
 		}
 		r.settledAt, r.confirmed = now, true
 	case definer.VerdictUnknown:
+		e.doubt(r, now)
 		if r.phase == phaseSent {
 			p.note("start not answered", r.name.Job, "endpoint", e.ID, "step", r.name.Step, "index", r.name.Index, "run", r.number)
 			p.strike(e, now)
