Add a fault soak of real processes on stand-ins of the users' platform

standin disrupt runs entry instances as processes against an HTTP store and endpoints in the soak's own process, disturbs both from outside (signals, loopback routes that cut, freeze, delay or silence, a store that refuses, loses, delays or forgets, endpoints that crash or leave, configurations, keys) and checks capacity, limits, single runs, attempts, cancellations, refusals, withdrawn keys and the end of accepted jobs.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -25,6 +25,7 @@
 	Chaos    *chaosCommand    `arg:"subcommand:chaos" help:"run a cluster with faults and verify it"`
 	Measure  *measureCommand  `arg:"subcommand:measure" help:"measure the decisions against baselines"`
 	Takeover *takeoverCommand `arg:"subcommand:takeover" help:"measure takeovers after kills of owners"`
+	Disrupt  *disruptCommand  `arg:"subcommand:disrupt" help:"run a cell as real processes on stand-ins of the users' platform, with faults"`
 }
 
 // Version implements arg.Versioned.
--- /dev/null
+++ b/internal/proof/disrupter/cluster.go
@@ -0,0 +1,293 @@
+// Package disrupter runs entry instances of a cell as real processes against
+// stand-ins of the users' platform, disturbs them from outside and checks the
+// promises from what callers and endpoints see.
+package disrupter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/proof/launcher"
+	"gitlab.com/greengagewall/greengagewall/internal/standin/executor"
+	"gitlab.com/greengagewall/greengagewall/internal/standin/relayer"
+	"gitlab.com/greengagewall/greengagewall/internal/standin/storer"
+)
+
+// The bounds that the processes are given.
+const (
+	leaseMax     = 6 * time.Second
+	gangWait     = 3 * time.Second
+	revokeBound  = 5 * time.Second
+	cancelBound  = 3 * time.Second
+	graceTime    = 6 * time.Second
+	frontPort    = 8183
+	readyPort    = 8184
+	peerPort     = 7420
+	processors   = 16000
+	memory       = 64 << 30
+	entryMemory  = 512
+	limitMillis  = 60000
+	headerWait   = 5 * time.Second
+	topicServers = "keyed.servers"
+	topicConfig  = "keyed.op"
+)
+
+// entry is an entry instance.
+type entry struct {
+	name  string
+	ip    netip.Addr
+	route *relayer.Route
+	file  string
+
+	mu      sync.Mutex
+	process *launcher.Process
+}
+
+// host is an endpoint with the route that leads to it.
+type host struct {
+	endpoint *executor.Endpoint
+	route    *relayer.Route
+	zone     string
+
+	mu       sync.Mutex
+	draining bool
+	gone     bool
+	beats    int
+}
+
+// cluster is everything that a run consists of.
+type cluster struct {
+	settings Settings
+	store    *storer.Store
+	ledger   *executor.Ledger
+	machines *executor.Host
+	launcher *launcher.Launcher
+	entries  []*entry
+	servers  []*http.Server
+
+	mu      sync.Mutex
+	hosts   []*host
+	version int64
+	// revoked is when the second key was taken away; zero while it is valid.
+	revoked time.Time
+}
+
+// The accounts and keys of a run; spareKey may be withdrawn.
+const (
+	accountName = "forecasts"
+	mainKey     = "k-main"
+	spareKey    = "k-spare"
+	hostName    = "cell.example"
+	prefix      = "/q/"
+)
+
+func newCluster(ctx context.Context, settings Settings, random func() float64) (*cluster, error) {
+	c := &cluster{settings: settings, store: storer.New(random), launcher: launcher.New(settings.Dir)}
+	c.ledger = executor.NewLedger(map[string]modeler.Resources{accountName: {Millis: limitMillis}}, cancelBound)
+	c.machines = executor.NewHost(c.ledger, leaseMax, gangWait)
+	c.configure(false)
+	for n := range settings.Endpoints {
+		if err := c.addHost(ctx, n); err != nil {
+			return nil, err
+		}
+	}
+	for n := range settings.Entries {
+		if err := c.addEntry(ctx, n); err != nil {
+			return nil, err
+		}
+	}
+
+	return c, nil
+}
+
+// listen serves a handler on a loopback port.
+func (c *cluster) listen(ctx context.Context, handler http.Handler) (netip.AddrPort, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp4", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerWait}
+	c.servers = append(c.servers, server)
+	go func() { _ = server.Serve(listener) }()
+
+	return netip.MustParseAddrPort(listener.Addr().String()), nil
+}
+
+// loopback is an address whose port the kernel chooses.
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// addHost adds an endpoint.
+func (c *cluster) addHost(ctx context.Context, number int) error {
+	zone := zoneOf(number)
+	endpoint := c.machines.Add(fmt.Sprintf("i-%03d", number), modeler.Resources{Millis: processors, Memory: memory})
+	address, err := c.listen(ctx, endpoint.Router())
+	if err != nil {
+		return err
+	}
+	route, err := relayer.Listen(ctx, loopback, address)
+	if err != nil {
+		return err
+	}
+	h := &host{endpoint: endpoint, route: route, zone: zone}
+	c.mu.Lock()
+	c.hosts = append(c.hosts, h)
+	c.mu.Unlock()
+	c.report(h)
+
+	return nil
+}
+
+func zoneOf(number int) string {
+	return []string{"costa-lima", "sierra-cusco", "selva-iquitos"}[number%3]
+}
+
+// report writes what an endpoint says of itself.
+func (c *cluster) report(h *host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.gone {
+		c.store.Put(topicServers, h.endpoint.ID, nil)
+
+		return
+	}
+	h.beats++
+	state := map[string]any{
+		"service": "service", "address": h.route.Address().String(), "zone": h.zone, "version": "1", "slots": 8, "state": "ready",
+		"sequence": h.beats, "born": h.endpoint.Born().UnixMilli(), "labels": []string{"a", "r1-1"},
+		"capacity": map[string]any{"cpu": processors, "mem-mb": memory >> 20, "gpu": 0},
+	}
+	if h.draining {
+		state["state"], state["remaining-ms"] = "draining", drainTime.Milliseconds()
+	}
+	c.store.Put(topicServers, h.endpoint.ID, encode(state))
+}
+
+func encode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // Only maps of plain values are encoded.
+	}
+
+	return data
+}
+
+// configure writes a new configuration, with or without the spare key.
+func (c *cluster) configure(revoke bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version += 3
+	keys := []string{mainKey, spareKey}
+	if revoke || !c.revoked.IsZero() {
+		keys = keys[:1]
+	}
+	c.store.Put(topicConfig, "config", encode(map[string]any{
+		"version": c.version,
+		"routes": []map[string]any{{
+			"name": "queue", "host": hostName, "path-prefix": prefix, "service": "service", "priority": 1,
+			"max-attempts": mostAttempts, "stretch": 3, "target-latency-ms": 60000,
+		}},
+		"tenants": []map[string]any{{
+			"name": accountName, "api-keys": keys, "weight": 1000, "cap": map[string]any{"cpu": limitMillis},
+		}},
+	}))
+	if revoke && c.revoked.IsZero() {
+		c.revoked = time.Now()
+	}
+}
+
+// settingsFormat is the platform's settings file.
+const settingsFormat = `node-name = %q
+ip = %q
+zone = %q
+internal-ports = [%d, %d]
+[listen]
+front = "%s:%d"
+ready = "%s:%d"
+[limits]
+cpu-share = 1.0
+cores = 1
+memory-mb = %d
+link-mbps = 1000.0
+[bounds]
+hold-max-ms = %d
+revoke-ms = %d
+grace-s = %d
+[platform]
+address = %q
+`
+
+// addEntry starts an entry instance with a route of its own to the store.
+func (c *cluster) addEntry(ctx context.Context, number int) error {
+	name := fmt.Sprintf("entry-%d", number)
+	store, err := c.listen(ctx, c.store.Router(name))
+	if err != nil {
+		return err
+	}
+	route, err := relayer.Listen(ctx, loopback, store)
+	if err != nil {
+		return err
+	}
+	// Runs at the same time have networks of their own in the loopback range.
+	pid := os.Getpid()
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + pid>>8%100), byte(pid), byte(1 + number)})
+	e := &entry{name: name, ip: ip, route: route, file: filepath.Join(c.settings.Dir, name+".toml")}
+	text := fmt.Sprintf(settingsFormat, e.name, ip, zoneOf(number), peerPort, peerPort+1, ip, frontPort, ip, readyPort,
+		entryMemory, leaseMax.Milliseconds(), revokeBound.Milliseconds(), int(graceTime.Seconds()), route.Address())
+	if err := os.WriteFile(e.file, []byte(text), 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	c.entries = append(c.entries, e)
+
+	return c.start(e)
+}
+
+// start starts the process of an entry instance.
+func (c *cluster) start(e *entry) error {
+	process, err := c.launcher.StartWith(e.name, []string{"GREENGAGEWALL_SETTINGS=" + e.file}, c.settings.Binary)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.process = process
+	e.mu.Unlock()
+
+	return nil
+}
+
+// running returns the process of an entry instance.
+func (e *entry) running() *launcher.Process {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.process
+}
+
+// close ends everything.
+func (c *cluster) close() {
+	c.launcher.Close()
+	for _, e := range c.entries {
+		e.route.Close()
+	}
+	c.mu.Lock()
+	hosts := c.hosts
+	c.mu.Unlock()
+	for _, h := range hosts {
+		h.route.Close()
+	}
+	for _, server := range c.servers {
+		// The run is over; connections may be cut.
+		_ = server.Close()
+	}
+}
--- a/internal/proof/launcher/process.go
+++ b/internal/proof/launcher/process.go
@@ -50,6 +50,11 @@
 // Start starts a program. The kernel kills it when this process dies, so that
 // none is left behind.
 func (l *Launcher) Start(name, binary string, args ...string) (*Process, error) {
+	return l.StartWith(name, nil, binary, args...)
+}
+
+// StartWith is Start with variables added to the environment.
+func (l *Launcher) StartWith(name string, environment []string, binary string, args ...string) (*Process, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.starts[name]++
@@ -61,6 +66,7 @@
 	command := exec.Command(binary, args...)
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	command.Stderr = file
+	command.Env = append(os.Environ(), environment...)
 	output, err := command.StdoutPipe()
 	if err != nil {
 		return nil, err
