--- a/internal/standin/storer/store_test.go
+++ b/internal/standin/storer/store_test.go
@@ -11,7 +11,8 @@
 )
 
 // record encodes a record as an append carries it.
-func record(key, value string) []byte {
+func record(value string) []byte {
+	const key = "k"
 	data := binary.BigEndian.AppendUint32(nil, uint32(1+len(key)+len(value)))
 	data = append(data, byte(len(key)))
 
@@ -45,7 +46,7 @@
 		{"topic=keyed.cell&part=0&at=1", http.StatusOK},
 		{"topic=keyed.op&part=0", http.StatusForbidden},
 	} {
-		if status := post(t, server, step.query, record("k", "v")); status != step.want {
+		if status := post(t, server, step.query, record("v")); status != step.want {
 			t.Errorf("append %s: status %d, want %d", step.query, status, step.want)
 		}
 	}
@@ -60,15 +61,15 @@
 	server := httptest.NewServer(store.Router("a"))
 	defer server.Close()
 	store.Disturb(Faults{Busy: true})
-	if status := post(t, server, "topic=t&at=0", record("k", "v")); status != http.StatusServiceUnavailable {
+	if status := post(t, server, "topic=t&at=0", record("v")); status != http.StatusServiceUnavailable {
 		t.Errorf("busy store answered %d", status)
 	}
 	store.Disturb(Faults{Lose: 1})
-	if status := post(t, server, "topic=t&at=0", record("k", "v")); status != 0 {
+	if status := post(t, server, "topic=t&at=0", record("v")); status != 0 {
 		t.Errorf("lost answer has status %d", status)
 	}
 	store.Disturb(Faults{Late: 1, LateBy: 20 * time.Millisecond})
-	if status := post(t, server, "topic=t&at=1", record("k", "w")); status != 0 {
+	if status := post(t, server, "topic=t&at=1", record("w")); status != 0 {
 		t.Errorf("late append has status %d", status)
 	}
 	store.Disturb(Faults{})
