--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 
 disrupt: build
 	./bin/standin disrupt --binary ./bin/entry --seed $(SEED) --seeds $(SEEDS) --duration $(DURATION)
+	./bin/standin disrupt --binary ./bin/entry --known
 
 chaos: build
 	./bin/standin chaos --binary ./bin/greengagewall --seed $(SEED) --duration $(DURATION)
--- a/cmd/standin/disrupt.go
+++ b/cmd/standin/disrupt.go
@@ -20,6 +20,7 @@
 	Entries   int           `arg:"--entries" default:"5" help:"entry instances"`
 	Endpoints int           `arg:"--endpoints" default:"9" help:"endpoints"`
 	Rate      int           `arg:"--rate" default:"20" help:"jobs a second"`
+	Known     bool          `arg:"--known" help:"play the runs that once broke a promise instead"`
 }
 
 func (c *disruptCommand) run(ctx context.Context) error {
@@ -32,12 +33,9 @@
 		dir = made
 	}
 	var failed error
-	for n := range c.Seeds {
-		seed := c.Seed + uint64(n)
-		settings := disrupter.Settings{
-			Seed: seed, Duration: c.Duration, Binary: c.Binary, Dir: filepath.Join(dir, fmt.Sprint(seed)),
-			Entries: c.Entries, Endpoints: c.Endpoints, Rate: c.Rate, Output: os.Stdout,
-		}
+	for _, settings := range c.runs() {
+		settings.Binary, settings.Output = c.Binary, os.Stdout
+		settings.Dir = filepath.Join(dir, fmt.Sprint(settings.Seed))
 		if err := disrupter.Run(ctx, settings); err != nil {
 			fmt.Println(err, "output in", settings.Dir)
 			failed = err
@@ -49,3 +47,20 @@
 
 	return failed
 }
+
+// runs lists the runs that are asked for.
+func (c *disruptCommand) runs() []disrupter.Settings {
+	var runs []disrupter.Settings
+	if c.Known {
+		for _, known := range disrupter.Regressions {
+			runs = append(runs, disrupter.Settings{Seed: known.Seed, Duration: known.Duration, Entries: known.Entries, Endpoints: known.Endpoints, Rate: known.Rate})
+		}
+
+		return runs
+	}
+	for n := range c.Seeds {
+		runs = append(runs, disrupter.Settings{Seed: c.Seed + uint64(n), Duration: c.Duration, Entries: c.Entries, Endpoints: c.Endpoints, Rate: c.Rate})
+	}
+
+	return runs
+}
