--- a/internal/proof/disrupter/fault.go
+++ b/internal/proof/disrupter/fault.go
@@ -74,7 +74,10 @@
 	}},
 	{"store forgets", func(d *disruption, _ time.Duration) { d.cluster.store.Forget() }},
 	{"change configuration", func(d *disruption, _ time.Duration) { d.cluster.configure(false) }},
-	{"withdraw key", func(d *disruption, _ time.Duration) { d.cluster.configure(true) }},
+	{"withdraw key while an entry is cut from the store", func(d *disruption, _ time.Duration) {
+		d.disturb(d.entry().route, relayer.ModeFreeze, 2*revokeBound)
+		d.cluster.configure(true)
+	}},
 }
 
 // disruption applies faults at random.
