--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -10,11 +10,12 @@
 // recall reserves again what the first waiting gangs held in the last round;
 // the others give up theirs, which nobody could use.
 func (ps *pass) recall(steps []*step) {
+	holders := 0
 	for _, s := range steps {
 		if len(s.held) == 0 {
 			continue
 		}
-		if ps.full(keepingShare) {
+		if holders++; holders > ps.most(reservingShare) {
 			s.held, s.heldSince = nil, 0
 
 			continue
@@ -27,9 +28,6 @@
 	}
 }
 
-// full reports whether waiting gangs hold more than a share of the endpoints.
-func (ps *pass) full(share float64) bool { return len(ps.reserved) >= ps.most(share) }
-
 // choiceFactor is how many times its size a waiting gang has room for on empty
 // admitted endpoints before it stops asking about further ones.
 const choiceFactor = 4
@@ -40,7 +38,7 @@
 	policy := s.job.Queue.Policy
 	asking := s.admission.asking != 0 && ps.now < s.admission.asking
 	account := p.account(s.job.Account)
-	if !account.allows(s.def.Need.Scale(int64(len(pending))), ps.hidden[account]) {
+	if ps.reserving >= ps.most(reservingShare) || !account.allows(s.def.Need.Scale(int64(len(pending))), ps.hidden[account]) {
 		return
 	}
 	if policy != nil && len(s.admission.known) == 0 {
@@ -86,12 +84,11 @@
 	p := ps.planner
 	if asking && len(s.held) > 0 {
 		// The places that tickets are asked for stay reserved until the answer.
+		ps.reserving++
+
 		return
 	}
 	if places := ps.pack(s, count, candidates); places != nil {
-		if len(s.held) == 0 && ps.full(keepingShare) {
-			return
-		}
 		// There is room, but the tickets have expired: keep it while new ones are asked for.
 		ps.keep(s, places)
 		if !asking {
@@ -130,6 +127,7 @@
 			s.held = append(s.held, e)
 		}
 	}
+	ps.reserving++
 }
 
 // slots counts the tasks of s that fit on empty endpoints.
@@ -240,9 +238,10 @@
 // reserve holds endpoints back from other work until the gang fits. The same
 // endpoints stay reserved from round to round, so that they empty.
 func (ps *pass) reserve(s *step, candidates []*endpoint, count int) {
-	if s.job.excess || len(s.held) == 0 && ps.full(reservingShare) {
+	if ps.reserving >= ps.most(reservingShare) || s.job.excess {
 		return
 	}
+	ps.reserving++
 	if !ps.stillHeld(s, count) {
 		s.held = ps.hold(s, candidates, count)
 		s.heldSince, s.preempted = ps.now, false
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -9,11 +9,8 @@
 )
 
 const (
-	// reservingShare is the share of the endpoints that gangs may hold back while they wait for room there,
-	// and keepingShare that which they may hold with room that only lacks tickets. Gangs that hold most
-	// endpoints would wait for one another, since each needs many of them empty.
-	reservingShare = 0.3
-	keepingShare   = 0.6
+	// reservingShare bounds the gangs that may hold endpoints back for themselves, by the number of endpoints.
+	reservingShare = 1.0 / 12
 	// preemptAfter is how long a gang waits for room before less urgent work is stopped for it.
 	preemptAfter = 800 * time.Millisecond
 	// reservedPenalty keeps more urgent work off reserved endpoints while there are others.
@@ -72,6 +69,7 @@
 	usable []*endpoint
 	// reserved holds the endpoints that waiting gangs hold back.
 	reserved  map[*endpoint]*step
+	reserving int
 	exploring int
 	prepared  int
 	// scratch is reused for lists of candidates.
