--- a/internal/proof/disrupter/cluster.go
+++ b/internal/proof/disrupter/cluster.go
@@ -26,21 +26,19 @@
 
 // The bounds that the processes are given.
 const (
-	leaseMax     = 6 * time.Second
-	gangWait     = 3 * time.Second
-	revokeBound  = 5 * time.Second
-	cancelBound  = 3 * time.Second
-	graceTime    = 6 * time.Second
-	frontPort    = 8183
-	readyPort    = 8184
-	peerPort     = 7420
-	processors   = 16000
-	memory       = 64 << 30
-	entryMemory  = 512
-	limitMillis  = 60000
-	headerWait   = 5 * time.Second
-	topicServers = "keyed.servers"
-	topicConfig  = "keyed.op"
+	leaseMax    = 6 * time.Second
+	gangWait    = 3 * time.Second
+	revokeBound = 5 * time.Second
+	cancelBound = 3 * time.Second
+	graceTime   = 6 * time.Second
+	frontPort   = 8183
+	readyPort   = 8184
+	peerPort    = 7420
+	processors  = 16000
+	memory      = 64 << 30
+	entryMemory = 512
+	limitMillis = 60000
+	headerWait  = 5 * time.Second
 )
 
 // entry is an entry instance.
@@ -158,7 +156,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.gone {
-		c.store.Put(topicServers, h.endpoint.ID, nil)
+		c.store.Put(storer.TopicEndpoints, h.endpoint.ID, nil)
 
 		return
 	}
@@ -171,7 +169,7 @@
 	if h.draining {
 		state["state"], state["remaining-ms"] = "draining", drainTime.Milliseconds()
 	}
-	c.store.Put(topicServers, h.endpoint.ID, encode(state))
+	c.store.Put(storer.TopicEndpoints, h.endpoint.ID, encode(state))
 }
 
 func encode(value any) []byte {
@@ -192,7 +190,7 @@
 	if revoke || !c.revoked.IsZero() {
 		keys = keys[:1]
 	}
-	c.store.Put(topicConfig, "config", encode(map[string]any{
+	c.store.Put(storer.TopicOperators, "config", encode(map[string]any{
 		"version": c.version,
 		"routes": []map[string]any{{
 			"name": "queue", "host": hostName, "path-prefix": prefix, "service": "service", "priority": 1,
--- a/internal/standin/storer/server.go
+++ b/internal/standin/storer/server.go
@@ -19,8 +19,13 @@
 	bodyMost = 4 << 20
 )
 
-// readOnly names the topics that only operators and endpoints write to.
-var readOnly = map[string]bool{"keyed.op": true, "keyed.servers": true}
+// The topics that only operators and endpoints write to.
+const (
+	TopicOperators = "keyed.op"
+	TopicEndpoints = "keyed.servers"
+)
+
+var readOnly = map[string]bool{TopicOperators: true, TopicEndpoints: true}
 
 // Router returns the store's interface for a caller, whose name is kept with
 // its conditional appends.
