--- a/internal/standin/executor/ledger.go
+++ b/internal/standin/executor/ledger.go
@@ -146,7 +146,7 @@
 	return false
 }
 
-// Broken returns the broken promises, and Checks how often each was checked.
+// Broken returns the broken promises.
 func (l *Ledger) Broken() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
