Note overlapping runs and what a takeover rests on

Cause: the log lines of an owner could not tell the hypotheses of the incident apart. They said that a lease ran out, but not what that rested on, and nothing when an endpoint later showed the run.

Change, log lines only: - The owner keeps, for each task, the last run that it took for over without a listed end: reason, age of the endpoint's last answer and of the last order, life. 'overlapping runs' is written, once for each run, when an endpoint shows such a run and another one has been started, or shows a run that the owner did not know beside another one. Without another run the line is 'run listed after presumed end'. - 'majority reached' and 'takeover settled' say on how many endpoints a takeover rests. - 'endpoint stored and removed', 'endpoint address changed' and 'lease by clock of earlier life' show the three states that were found by reading. No line is written for each start; decisions are unchanged.

--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -139,6 +139,7 @@
 	for _, id := range j.jobsToRemove {
 		add(journaler.EncodeJobRemoval(id))
 	}
+	l.noteStoredAndRemoved(b.endpoints, j.endpointsToRemove, b.offset)
 	j.endpointsToStore, j.endpointsToRemove, j.jobsToRemove = nil, nil, nil
 	for len(j.submissions) > 0 && size < maxBatchSize {
 		s := j.submissions[0]
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -299,7 +299,11 @@
 
 func (l *Leader) recordNote(note planner.Note) {
 	args := append([]any{"job", note.Job, "term", l.settings.Term}, note.Args...)
-	l.logger.Info(note.Event, args...)
+	level := hclog.Info
+	if note.Warn {
+		level = hclog.Warn
+	}
+	l.logger.Log(level, note.Event, args...)
 	l.metrics.Count(note.Event)
 }
 
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -18,6 +18,8 @@
 	listed bool
 	// stored means that the store names the endpoint, so that the next owner asks it for its runs.
 	stored bool
+	// restored means that the store named the endpoint when the owner took over.
+	restored bool
 	// acceptedTerm means that the endpoint has answered under the owner's term.
 	acceptedTerm bool
 	// departsAt is the earliest time at which a draining endpoint goes away, or 0.
@@ -28,6 +30,8 @@
 	// lastAnswered is the sending time of the last answered renewal, and lastSent
 	// that of the last order that may have extended the lease.
 	lastAnswered, lastSent definer.Instant
+	// clockLife is the life that reported clock, and oldClockNoted the life that noteOldClock last wrote about.
+	clockLife, oldClockNoted int64
 	// clock is the last reported time of the endpoint's clock in milliseconds, received at clockAt.
 	clockAt definer.Instant
 	clock   int64
@@ -97,6 +101,10 @@
 	progressedAt definer.Instant
 	// confirmed means that the endpoint has accepted the start or has listed the run.
 	confirmed bool
+	// adopted means that an endpoint listed the run and the owner did not know it.
+	adopted bool
+	// life is that of the endpoint when the run was started or adopted.
+	life int64
 }
 
 const (
@@ -122,6 +130,7 @@
 	if listing.Draining && !e.Draining {
 		p.note("endpoint leaving", "", "endpoint", e.ID, "remaining", listing.Remaining)
 	}
+	p.noteAddressChange(e, &listing)
 	e.Listing = listing
 	e.listed = true
 	e.updateDeparture(&listing, now)
@@ -156,7 +165,7 @@
 func (p *Planner) RestoreEndpoint(id string, listing definer.Listing) {
 	if p.endpoints[id] == nil {
 		listing.ID = id
-		p.addEndpoint(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1, stored: true})
+		p.addEndpoint(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1, stored: true, restored: true})
 	}
 }
 
@@ -207,6 +216,7 @@
 	order := definer.RenewOrder{Acknowledged: e.acknowledgedEnd}
 	if p.majority && e.acceptedTerm && now.Sub(e.lastAnswered) < p.settings.Freshness {
 		order.Until = e.leaseEnd(now, p.settings.Lease)
+		p.noteOldClock(e, "lease", now)
 		e.lastSent = now
 	}
 
@@ -328,6 +338,7 @@
 // addRun adds a run to its endpoint and to the usage of its account; release
 // reverts it.
 func (e *endpoint) addRun(r *run) {
+	r.life = e.life
 	e.runs[runKey{r.name, r.number}] = r
 	e.used = e.used.Add(r.need)
 	if r.account == nil {
@@ -381,6 +392,7 @@
 				continue
 			}
 			p.note("lease ran out", r.name.Job, "endpoint", e.ID, "step", r.name.Step, "index", r.name.Index, "run", r.number)
+			p.presumeOver(r, overLeaseExpired)
 			p.writeOff(r)
 		}
 		if len(e.runs) == 0 && !e.listed && (e.acceptedTerm || p.takeoverSettled(now)) {
@@ -420,6 +432,7 @@
 		return
 	}
 	e.acceptedTerm = true
+	p.presumeAllOver(e, overReplaced)
 	e.lastAnswered = 0
 	for _, r := range e.runs {
 		p.writeOff(r)
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -89,6 +89,8 @@
 	activeRuns int
 	// avoid is the endpoint on which the last run failed.
 	avoid *endpoint
+	// overlaps is kept for the log; it is nil for most tasks.
+	overlaps *overlapRecord
 }
 
 // raiseLastRun records that a run with the number exists.
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -49,6 +49,7 @@
 	p.now = now
 	p.CheckSuspension(now)
 	p.majority = p.hasMajority(now)
+	p.noteTakeover(now)
 	for j := range p.scheduled {
 		p.advance(j, wall)
 	}
@@ -65,6 +66,7 @@
 	if len(p.readySteps) == 0 || !p.hasMajority(now) {
 		return
 	}
+	p.noteTakeover(now)
 	ps := &pass{planner: p, now: now, takeoverSettled: p.takeoverSettled(now), unconfirmed: p.unconfirmedUsage(now), reservations: map[*endpoint]*step{}, unplaceable: map[string][]modeler.Resources{}}
 	for _, e := range p.ordered {
 		if e.usable(now, p.settings.Freshness) {
@@ -375,6 +377,7 @@
 		s.job.begun = true
 		p.note("first start", s.job.ID, "waited", ps.now.Sub(s.job.accepted), "endpoint", e.ID)
 	}
+	p.noteOldClock(e, "start", ps.now)
 	p.emit(StartCmd{
 		Target: e.target(),
 		Order: definer.StartOrder{
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -54,6 +54,10 @@
 	majoritySince definer.Instant
 	// majority means that a majority of the endpoints had answered at the last tick.
 	majority bool
+	// majorityNoted and settledNoted mean that noteTakeover has written its lines.
+	majorityNoted, settledNoted bool
+	// inventorySent is when the inventory being processed was requested.
+	inventorySent definer.Instant
 	// lastActive is the time of the last call of CheckSuspension, and resumedAt when the owner
 	// last ran again after it had been suspended.
 	lastActive, resumedAt definer.Instant
@@ -133,6 +137,8 @@
 	Event string
 	Job   string
 	Args  []any
+	// Warn means that the note may show a fault.
+	Warn bool
 }
 
 // New returns an empty planner.
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -33,6 +33,7 @@
 		p.endpointRestarted(e, report.Born)
 	}
 	e.life = report.Born
+	p.inventorySent = sent
 	if !e.acceptedTerm {
 		e.acceptedTerm = true
 		p.note("endpoint held", "", "endpoint", e.ID, "running", len(report.Running), "ended", len(report.Ended))
@@ -40,7 +41,7 @@
 	if sent > e.lastAnswered {
 		e.lastAnswered = sent
 		e.lastSent = max(e.lastSent, sent)
-		e.clock, e.clockAt = report.Clock, now
+		e.clock, e.clockAt, e.clockLife = report.Clock, now, report.Born
 	}
 	listed := make(map[runKey]bool, len(report.Running))
 	for _, row := range report.Running {
@@ -137,13 +138,14 @@
 func (p *Planner) adopt(e *endpoint, row definer.RunningTask, now definer.Instant) *run {
 	p.openReported(row.Task)
 	r := &run{name: row.Task, number: row.Run, endpoint: e, phase: phaseRunning, sentAt: now, answeredAt: now,
-		progressedAt: now, percent: row.Percent, checkpoint: row.Checkpoint, confirmed: true}
+		progressedAt: now, percent: row.Percent, checkpoint: row.Checkpoint, confirmed: true, adopted: true}
 	t := p.task(row.Task)
 	r.task = t
 	if t != nil {
 		r.need, r.account = t.step.need(), p.account(t.step.job.Account)
 	}
 	e.addRun(r)
+	p.noteListedOverlap(r, now)
 	if t == nil || !p.mayContinue(t, row.Run) {
 		p.note("unexpected run", row.Task.Job, "endpoint", e.ID, "step", row.Task.Step, "index", row.Task.Index, "run", row.Run)
 		p.stopRun(r)
@@ -178,6 +180,7 @@
 	switch r.phase {
 	case phaseRunning, phaseStopped:
 		if sent > r.answeredAt {
+			p.presumeOver(r, missingReason(r))
 			p.writeOff(r)
 		}
 	case phaseSent, phaseStopping:
@@ -192,6 +195,7 @@
 	p.openReported(row.Task)
 	r := e.runs[runKey{row.Task, row.Run}]
 	t := p.task(row.Task)
+	p.noteEndedOverlap(e, r, row, now)
 	if r != nil {
 		p.release(r)
 	}
@@ -426,6 +430,7 @@
 
 // startRefused ends a run whose start was refused.
 func (p *Planner) startRefused(r *run) {
+	p.presumeOver(r, overRefused)
 	p.release(r)
 	p.requeue(r, "")
 }
