--- /dev/null
+++ b/internal/cell/planner/judgement_test.go
@@ -0,0 +1,154 @@
+package planner
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+)
+
+// The tests of this file guard against two runs of a task at the same time: an
+// owner must not take a run for over, or keep a lease alive, on a ground that the
+// next owner or the endpoint does not share.
+
+// inheritedJob returns a cell whose owner has taken over job "a" with one task and
+// three endpoints, of which none has answered yet.
+func inheritedJob(t *testing.T) *testCell {
+	t.Helper()
+
+	return restoredCell(t, (&testCell{}).job("a", simpleStep(1)), Progress{})
+}
+
+// silentFor advances the time in steps of 100 ms while the given endpoints do not answer.
+func (c *testCell) silentFor(d time.Duration, silent ...string) {
+	for ; d > 0; d -= 100 * time.Millisecond {
+		c.advance(100*time.Millisecond, silent...)
+		c.plan()
+	}
+}
+
+// TestTakeoverNeedsMajorityOfInheritedEndpoints guards against a waiting time that
+// begins with a majority of other endpoints than those the previous owner counts.
+func TestTakeoverNeedsMajorityOfInheritedEndpoints(t *testing.T) {
+	c := inheritedJob(t)
+	for n := range 4 {
+		c.listEndpoint(fmt.Sprintf("new%d", n))
+	}
+	c.silentFor(2*(testSettings.Freshness+testSettings.LeaseBound()), "e001", "e002")
+	if len(c.started) != 0 {
+		t.Errorf("run %d started although two of three inherited endpoints may still obey the previous owner", c.started[0].Order.Run)
+	}
+	c.listEndpoint("e001")
+	c.silentFor(testSettings.Freshness+testSettings.LeaseBound()+200*time.Millisecond, "e002")
+	if len(c.started) != 1 {
+		t.Errorf("%d starts after a majority of the inherited endpoints has accepted the term and all leases have expired, want 1", len(c.started))
+	}
+}
+
+// expectNoLease reports an error if the planner would extend the lease of an endpoint now.
+func (c *testCell) expectNoLease(id, reason string) {
+	c.Helper()
+	if _, order, _ := c.planner.RenewOrder(id, c.now); order.Until != 0 {
+		c.Errorf("lease of %s extended until %d %s", id, order.Until, reason)
+	}
+}
+
+// TestEndpointsBeingStoredCountForMajority guards against a majority that misses
+// endpoints which the next owner finds in the table: the append that stores them
+// may have succeeded without an answer.
+func TestEndpointsBeingStoredCountForMajority(t *testing.T) {
+	c := newCell(t, 3)
+	for n := range 4 {
+		listing := c.listing(fmt.Sprintf("new%d", n))
+		c.planner.UpdateListing(listing, c.now)
+	}
+	c.advance(100 * time.Millisecond)
+	c.expectNoLease("e000", "although the next owner may count 7 endpoints, of which 4 have not answered")
+}
+
+// TestEndpointsBeingRemovedCountForMajority guards against a majority of the
+// endpoints that are left while the table still names the removed ones.
+func TestEndpointsBeingRemovedCountForMajority(t *testing.T) {
+	c := newCell(t, 5)
+	gone := []string{"e002", "e003", "e004"}
+	for _, id := range gone {
+		c.planner.RemoveListing(id)
+	}
+	c.silentFor(testSettings.Freshness+testSettings.LeaseBound()+time.Second, gone...)
+	c.expectNoLease("e000", "although the table still names 5 endpoints, of which 2 answer")
+}
+
+// TestOldMajorityExtendsNoLease guards against leases that an owner extends on the
+// ground of a majority that has lapsed since its last tick.
+func TestOldMajorityExtendsNoLease(t *testing.T) {
+	c := newCell(t, 3)
+	lapse := testSettings.Freshness
+	for elapsed := time.Duration(0); elapsed < lapse-100*time.Millisecond; elapsed += 100 * time.Millisecond {
+		c.advance(100*time.Millisecond, "e001", "e002")
+	}
+	c.now = c.now.Add(200 * time.Millisecond)
+	c.expectNoLease("e000", "although most endpoints have not answered within the freshness limit")
+}
+
+// TestRestartedEndpointGetsNoLeaseByOldClock guards against a lease that lasts
+// longer than the owner assumes: a new life has a new clock.
+func TestRestartedEndpointGetsNoLeaseByOldClock(t *testing.T) {
+	c := newCell(t, 1)
+	c.advance(100 * time.Millisecond)
+	listing := c.listing("e000")
+	listing.Born = 2
+	c.planner.UpdateListing(listing, c.now)
+	c.expectNoLease("e000", "by the clock of its earlier life")
+	c.accept(c.job("a", simpleStep(1)))
+	c.plan()
+	if len(c.started) != 0 {
+		t.Errorf("run started with a lease until %d by the clock of the endpoint's earlier life", c.started[0].Order.Until)
+	}
+	c.born["e000"] = 2
+	c.report("e000")
+	c.planner.Tick(c.now, c.wall)
+	c.plan()
+	if len(c.started) != 1 {
+		t.Errorf("%d starts once the new life has reported its clock, want 1", len(c.started))
+	}
+}
+
+// TestClockOfNewLifeCounts guards against the clock of an earlier life that stays
+// in use because the report of the new life was requested earlier.
+func TestClockOfNewLifeCounts(t *testing.T) {
+	c := newCell(t, 1)
+	requested := c.now
+	c.now = c.now.Add(time.Second)
+	c.planner.Report("e000", c.now, c.now, definer.Report{Clock: 900_000, Born: 1})
+	c.planner.Report("e000", requested, c.now, definer.Report{Clock: 10, Born: 2})
+	c.planner.Tick(c.now, c.wall)
+	latest := 10 + testSettings.Lease.Milliseconds()
+	if _, order, _ := c.planner.RenewOrder("e000", c.now); order.Until > latest {
+		t.Errorf("lease until %d by the endpoint's clock, want %d at most", order.Until, latest)
+	}
+}
+
+// TestOtherEndpointAtOldAddress guards against an endpoint that is taken for gone
+// because another one answers at the address which the table has from long ago.
+func TestOtherEndpointAtOldAddress(t *testing.T) {
+	c := inheritedJob(t)
+	c.listEndpoint("e000")
+	c.listEndpoint("e001")
+	c.planner.EndpointReplaced("e002")
+	c.advance(100*time.Millisecond, "e002")
+	c.plan()
+	if len(c.started) != 0 {
+		t.Error("run started before the endpoint was asked at its own address")
+	}
+	moved := c.listing("e002")
+	moved.Address = netip.MustParseAddrPort("10.0.0.2:80")
+	c.planner.UpdateListing(moved, c.now)
+	c.running["e002"] = []definer.RunningTask{{Task: definer.TaskName{Job: "a"}, Run: 1}}
+	c.advance(100 * time.Millisecond)
+	c.plan()
+	if len(c.started)+len(c.stopped) != 0 {
+		t.Errorf("%d starts and %d stops of a task that runs at the endpoint's new address", len(c.started), len(c.stopped))
+	}
+}
