Give run numbers from the owner's term on

What callers could see: failed attempts that count as one, and a stop, an end or a checkpoint of one run taken for that of another.

An owner numbers inherited tasks from its term on and gives no number above the end of the table that it knows. The next term is the offset after a later claim, so it is higher than every number given before. Nothing is stored for it, and a start no longer waits until the number before it is stored.

Two tests named numbers of the old scheme: TestInheritedRunIsNotRepeated expected run 2 and now expects the term; TestRunNumberIsNotGivenTwice expected a start to wait for the append of the number before it and now expects it to wait until the table has grown above the number, which is what keeps the next owner from giving it.

--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -107,6 +107,7 @@
 func New(settings Settings, store definer.Store, endpoints definer.Endpoints, policy PolicyClient,
 	decoder definer.Decoder, config *definer.Configuration, logger hclog.Logger, metrics *recorder.Metrics,
 ) *Leader {
+	settings.Planner.Term = settings.Term
 	l := &Leader{
 		settings: settings, store: store, endpoints: endpoints, policy: policy, decoder: decoder, logger: logger, metrics: metrics,
 		inbox: buffer.NewRing[message](inboxSize), planner: planner.New(settings.Planner), done: make(chan struct{}),
--- a/internal/cell/planner/cell_test.go
+++ b/internal/cell/planner/cell_test.go
@@ -25,7 +25,7 @@
 	asked   []AskPolicyCmd
 }
 
-var testSettings = Settings{Lease: 4500 * time.Millisecond, Freshness: 2500 * time.Millisecond}
+var testSettings = Settings{Term: 10, Lease: 4500 * time.Millisecond, Freshness: 2500 * time.Millisecond}
 
 // newCell returns a cell whose endpoints have 16 processors and 64 GiB each and have answered once.
 func newCell(tb testing.TB, endpoints int) *testCell {
@@ -135,6 +135,7 @@
 func (c *testCell) storeProgress() {
 	snapshots, ends := c.planner.Dirty()
 	c.planner.Stored(snapshots)
+	c.planner.TableEnds(c.planner.tableEnd + int64(len(snapshots)))
 	c.planner.Acknowledge(ends, c.planner.Lives())
 }
 
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -69,11 +69,10 @@
 
 		return
 	}
-	number := 0
-	for _, t := range pending {
-		number = max(number, t.lastRun)
+	number := p.nextRun(pending...)
+	if !p.mayGive(number) {
+		return
 	}
-	number++
 	s.gangRun, s.gangSince = number, ps.now
 	s.reserved, s.reservedSince, s.preempted = nil, 0, false
 	for i, t := range pending {
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -74,9 +74,8 @@
 	step  *step
 	index int
 	done  bool
-	// lastRun is the highest run number that may have been started, and storedRun the highest that
-	// the store holds or that was inherited. The next owner assumes that they differ by one at most.
-	lastRun, storedRun int
+	// lastRun is the highest run number that is known to be used.
+	lastRun int
 	// writtenOff is the highest run number that was written off as lost; such a run must not continue.
 	writtenOff int
 	// failed lists the numbers of the runs that failed.
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -125,11 +125,10 @@
 
 		return
 	}
-	startable := withStoredNumbers(pending)
 	if s.def.Gang {
 		switch {
-		case s.gangRun == 0 && len(startable) == s.tasksLeft:
-			ps.placeGang(s, startable)
+		case s.gangRun == 0 && len(pending) == s.tasksLeft:
+			ps.placeGang(s, pending)
 		case s.gangRun != 0 && ps.takeoverSettled && ps.now.Sub(s.gangSince) > incompleteGangTimeout:
 			// A previous owner started only some members of the gang.
 			p.stopGang(s)
@@ -137,28 +136,13 @@
 
 		return
 	}
-	switch {
-	case len(startable) == 0:
-	case ps.lacksRoom(s):
+	if ps.lacksRoom(s) {
 		ps.prefetchTickets(s)
-	default:
-		ps.placeTasks(s, startable)
+	} else {
+		ps.placeTasks(s, pending)
 	}
 }
 
-// withStoredNumbers returns the tasks whose run numbers are all stored. The others
-// wait, because the next owner would give a number again that follows one that
-// the store does not hold.
-func withStoredNumbers(pending []*task) []*task {
-	startable := pending[:0]
-	for _, t := range pending {
-		if t.lastRun <= t.storedRun {
-			startable = append(startable, t)
-		}
-	}
-	return startable
-}
-
 // lacksRoom reports whether an earlier search of this round found no room for
 // needs no larger than those of s. The result holds for the whole round, because
 // free resources only shrink during it.
@@ -262,13 +246,17 @@
 		if !account.withinLimit(s.def.Need, ps.unconfirmed[account]) {
 			return
 		}
+		number := p.nextRun(t)
+		if !p.mayGive(number) {
+			continue
+		}
 		best, expired := ps.chooseEndpoint(s, t, candidates)
 		if best == nil {
 			unplaced, ticketExpired = len(pending)-i, expired
 
 			break
 		}
-		ps.start(t, best, t.lastRun+1)
+		ps.start(t, best, number)
 	}
 	if policy == nil || askBlocked || unplaced == 0 {
 		return
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -12,6 +12,8 @@
 
 // Settings holds the time limits of the planner.
 type Settings struct {
+	// Term is the owner's fencing token: the offset in the state table after its claim.
+	Term int64
 	// Lease is how long an endpoint may run tasks after a renewal, measured by its own clock.
 	Lease time.Duration
 	// Freshness is the maximum age of an endpoint's last answered renewal for tasks to be started there.
@@ -50,6 +52,8 @@
 	scheduled map[*job]struct{}
 	// dirty holds the jobs whose stored progress is out of date.
 	dirty map[*job]struct{}
+	// tableEnd is the offset after the last record of the state table, as far as the owner knows.
+	tableEnd int64
 	// inheritedEndpoints counts the endpoints that the table named when the owner loaded it, and
 	// acceptedEndpoints those of them that have accepted the owner's term.
 	inheritedEndpoints, acceptedEndpoints int
@@ -147,7 +151,7 @@
 // New returns an empty planner.
 func New(settings Settings) *Planner {
 	return &Planner{
-		settings: settings, config: &definer.Configuration{}, jobs: map[string]*job{},
+		settings: settings, tableEnd: settings.Term, config: &definer.Configuration{}, jobs: map[string]*job{},
 		endpoints: map[string]*endpoint{}, accounts: map[string]*account{}, queues: map[string]*queueStats{},
 		readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{}, dirty: map[*job]struct{}{},
 	}
--- a/internal/cell/planner/planner_test.go
+++ b/internal/cell/planner/planner_test.go
@@ -238,8 +238,9 @@
 	c.plan()
 	c.storeProgress()
 	c.plan()
-	if len(c.started) != 1 || c.started[0].Order.Run != 2 {
-		t.Errorf("starts %+v, want one with run 2", c.started)
+	// An earlier owner gives only numbers below this owner's term.
+	if len(c.started) != 1 || c.started[0].Order.Run != int(testSettings.Term) {
+		t.Errorf("starts %+v, want one with run %d", c.started, testSettings.Term)
 	}
 }
 
--- a/internal/cell/planner/progress.go
+++ b/internal/cell/planner/progress.go
@@ -83,16 +83,9 @@
 		if j == nil {
 			continue
 		}
-		progress := &snapshots[i].Progress
-		if progress.State.Final() {
+		if snapshots[i].Progress.State.Final() {
 			j.finalStored = true
 		}
-		for n := range progress.Tasks {
-			stored := &progress.Tasks[n]
-			if t := p.task(definer.TaskName{Job: j.ID, Occurrence: stored.Occurrence, Step: stored.Step, Index: stored.Index}); t != nil {
-				t.storedRun = max(t.storedRun, stored.LastRun)
-			}
-		}
 	}
 }
 
@@ -154,7 +147,7 @@
 		if t == nil {
 			continue
 		}
-		t.lastRun, t.storedRun = stored.LastRun, stored.LastRun
+		t.lastRun = stored.LastRun
 		t.writtenOff, t.failed = stored.WrittenOff, stored.Failed
 		t.checkpoint, t.checkpointRun = stored.Checkpoint, stored.LastRun
 		if stored.Done {
@@ -162,16 +155,6 @@
 		}
 	}
 	p.advance(j, wall)
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				// The previous owner may have started one more run, which the store does not contain. Storing
-				// these numbers for all tasks at once would delay the takeover.
-				t.lastRun++
-				t.storedRun = t.lastRun
-			}
-		}
-	}
 }
 
 // RestoreFinal adds a final job from the store.
--- a/internal/cell/planner/takeover_test.go
+++ b/internal/cell/planner/takeover_test.go
@@ -114,18 +114,24 @@
 }
 
 // TestRunNumberIsNotGivenTwice guards against a run number that the next owner
-// gives again, because the store holds neither of two runs of the task.
+// gives again: its numbers begin with its term, which lies above the table's end.
 func TestRunNumberIsNotGivenTwice(t *testing.T) {
-	c := newCell(t, 3)
+	settings := testSettings
+	settings.Term = 1
+	c := newCell(t, 0)
+	c.planner = New(settings)
+	for _, id := range []string{"e000", "e001", "e002"} {
+		c.listEndpoint(id)
+	}
 	first := c.startOne()
 	c.endRun(first.Target.ID, first.Order.Task, first.Order.Run, definer.EndFailed)
 	c.plan()
 	if len(c.started) != 0 {
-		t.Errorf("run %d started although the store does not hold the run before it", c.started[0].Order.Run)
+		t.Errorf("run %d started although an owner whose claim is the next record gives that number", c.started[0].Order.Run)
 	}
 	c.storeProgress()
 	c.plan()
-	if len(c.started) != 1 {
-		t.Errorf("%d starts once the store holds the first run, want 1", len(c.started))
+	if len(c.started) != 1 || c.started[0].Order.Run != 2 {
+		t.Errorf("starts %+v once the table has grown, want one with run 2", c.started)
 	}
 }
