--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -66,10 +66,8 @@
 	cancellations   map[string]*cancellation
 	// confirmations are the replies that wait for the next batch.
 	confirmations []confirmation
-	// changedEndpoints are the endpoints whose records are out of date.
-	changedEndpoints map[string]struct{}
-	jobsToRemove     []string
-	outstanding      bool
+	jobsToRemove  []string
+	outstanding   bool
 	// current is the batch whose append is outstanding.
 	current *batch
 	// lastAppend is when the last append was started.
@@ -78,7 +76,7 @@
 }
 
 func newJournal() journal {
-	return journal{submissionsByID: map[string]*submission{}, cancellations: map[string]*cancellation{}, changedEndpoints: map[string]struct{}{}}
+	return journal{submissionsByID: map[string]*submission{}, cancellations: map[string]*cancellation{}}
 }
 
 // batch is the content of one append.
@@ -93,9 +91,10 @@
 	snapshots []planner.Snapshot
 	ends      map[string]int64
 	lives     map[string]int64
-	// storedEndpoints and removedEndpoints hold the ids of the endpoints whose records are stored and removed.
-	storedEndpoints, removedEndpoints []string
-	created                           definer.Instant
+	// storedEndpoints and removedEndpoints are the result of planner.ChangedEndpoints.
+	storedEndpoints  []definer.Listing
+	removedEndpoints []string
+	created          definer.Instant
 }
 
 // appendIfDue starts the next append if one is due and none is outstanding.
@@ -104,7 +103,7 @@
 		return
 	}
 	elapsed := now.Sub(j.lastAppend)
-	urgent := len(j.submissions) > 0 || len(j.cancellations) > 0 || len(j.confirmations) > 0 || len(j.changedEndpoints) > 0 && l.planner.MayChangeEndpoints()
+	urgent := len(j.submissions) > 0 || len(j.cancellations) > 0 || len(j.confirmations) > 0 || l.planner.HasChangedEndpoints()
 	switch {
 	case urgent && elapsed >= urgentAppendInterval:
 	case l.planner.HasUnstoredProgress() && elapsed >= progressAppendInterval:
@@ -127,18 +126,12 @@
 			b.records = append(b.records, record)
 		}
 	}
-	if l.planner.MayChangeEndpoints() {
-		for id := range j.changedEndpoints {
-			// An endpoint may have been removed and listed again since the last batch; its present state counts.
-			if listing, ok := l.planner.EndpointRecord(id); ok {
-				add(journaler.EncodeEndpoint(&listing))
-				b.storedEndpoints = append(b.storedEndpoints, id)
-			} else {
-				add(journaler.EncodeEndpointRemoval(id))
-				b.removedEndpoints = append(b.removedEndpoints, id)
-			}
-		}
-		clear(j.changedEndpoints)
+	b.storedEndpoints, b.removedEndpoints = l.planner.ChangedEndpoints()
+	for i := range b.storedEndpoints {
+		add(journaler.EncodeEndpoint(&b.storedEndpoints[i]))
+	}
+	for _, id := range b.removedEndpoints {
+		add(journaler.EncodeEndpointRemoval(id))
 	}
 	for _, id := range j.jobsToRemove {
 		add(journaler.EncodeJobRemoval(id))
@@ -283,11 +276,9 @@
 	for _, c := range b.confirmations {
 		c.waiter <- c.reply
 	}
-	for _, id := range b.storedEndpoints {
-		l.planner.EndpointStored(id)
-	}
+	l.planner.EndpointsStored(b.storedEndpoints, b.removedEndpoints)
 	for _, id := range b.removedEndpoints {
-		l.planner.EndpointRemoved(id)
+		delete(l.renewals, id)
 	}
 	l.planner.Stored(b.snapshots)
 	l.planner.Acknowledge(b.ends, b.lives)
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -322,11 +322,6 @@
 		l.spawn(ctx, &askCall{leader: l, command: c})
 	case planner.InventoryCmd:
 		l.renew(ctx, c.Endpoint, 0, true, now)
-	case planner.StoreEndpointCmd:
-		l.journal.changedEndpoints[c.Endpoint] = struct{}{}
-	case planner.RemoveEndpointCmd:
-		l.journal.changedEndpoints[c.Endpoint] = struct{}{}
-		delete(l.renewals, c.Endpoint)
 	}
 }
 
--- a/internal/cell/leader/takeover_test.go
+++ b/internal/cell/leader/takeover_test.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"context"
 	"net/netip"
 	"testing"
 	"time"
@@ -31,21 +30,13 @@
 // appendNext executes the planner's commands and writes the next batch to the table.
 func appendNext(t *testing.T, l *Leader, table *journaler.State, now definer.Instant) {
 	t.Helper()
-	for _, command := range l.planner.Commands() {
-		l.execute(context.Background(), command, now)
-	}
 	b := l.journal.newBatch(l, now)
 	for _, record := range b.records {
 		if err := table.Apply(record); err != nil {
 			t.Fatal(err)
 		}
 	}
-	for _, id := range b.storedEndpoints {
-		l.planner.EndpointStored(id)
-	}
-	for _, id := range b.removedEndpoints {
-		l.planner.EndpointRemoved(id)
-	}
+	l.planner.EndpointsStored(b.storedEndpoints, b.removedEndpoints)
 }
 
 // TestEndpointThatReturnsIsNamedInTable guards against two runs of a task at the
--- a/internal/cell/planner/cell_test.go
+++ b/internal/cell/planner/cell_test.go
@@ -46,7 +46,7 @@
 func (c *testCell) listEndpoint(id string) {
 	c.born[id] = 1
 	c.planner.UpdateListing(c.listing(id), c.now)
-	c.planner.EndpointStored(id)
+	c.planner.EndpointsStored([]definer.Listing{{ID: id}}, nil)
 	c.report(id)
 }
 
@@ -92,7 +92,7 @@
 			c.stopped = append(c.stopped, command)
 		case AskPolicyCmd:
 			c.asked = append(c.asked, command)
-		case InventoryCmd, StoreEndpointCmd, RemoveEndpointCmd:
+		case InventoryCmd:
 		}
 	}
 }
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -120,7 +120,7 @@
 	e := p.endpoints[listing.ID]
 	if e == nil {
 		e = p.addEndpoint(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1})
-		p.emit(StoreEndpointCmd{Endpoint: listing.ID})
+		p.changedEndpoints[e.ID] = struct{}{}
 	}
 	p.keepEndpoint(e)
 	if e.life != 0 && listing.Born > e.life {
@@ -128,7 +128,7 @@
 		p.emit(InventoryCmd{Endpoint: e.ID})
 	}
 	if e.Address != listing.Address {
-		p.emit(StoreEndpointCmd{Endpoint: e.ID})
+		p.changedEndpoints[e.ID] = struct{}{}
 	}
 	if listing.Draining && !e.Draining {
 		p.note("endpoint leaving", "", "endpoint", e.ID, "remaining", listing.Remaining)
@@ -325,7 +325,7 @@
 		}
 		if len(e.runs) == 0 && !e.listed && e.entry != entryRemoving && (e.acceptedTerm || p.takeoverSettled(now)) {
 			e.entry = entryRemoving
-			p.emit(RemoveEndpointCmd{Endpoint: id})
+			p.changedEndpoints[id] = struct{}{}
 			p.note("endpoint gone", "", "endpoint", id)
 		}
 	}
--- a/internal/cell/planner/judgement_test.go
+++ b/internal/cell/planner/judgement_test.go
@@ -47,11 +47,11 @@
 	}
 }
 
-// expectNoLease reports an error if the planner would extend the lease of an endpoint now.
-func (c *testCell) expectNoLease(id, reason string) {
+// expectNoLease reports an error if the planner would extend the lease of endpoint e000 now.
+func (c *testCell) expectNoLease(reason string) {
 	c.Helper()
-	if _, order, _ := c.planner.RenewOrder(id, c.now); order.Until != 0 {
-		c.Errorf("lease of %s extended until %d %s", id, order.Until, reason)
+	if _, order, _ := c.planner.RenewOrder("e000", c.now); order.Until != 0 {
+		c.Errorf("lease of e000 extended until %d %s", order.Until, reason)
 	}
 }
 
@@ -65,7 +65,7 @@
 		c.planner.UpdateListing(listing, c.now)
 	}
 	c.advance(100 * time.Millisecond)
-	c.expectNoLease("e000", "although the next owner may count 7 endpoints, of which 4 have not answered")
+	c.expectNoLease("although the next owner may count 7 endpoints, of which 4 have not answered")
 }
 
 // TestEndpointsBeingRemovedCountForMajority guards against a majority of the
@@ -77,7 +77,7 @@
 		c.planner.RemoveListing(id)
 	}
 	c.silentFor(testSettings.Freshness+testSettings.LeaseBound()+time.Second, gone...)
-	c.expectNoLease("e000", "although the table still names 5 endpoints, of which 2 answer")
+	c.expectNoLease("although the table still names 5 endpoints, of which 2 answer")
 }
 
 // TestOldMajorityExtendsNoLease guards against leases that an owner extends on the
@@ -89,7 +89,7 @@
 		c.advance(100*time.Millisecond, "e001", "e002")
 	}
 	c.now = c.now.Add(200 * time.Millisecond)
-	c.expectNoLease("e000", "although most endpoints have not answered within the freshness limit")
+	c.expectNoLease("although most endpoints have not answered within the freshness limit")
 }
 
 // TestRestartedEndpointGetsNoLeaseByOldClock guards against a lease that lasts
@@ -100,7 +100,7 @@
 	listing := c.listing("e000")
 	listing.Born = 2
 	c.planner.UpdateListing(listing, c.now)
-	c.expectNoLease("e000", "by the clock of its earlier life")
+	c.expectNoLease("by the clock of its earlier life")
 	c.accept(c.job("a", simpleStep(1)))
 	c.plan()
 	if len(c.started) != 0 {
--- a/internal/cell/planner/ownership.go
+++ b/internal/cell/planner/ownership.go
@@ -37,36 +37,57 @@
 	p.inheritedEndpoints++
 }
 
-// EndpointStored records that an append which stores an endpoint has succeeded.
-func (p *Planner) EndpointStored(id string) {
-	if e := p.endpoints[id]; e != nil && e.entry == entryUncertain {
-		e.entry = entryStored
-	}
-}
-
-// EndpointRemoved records that an append which removes an endpoint has succeeded.
-func (p *Planner) EndpointRemoved(id string) {
-	if e := p.endpoints[id]; e != nil && e.entry == entryRemoving {
-		p.removeEndpoint(e)
-	}
-}
-
 // keepEndpoint stores an endpoint again that was to be removed and is in use again.
 func (p *Planner) keepEndpoint(e *endpoint) {
 	if e.entry == entryRemoving {
 		e.entry = entryUncertain
-		p.emit(StoreEndpointCmd{Endpoint: e.ID})
+		p.changedEndpoints[e.ID] = struct{}{}
 	}
 }
 
-// EndpointRecord returns the entry of an endpoint that the state table has to
-// name. It returns false if the table must not name the endpoint.
-func (p *Planner) EndpointRecord(id string) (definer.Listing, bool) {
-	if e := p.endpoints[id]; e != nil && e.entry != entryRemoving {
-		return e.Listing, true
+// mayChangeEndpoints reports whether the owner may change which endpoints the table
+// names. Before a majority of the inherited endpoints has accepted its term, the
+// previous owner may still be active, and the next one must count the same set.
+func (p *Planner) mayChangeEndpoints() bool {
+	return p.inheritedEndpoints == 0 || p.majoritySince != 0
+}
+
+// HasChangedEndpoints reports whether ChangedEndpoints would return endpoints.
+func (p *Planner) HasChangedEndpoints() bool {
+	return len(p.changedEndpoints) > 0 && p.mayChangeEndpoints()
+}
+
+// ChangedEndpoints returns the endpoints that the next append has to store, and the
+// ids of those that it has to remove. It returns each change once.
+func (p *Planner) ChangedEndpoints() (stored []definer.Listing, removed []string) {
+	if !p.mayChangeEndpoints() {
+		return nil, nil
 	}
+	for id := range p.changedEndpoints {
+		// An endpoint may have been removed and listed again since the last append; its present state counts.
+		if e := p.endpoints[id]; e != nil && e.entry != entryRemoving {
+			stored = append(stored, e.Listing)
+		} else {
+			removed = append(removed, id)
+		}
+	}
+	clear(p.changedEndpoints)
 
-	return definer.Listing{}, false
+	return stored, removed
+}
+
+// EndpointsStored records that an append with the result of ChangedEndpoints has succeeded.
+func (p *Planner) EndpointsStored(stored []definer.Listing, removed []string) {
+	for i := range stored {
+		if e := p.endpoints[stored[i].ID]; e != nil && e.entry == entryUncertain {
+			e.entry = entryStored
+		}
+	}
+	for _, id := range removed {
+		if e := p.endpoints[id]; e != nil && e.entry == entryRemoving {
+			p.removeEndpoint(e)
+		}
+	}
 }
 
 // fresh reports whether e has answered under the owner's term within Freshness.
@@ -105,13 +126,6 @@
 	return answered[len(answered)-needed].Add(p.settings.Freshness)
 }
 
-// MayChangeEndpoints reports whether the owner may change which endpoints the table
-// names. Before a majority of the inherited endpoints has accepted its term, the
-// previous owner may still be active, and the next one must count the same set.
-func (p *Planner) MayChangeEndpoints() bool {
-	return p.inheritedEndpoints == 0 || p.majoritySince != 0
-}
-
 // HasEndpoints reports whether the table names endpoints.
 func (p *Planner) HasEndpoints() bool {
 	for _, e := range p.endpoints {
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -52,6 +52,8 @@
 	scheduled map[*job]struct{}
 	// dirty holds the jobs whose stored progress is out of date.
 	dirty map[*job]struct{}
+	// changedEndpoints holds the ids of the endpoints whose records in the state table are out of date.
+	changedEndpoints map[string]struct{}
 	// tableEnd is the offset after the last record of the state table, as far as the owner knows.
 	tableEnd int64
 	// inheritedEndpoints counts the endpoints that the table named when the owner loaded it, and
@@ -126,18 +128,10 @@
 // InventoryCmd requests the inventory of an endpoint immediately.
 type InventoryCmd struct{ Endpoint string }
 
-// StoreEndpointCmd writes an endpoint to the store, which must precede its use.
-type StoreEndpointCmd struct{ Endpoint string }
-
-// RemoveEndpointCmd removes an endpoint from the store and ends the caller's renewals of it.
-type RemoveEndpointCmd struct{ Endpoint string }
-
-func (StartCmd) command()          {}
-func (StopCmd) command()           {}
-func (AskPolicyCmd) command()      {}
-func (InventoryCmd) command()      {}
-func (StoreEndpointCmd) command()  {}
-func (RemoveEndpointCmd) command() {}
+func (StartCmd) command()     {}
+func (StopCmd) command()      {}
+func (AskPolicyCmd) command() {}
+func (InventoryCmd) command() {}
 
 // Note records a decision about a job or an endpoint, for the log.
 type Note struct {
@@ -154,6 +148,7 @@
 		settings: settings, tableEnd: settings.Term, config: &definer.Configuration{}, jobs: map[string]*job{},
 		endpoints: map[string]*endpoint{}, accounts: map[string]*account{}, queues: map[string]*queueStats{},
 		readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{}, dirty: map[*job]struct{}{},
+		changedEndpoints: map[string]struct{}{},
 	}
 }
 
--- a/internal/cell/planner/planner_test.go
+++ b/internal/cell/planner/planner_test.go
@@ -391,7 +391,7 @@
 // draining or is no longer in the endpoint list.
 func TestLeavingEndpointGetsNothing(t *testing.T) {
 	c := newCell(t, 3)
-	draining, _ := c.planner.EndpointRecord("e000")
+	draining := c.planner.endpoints["e000"].Listing
 	draining.Draining = true
 	c.planner.UpdateListing(draining, c.now)
 	c.planner.RemoveListing("e001")
