Store a changed address before the endpoint is used, and believe the address of the table

What callers could see: no task starts any more after a takeover at which most endpoints of the state table were replaced; a waiting time of 7.4 s after each takeover at which one was.

Cause: another endpoint's answer at an address from the table proved nothing, since an earlier owner could have used a newer address that it had not stored.

Change: an owner starts nothing at an endpoint, and does not count it for its majority, until the table has its present address. So the table's address is the last at which any owner has started tasks, and the answer of another endpoint there is proof that they are over. Only an answer from an address that the endpoint has left is ignored.

Tests: TestTakeoverAfterMostEndpointsWereReplaced and TestTakeoverDoesNotWaitForReplacedEndpoint failed before and pass now. TestOtherEndpointAtOldAddress assumed runs at an address that the table does not have. TestNewAddressIsStoredBeforeUse (fails before, passes now) shows that no owner starts them; the rest of the test stays, for an endpoint that has moved. TestTakeoverAfterMostEndpointsWereLost remains red.

--- a/internal/cell/planner/cell_test.go
+++ b/internal/cell/planner/cell_test.go
@@ -46,7 +46,7 @@
 func (c *testCell) listEndpoint(id string) {
 	c.born[id] = 1
 	c.planner.UpdateListing(c.listing(id), c.now)
-	c.planner.EndpointsStored([]definer.Listing{{ID: id}}, nil)
+	c.planner.EndpointsStored([]definer.Listing{c.listing(id)}, nil)
 	c.report(id)
 }
 
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -14,10 +14,12 @@
 	definer.Listing
 	// slot is the endpoint's index in per-step lists; slots of removed endpoints are reused.
 	slot int
-	// listed means that the endpoint list contains the endpoint, and addressListed that the address is from the list.
-	listed, addressListed bool
+	// listed means that the endpoint list contains the endpoint.
+	listed bool
 	// entry is the state of the endpoint's record in the state table.
 	entry tableEntry
+	// addressStored means that the state table has the present address.
+	addressStored bool
 	// inherited means that the table named the endpoint when the owner loaded it, so that a previous
 	// owner may use it; counted means that it is one of acceptedEndpoints.
 	inherited, counted bool
@@ -128,6 +130,7 @@
 		p.emit(InventoryCmd{Endpoint: e.ID})
 	}
 	if e.Address != listing.Address {
+		e.addressStored = false
 		p.changedEndpoints[e.ID] = struct{}{}
 	}
 	if listing.Draining && !e.Draining {
@@ -135,7 +138,7 @@
 	}
 	p.noteAddressChange(e, &listing)
 	e.Listing = listing
-	e.listed, e.addressListed = true, true
+	e.listed = true
 	e.updateDeparture(&listing, now)
 }
 
@@ -211,7 +214,7 @@
 
 // usable reports whether tasks may be started on e.
 func (e *endpoint) usable(now definer.Instant, freshness time.Duration) bool {
-	return e.acceptedTerm && e.listed && e.entry == entryStored && !e.Draining && e.unknownRuns == 0 && now >= e.quarantinedUntil && now.Sub(e.lastAnswered) < freshness
+	return e.acceptedTerm && e.listed && e.entry == entryStored && e.addressStored && !e.Draining && e.unknownRuns == 0 && now >= e.quarantinedUntil && now.Sub(e.lastAnswered) < freshness
 }
 
 func (e *endpoint) target() definer.Target {
@@ -353,11 +356,12 @@
 func (e *endpoint) recordSuccess() { e.consecutiveFailures, e.quarantine = 0, 0 }
 
 // EndpointReplaced handles the answer of another endpoint at the address of an
-// endpoint: nothing that was started on the latter still runs. The answer proves
-// nothing if the endpoint has moved, or if its address is from the table and may be old.
+// endpoint: nothing that was started on the latter still runs, because every owner
+// starts tasks only at the address that the table has. The answer proves nothing if
+// the endpoint has moved.
 func (p *Planner) EndpointReplaced(target definer.Target) {
 	e := p.endpoints[target.ID]
-	if e == nil || !e.addressListed || e.Address != target.Address {
+	if e == nil || e.Address != target.Address {
 		return
 	}
 	p.acceptTerm(e, p.now)
--- a/internal/cell/planner/judgement_test.go
+++ b/internal/cell/planner/judgement_test.go
@@ -130,21 +130,47 @@
 	}
 }
 
+// TestNewAddressIsStoredBeforeUse guards against an endpoint that is taken for gone
+// because another one answers at the address which the table has from long ago: a
+// task must not start at an address that the next owner does not know.
+func TestNewAddressIsStoredBeforeUse(t *testing.T) {
+	c := newCell(t, 1)
+	moved := c.listing("e000")
+	moved.Address = netip.MustParseAddrPort("10.0.0.2:80")
+	c.planner.UpdateListing(moved, c.now)
+	c.accept(c.job("a", simpleStep(1)))
+	c.advance(100 * time.Millisecond)
+	c.plan()
+	c.expectNoLease("at an address that the table does not have")
+	c.planner.EndpointsStored([]definer.Listing{c.listing("e000")}, nil)
+	c.advance(100 * time.Millisecond)
+	c.plan()
+	if len(c.started) != 0 {
+		t.Error("run started at an address that the table does not have")
+	}
+	c.planner.EndpointsStored(c.planner.ChangedEndpoints())
+	c.advance(100 * time.Millisecond)
+	c.plan()
+	if len(c.started) != 1 || c.started[0].Target.Address != moved.Address {
+		t.Errorf("starts %+v once the new address is stored, want one there", c.started)
+	}
+}
+
 // TestOtherEndpointAtOldAddress guards against an endpoint that is taken for gone
-// because another one answers at the address which the table has from long ago.
+// because another one answers at the address that it had before it moved.
 func TestOtherEndpointAtOldAddress(t *testing.T) {
 	c := inheritedJob(t)
 	c.listEndpoint("e000")
 	c.listEndpoint("e001")
-	c.planner.EndpointReplaced(c.planner.endpoints["e002"].target())
+	moved, old := c.listing("e002"), c.listing("e002")
+	moved.Address = netip.MustParseAddrPort("10.0.0.2:80")
+	c.planner.UpdateListing(moved, c.now)
+	c.planner.EndpointReplaced(definer.Target{ID: "e002", Address: old.Address})
 	c.advance(100*time.Millisecond, "e002")
 	c.plan()
 	if len(c.started) != 0 {
 		t.Error("run started before the endpoint was asked at its own address")
 	}
-	moved := c.listing("e002")
-	moved.Address = netip.MustParseAddrPort("10.0.0.2:80")
-	c.planner.UpdateListing(moved, c.now)
 	c.running["e002"] = []definer.RunningTask{{Task: definer.TaskName{Job: "a"}, Run: 1}}
 	c.advance(100 * time.Millisecond)
 	c.plan()
--- a/internal/cell/planner/ownership.go
+++ b/internal/cell/planner/ownership.go
@@ -33,7 +33,7 @@
 		return
 	}
 	listing.ID = id
-	p.addEndpoint(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1, entry: entryStored, inherited: true})
+	p.addEndpoint(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1, entry: entryStored, addressStored: true, inherited: true})
 	p.inheritedEndpoints++
 }
 
@@ -79,9 +79,16 @@
 // EndpointsStored records that an append with the result of ChangedEndpoints has succeeded.
 func (p *Planner) EndpointsStored(stored []definer.Listing, removed []string) {
 	for i := range stored {
-		if e := p.endpoints[stored[i].ID]; e != nil && e.entry == entryUncertain {
+		e := p.endpoints[stored[i].ID]
+		if e == nil {
+			continue
+		}
+		if e.entry == entryUncertain {
 			e.entry = entryStored
 		}
+		if e.Address == stored[i].Address {
+			e.addressStored = true
+		}
 	}
 	for _, id := range removed {
 		if e := p.endpoints[id]; e != nil && e.entry == entryRemoving {
@@ -102,7 +109,9 @@
 
 // majorityEnd returns when the majority lapses if no endpoint answers any more, or
 // 0 if there is none. An endpoint that the table may or may not name counts only
-// against the majority, so that the majority holds in both cases.
+// against the majority, so that the majority holds in both cases. So does one whose
+// address the table does not have: the next owner may know that its earlier life has
+// ended, while this owner hears its present one.
 func (p *Planner) majorityEnd(now definer.Instant) definer.Instant {
 	answered := make([]definer.Instant, 0, len(p.endpoints))
 	total := 0
@@ -110,7 +119,7 @@
 		switch {
 		case e.entry == entryStored:
 			total++
-			if p.fresh(e, now) {
+			if e.addressStored && p.fresh(e, now) {
 				answered = append(answered, e.lastAnswered)
 			}
 		case !p.fresh(e, now):
