Store the capacity of endpoints

What callers could see: an account above its limit (QUOTA) after a takeover.

Cause: until a takeover is settled, inherited tasks count as running, up to the capacity of the endpoints that have not answered. The record of an endpoint had no capacity, so an endpoint that is not listed at that time, because it is cut from the store or the list has not been read yet, counted as 0. The existing test (TestLimitHoldsAfterTakeover) restores endpoints with their capacity.

Change: the record holds the capacity, and is stored again when it changes.

Evidence: TestTableHasCapacityOfEndpoints failed before and passes now.

--- a/internal/cell/journaler/journaler.go
+++ b/internal/cell/journaler/journaler.go
@@ -83,9 +83,9 @@
 func EncodeJobRemoval(id string) definer.Record { return definer.Record{Key: progressPrefix + id} }
 
 // EncodeEndpoint returns the record of an endpoint in use. It holds only the id,
-// service and address.
+// service, address and capacity.
 func EncodeEndpoint(listing *definer.Listing) definer.Record {
-	kept := definer.Listing{ID: listing.ID, Service: listing.Service, Address: listing.Address}
+	kept := definer.Listing{ID: listing.ID, Service: listing.Service, Address: listing.Address, Capacity: listing.Capacity}
 
 	return definer.Record{Key: endpointPrefix + listing.ID, Value: encode(kept)}
 }
--- a/internal/cell/leader/takeover_test.go
+++ b/internal/cell/leader/takeover_test.go
@@ -88,3 +88,34 @@
 		t.Error("no start")
 	}
 }
+
+// TestTableHasCapacityOfEndpoints guards against an account above its limit: the
+// next owner bounds what runs on an endpoint that has not answered by the capacity
+// of the endpoint, which the endpoint list may not contain at that time.
+func TestTableHasCapacityOfEndpoints(t *testing.T) {
+	now := definer.Now()
+	table := journaler.NewState()
+	l := owner(1, table, now)
+	for _, id := range []string{"e0", "e1", "e2"} {
+		l.planner.UpdateListing(listing(id), now)
+	}
+	appendNext(t, l, table, now)
+	step := definer.Step{Count: 1, Need: modeler.Resources{Millis: 1000}}
+	job := definer.Job{ID: "job", Account: "account", Queue: definer.Queue{Name: "queue", Service: "service"}, Steps: []definer.Step{step}}
+	table.Jobs["job"] = &job
+	l = owner(9, table, now)
+	l.planner.Configure(&definer.Configuration{Accounts: []definer.Account{{Name: "account", Limit: step.Need}}})
+	for _, id := range []string{"e0", "e1"} {
+		l.planner.UpdateListing(listing(id), now)
+		l.planner.Report(id, now, now, definer.Report{Clock: 1, Born: 1})
+	}
+	added := job
+	added.ID = "added"
+	l.planner.Accept(added, now, time.Now())
+	l.planner.Plan(now)
+	for _, command := range l.planner.Commands() {
+		if _, ok := command.(planner.StartCmd); ok {
+			t.Error("task started beside an inherited one that may run on an endpoint without an answer, within a limit of one task")
+		}
+	}
+}
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -131,6 +131,8 @@
 	}
 	if e.Address != listing.Address {
 		e.addressStored = false
+	}
+	if e.Address != listing.Address || e.Capacity != listing.Capacity {
 		p.changedEndpoints[e.ID] = struct{}{}
 	}
 	if listing.Draining && !e.Draining {
