Let a cell go on whose table names mostly endpoints that are gone

Change: an inherited endpoint that the endpoint list does not contain and that does not answer counts as gone 4.5 s after the list was read (2 s, the time in which the platform has living entries back, and the freshness limit). The wait for the leases begins only then.

TestTakeoverNeedsMajorityOfInheritedEndpoints had endpoints that were silent and not listed; they are listed now, which is the case that it is about.

--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -14,8 +14,9 @@
 	definer.Listing
 	// slot is the endpoint's index in per-step lists; slots of removed endpoints are reused.
 	slot int
-	// listed means that the endpoint list contains the endpoint.
-	listed bool
+	// listed means that the endpoint list contains the endpoint, and unlistedAt is when its entry was removed, or 0.
+	listed     bool
+	unlistedAt definer.Instant
 	// entry is the state of the endpoint's record in the state table.
 	entry tableEntry
 	// addressStored means that the state table has the present address.
@@ -119,6 +120,9 @@
 
 // UpdateListing processes an entry of the endpoint list, which may be new.
 func (p *Planner) UpdateListing(listing definer.Listing, now definer.Instant) {
+	if p.listReadAt == 0 {
+		p.listReadAt = now
+	}
 	e := p.endpoints[listing.ID]
 	if e == nil {
 		e = p.addEndpoint(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1})
@@ -173,7 +177,7 @@
 // endpoint is kept until it has stopped answering and its runs have ended.
 func (p *Planner) RemoveListing(id string) {
 	if e := p.endpoints[id]; e != nil {
-		e.listed = false
+		e.listed, e.unlistedAt = false, p.now
 	}
 }
 
--- a/internal/cell/planner/judgement_test.go
+++ b/internal/cell/planner/judgement_test.go
@@ -33,6 +33,10 @@
 // begins with a majority of other endpoints than those the previous owner counts.
 func TestTakeoverNeedsMajorityOfInheritedEndpoints(t *testing.T) {
 	c := inheritedJob(t)
+	for _, id := range []string{"e001", "e002"} {
+		// They are listed and do not answer this owner.
+		c.planner.UpdateListing(c.listing(id), c.now)
+	}
 	for n := range 4 {
 		c.listEndpoint(fmt.Sprintf("new%d", n))
 	}
--- a/internal/cell/planner/ownership.go
+++ b/internal/cell/planner/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 )
@@ -159,6 +160,26 @@
 	}
 }
 
+// listReturn is the time within which the entries of living endpoints are back in the
+// endpoint list after an outage of the store; a missing endpoint is then gone.
+const listReturn = 2 * time.Second
+
+// acceptMissing counts inherited endpoints that are gone as having accepted the term.
+// Without that, an owner whose table names mostly such endpoints would never get the
+// majority that it needs to remove them.
+func (p *Planner) acceptMissing(now definer.Instant) {
+	if p.majoritySince != 0 || p.listReadAt == 0 {
+		return
+	}
+	for _, e := range p.ordered {
+		missingSince := max(p.listReadAt, e.unlistedAt)
+		if e.inherited && !e.acceptedTerm && !e.listed && now.Sub(missingSince) > listReturn+p.settings.Freshness {
+			p.note("endpoint missing", "", "endpoint", e.ID, "for", now.Sub(missingSince))
+			p.acceptTerm(e, now)
+		}
+	}
+}
+
 // takeoverSettled reports whether the runs of the previous owner are all known
 // or over: either every endpoint that it used has answered, or every lease that
 // it may have granted has expired.
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -48,6 +48,7 @@
 func (p *Planner) Tick(now definer.Instant, wall time.Time) (dropped []string) {
 	p.now = now
 	p.CheckSuspension(now)
+	p.acceptMissing(now)
 	p.majorityUntil = p.majorityEnd(now)
 	p.noteTakeover(now)
 	for j := range p.scheduled {
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -56,6 +56,8 @@
 	changedEndpoints map[string]struct{}
 	// tableEnd is the offset after the last record of the state table, as far as the owner knows.
 	tableEnd int64
+	// listReadAt is when the first entry of the endpoint list was read, or 0.
+	listReadAt definer.Instant
 	// inheritedEndpoints counts the endpoints that the table named when the owner loaded it, and
 	// acceptedEndpoints those of them that have accepted the owner's term.
 	inheritedEndpoints, acceptedEndpoints int
