Acknowledge ends only to a process that has just listed some

What callers could see: a task that starts again after its end was acknowledged. The ends of an endpoint are numbered in each life anew. A renewal that is sent before the owner knows of a restart acknowledged the new life's ends up to the number of the old one, so the endpoint forgot an end that nobody had seen, and the run counted as lost.

TestEndsOfNewLifeAreNotAcknowledgedUnseen fails without the change (acknowledged up to 1 after an unanswered renewal and after an empty report).

--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -247,6 +247,7 @@
 			r.lost = true
 			l.logger.Warn("endpoint lost", "endpoint", id, "verdict", int(m.verdict), "error", m.err)
 		}
+		l.planner.RenewalFailed(id)
 		r.due = now.Add(renewRetryDelay)
 	}
 }
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -49,6 +49,8 @@
 	unansweredStarts map[runKey]definer.Instant
 	// lastEnd is the highest number of a processed end, and acknowledgedEnd the highest that is stored.
 	lastEnd, acknowledgedEnd int64
+	// listsEnds means that the last renewal was answered and its report listed ends.
+	listsEnds bool
 	// consecutiveFailures counts the failed runs since the last successful one;
 	// several of one job in a row count once.
 	consecutiveFailures int
@@ -193,7 +195,16 @@
 	return ids
 }
 
-// RenewOrder returns the next renewal for an endpoint and records it as sent.
+// RenewalFailed records that a renewal of an endpoint was not answered.
+func (p *Planner) RenewalFailed(id string) {
+	if e := p.endpoints[id]; e != nil {
+		e.listsEnds = false
+	}
+}
+
+// RenewOrder returns the next renewal for an endpoint and records it as sent. It
+// acknowledges ends only to a process that has just listed some: a new life
+// numbers its ends anew and would forget one that nobody has seen.
 // It extends the lease only while the endpoint answers, so that the lease of an
 // endpoint that does not answer expires, and only while a majority of the
 // endpoints answers, because another owner may have taken over the cell and
@@ -203,7 +214,10 @@
 	if e == nil {
 		return definer.Target{}, definer.RenewOrder{}, false
 	}
-	order := definer.RenewOrder{Acknowledged: e.acknowledgedEnd}
+	order := definer.RenewOrder{}
+	if e.listsEnds {
+		order.Acknowledged = e.acknowledgedEnd
+	}
 	if now < p.majorityUntil && p.fresh(e, now) {
 		order.Until = e.leaseEnd(now, p.settings.Lease)
 		e.lastSent = now
--- a/internal/cell/planner/judgement_test.go
+++ b/internal/cell/planner/judgement_test.go
@@ -206,3 +206,24 @@
 		t.Errorf("%d starts once all leases have expired, want 1", len(c.started))
 	}
 }
+
+// TestEndsOfNewLifeAreNotAcknowledgedUnseen guards against an end that an endpoint
+// forgets before anybody has seen it: a new life numbers its ends anew, so the
+// number that the earlier life was told covers them.
+func TestEndsOfNewLifeAreNotAcknowledgedUnseen(t *testing.T) {
+	c := newCell(t, 1)
+	first := c.startOne()
+	c.endRun("e000", first.Order.Task, first.Order.Run, definer.EndFailed)
+	c.storeProgress()
+	if _, order, _ := c.planner.RenewOrder("e000", c.now); order.Acknowledged != 1 {
+		t.Errorf("ends acknowledged up to %d, want 1, which is stored and was listed last", order.Acknowledged)
+	}
+	c.planner.RenewalFailed("e000")
+	if _, order, _ := c.planner.RenewOrder("e000", c.now); order.Acknowledged != 0 {
+		t.Errorf("ends acknowledged up to %d after a renewal without an answer, when the process may be another one", order.Acknowledged)
+	}
+	c.advance(100 * time.Millisecond)
+	if _, order, _ := c.planner.RenewOrder("e000", c.now); order.Acknowledged != 0 {
+		t.Errorf("ends acknowledged up to %d although the last report listed none", order.Acknowledged)
+	}
+}
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -44,6 +44,9 @@
 		e.lastSent = max(e.lastSent, sent)
 		e.clock, e.clockAt = report.Clock, now
 	}
+	if sent >= e.lastAnswered {
+		e.listsEnds = len(report.Ended) > 0
+	}
 	listed := make(map[runKey]bool, len(report.Running))
 	for _, row := range report.Running {
 		listed[runKey{row.Task, row.Run}] = true
