Repeat the stop of a task that the owner did not place

What callers see: after a change of partitions moves a rack, a task of the earlier partition can run at two endpoints at the same time (I2).

Cause: the owner that gets the endpoint stops foreign tasks once, when it adopts the inventory, and an owner by rank not at all, also not after its claim was read. If that one stop is lost, the task runs on, and the renewals of this owner extend its lease ("renewals of any valid term"). The owner of the earlier partition takes the lease for expired 6.5 s after it lost the endpoint and starts the task elsewhere: its conclusion rests on a clock that another owner extends. The same holds for an older attempt of an own task.

Evidence: TestAdopt_StopsForeignTaskOnce on the code before: "0 stops in 3s while the task runs, want one every 1s", for a lost stop and for an owner by rank whose claim was read.

Why the fix works: each renewal that lists such a task sends its stop again, at most once a second, under the same conditions as the first one, which are judged again each time. Tasks placed by this owner were treated so already. A task of the same id that this owner has placed at the endpoint is left alone, because a stop names no attempt.

--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -144,15 +144,7 @@
 	if ok && t.endpoint != nil && t.endpoint != e && t.state == modeler.TaskRunning {
 		c.reportViolation("I2", "task "+string(t.id)+" runs at "+string(t.endpoint.instance.ID)+" and at "+string(e.instance.ID))
 	}
-	untracked[found.ID] = untrackedWork{team: found.Team, needs: found.Needs, since: c.now, task: found}
-	// Until the claim is in the log, the job may be in a part of the stream
-	// that was not read.
-	known := ok || c.claimed()
-	// A task that may run only once is left to finish: stopping it would not
-	// undo its effects.
-	if once := ok && t.job.Once && !t.job.cancelled; known && !once {
-		c.emit(TaskCmd{Endpoint: e.instance, Action: ActionStop, Request: taskRequest(e, found.ID)})
-	}
+	untracked[found.ID] = c.stopUntracked(e, untrackedWork{team: found.Team, needs: found.Needs, since: c.now, task: found})
 }
 
 // unplaceSuperseded removes a task from the endpoint that the stream names if
@@ -189,17 +181,6 @@
 	}
 }
 
-// adoptCall tracks a call in progress at an executor as untracked work. Calls
-// of this owner that still wait for their answer are already counted.
-func (c *Core) adoptCall(e *endpoint, found messenger.Task, untracked map[modeler.TaskID]untrackedWork) {
-	for _, call := range e.calls {
-		if call.msg.Request == found.Request && call.msg.Team == found.Team {
-			return
-		}
-	}
-	untracked[found.ID] = untrackedWork{team: found.Team, needs: modeler.Resources{Slots: 1}, since: c.now}
-}
-
 // adoptMsg returns the message that reports a running task to the scheduler.
 func adoptMsg(t *task) scheduler.AdoptMsg {
 	return scheduler.AdoptMsg{
@@ -224,10 +205,13 @@
 			e.needsSession = true
 		}
 	}
-	for id := range e.untracked {
-		if !ids[id] {
+	for id, work := range ordered(e.untracked) {
+		switch {
+		case !ids[id]:
 			delete(e.untracked, id)
 			c.teamsDirty = true
+		case e.tasks[id] == nil:
+			e.untracked[id] = c.stopUntracked(e, work)
 		}
 	}
 	for _, t := range sortedTasks(e) {
@@ -246,18 +230,6 @@
 	}
 }
 
-// untrackedOverdue reports whether the slots of calls without a waiting caller
-// should be counted again, which requires a new session.
-func (c *Core) untrackedOverdue(e *endpoint) bool {
-	for _, work := range e.untracked {
-		if c.now.Sub(work.since) > helloInterval {
-			return true
-		}
-	}
-
-	return false
-}
-
 // Ready reports whether the owner may start work: a majority of the partition's
 // endpoints has renewed its session within MaxRenewalAge.
 func (c *Core) Ready() bool {
@@ -409,27 +381,6 @@
 	}
 }
 
-// adoptUntracked adopts the tasks of a job that endpoints reported, as running
-// or as ended, before this owner knew the job. The inventories are complete,
-// because the sessions that came with them make the endpoints refuse the
-// earlier owner.
-func (c *Core) adoptUntracked(j *job) {
-	for _, e := range ordered(c.endpoints) {
-		for _, t := range j.tasks {
-			if work, ok := e.untracked[t.id]; ok {
-				delete(e.untracked, t.id)
-				c.adoptTask(e, work.task, e.untracked)
-			}
-			if result, ok := e.orphanResults[t.id]; ok {
-				delete(e.orphanResults, t.id)
-				c.handleTaskResult(e, result)
-			}
-		}
-		c.syncEndpoint(e)
-	}
-	c.teamsDirty = true
-}
-
 // applyPredecessorTask applies an earlier owner's change of a task, unless this
 // owner has the task at an endpoint. A start whose intent is not yet committed
 // was not sent and is undone, because the earlier owner may have run the task.
--- a/internal/partition/owner/adopt_test.go
+++ b/internal/partition/owner/adopt_test.go
@@ -83,3 +83,33 @@
 		t.Errorf("task is %s, want %s at its endpoint", task.state, modeler.TaskRunning)
 	}
 }
+
+// TestAdopt_StopsForeignTaskOnce guards against a task of another partition that
+// runs on because its only stop was lost, or was not sent by an owner by rank.
+// The renewals of this owner extend its lease, while the other owner considers
+// that lease as expired and starts the task again.
+func TestAdopt_StopsForeignTaskOnce(t *testing.T) {
+	for name, term := range map[string]modeler.Term{"stop lost": modeler.NewTerm(1, 0), "owner by rank": modeler.NewTerm(1, 1)} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, noopScheduler{}, 3, 0)
+			h.core.term = term
+			foreign := messenger.Task{ID: "other/0", Job: "other", Team: "humo", Attempt: 1, Needs: modeler.Resources{Millis: 1000}}
+			h.tasks["e000"] = map[modeler.TaskID]messenger.Task{foreign.ID: foreign}
+			h.send(HelloDoneMsg{Endpoint: "e000", Term: term, Sent: h.now, Reply: messenger.HelloReply{
+				Session: 2, Capacity: modeler.Resources{Millis: 4000, Memory: 16 << 30}, Tasks: []messenger.Task{foreign},
+			}})
+			h.send(TermMsg{Term: modeler.NewTerm(2, 0), Seq: 1})
+			h.taskCommands = nil
+			h.advance(3 * stopInterval)
+			stops := 0
+			for _, cmd := range h.taskCommands {
+				if cmd.Action == ActionStop && cmd.Request.Task == foreign.ID {
+					stops++
+				}
+			}
+			if stops < 2 || stops > 4 {
+				t.Errorf("%d stops in %s while the task runs, want one every %s", stops, 3*stopInterval, stopInterval)
+			}
+		})
+	}
+}
--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -92,17 +92,6 @@
 	attempt int
 }
 
-// untrackedWork is work at an endpoint that the owner did not place there.
-type untrackedWork struct {
-	team  modeler.TeamID
-	needs modeler.Resources
-	// since is when the owner learned of the work.
-	since time.Time
-	// task is the task as the endpoint listed it; zero for a call whose answer
-	// was lost.
-	task messenger.Task
-}
-
 // newEndpoint returns an endpoint without a session.
 func newEndpoint(instance modeler.Instance) *endpoint {
 	e := &endpoint{
--- a/internal/partition/owner/owner_test.go
+++ b/internal/partition/owner/owner_test.go
@@ -26,8 +26,11 @@
 	answers    map[Waiter]AnswerCmd
 	starts     []StartCmd
 	renewals   []RenewCmd
-	tasks      map[modeler.InstanceID]map[modeler.TaskID]messenger.Task
-	violations []string
+	// taskCommands holds the stops, checkpoints and throttles, which have no
+	// effect.
+	taskCommands []TaskCmd
+	tasks        map[modeler.InstanceID]map[modeler.TaskID]messenger.Task
+	violations   []string
 }
 
 func newHarness(t testing.TB, s Scheduler, workers, executors int) *harness {
@@ -99,6 +102,8 @@
 		h.tasks[cmd.Endpoint.ID][cmd.Request.Task.ID] = cmd.Request.Task
 
 		return StartDoneMsg{Endpoint: cmd.Endpoint.ID, Request: cmd.Request}
+	case TaskCmd:
+		h.taskCommands = append(h.taskCommands, cmd)
 	case AppendCmd:
 		h.batches = append(h.batches, cmd.Batch)
 		if !h.logStalled {
