Count a takeover's majority at one moment

Cause: the new owner waits Lc + 2*Ls + Lt from the time at which a majority had accepted its term, and counted every endpoint that had ever granted it a session. The wait rests on the earlier owner having lost its majority by then. A restarted endpoint has forgotten the term, so endpoints that accepted it one after the other never kept the earlier owner from its majority. The wait was then over before the new owner held a majority for the first time, and it took all leases of endpoints that it did not reach for expired.

Evidence: TestTakeover_MajorityIsHeldAtOnce on the code before: "the task lapsed although the owner never held a majority" (two of five endpoints accept the term and go silent, a third one accepts it a second later).

Why the fix works: the wait begins when a majority holds sessions renewed within Lc, the condition under which work starts. An endpoint has one session at a time, so the earlier owner has no majority at that moment, can start nothing Lc later and renews nothing Ls after that. If it gets the majority back, the new owner finds its endpoints displaced and gives up.

A new owner may renew nothing before that, so its sessions last a second; endpoints that answer are asked again at once and count again.

--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -236,6 +236,14 @@
 	if c.retired || c.majorityAt.IsZero() {
 		return false
 	}
+
+	return c.holdsMajority()
+}
+
+// holdsMajority reports whether a majority of the endpoints has renewed its
+// session within MaxRenewalAge. Endpoints that accepted the term earlier do not
+// count: one that has restarted since has forgotten the term.
+func (c *Core) holdsMajority() bool {
 	fresh, listed := c.countEndpoints(func(e *endpoint) bool {
 		return e.state == endpointOpen && c.now.Sub(e.lastRenewal) <= MaxRenewalAge
 	})
@@ -274,13 +282,12 @@
 	return satisfied, listed
 }
 
-// tickTakeover records when a majority is first reached. Once every endpoint
+// tickTakeover records when a majority is first held. Once every endpoint
 // has granted a session or its leases have ended, it passes the jobs of earlier
 // owners to the scheduler.
 func (c *Core) tickTakeover() {
 	if c.majorityAt.IsZero() {
-		granted, listed := c.countEndpoints(func(e *endpoint) bool { return e.granted })
-		if 2*granted <= listed {
+		if !c.holdsMajority() {
 			return
 		}
 		c.majorityAt = c.now
--- /dev/null
+++ b/internal/partition/owner/majority_test.go
@@ -0,0 +1,134 @@
+package owner
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+	"gitlab.com/greengagewall/greengagewall/internal/partition/replayer"
+	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
+)
+
+// takeover drives the core of a new owner. Only the endpoints in answering
+// answer it. The stream places the task j/0 at the endpoint e004.
+type takeover struct {
+	core      *Core
+	now       time.Time
+	answering map[modeler.InstanceID]bool
+	sessions  map[modeler.InstanceID]modeler.SessionID
+	// superseded counts the requests to give up the partition.
+	superseded int
+}
+
+func workerInstance(id modeler.InstanceID) modeler.Instance {
+	return modeler.Instance{ID: id, Kind: modeler.KindWorker, Region: "costa", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+}
+
+// newTakeover returns a new owner whose claim names claimed and whose list of
+// instances has listed.
+func newTakeover(claimed, listed []modeler.InstanceID) *takeover {
+	state := replayer.New("costa-1")
+	for _, id := range claimed {
+		state.Endpoints = append(state.Endpoints, workerInstance(id))
+	}
+	state.Jobs["j"] = &replayer.Job{
+		Job:   modeler.Job{ID: "j", Team: "humo", Queue: "q", Kind: modeler.WorkBatch, Tasks: 1, Needs: modeler.Resources{Millis: 1000}},
+		Tasks: []replayer.Task{{State: modeler.TaskRunning, Attempt: 1, Endpoint: "e004"}}, Open: 1,
+	}
+	h := &takeover{
+		core: New("a", modeler.NewTerm(2, 0), 1, state), now: time.Unix(1_800_000_000, 0),
+		answering: map[modeler.InstanceID]bool{}, sessions: map[modeler.InstanceID]modeler.SessionID{},
+	}
+	h.list(listed...)
+
+	return h
+}
+
+// list passes the platform's list of instances to the core.
+func (h *takeover) list(ids ...modeler.InstanceID) {
+	msg := EndpointsMsg{}
+	for _, id := range ids {
+		msg.Instances = append(msg.Instances, workerInstance(id))
+	}
+	h.send(msg)
+}
+
+func (h *takeover) answer(ids ...modeler.InstanceID) {
+	clear(h.answering)
+	for _, id := range ids {
+		h.answering[id] = true
+	}
+}
+
+func (h *takeover) send(msg Msg) {
+	for _, cmd := range h.core.Update(msg, h.now) {
+		switch cmd := cmd.(type) {
+		case HelloCmd:
+			h.send(h.hello(cmd))
+		case RenewCmd:
+			h.send(h.renew(cmd))
+		case AppendCmd:
+			h.send(CommittedMsg{Seq: cmd.Batch.Seq})
+		case SupersededCmd:
+			h.superseded++
+		}
+	}
+}
+
+func (h *takeover) hello(cmd HelloCmd) Msg {
+	id := cmd.Endpoint.ID
+	if !h.answering[id] {
+		return HelloDoneMsg{Endpoint: id, Term: cmd.Request.Term, Sent: h.now, Err: messenger.ErrUnsent}
+	}
+	h.sessions[id]++
+
+	return HelloDoneMsg{Endpoint: id, Term: cmd.Request.Term, Sent: h.now, Reply: messenger.HelloReply{Session: h.sessions[id]}}
+}
+
+func (h *takeover) renew(cmd RenewCmd) Msg {
+	msg := RenewDoneMsg{Endpoint: cmd.Endpoint.ID, Request: cmd.Request, Sent: h.now}
+	if !h.answering[cmd.Endpoint.ID] {
+		msg.Err = messenger.ErrUnsent
+	}
+
+	return msg
+}
+
+func (h *takeover) advance(d time.Duration) {
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.now = h.now.Add(25 * time.Millisecond)
+		h.send(TickMsg{})
+	}
+}
+
+// holdsTask reports whether the owner still takes the task j/0 for running at
+// the endpoint that the stream names.
+func (h *takeover) holdsTask() bool { return h.core.tasks["j/0"].endpoint != nil }
+
+// TestTakeover_MajorityIsHeldAtOnce guards against a new owner that adds up
+// endpoints which accepted its term one after the other. One that has restarted
+// since has forgotten the term, so the earlier owner may still have its majority
+// and renew the lease of a task that the new owner takes for expired.
+func TestTakeover_MajorityIsHeldAtOnce(t *testing.T) {
+	all := []modeler.InstanceID{"e000", "e001", "e002", "e003", "e004"}
+	h := newTakeover(all, all)
+	h.answer("e000", "e001")
+	h.advance(time.Second)
+	h.answer("e002")
+	h.advance(2 * time.Second)
+	h.answer()
+	h.advance(15 * time.Second)
+	if !h.holdsTask() {
+		t.Fatal("the task lapsed although the owner never held a majority")
+	}
+	h.answer("e000", "e001", "e002")
+	h.advance(MaxRenewalAge + 2*SessionTTL + TaskLeaseTTL)
+	if !h.holdsTask() || !h.core.Ready() {
+		t.Fatalf("holds the task %t, ready %t before the lease has ended", h.holdsTask(), h.core.Ready())
+	}
+	h.advance(leaseMargin + time.Second)
+	if h.holdsTask() {
+		t.Error("the task did not lapse after its lease had ended")
+	}
+}
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -85,8 +85,8 @@
 	roster, pendingRoster map[modeler.InstanceID]bool
 	journal               journal
 
-	// majorityAt is the first time at which a majority of the endpoints had
-	// granted sessions to this owner; zero before.
+	// majorityAt is the first time at which this owner held sessions of a
+	// majority of the endpoints; zero before.
 	majorityAt time.Time
 	// lastReady is when the owner last held fresh renewals of a majority.
 	lastReady time.Time
