Count majorities over the endpoints that the claims name

What callers see: two owners can run a task at the same time (I2) while their lists of endpoints differ.

Cause: every majority (start of work, renewals, takeover, admission of an endpoint, release of a transfer, loss of a majority) was counted over the endpoints that the owner's own list has. The earlier owner, cut off from the log, goes by an old list and has two of {a, b, c}; the list of the new owner has lost a and b and gained d and e, so that it has two of {c, d, e}. The two majorities have no endpoint in common. The earlier owner goes on renewing the leases at a, which the new owner takes for expired Lc + 2*Ls + Lt after its own majority. An owner also regained its majority when the list dropped the endpoints that it had lost to a successor.

Evidence: on the code before, TestTakeover_MajorityOfClaimedEndpoints: "with two of the five claimed endpoints: ready true, holds the task false"; TestReady_ListShrinks: "ready true, superseded 0 times"; TestReady_EarlierClaimCounts: "ready with one of the three endpoints of the earlier claim"; TestClaimEndpoints_KeepsThoseOfEarlierClaim (under the name mergeEndpoints): a takeover named an endpoint that the earlier claim did not.

Why the fix works: both owners go by the log. A takeover names the endpoints of the claim before it and needs their majority, which has an endpoint in common with that of the earlier owner. Endpoints are added and removed by an owner that holds this majority, in a further claim, and it needs a majority of the earlier endpoints too until that majority has seen the new term; a successor of the earlier claim is then refused. An endpoint that is no longer listed is therefore kept until a claim without it is in force, and gets no work from the moment that claim is written (TestRoster_RelistedEndpointNeedsClaim).

The list is still needed for one case: a partition that lost most of its endpoints for good would never work again. An endpoint that is silent and has not been listed for 30 s therefore does not count. Such a partition stood still until the list had dropped the endpoints before, and 30 s longer now.

--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -230,27 +230,6 @@
 	}
 }
 
-// Ready reports whether the owner may start work: a majority of the partition's
-// endpoints has renewed its session within MaxRenewalAge.
-func (c *Core) Ready() bool {
-	if c.retired || c.majorityAt.IsZero() {
-		return false
-	}
-
-	return c.holdsMajority()
-}
-
-// holdsMajority reports whether a majority of the endpoints has renewed its
-// session within MaxRenewalAge. Endpoints that accepted the term earlier do not
-// count: one that has restarted since has forgotten the term.
-func (c *Core) holdsMajority() bool {
-	fresh, listed := c.countEndpoints(func(e *endpoint) bool {
-		return e.state == endpointOpen && c.now.Sub(e.lastRenewal) <= MaxRenewalAge
-	})
-
-	return 2*fresh > listed
-}
-
 // tickLaterTerm reacts to endpoints that have seen a later term. An owner that
 // keeps its majority for 2*MaxRenewalAge, long enough for a later owner to
 // become visible, claims the next epoch and continues. Any other owner gives up
@@ -267,21 +246,6 @@
 	}
 }
 
-// countEndpoints returns how many listed endpoints satisfy test, and how many
-// are listed.
-func (c *Core) countEndpoints(test func(*endpoint) bool) (satisfied, listed int) {
-	for _, e := range c.endpoints {
-		if e.listed {
-			listed++
-			if test(e) {
-				satisfied++
-			}
-		}
-	}
-
-	return satisfied, listed
-}
-
 // tickTakeover records when a majority is first held. Once every endpoint
 // has granted a session or its leases have ended, it passes the jobs of earlier
 // owners to the scheduler.
--- a/internal/partition/owner/displaced.go
+++ b/internal/partition/owner/displaced.go
@@ -32,10 +32,13 @@
 	if c.majorityAt.IsZero() || c.now.Sub(c.majorityAt) < displacedWindow {
 		return
 	}
-	displaced, listed := c.countEndpoints(func(e *endpoint) bool {
+	for _, displaced := range c.tallies(func(e *endpoint) bool {
 		return e.state != endpointOpen || !e.regainedAt.IsZero() && c.now.Sub(e.regainedAt) < displacedWindow
-	})
-	if listed > 0 && 2*displaced > listed {
-		c.emit(SupersededCmd{})
+	}) {
+		if displaced.majority() {
+			c.emit(SupersededCmd{})
+
+			return
+		}
 	}
 }
--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -68,8 +68,10 @@
 	known   bool
 	listed  bool
 	leaving bool
-	tasks   map[modeler.TaskID]*task
-	calls   map[uint64]*pendingCall
+	// unlistedAt is since when the endpoint has not been listed; zero if it is.
+	unlistedAt time.Time
+	tasks      map[modeler.TaskID]*task
+	calls      map[uint64]*pendingCall
 	// untracked holds the tasks and calls that the endpoint runs without a
 	// placement by this owner.
 	untracked map[modeler.TaskID]untrackedWork
@@ -151,11 +153,14 @@
 			e = newEndpoint(instance)
 			c.endpoints[instance.ID] = e
 		}
-		e.instance, e.listed, e.known = instance, true, true
+		e.instance, e.listed, e.known, e.unlistedAt = instance, true, true, time.Time{}
 		e.leaving = e.leaving || instance.State == modeler.StateLeaving
 	}
 	for id, e := range ordered(c.endpoints) {
 		e.listed = listed[id]
+		if !e.listed && e.unlistedAt.IsZero() {
+			e.unlistedAt = c.now
+		}
 		c.syncEndpoint(e)
 	}
 }
@@ -186,7 +191,7 @@
 			c.hello(e, helloInterval)
 		}
 	}
-	if !e.listed && e.idle() && !e.inFlight && e.state != endpointNew {
+	if e.removable() && !c.named(e) {
 		c.dropEndpoint(e)
 	}
 	c.syncEndpoint(e)
@@ -330,7 +335,13 @@
 	}
 }
 
-// dropEndpoint removes an endpoint that is no longer listed and has no work.
+// removable reports whether the owner needs the endpoint no longer: it is not
+// listed and has no work.
+func (e *endpoint) removable() bool {
+	return !e.listed && e.idle() && !e.inFlight && e.state != endpointNew
+}
+
+// dropEndpoint removes an endpoint that is removable and that no claim names.
 func (c *Core) dropEndpoint(e *endpoint) {
 	delete(c.endpoints, e.instance.ID)
 	if e.reported.ID != "" {
--- a/internal/partition/owner/majority_test.go
+++ b/internal/partition/owner/majority_test.go
@@ -132,3 +132,68 @@
 		t.Error("the task did not lapse after its lease had ended")
 	}
 }
+
+// TestTakeover_MajorityOfClaimedEndpoints guards against two owners that count
+// their majorities over different sets of endpoints: the list of the new owner
+// lacks endpoints of which the earlier owner still holds a majority.
+func TestTakeover_MajorityOfClaimedEndpoints(t *testing.T) {
+	claimed := []modeler.InstanceID{"e000", "e001", "e002", "e003", "e004"}
+	h := newTakeover(claimed, []modeler.InstanceID{"e002", "e003"})
+	h.answer("e002", "e003")
+	h.advance(15 * time.Second)
+	if h.core.Ready() || !h.holdsTask() {
+		t.Errorf("with two of the five claimed endpoints: ready %t, holds the task %t", h.core.Ready(), h.holdsTask())
+	}
+	h.answer("e001", "e002", "e003")
+	h.advance(time.Second)
+	if !h.core.Ready() || !h.holdsTask() {
+		t.Errorf("with three of the five claimed endpoints: ready %t, holds the task %t", h.core.Ready(), h.holdsTask())
+	}
+}
+
+// TestReady_ListShrinks guards against an owner that regains its majority because
+// the list no longer has the endpoints that it lost: a successor may hold them.
+// It also guards against a partition that stands still for good after it has lost
+// most of its endpoints.
+func TestReady_ListShrinks(t *testing.T) {
+	all := []modeler.InstanceID{"e000", "e001", "e002", "e003", "e004"}
+	h := newTakeover(all, all)
+	h.answer(all...)
+	h.advance(time.Second)
+	h.answer("e000", "e001")
+	h.list("e000", "e001")
+	h.advance(unlistedTTL)
+	if h.core.Ready() || h.superseded == 0 {
+		t.Errorf("with two of the five claimed endpoints: ready %t, superseded %d times", h.core.Ready(), h.superseded)
+	}
+	h.advance(time.Second)
+	if !h.core.Ready() {
+		t.Error("not ready although the other endpoints count as removed")
+	}
+}
+
+// TestReady_EarlierClaimCounts guards against an owner that goes by the endpoints
+// of its new claim alone while a successor of the earlier claim, which has not
+// read the new one, can still get a majority of the earlier endpoints.
+func TestReady_EarlierClaimCounts(t *testing.T) {
+	earlier := []modeler.InstanceID{"e000", "e001", "e004"}
+	added := []modeler.InstanceID{"f000", "f001", "f002", "f003"}
+	h := newTakeover(earlier, earlier)
+	h.answer(append(added, earlier...)...)
+	h.list(append(added, earlier...)...)
+	h.advance(time.Second)
+	h.core.nextRoster()
+	h.answer(append(added, "e000")...)
+	h.send(TermMsg{Term: modeler.NewTerm(3, 0), Seq: 1})
+	h.advance(2 * time.Second)
+	if h.core.Ready() {
+		t.Error("ready with one of the three endpoints of the earlier claim, which has not been replaced")
+	}
+	h.answer(append(added, "e000", "e001")...)
+	h.advance(2 * time.Second)
+	h.answer(append(added, "e000")...)
+	h.advance(2 * time.Second)
+	if !h.core.Ready() {
+		t.Error("not ready with a majority of the claim that a majority of the earlier one has seen")
+	}
+}
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -80,10 +80,13 @@
 	// lastClaimRequest is when a claim was last requested to release transfers or
 	// to add endpoints to the roster.
 	lastClaimRequest time.Time
-	// roster holds the endpoints of the claim in force, pendingRoster those of
-	// the claim that is not yet committed.
-	roster, pendingRoster map[modeler.InstanceID]bool
-	journal               journal
+	// rosters holds the endpoints of the claim in force, after those of earlier
+	// claims whose successors no majority refuses yet.
+	rosters []roster
+	// pendingRoster holds the endpoints of the claim that is not yet committed; nil
+	// if there is none.
+	pendingRoster []*endpoint
+	journal       journal
 
 	// majorityAt is the first time at which this owner held sessions of a
 	// majority of the endpoints; zero before.
--- a/internal/partition/owner/roster_test.go
+++ b/internal/partition/owner/roster_test.go
@@ -54,3 +54,34 @@
 		t.Errorf("endpoint whose claim no majority has seen: state %s, usable %t", e.state, e.usable(h.now))
 	}
 }
+
+// TestRoster_RelistedEndpointNeedsClaim guards against work on an endpoint that
+// was listed again while a claim that no longer names it was on its way to the
+// log: a later owner would not ask that endpoint.
+func TestRoster_RelistedEndpointNeedsClaim(t *testing.T) {
+	h := newHarness(t, noopScheduler{}, 3, 0)
+	h.advance(time.Second)
+	var all []modeler.Instance
+	for _, e := range ordered(h.core.endpoints) {
+		all = append(all, e.instance)
+	}
+	h.send(EndpointsMsg{Instances: all[:2]})
+	h.advance(100 * time.Millisecond)
+	if named := h.core.nextRoster(); len(named) != 2 {
+		t.Fatalf("the claim names %d endpoints, want the 2 that are listed", len(named))
+	}
+	h.send(EndpointsMsg{Instances: all})
+	for _, step := range []string{"before the claim is read", "after it"} {
+		h.advance(time.Second)
+		if h.core.endpoints["e002"].usable(h.now) {
+			t.Errorf("%s: an endpoint that it does not name is usable", step)
+		}
+		h.send(TermMsg{Term: modeler.NewTerm(2, 0), Seq: 1})
+	}
+	h.core.nextRoster()
+	h.send(TermMsg{Term: modeler.NewTerm(3, 0), Seq: 1})
+	h.advance(time.Second)
+	if !h.core.endpoints["e002"].usable(h.now) {
+		t.Error("the endpoint is not usable under a claim that names it")
+	}
+}
--- a/internal/partition/owner/team.go
+++ b/internal/partition/owner/team.go
@@ -207,13 +207,6 @@
 	}
 }
 
-// hasEndpoints reports whether any endpoint of the partition is listed.
-func (c *Core) hasEndpoints() bool {
-	_, listed := c.countEndpoints(func(*endpoint) bool { return false })
-
-	return listed > 0
-}
-
 // receiveTransfer applies a transfer from the sending partition's stream.
 func (c *Core) receiveTransfer(transfer encoder.Transfer) {
 	if c.retired || transfer.To != c.partition || transfer.Seq <= c.transfers.LastReceived[transfer.From] {
--- a/internal/partition/owner/transfers.go
+++ b/internal/partition/owner/transfers.go
@@ -90,26 +90,6 @@
 	}
 }
 
-// ensureMajority reports whether a majority of the endpoints has granted a
-// session under term or later. If not, it requests new sessions from as many
-// quiescent endpoints as are missing. Without endpoints it returns true,
-// because a successor has nothing to start work on.
-func (c *Core) ensureMajority(term modeler.Term) bool {
-	seen, listed := c.countEndpoints(func(e *endpoint) bool { return e.state == endpointOpen && e.term >= term })
-	missing := listed/2 + 1 - seen
-	if missing <= 0 || listed == 0 {
-		return true
-	}
-	for _, e := range ordered(c.endpoints) {
-		if missing > 0 && e.listed && e.state == endpointOpen && e.term < term && e.quiescent() {
-			e.needsSession = true
-			missing--
-		}
-	}
-
-	return false
-}
-
 // quiescent reports whether no start or call is in flight to the endpoint. A
 // new session would make the endpoint refuse it.
 func (e *endpoint) quiescent() bool {
--- a/internal/partition/runner/claim.go
+++ b/internal/partition/runner/claim.go
@@ -61,7 +61,7 @@
 	r.appender.enqueue(encoder.Batch{
 		Term: r.claim.term, Author: r.settings.Self.ID, Seq: 1,
 		Claim: &encoder.Claim{
-			Successors: elector.Successors(r.electorView(), now), Endpoints: mergeEndpoints(r.view.endpoints, r.state.Endpoints),
+			Successors: elector.Successors(r.electorView(), now), Endpoints: claimEndpoints(r.view.endpoints, r.state.Endpoints),
 		},
 	})
 	r.settings.Logger.Info("claiming partition", "partition", r.settings.Partition.Name, "term", r.claim.term, "owner", r.state.Owner)
@@ -80,17 +80,22 @@
 	return requested != 0 && requested == r.state.Term
 }
 
-// mergeEndpoints returns the listed endpoints and those of the previous claim,
-// which may still run work although they are no longer listed.
-func mergeEndpoints(listed, claimed []modeler.Instance) []modeler.Instance {
-	all := slices.Clone(listed)
-	for _, endpoint := range claimed {
-		if !slices.ContainsFunc(listed, func(e modeler.Instance) bool { return e.ID == endpoint.ID }) {
-			all = append(all, endpoint)
+// claimEndpoints returns the endpoints that a takeover names: those of the claim
+// in force, as they are now listed, or the listed ones if there is none. The
+// owner adds and removes endpoints in a later claim, once it has a majority of
+// these.
+func claimEndpoints(listed, claimed []modeler.Instance) []modeler.Instance {
+	if len(claimed) == 0 {
+		return slices.Clone(listed)
+	}
+	current := slices.Clone(claimed)
+	for i, endpoint := range current {
+		if at := slices.IndexFunc(listed, func(e modeler.Instance) bool { return e.ID == endpoint.ID }); at >= 0 {
+			current[i] = listed[at]
 		}
 	}
 
-	return all
+	return current
 }
 
 // checkPendingClaim decides on a pending claim while the log does not answer. It
