Refuse hello and void meant for another endpoint

Cause: an owner dials the address at which the claim or the list has an endpoint, and neither the request nor the answer names the endpoint. When another one answers there, its inventory counts as that of the endpoint asked for: the tasks are "not in the endpoint's inventory" and are started elsewhere, without the wait for their leases. A void carries no session either, so an executor that never saw the request confirms that it did not run. Besides, a hello to the old id ends the session of the new one.

Evidence: TestOtherEndpointAtAddress on the code before: "hello: got session of another endpoint, want an error" and "void: got {Ran:false Running:false}".

Why the fix works: the client of an endpoint names it in both requests, and the endpoint refuses one that is not for it, before it notes the term. The refusal counts as no answer: the owner waits for the leases, and the outcome stays unknown. All other commands carry a session number. That these never repeat, also over a restart, which forgets the term, was an unwritten condition and now stands with the interface.

--- a/internal/platform/connector/connector_test.go
+++ b/internal/platform/connector/connector_test.go
@@ -34,6 +34,7 @@
 	for status, want := range map[int]error{
 		http.StatusOK: nil, http.StatusConflict: messenger.ErrStaleTerm, http.StatusGone: messenger.ErrSessionExpired,
 		http.StatusTooManyRequests: messenger.ErrNoCapacity, http.StatusPreconditionFailed: messenger.ErrVoided,
+		http.StatusMisdirectedRequest: messenger.ErrOtherEndpoint,
 	} {
 		address := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
 		if err := endpoint(address).Start(t.Context(), messenger.StartRequest{}); !errors.Is(err, want) {
--- a/internal/platform/connector/endpoint.go
+++ b/internal/platform/connector/endpoint.go
@@ -21,17 +21,19 @@
 
 // Endpoint implements messenger.Dialer. It does not open a connection.
 func (d *Dialer) Endpoint(instance modeler.Instance) messenger.Endpoint {
-	return &Endpoint{client: d.client, address: instance.Address}
+	return &Endpoint{client: d.client, id: instance.ID, address: instance.Address}
 }
 
 // Endpoint is the client of a worker or an executor.
 type Endpoint struct {
 	client  *client
+	id      modeler.InstanceID
 	address netip.AddrPort
 }
 
 // Hello implements messenger.Endpoint.
 func (e *Endpoint) Hello(ctx context.Context, msg messenger.HelloRequest) (messenger.HelloReply, error) {
+	msg.Endpoint = e.id
 	var reply messenger.HelloReply
 	err := e.post(ctx, "/v1/hello", msg, &reply)
 
@@ -82,6 +84,7 @@
 
 // Void implements messenger.Endpoint.
 func (e *Endpoint) Void(ctx context.Context, msg messenger.VoidRequest) (messenger.VoidReply, error) {
+	msg.Endpoint = e.id
 	var reply messenger.VoidReply
 	err := e.post(ctx, "/v1/void", msg, &reply)
 
@@ -103,6 +106,8 @@
 		return errors.Wrap(messenger.ErrSessionExpired, status.body)
 	case http.StatusTooManyRequests:
 		return errors.Wrap(messenger.ErrNoCapacity, status.body)
+	case http.StatusMisdirectedRequest:
+		return errors.Wrap(messenger.ErrOtherEndpoint, status.body)
 	case http.StatusPreconditionFailed:
 		return errors.Wrap(messenger.ErrVoided, status.body)
 	}
--- a/internal/platform/messenger/endpoint.go
+++ b/internal/platform/messenger/endpoint.go
@@ -20,6 +20,8 @@
 	ErrNoCapacity = errors.New("endpoint has no capacity left")
 	// ErrVoided means that the request was voided before it arrived (HTTP 412).
 	ErrVoided = errors.New("request was voided")
+	// ErrOtherEndpoint means that another endpoint answers at the address (HTTP 421).
+	ErrOtherEndpoint = errors.New("another endpoint has the address")
 	// ErrUnsent means that the command did not reach the endpoint.
 	ErrUnsent = errors.New("command was not sent")
 )
@@ -61,10 +63,12 @@
 	Note         []byte `json:"note,omitempty"`
 }
 
-// HelloRequest opens a session.
+// HelloRequest opens a session. The client of an endpoint sets Endpoint; another
+// endpoint that has the address refuses the request.
 type HelloRequest struct {
-	Term  modeler.Term       `json:"term"`
-	Owner modeler.InstanceID `json:"owner"`
+	Endpoint modeler.InstanceID `json:"endpoint"`
+	Term     modeler.Term       `json:"term"`
+	Owner    modeler.InstanceID `json:"owner"`
 }
 
 // HelloReply grants a session and lists what the endpoint runs.
@@ -125,10 +129,12 @@
 }
 
 // VoidRequest prevents the execution of a request that has not been executed yet.
+// The client of an endpoint sets Endpoint, as in a HelloRequest.
 type VoidRequest struct {
-	Term    modeler.Term      `json:"term"`
-	Team    modeler.TeamID    `json:"team"`
-	Request modeler.RequestID `json:"request"`
+	Endpoint modeler.InstanceID `json:"endpoint"`
+	Term     modeler.Term       `json:"term"`
+	Team     modeler.TeamID     `json:"team"`
+	Request  modeler.RequestID  `json:"request"`
 }
 
 // VoidReply reports whether the request has run and, if so, its answer.
@@ -140,7 +146,10 @@
 }
 
 // Endpoint is a worker or an executor. Start returns once the task is running, and
-// Call once the call has ended.
+// Call once the call has ended. The number of a session is never given twice, not
+// even after a restart, which forgets the highest term seen; it is what keeps a
+// restarted endpoint from a command of an earlier session. A hello renews no task
+// lease.
 type Endpoint interface {
 	Hello(ctx context.Context, msg HelloRequest) (HelloReply, error)
 	Renew(ctx context.Context, msg RenewRequest) (RenewReply, error)
--- a/internal/standin/worker/call.go
+++ b/internal/standin/worker/call.go
@@ -129,6 +129,9 @@
 func (e *Endpoint) Void(msg messenger.VoidRequest) (messenger.VoidReply, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if err := e.checkIdentity(msg.Endpoint); err != nil {
+		return messenger.VoidReply{}, err
+	}
 	if err := e.checkTerm(msg.Term); err != nil {
 		return messenger.VoidReply{}, err
 	}
--- a/internal/standin/worker/endpoint.go
+++ b/internal/standin/worker/endpoint.go
@@ -161,6 +161,9 @@
 func (e *Endpoint) Hello(msg messenger.HelloRequest) (messenger.HelloReply, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if err := e.checkIdentity(msg.Endpoint); err != nil {
+		return messenger.HelloReply{}, err
+	}
 	if err := e.checkTerm(msg.Term); err != nil {
 		return messenger.HelloReply{}, err
 	}
@@ -214,6 +217,15 @@
 	return reply, nil
 }
 
+// checkIdentity returns ErrOtherEndpoint if a request is for another endpoint.
+func (e *Endpoint) checkIdentity(id modeler.InstanceID) error {
+	if id != e.instance.ID {
+		return errors.Wrapf(messenger.ErrOtherEndpoint, "this is %s, not %s", e.instance.ID, id)
+	}
+
+	return nil
+}
+
 // checkTerm records the term, or returns ErrStaleTerm if it is below the highest
 // one received; the caller holds the lock.
 func (e *Endpoint) checkTerm(term modeler.Term) error {
--- a/internal/standin/worker/server.go
+++ b/internal/standin/worker/server.go
@@ -115,6 +115,8 @@
 		status = http.StatusGone
 	case errors.Is(err, messenger.ErrNoCapacity):
 		status = http.StatusTooManyRequests
+	case errors.Is(err, messenger.ErrOtherEndpoint):
+		status = http.StatusMisdirectedRequest
 	case errors.Is(err, messenger.ErrVoided):
 		status = http.StatusPreconditionFailed
 	case errors.Is(err, errDown):
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -39,7 +39,7 @@
 
 func hello(t *testing.T, e *Endpoint, term modeler.Term) modeler.SessionID {
 	t.Helper()
-	reply, err := e.Hello(messenger.HelloRequest{Term: term, Owner: modeler.InstanceID(term.String())})
+	reply, err := e.Hello(messenger.HelloRequest{Endpoint: "e", Term: term, Owner: modeler.InstanceID(term.String())})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -92,7 +92,7 @@
 		_, err := e.Renew(messenger.RenewRequest{Term: first, Session: old})
 		wantError(t, "renewal of an expired session", err, messenger.ErrSessionExpired)
 		session := hello(t, e, second)
-		_, err = e.Hello(messenger.HelloRequest{Term: first, Owner: "1.0"})
+		_, err = e.Hello(messenger.HelloRequest{Endpoint: "e", Term: first, Owner: "1.0"})
 		wantError(t, "hello with a lower term", err, messenger.ErrStaleTerm)
 		wantError(t, "stop with a lower term", e.Stop(messenger.TaskRequest{Term: first, Session: old, Task: "a"}), messenger.ErrStaleTerm)
 		wantError(t, "stop", e.Stop(messenger.TaskRequest{Term: second, Session: session, Task: "a"}), nil)
@@ -225,3 +225,25 @@
 		t.Error(diff)
 	}
 }
+
+// TestOtherEndpointAtAddress guards against an endpoint that answers for another
+// one, whose address it has taken over. An owner would conclude that the tasks of
+// the other endpoint have ended, and that its requests were not run.
+func TestOtherEndpointAtAddress(t *testing.T) {
+	host := NewHost(Spec{
+		Kind: modeler.KindExecutor, Count: 1, Zone: "z", Address: netip.MustParseAddr("127.0.0.1"), Capacity: modeler.Resources{Slots: 1},
+	}, nopRegistrar{})
+	if err := host.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	defer host.Close()
+	moved := host.Instances()[0]
+	moved.ID = "moved"
+	client := connector.NewDialer().Endpoint(moved)
+	if reply, err := client.Hello(t.Context(), messenger.HelloRequest{Term: first, Owner: "o"}); err == nil {
+		t.Errorf("hello: got session %d of another endpoint, want an error", reply.Session)
+	}
+	if reply, err := client.Void(t.Context(), messenger.VoidRequest{Term: first, Team: "t", Request: "r"}); err == nil {
+		t.Errorf("void: got %+v of another endpoint, want an error", reply)
+	}
+}
