Take a lease for expired only after late renewals

Cause: the owner computed the end of a lease from the time at which it gave up waiting for a renewal, or lost the session by its own clock. The endpoint goes by the arrival. A renewal that is not answered can arrive until the session ends there, prolongs it by Ls, and so lets the next unanswered one arrive later still. With two of them the lease runs until 8 s after the last answer, and the owner took it for expired after 7.8 s, margin included. The wait after a takeover had the same gap, for the renewals that the earlier owner sends within Ls of its last majority.

Evidence: TestLease_LateRenewals on the code before: "the task lapsed before its lease at the endpoint had ended".

Why the fix works: the owner keeps the latest time at which the endpoint can still accept a command under its session: Ls after an answer, and Ls more for each renewal without one; nothing that was sent under the session takes effect later, starts included. The lease ends at most Lt after that. A takeover waits Lc + 3*Ls, since two renewals with the runner's timeout of 0.5 s fit into the time before the session is given up.

By calculation, a task of an endpoint that falls silent (not one that refuses connections) is started again about 2 s later than before, and one that a takeover does not reach 1 s later.

--- a/internal/partition/owner/call.go
+++ b/internal/partition/owner/call.go
@@ -247,7 +247,6 @@
 	c.team(call.msg.Team).free(modeler.Resources{Slots: 1})
 	call.executor = nil
 	if lost && e.state != endpointGone {
-		e.lastContact = c.now
 		e.untracked[modeler.TaskID(call.msg.Request)] = untrackedWork{team: call.msg.Team, needs: modeler.Resources{Slots: 1}, since: c.now}
 		e.needsSession = e.state == endpointOpen
 		c.teamsDirty = true
--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -44,9 +44,9 @@
 	granted bool
 	// lastRenewal is when the last hello or renewal that was answered was sent.
 	lastRenewal time.Time
-	// lastContact is the latest time at which a renewal or a start may have
-	// reached the endpoint and extended a task lease. A hello extends no lease.
-	lastContact time.Time
+	// sessionEnd is the latest time at which the endpoint may still accept a renewal
+	// or a start under a session of this owner. A hello extends no lease.
+	sessionEnd time.Time
 	// claimTerm is the term of the first claim that names the endpoint;
 	// admitted is set once a majority has seen that term.
 	claimTerm modeler.Term
@@ -197,19 +197,24 @@
 	c.syncEndpoint(e)
 }
 
+// takeoverWait is how long after the majority of a new owner an endpoint may still
+// accept commands of the earlier one: that owner notices within MaxRenewalAge that
+// it has lost the majority, renews for SessionTTL more, and the last two of these
+// renewals may arrive late, each at the end of the session.
+const takeoverWait = MaxRenewalAge + 3*SessionTTL
+
 // leaseEnd returns when the leases of all work at an endpoint without a session
 // end; ok is false while that time is not known.
 func (c *Core) leaseEnd(e *endpoint) (end time.Time, ok bool) {
-	if e.state == endpointNew {
-		if c.majorityAt.IsZero() {
-			return time.Time{}, false
-		}
-		end = c.majorityAt.Add(MaxRenewalAge + 2*SessionTTL)
-	} else {
+	switch {
+	case e.state != endpointNew && e.sessionEnd.After(e.lostAt):
+		end = e.sessionEnd
+	case e.state != endpointNew:
 		end = e.lostAt
-	}
-	if e.lastContact.After(end) {
-		end = e.lastContact
+	case c.majorityAt.IsZero():
+		return time.Time{}, false
+	default:
+		end = c.majorityAt.Add(takeoverWait)
 	}
 
 	return end.Add(TaskLeaseTTL + leaseMargin), true
@@ -227,7 +232,7 @@
 
 // renew renews the session when it is due. An owner that has lost its majority
 // stops renewing: a later owner relies on the leases at endpoints that only the
-// earlier owner reaches to end Lc + 2*Ls + Lt after its own majority.
+// earlier owner reaches to end takeoverWait + Lt after its own majority.
 func (c *Core) renew(e *endpoint) {
 	if e.inFlight || c.now.Sub(e.lastAttempt) < renewInterval || c.now.Sub(c.lastReady) > SessionTTL {
 		return
@@ -267,6 +272,7 @@
 	e.fire(triggerGranted)
 	e.session, e.term, e.granted, e.needsSession = msg.Reply.Session, msg.Term, true, false
 	e.lastRenewal, e.capacity = msg.Sent, msg.Reply.Capacity
+	c.prolongSession(e, nil)
 	e.leaving = e.leaving || msg.Reply.Leaving
 	// The scheduler must know the endpoint before it learns of tasks there.
 	c.syncEndpoint(e)
@@ -282,9 +288,7 @@
 		return
 	}
 	e.inFlight = false
-	if !noEffect(msg.Err) {
-		e.lastContact = c.now
-	}
+	c.prolongSession(e, msg.Err)
 	if e.state != endpointOpen || e.session != msg.Request.Session {
 		return
 	}
@@ -307,6 +311,18 @@
 	c.syncEndpoint(e)
 }
 
+// prolongSession moves the end of the session after a hello or a renewal with the
+// given result. One that was not answered may still arrive, at the latest when
+// the session would end without it.
+func (c *Core) prolongSession(e *endpoint, err error) {
+	switch {
+	case err == nil:
+		e.sessionEnd = c.now.Add(SessionTTL)
+	case !noEffect(err):
+		e.sessionEnd = e.sessionEnd.Add(SessionTTL)
+	}
+}
+
 // syncEndpoint sends the scheduler the current state of a worker if it has
 // changed. Work that the scheduler does not know of is subtracted from the
 // capacity.
--- a/internal/partition/owner/majority_test.go
+++ b/internal/partition/owner/majority_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
@@ -17,10 +18,24 @@
 	now       time.Time
 	answering map[modeler.InstanceID]bool
 	sessions  map[modeler.InstanceID]modeler.SessionID
+	// late makes the endpoint e004 answer no renewal. Each one reaches it just
+	// before its session ends.
+	late bool
+	// renewedAt is when a renewal last reached e004.
+	renewedAt time.Time
+	// unanswered holds the results of late renewals with the time at which the owner
+	// stops waiting.
+	unanswered []lateResult
 	// superseded counts the requests to give up the partition.
 	superseded int
 }
 
+// lateResult is the result of a renewal that is not answered in time.
+type lateResult struct {
+	at  time.Time
+	msg RenewDoneMsg
+}
+
 func workerInstance(id modeler.InstanceID) modeler.Instance {
 	return modeler.Instance{ID: id, Kind: modeler.KindWorker, Region: "costa", Address: netip.MustParseAddrPort("127.0.0.1:1")}
 }
@@ -67,7 +82,9 @@
 		case HelloCmd:
 			h.send(h.hello(cmd))
 		case RenewCmd:
-			h.send(h.renew(cmd))
+			if reply := h.renew(cmd); reply != nil {
+				h.send(reply)
+			}
 		case AppendCmd:
 			h.send(CommittedMsg{Seq: cmd.Batch.Seq})
 		case SupersededCmd:
@@ -82,12 +99,26 @@
 		return HelloDoneMsg{Endpoint: id, Term: cmd.Request.Term, Sent: h.now, Err: messenger.ErrUnsent}
 	}
 	h.sessions[id]++
+	reply := messenger.HelloReply{Session: h.sessions[id]}
+	if id == "e004" {
+		reply.Tasks = []messenger.Task{{ID: "j/0", Job: "j", Team: "humo", Attempt: 1}}
+	}
 
-	return HelloDoneMsg{Endpoint: id, Term: cmd.Request.Term, Sent: h.now, Reply: messenger.HelloReply{Session: h.sessions[id]}}
+	return HelloDoneMsg{Endpoint: id, Term: cmd.Request.Term, Sent: h.now, Reply: reply}
 }
 
 func (h *takeover) renew(cmd RenewCmd) Msg {
 	msg := RenewDoneMsg{Endpoint: cmd.Endpoint.ID, Request: cmd.Request, Sent: h.now}
+	if cmd.Endpoint.ID == "e004" {
+		if h.late {
+			h.renewedAt = h.renewedAt.Add(SessionTTL - time.Millisecond)
+			msg.Err = context.DeadlineExceeded
+			h.unanswered = append(h.unanswered, lateResult{at: h.now.Add(renewTimeout), msg: msg})
+
+			return nil
+		}
+		h.renewedAt, msg.Reply.Tasks = h.now, []modeler.TaskID{"j/0"}
+	}
 	if !h.answering[cmd.Endpoint.ID] {
 		msg.Err = messenger.ErrUnsent
 	}
@@ -95,9 +126,17 @@
 	return msg
 }
 
+// renewTimeout is how long the runner waits for the answer to a renewal.
+const renewTimeout = 500 * time.Millisecond
+
 func (h *takeover) advance(d time.Duration) {
 	for end := h.now.Add(d); h.now.Before(end); {
 		h.now = h.now.Add(25 * time.Millisecond)
+		for len(h.unanswered) > 0 && !h.unanswered[0].at.After(h.now) {
+			msg := h.unanswered[0].msg
+			h.unanswered = h.unanswered[1:]
+			h.send(msg)
+		}
 		h.send(TickMsg{})
 	}
 }
@@ -123,7 +162,7 @@
 		t.Fatal("the task lapsed although the owner never held a majority")
 	}
 	h.answer("e000", "e001", "e002")
-	h.advance(MaxRenewalAge + 2*SessionTTL + TaskLeaseTTL)
+	h.advance(takeoverWait + TaskLeaseTTL)
 	if !h.holdsTask() || !h.core.Ready() {
 		t.Fatalf("holds the task %t, ready %t before the lease has ended", h.holdsTask(), h.core.Ready())
 	}
@@ -197,3 +236,24 @@
 		t.Error("not ready with a majority of the claim that a majority of the earlier one has seen")
 	}
 }
+
+// TestLease_LateRenewals guards against a lease that the owner takes for expired
+// while renewals that it had given up on have reached the endpoint late, each one
+// within the session that the one before it had prolonged.
+func TestLease_LateRenewals(t *testing.T) {
+	all := []modeler.InstanceID{"e000", "e001", "e002", "e003", "e004"}
+	h := newTakeover(all, all)
+	h.answer(all...)
+	h.advance(2 * time.Second)
+	h.late = true
+	h.answer("e000", "e001", "e002", "e003")
+	h.advance(2 * time.Second)
+	h.advance(h.renewedAt.Add(TaskLeaseTTL).Sub(h.now))
+	if !h.holdsTask() {
+		t.Error("the task lapsed before its lease at the endpoint had ended")
+	}
+	h.advance(3 * time.Second)
+	if h.holdsTask() {
+		t.Error("the task did not lapse after its lease had ended")
+	}
+}
--- a/internal/partition/owner/result.go
+++ b/internal/partition/owner/result.go
@@ -51,9 +51,6 @@
 		return
 	}
 	e := t.endpoint
-	if !noEffect(msg.Err) {
-		e.lastContact = c.now
-	}
 	switch {
 	case msg.Err == nil:
 		c.markRunning(t, c.now)
@@ -138,7 +135,7 @@
 // foreignResultTTL is how long the result of an unknown job stays at the endpoint.
 // By then the owner of the partition that the endpoint was in before has read the
 // result or has judged the lease of the task as ended.
-const foreignResultTTL = MaxRenewalAge + 2*SessionTTL + TaskLeaseTTL + leaseMargin
+const foreignResultTTL = takeoverWait + TaskLeaseTTL + leaseMargin
 
 // holdForeignResult acknowledges the result of a job that is not in this
 // partition's stream once it has been reported for foreignResultTTL. No record of
