--- a/internal/partition/owner/majority_test.go
+++ b/internal/partition/owner/majority_test.go
@@ -1,150 +1,12 @@
 package owner
 
 import (
-	"context"
-	"net/netip"
 	"testing"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
-	"gitlab.com/greengagewall/greengagewall/internal/partition/replayer"
-	"gitlab.com/greengagewall/greengagewall/internal/platform/messenger"
 )
 
-// takeover drives the core of a new owner. Only the endpoints in answering
-// answer it. The stream places the task j/0 at the endpoint e004.
-type takeover struct {
-	core      *Core
-	now       time.Time
-	answering map[modeler.InstanceID]bool
-	sessions  map[modeler.InstanceID]modeler.SessionID
-	// late makes the endpoint e004 answer no renewal. Each one reaches it just
-	// before its session ends.
-	late bool
-	// renewedAt is when a renewal last reached e004.
-	renewedAt time.Time
-	// unanswered holds the results of late renewals with the time at which the owner
-	// stops waiting.
-	unanswered []lateResult
-	// superseded counts the requests to give up the partition.
-	superseded int
-}
-
-// lateResult is the result of a renewal that is not answered in time.
-type lateResult struct {
-	at  time.Time
-	msg RenewDoneMsg
-}
-
-func workerInstance(id modeler.InstanceID) modeler.Instance {
-	return modeler.Instance{ID: id, Kind: modeler.KindWorker, Region: "costa", Address: netip.MustParseAddrPort("127.0.0.1:1")}
-}
-
-// newTakeover returns a new owner whose claim names claimed and whose list of
-// instances has listed.
-func newTakeover(claimed, listed []modeler.InstanceID) *takeover {
-	state := replayer.New("costa-1")
-	for _, id := range claimed {
-		state.Endpoints = append(state.Endpoints, workerInstance(id))
-	}
-	state.Jobs["j"] = &replayer.Job{
-		Job:   modeler.Job{ID: "j", Team: "humo", Queue: "q", Kind: modeler.WorkBatch, Tasks: 1, Needs: modeler.Resources{Millis: 1000}},
-		Tasks: []replayer.Task{{State: modeler.TaskRunning, Attempt: 1, Endpoint: "e004"}}, Open: 1,
-	}
-	h := &takeover{
-		core: New("a", modeler.NewTerm(2, 0), 1, state), now: time.Unix(1_800_000_000, 0),
-		answering: map[modeler.InstanceID]bool{}, sessions: map[modeler.InstanceID]modeler.SessionID{},
-	}
-	h.list(listed...)
-
-	return h
-}
-
-// list passes the platform's list of instances to the core.
-func (h *takeover) list(ids ...modeler.InstanceID) {
-	msg := EndpointsMsg{}
-	for _, id := range ids {
-		msg.Instances = append(msg.Instances, workerInstance(id))
-	}
-	h.send(msg)
-}
-
-func (h *takeover) answer(ids ...modeler.InstanceID) {
-	clear(h.answering)
-	for _, id := range ids {
-		h.answering[id] = true
-	}
-}
-
-func (h *takeover) send(msg Msg) {
-	for _, cmd := range h.core.Update(msg, h.now) {
-		switch cmd := cmd.(type) {
-		case HelloCmd:
-			h.send(h.hello(cmd))
-		case RenewCmd:
-			if reply := h.renew(cmd); reply != nil {
-				h.send(reply)
-			}
-		case AppendCmd:
-			h.send(CommittedMsg{Seq: cmd.Batch.Seq})
-		case SupersededCmd:
-			h.superseded++
-		}
-	}
-}
-
-func (h *takeover) hello(cmd HelloCmd) Msg {
-	id := cmd.Endpoint.ID
-	if !h.answering[id] {
-		return HelloDoneMsg{Endpoint: id, Term: cmd.Request.Term, Sent: h.now, Err: messenger.ErrUnsent}
-	}
-	h.sessions[id]++
-	reply := messenger.HelloReply{Session: h.sessions[id]}
-	if id == "e004" {
-		reply.Tasks = []messenger.Task{{ID: "j/0", Job: "j", Team: "humo", Attempt: 1}}
-	}
-
-	return HelloDoneMsg{Endpoint: id, Term: cmd.Request.Term, Sent: h.now, Reply: reply}
-}
-
-func (h *takeover) renew(cmd RenewCmd) Msg {
-	msg := RenewDoneMsg{Endpoint: cmd.Endpoint.ID, Request: cmd.Request, Sent: h.now}
-	if cmd.Endpoint.ID == "e004" {
-		if h.late {
-			h.renewedAt = h.renewedAt.Add(SessionTTL - time.Millisecond)
-			msg.Err = context.DeadlineExceeded
-			h.unanswered = append(h.unanswered, lateResult{at: h.now.Add(renewTimeout), msg: msg})
-
-			return nil
-		}
-		h.renewedAt, msg.Reply.Tasks = h.now, []modeler.TaskID{"j/0"}
-	}
-	if !h.answering[cmd.Endpoint.ID] {
-		msg.Err = messenger.ErrUnsent
-	}
-
-	return msg
-}
-
-// renewTimeout is how long the runner waits for the answer to a renewal.
-const renewTimeout = 500 * time.Millisecond
-
-func (h *takeover) advance(d time.Duration) {
-	for end := h.now.Add(d); h.now.Before(end); {
-		h.now = h.now.Add(25 * time.Millisecond)
-		for len(h.unanswered) > 0 && !h.unanswered[0].at.After(h.now) {
-			msg := h.unanswered[0].msg
-			h.unanswered = h.unanswered[1:]
-			h.send(msg)
-		}
-		h.send(TickMsg{})
-	}
-}
-
-// holdsTask reports whether the owner still takes the task j/0 for running at
-// the endpoint that the stream names.
-func (h *takeover) holdsTask() bool { return h.core.tasks["j/0"].endpoint != nil }
-
 // TestTakeover_MajorityIsHeldAtOnce guards against a new owner that adds up
 // endpoints which accepted its term one after the other. One that has restarted
 // since has forgotten the term, so the earlier owner may still have its majority
@@ -257,3 +119,97 @@
 		t.Error("the task did not lapse after its lease had ended")
 	}
 }
+
+// fiveEndpoints returns a new owner of five endpoints that has held all of them
+// for longer than displacedWindow.
+func fiveEndpoints() (*takeover, []modeler.InstanceID) {
+	all := []modeler.InstanceID{"e000", "e001", "e002", "e003", "e004"}
+	h := newTakeover(all, all)
+	h.answer(all...)
+	h.advance(2 * displacedWindow)
+
+	return h, all
+}
+
+// TestRenew_NeedsMajority guards against an owner that goes on renewing leases
+// after it has lost its majority.
+func TestRenew_NeedsMajority(t *testing.T) {
+	h, _ := fiveEndpoints()
+	h.answer("e000")
+	h.advance(MaxRenewalAge + SessionTTL + time.Second)
+	before := h.renewals["e000"]
+	h.advance(5 * time.Second)
+	if sent := h.renewals["e000"] - before; sent > 0 {
+		t.Errorf("%d renewals without a majority", sent)
+	}
+}
+
+// TestDisplaced_SessionGaps guards against an owner that keeps the partition after
+// another one has held a majority of its endpoints for a moment, which shows only
+// in sessions that ended early or whose numbers have a gap.
+func TestDisplaced_SessionGaps(t *testing.T) {
+	for name, displace := range map[string]func(*takeover, modeler.InstanceID){
+		"session ended": func(h *takeover, id modeler.InstanceID) { h.expired[id] = true },
+		"gap": func(h *takeover, id modeler.InstanceID) {
+			h.sessions[id]++
+			h.core.endpoints[id].needsSession = true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, all := fiveEndpoints()
+			for i, id := range all[:3] {
+				if h.superseded > 0 {
+					t.Fatalf("gave up the partition with %d of 5 endpoints displaced", i)
+				}
+				displace(h, id)
+				h.advance(500 * time.Millisecond)
+			}
+			if h.superseded == 0 {
+				t.Error("kept the partition with 3 of 5 endpoints displaced")
+			}
+		})
+	}
+}
+
+// TestLaterTerm_IsHeeded guards against an owner that ignores endpoints which have
+// seen a later term.
+func TestLaterTerm_IsHeeded(t *testing.T) {
+	h, all := fiveEndpoints()
+	h.stale["e000"], h.expired["e000"] = true, true
+	h.advance(5 * time.Second)
+	if h.laterTerms == 0 || h.superseded > 0 {
+		t.Errorf("one endpoint of five: %d claims, superseded %d times", h.laterTerms, h.superseded)
+	}
+	h = newTakeover(all, all)
+	h.answer(all...)
+	for _, id := range all {
+		h.stale[id] = true
+	}
+	h.advance(time.Second)
+	if h.superseded == 0 {
+		t.Error("a new owner that every endpoint refuses keeps the partition")
+	}
+}
+
+// TestRoster_KeepsUnlistedEndpoint guards against a claim without an endpoint that
+// still runs work although it is no longer listed.
+func TestRoster_KeepsUnlistedEndpoint(t *testing.T) {
+	h, all := fiveEndpoints()
+	h.list(all[:4]...)
+	h.advance(time.Second)
+	if named := h.core.nextRoster(); len(named) != len(all) {
+		t.Errorf("the claim names %d endpoints, want %d", len(named), len(all))
+	}
+}
+
+// TestLease_RenewalUnderWay guards against a lease that the owner takes for expired
+// while it does not know the result of a renewal, as after a pause.
+func TestLease_RenewalUnderWay(t *testing.T) {
+	h, all := fiveEndpoints()
+	h.late, h.lateBy = true, time.Minute
+	h.answer(all[:4]...)
+	h.advance(30 * time.Second)
+	if !h.holdsTask() {
+		t.Error("the task lapsed while a renewal was under way")
+	}
+}
--- a/internal/partition/replayer/replayer_test.go
+++ b/internal/partition/replayer/replayer_test.go
@@ -178,3 +178,20 @@
 		t.Errorf("the reader serves %d jobs and %d transfers of a void batch", len(late.Jobs), len(late.Transfers.Sent))
 	}
 }
+
+// TestApply_EarlierAttempt guards against a change of an earlier attempt, read
+// late, that hides where the current one runs.
+func TestApply_EarlierAttempt(t *testing.T) {
+	state := New("costa-1")
+	apply(t, state, claim(1, "a"))
+	apply(t, state, encoder.Batch{
+		Term: modeler.NewTerm(1, 0), Author: "a", Seq: 2, Jobs: []modeler.Job{{ID: "j1", Team: "a", Tasks: 1}},
+		Tasks: []encoder.TaskChange{
+			{Job: "j1", Task: "j1/0", State: modeler.TaskRunning, Attempt: 2, Endpoint: "w"},
+			{Job: "j1", Task: "j1/0", State: modeler.TaskQueued, Attempt: 1},
+		},
+	})
+	if got := state.Jobs["j1"].Tasks[0]; got.State != modeler.TaskRunning || got.Endpoint != "w" {
+		t.Errorf("task is %+v, want attempt 2 running at w", got)
+	}
+}
