Judge the majority by the present time when an own claim is read

Cause: an owner whose new claim is read goes on with its state if it has a majority, and with a new one otherwise, because another owner may have been active. It asked the core, which answered for the time of its last message. After a pause of the process the stream can be read before the next tick, and a majority from before the pause then counts.

Why the fix works: whoever asks from outside names the time.

--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -237,7 +237,7 @@
 func (c *Core) tickLaterTerm() {
 	switch {
 	case c.laterTermSince.IsZero():
-	case !c.Ready():
+	case !c.ready():
 		c.laterTermSince = time.Time{}
 		c.emit(SupersededCmd{Endpoint: c.laterTermEndpoint})
 	case c.now.Sub(c.laterTermSince) > 2*MaxRenewalAge:
--- a/internal/partition/owner/call.go
+++ b/internal/partition/owner/call.go
@@ -174,7 +174,7 @@
 
 // dispatchCalls assigns free slots to queued calls.
 func (c *Core) dispatchCalls() {
-	if len(c.callQueue) == 0 || !c.Ready() {
+	if len(c.callQueue) == 0 || !c.ready() {
 		return
 	}
 	kept := c.callQueue[:0]
@@ -301,7 +301,7 @@
 
 		return
 	}
-	if c.retired || !c.Ready() || !call.executor.usable(c.now) || c.now.After(call.expires) {
+	if c.retired || !c.ready() || !call.executor.usable(c.now) || c.now.After(call.expires) {
 		c.finishRequest(call, encoder.RequestVoided, nil,
 			modeler.NotRun(modeler.CodeNoExecutor, callRetryAfter, "the executor was lost before request %s was sent", call.msg.Request))
 
--- a/internal/partition/owner/invariant.go
+++ b/internal/partition/owner/invariant.go
@@ -23,7 +23,7 @@
 // have become unusable since the decision; any other reason to refuse the start
 // is a violated invariant.
 func (c *Core) permitStart(t *task, e *endpoint) bool {
-	if !c.Ready() || !e.usable(c.now) || t.job.cancelled || t.state.Final() {
+	if !c.ready() || !e.usable(c.now) || t.job.cancelled || t.state.Final() {
 		return false
 	}
 	if t.endpoint != nil {
--- a/internal/partition/owner/majority.go
+++ b/internal/partition/owner/majority.go
@@ -56,9 +56,16 @@
 	return e.state != endpointOpen && !e.unlistedAt.IsZero() && c.now.Sub(e.unlistedAt) > unlistedTTL
 }
 
-// Ready reports whether the owner may start work: it has held a majority since
+// Ready reports whether the owner may start work at the given time.
+func (c *Core) Ready(now time.Time) bool {
+	c.now = now
+
+	return c.ready()
+}
+
+// ready reports whether the owner may start work: it has held a majority since
 // it took over, and holds one now.
-func (c *Core) Ready() bool {
+func (c *Core) ready() bool {
 	return !c.retired && !c.majorityAt.IsZero() && c.holdsMajority()
 }
 
--- a/internal/partition/owner/majority_test.go
+++ b/internal/partition/owner/majority_test.go
@@ -25,8 +25,8 @@
 	}
 	h.answer("e000", "e001", "e002")
 	h.advance(takeoverWait + TaskLeaseTTL)
-	if !h.holdsTask() || !h.core.Ready() {
-		t.Fatalf("holds the task %t, ready %t before the lease has ended", h.holdsTask(), h.core.Ready())
+	if !h.holdsTask() || !h.core.ready() {
+		t.Fatalf("holds the task %t, ready %t before the lease has ended", h.holdsTask(), h.core.ready())
 	}
 	h.advance(leaseMargin + time.Second)
 	if h.holdsTask() {
@@ -42,13 +42,13 @@
 	h := newTakeover(claimed, []modeler.InstanceID{"e002", "e003"})
 	h.answer("e002", "e003")
 	h.advance(15 * time.Second)
-	if h.core.Ready() || !h.holdsTask() {
-		t.Errorf("with two of the five claimed endpoints: ready %t, holds the task %t", h.core.Ready(), h.holdsTask())
+	if h.core.ready() || !h.holdsTask() {
+		t.Errorf("with two of the five claimed endpoints: ready %t, holds the task %t", h.core.ready(), h.holdsTask())
 	}
 	h.answer("e001", "e002", "e003")
 	h.advance(time.Second)
-	if !h.core.Ready() || !h.holdsTask() {
-		t.Errorf("with three of the five claimed endpoints: ready %t, holds the task %t", h.core.Ready(), h.holdsTask())
+	if !h.core.ready() || !h.holdsTask() {
+		t.Errorf("with three of the five claimed endpoints: ready %t, holds the task %t", h.core.ready(), h.holdsTask())
 	}
 }
 
@@ -64,11 +64,11 @@
 	h.answer("e000", "e001")
 	h.list("e000", "e001")
 	h.advance(unlistedTTL)
-	if h.core.Ready() || h.superseded == 0 {
-		t.Errorf("with two of the five claimed endpoints: ready %t, superseded %d times", h.core.Ready(), h.superseded)
+	if h.core.ready() || h.superseded == 0 {
+		t.Errorf("with two of the five claimed endpoints: ready %t, superseded %d times", h.core.ready(), h.superseded)
 	}
 	h.advance(time.Second)
-	if !h.core.Ready() {
+	if !h.core.ready() {
 		t.Error("not ready although the other endpoints count as removed")
 	}
 }
@@ -87,14 +87,14 @@
 	h.answer(append(added, "e000")...)
 	h.send(TermMsg{Term: modeler.NewTerm(3, 0), Seq: 1})
 	h.advance(2 * time.Second)
-	if h.core.Ready() {
+	if h.core.ready() {
 		t.Error("ready with one of the three endpoints of the earlier claim, which has not been replaced")
 	}
 	h.answer(append(added, "e000", "e001")...)
 	h.advance(2 * time.Second)
 	h.answer(append(added, "e000")...)
 	h.advance(2 * time.Second)
-	if !h.core.Ready() {
+	if !h.core.ready() {
 		t.Error("not ready with a majority of the claim that a majority of the earlier one has seen")
 	}
 }
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -227,7 +227,7 @@
 	if c.retired {
 		return
 	}
-	if c.Ready() {
+	if c.ready() {
 		c.lastReady = c.now
 	}
 	for _, e := range ordered(c.endpoints) {
@@ -243,7 +243,7 @@
 	if c.teamsDirty {
 		c.refreshTeams()
 	}
-	if c.Ready() && !c.journal.full() {
+	if c.ready() && !c.journal.full() {
 		c.decide(scheduler.DecideMsg{Budget: maxStartsPerPass})
 	}
 }
--- a/internal/partition/owner/owner_test.go
+++ b/internal/partition/owner/owner_test.go
@@ -228,7 +228,7 @@
 	}
 	s.next = []scheduler.Command{scheduler.StartCmd{Task: "j/0", Endpoint: "e000", Attempt: 1}}
 	h.advance(50 * time.Millisecond)
-	if len(h.starts) != 0 || h.core.Ready() {
+	if len(h.starts) != 0 || h.core.ready() {
 		t.Errorf("%d starts without a majority", len(h.starts))
 	}
 }
--- a/internal/partition/owner/resolve.go
+++ b/internal/partition/owner/resolve.go
@@ -191,7 +191,7 @@
 func (c *Core) Load(now time.Time) modeler.Load {
 	c.now = now
 	load := modeler.Load{
-		Partition: c.partition, Term: c.term, Ready: c.Ready(), Queued: len(c.callQueue) + c.queuedTasks,
+		Partition: c.partition, Term: c.term, Ready: c.ready(), Queued: len(c.callQueue) + c.queuedTasks,
 		Usage: map[modeler.TeamID]modeler.Resources{}, Idle: map[modeler.TeamID]modeler.Resources{}, Services: map[string]int64{},
 	}
 	for _, e := range c.endpoints {
--- a/internal/partition/owner/roster.go
+++ b/internal/partition/owner/roster.go
@@ -92,7 +92,7 @@
 			c.syncEndpoint(e)
 		}
 	}
-	if changed && c.claimed() && (c.Ready() || c.majorityAt.IsZero()) && c.now.Sub(c.lastClaimRequest) >= claimInterval {
+	if changed && c.claimed() && (c.ready() || c.majorityAt.IsZero()) && c.now.Sub(c.lastClaimRequest) >= claimInterval {
 		c.lastClaimRequest = c.now
 		c.emit(ClaimCmd{})
 	}
--- a/internal/partition/owner/task.go
+++ b/internal/partition/owner/task.go
@@ -240,7 +240,7 @@
 // undone.
 func (c *Core) sendOnce(t *task, reason string) {
 	e := t.endpoint
-	if t.job.cancelled || !c.Ready() || !e.usable(c.now) {
+	if t.job.cancelled || !c.ready() || !e.usable(c.now) {
 		c.undoStart(t, "the endpoint was lost before the start was sent")
 
 		return
--- a/internal/partition/owner/team.go
+++ b/internal/partition/owner/team.go
@@ -179,7 +179,7 @@
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeNotOwner, notOwnerRetryAfter, "partition %s has another owner", c.partition))
 	case c.journal.down || !c.claimed() || c.journal.full():
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeLogDown, logRetryAfter, "partition %s: the log does not answer", c.partition))
-	case !c.Ready() && c.hasEndpoints():
+	case !c.ready() && c.hasEndpoints():
 		// A successor that reaches the endpoints but not the log may have taken
 		// over, and would not know of the transfer.
 		c.answer(msg.Waiter, nil, modeler.NotRun(modeler.CodeNotOwner, tokenRequestInterval, "partition %s has lost the majority of its endpoints", c.partition))
--- a/internal/partition/owner/transfers.go
+++ b/internal/partition/owner/transfers.go
@@ -67,7 +67,7 @@
 // that follows the transfer, gets a majority of the endpoints to see the term of
 // that claim, and writes the release.
 func (c *Core) tickTransfers() {
-	for len(c.unreleased) > 0 && c.claimed() && (c.Ready() || !c.hasEndpoints()) {
+	for len(c.unreleased) > 0 && c.claimed() && (c.ready() || !c.hasEndpoints()) {
 		oldest := c.unreleased[0]
 		if !oldest.committed {
 			return
--- a/internal/partition/runner/claim.go
+++ b/internal/partition/runner/claim.go
@@ -225,7 +225,7 @@
 // over while the log is down. The first claims after start-up name no successor,
 // because no heartbeat of a peer has arrived yet.
 func (r *Runner) refreshSuccessors(ctx context.Context, now time.Time) {
-	if r.core == nil || !r.core.Ready() || now.Sub(r.lastSuccessorCheck) < successorCheckInterval {
+	if r.core == nil || !r.core.Ready(now) || now.Sub(r.lastSuccessorCheck) < successorCheckInterval {
 		return
 	}
 	r.lastSuccessorCheck = now
@@ -252,7 +252,7 @@
 // without a majority starts with a new core, because another owner may have been
 // active in the meantime.
 func (r *Runner) applyOwnClaim(ctx context.Context, batch encoder.Batch) {
-	if r.core != nil && !r.core.Ready() {
+	if r.core != nil && !r.core.Ready(r.settings.Clock()) {
 		r.loseOwnership(ctx, true)
 	}
 	if r.core != nil {
