--- a/internal/partition/owner/adopt.go
+++ b/internal/partition/owner/adopt.go
@@ -144,15 +144,7 @@
 	if ok && t.endpoint != nil && t.endpoint != e && t.state == modeler.TaskRunning {
 		c.reportViolation("I2", "task "+string(t.id)+" runs at "+string(t.endpoint.instance.ID)+" and at "+string(e.instance.ID))
 	}
-	untracked[found.ID] = untrackedWork{team: found.Team, needs: found.Needs, since: c.now, task: found}
-	// Until the claim is in the log, the job may be in a part of the stream
-	// that was not read.
-	known := ok || c.claimed()
-	// A task that may run only once is left to finish: stopping it would not
-	// undo its effects.
-	if once := ok && t.job.Once && !t.job.cancelled; known && !once {
-		c.emit(TaskCmd{Endpoint: e.instance, Action: ActionStop, Request: taskRequest(e, found.ID)})
-	}
+	untracked[found.ID] = c.stopUntracked(e, untrackedWork{team: found.Team, needs: found.Needs, since: c.now, task: found})
 }
 
 // unplaceSuperseded removes a task from the endpoint that the stream names if
@@ -189,17 +181,6 @@
 	}
 }
 
-// adoptCall tracks a call in progress at an executor as untracked work. Calls
-// of this owner that still wait for their answer are already counted.
-func (c *Core) adoptCall(e *endpoint, found messenger.Task, untracked map[modeler.TaskID]untrackedWork) {
-	for _, call := range e.calls {
-		if call.msg.Request == found.Request && call.msg.Team == found.Team {
-			return
-		}
-	}
-	untracked[found.ID] = untrackedWork{team: found.Team, needs: modeler.Resources{Slots: 1}, since: c.now}
-}
-
 // adoptMsg returns the message that reports a running task to the scheduler.
 func adoptMsg(t *task) scheduler.AdoptMsg {
 	return scheduler.AdoptMsg{
@@ -224,10 +205,13 @@
 			e.needsSession = true
 		}
 	}
-	for id := range e.untracked {
-		if !ids[id] {
+	for id, work := range ordered(e.untracked) {
+		switch {
+		case !ids[id]:
 			delete(e.untracked, id)
 			c.teamsDirty = true
+		case e.tasks[id] == nil:
+			e.untracked[id] = c.stopUntracked(e, work)
 		}
 	}
 	for _, t := range sortedTasks(e) {
@@ -246,31 +230,6 @@
 	}
 }
 
-// untrackedOverdue reports whether the slots of calls without a waiting caller
-// should be counted again, which requires a new session.
-func (c *Core) untrackedOverdue(e *endpoint) bool {
-	for _, work := range e.untracked {
-		if c.now.Sub(work.since) > helloInterval {
-			return true
-		}
-	}
-
-	return false
-}
-
-// Ready reports whether the owner may start work: a majority of the partition's
-// endpoints has renewed its session within MaxRenewalAge.
-func (c *Core) Ready() bool {
-	if c.retired || c.majorityAt.IsZero() {
-		return false
-	}
-	fresh, listed := c.countEndpoints(func(e *endpoint) bool {
-		return e.state == endpointOpen && c.now.Sub(e.lastRenewal) <= MaxRenewalAge
-	})
-
-	return 2*fresh > listed
-}
-
 // tickLaterTerm reacts to endpoints that have seen a later term. An owner that
 // keeps its majority for 2*MaxRenewalAge, long enough for a later owner to
 // become visible, claims the next epoch and continues. Any other owner gives up
@@ -278,7 +237,7 @@
 func (c *Core) tickLaterTerm() {
 	switch {
 	case c.laterTermSince.IsZero():
-	case !c.Ready():
+	case !c.ready():
 		c.laterTermSince = time.Time{}
 		c.emit(SupersededCmd{Endpoint: c.laterTermEndpoint})
 	case c.now.Sub(c.laterTermSince) > 2*MaxRenewalAge:
@@ -287,28 +246,12 @@
 	}
 }
 
-// countEndpoints returns how many listed endpoints satisfy test, and how many
-// are listed.
-func (c *Core) countEndpoints(test func(*endpoint) bool) (satisfied, listed int) {
-	for _, e := range c.endpoints {
-		if e.listed {
-			listed++
-			if test(e) {
-				satisfied++
-			}
-		}
-	}
-
-	return satisfied, listed
-}
-
-// tickTakeover records when a majority is first reached. Once every endpoint
+// tickTakeover records when a majority is first held. Once every endpoint
 // has granted a session or its leases have ended, it passes the jobs of earlier
 // owners to the scheduler.
 func (c *Core) tickTakeover() {
 	if c.majorityAt.IsZero() {
-		granted, listed := c.countEndpoints(func(e *endpoint) bool { return e.granted })
-		if 2*granted <= listed {
+		if !c.holdsMajority() {
 			return
 		}
 		c.majorityAt = c.now
@@ -409,27 +352,6 @@
 	}
 }
 
-// adoptUntracked adopts the tasks of a job that endpoints reported, as running
-// or as ended, before this owner knew the job. The inventories are complete,
-// because the sessions that came with them make the endpoints refuse the
-// earlier owner.
-func (c *Core) adoptUntracked(j *job) {
-	for _, e := range ordered(c.endpoints) {
-		for _, t := range j.tasks {
-			if work, ok := e.untracked[t.id]; ok {
-				delete(e.untracked, t.id)
-				c.adoptTask(e, work.task, e.untracked)
-			}
-			if result, ok := e.orphanResults[t.id]; ok {
-				delete(e.orphanResults, t.id)
-				c.handleTaskResult(e, result)
-			}
-		}
-		c.syncEndpoint(e)
-	}
-	c.teamsDirty = true
-}
-
 // applyPredecessorTask applies an earlier owner's change of a task, unless this
 // owner has the task at an endpoint. A start whose intent is not yet committed
 // was not sent and is undone, because the earlier owner may have run the task.
--- a/internal/partition/owner/call.go
+++ b/internal/partition/owner/call.go
@@ -174,7 +174,7 @@
 
 // dispatchCalls assigns free slots to queued calls.
 func (c *Core) dispatchCalls() {
-	if len(c.callQueue) == 0 || !c.Ready() {
+	if len(c.callQueue) == 0 || !c.ready() {
 		return
 	}
 	kept := c.callQueue[:0]
@@ -247,7 +247,6 @@
 	c.team(call.msg.Team).free(modeler.Resources{Slots: 1})
 	call.executor = nil
 	if lost && e.state != endpointGone {
-		e.lastContact = c.now
 		e.untracked[modeler.TaskID(call.msg.Request)] = untrackedWork{team: call.msg.Team, needs: modeler.Resources{Slots: 1}, since: c.now}
 		e.needsSession = e.state == endpointOpen
 		c.teamsDirty = true
@@ -302,7 +301,7 @@
 
 		return
 	}
-	if c.retired || !c.Ready() || !call.executor.usable(c.now) || c.now.After(call.expires) {
+	if c.retired || !c.ready() || !call.executor.usable(c.now) || c.now.After(call.expires) {
 		c.finishRequest(call, encoder.RequestVoided, nil,
 			modeler.NotRun(modeler.CodeNoExecutor, callRetryAfter, "the executor was lost before request %s was sent", call.msg.Request))
 
--- a/internal/partition/owner/endpoint.go
+++ b/internal/partition/owner/endpoint.go
@@ -44,9 +44,9 @@
 	granted bool
 	// lastRenewal is when the last hello or renewal that was answered was sent.
 	lastRenewal time.Time
-	// lastContact is the latest time at which a renewal or a start may have
-	// reached the endpoint and extended a task lease. A hello extends no lease.
-	lastContact time.Time
+	// sessionEnd is the latest time at which the endpoint may still accept a renewal
+	// or a start under a session of this owner. A hello extends no lease.
+	sessionEnd time.Time
 	// claimTerm is the term of the first claim that names the endpoint;
 	// admitted is set once a majority has seen that term.
 	claimTerm modeler.Term
@@ -68,8 +68,10 @@
 	known   bool
 	listed  bool
 	leaving bool
-	tasks   map[modeler.TaskID]*task
-	calls   map[uint64]*pendingCall
+	// unlistedAt is since when the endpoint has not been listed; zero if it is.
+	unlistedAt time.Time
+	tasks      map[modeler.TaskID]*task
+	calls      map[uint64]*pendingCall
 	// untracked holds the tasks and calls that the endpoint runs without a
 	// placement by this owner.
 	untracked map[modeler.TaskID]untrackedWork
@@ -92,17 +94,6 @@
 	attempt int
 }
 
-// untrackedWork is work at an endpoint that the owner did not place there.
-type untrackedWork struct {
-	team  modeler.TeamID
-	needs modeler.Resources
-	// since is when the owner learned of the work.
-	since time.Time
-	// task is the task as the endpoint listed it; zero for a call whose answer
-	// was lost.
-	task messenger.Task
-}
-
 // newEndpoint returns an endpoint without a session.
 func newEndpoint(instance modeler.Instance) *endpoint {
 	e := &endpoint{
@@ -162,11 +153,14 @@
 			e = newEndpoint(instance)
 			c.endpoints[instance.ID] = e
 		}
-		e.instance, e.listed, e.known = instance, true, true
+		e.instance, e.listed, e.known, e.unlistedAt = instance, true, true, time.Time{}
 		e.leaving = e.leaving || instance.State == modeler.StateLeaving
 	}
 	for id, e := range ordered(c.endpoints) {
 		e.listed = listed[id]
+		if !e.listed && e.unlistedAt.IsZero() {
+			e.unlistedAt = c.now
+		}
 		c.syncEndpoint(e)
 	}
 }
@@ -197,25 +191,30 @@
 			c.hello(e, helloInterval)
 		}
 	}
-	if !e.listed && e.idle() && !e.inFlight && e.state != endpointNew {
+	if e.removable() && !c.named(e) {
 		c.dropEndpoint(e)
 	}
 	c.syncEndpoint(e)
 }
 
+// takeoverWait is how long after the majority of a new owner an endpoint may still
+// accept commands of the earlier one: that owner notices within MaxRenewalAge that
+// it has lost the majority, renews for SessionTTL more, and the last two of these
+// renewals may arrive late, each at the end of the session.
+const takeoverWait = MaxRenewalAge + 3*SessionTTL
+
 // leaseEnd returns when the leases of all work at an endpoint without a session
 // end; ok is false while that time is not known.
 func (c *Core) leaseEnd(e *endpoint) (end time.Time, ok bool) {
-	if e.state == endpointNew {
-		if c.majorityAt.IsZero() {
-			return time.Time{}, false
-		}
-		end = c.majorityAt.Add(MaxRenewalAge + 2*SessionTTL)
-	} else {
+	switch {
+	case e.state != endpointNew && e.sessionEnd.After(e.lostAt):
+		end = e.sessionEnd
+	case e.state != endpointNew:
 		end = e.lostAt
-	}
-	if e.lastContact.After(end) {
-		end = e.lastContact
+	case c.majorityAt.IsZero():
+		return time.Time{}, false
+	default:
+		end = c.majorityAt.Add(takeoverWait)
 	}
 
 	return end.Add(TaskLeaseTTL + leaseMargin), true
@@ -233,7 +232,7 @@
 
 // renew renews the session when it is due. An owner that has lost its majority
 // stops renewing: a later owner relies on the leases at endpoints that only the
-// earlier owner reaches to end Lc + 2*Ls + Lt after its own majority.
+// earlier owner reaches to end takeoverWait + Lt after its own majority.
 func (c *Core) renew(e *endpoint) {
 	if e.inFlight || c.now.Sub(e.lastAttempt) < renewInterval || c.now.Sub(c.lastReady) > SessionTTL {
 		return
@@ -273,6 +272,7 @@
 	e.fire(triggerGranted)
 	e.session, e.term, e.granted, e.needsSession = msg.Reply.Session, msg.Term, true, false
 	e.lastRenewal, e.capacity = msg.Sent, msg.Reply.Capacity
+	c.prolongSession(e, nil)
 	e.leaving = e.leaving || msg.Reply.Leaving
 	// The scheduler must know the endpoint before it learns of tasks there.
 	c.syncEndpoint(e)
@@ -288,9 +288,7 @@
 		return
 	}
 	e.inFlight = false
-	if !noEffect(msg.Err) {
-		e.lastContact = c.now
-	}
+	c.prolongSession(e, msg.Err)
 	if e.state != endpointOpen || e.session != msg.Request.Session {
 		return
 	}
@@ -313,6 +311,18 @@
 	c.syncEndpoint(e)
 }
 
+// prolongSession moves the end of the session after a hello or a renewal with the
+// given result. One that was not answered may still arrive, at the latest when
+// the session would end without it.
+func (c *Core) prolongSession(e *endpoint, err error) {
+	switch {
+	case err == nil:
+		e.sessionEnd = c.now.Add(SessionTTL)
+	case !noEffect(err):
+		e.sessionEnd = e.sessionEnd.Add(SessionTTL)
+	}
+}
+
 // syncEndpoint sends the scheduler the current state of a worker if it has
 // changed. Work that the scheduler does not know of is subtracted from the
 // capacity.
@@ -341,7 +351,13 @@
 	}
 }
 
-// dropEndpoint removes an endpoint that is no longer listed and has no work.
+// removable reports whether the owner needs the endpoint no longer: it is not
+// listed and has no work.
+func (e *endpoint) removable() bool {
+	return !e.listed && e.idle() && !e.inFlight && e.state != endpointNew
+}
+
+// dropEndpoint removes an endpoint that is removable and that no claim names.
 func (c *Core) dropEndpoint(e *endpoint) {
 	delete(c.endpoints, e.instance.ID)
 	if e.reported.ID != "" {
--- a/internal/partition/owner/owner.go
+++ b/internal/partition/owner/owner.go
@@ -80,13 +80,16 @@
 	// lastClaimRequest is when a claim was last requested to release transfers or
 	// to add endpoints to the roster.
 	lastClaimRequest time.Time
-	// roster holds the endpoints of the claim in force, pendingRoster those of
-	// the claim that is not yet committed.
-	roster, pendingRoster map[modeler.InstanceID]bool
-	journal               journal
+	// rosters holds the endpoints of the claim in force, after those of earlier
+	// claims whose successors no majority refuses yet.
+	rosters []roster
+	// pendingRoster holds the endpoints of the claim that is not yet committed; nil
+	// if there is none.
+	pendingRoster []*endpoint
+	journal       journal
 
-	// majorityAt is the first time at which a majority of the endpoints had
-	// granted sessions to this owner; zero before.
+	// majorityAt is the first time at which this owner held sessions of a
+	// majority of the endpoints; zero before.
 	majorityAt time.Time
 	// lastReady is when the owner last held fresh renewals of a majority.
 	lastReady time.Time
@@ -224,7 +227,7 @@
 	if c.retired {
 		return
 	}
-	if c.Ready() {
+	if c.ready() {
 		c.lastReady = c.now
 	}
 	for _, e := range ordered(c.endpoints) {
@@ -240,7 +243,7 @@
 	if c.teamsDirty {
 		c.refreshTeams()
 	}
-	if c.Ready() && !c.journal.full() {
+	if c.ready() && !c.journal.full() {
 		c.decide(scheduler.DecideMsg{Budget: maxStartsPerPass})
 	}
 }
--- a/internal/partition/runner/claim.go
+++ b/internal/partition/runner/claim.go
@@ -61,7 +61,7 @@
 	r.appender.enqueue(encoder.Batch{
 		Term: r.claim.term, Author: r.settings.Self.ID, Seq: 1,
 		Claim: &encoder.Claim{
-			Successors: elector.Successors(r.electorView(), now), Endpoints: mergeEndpoints(r.view.endpoints, r.state.Endpoints),
+			Successors: elector.Successors(r.electorView(), now), Endpoints: claimEndpoints(r.view.endpoints, r.state.Endpoints),
 		},
 	})
 	r.settings.Logger.Info("claiming partition", "partition", r.settings.Partition.Name, "term", r.claim.term, "owner", r.state.Owner)
@@ -80,17 +80,22 @@
 	return requested != 0 && requested == r.state.Term
 }
 
-// mergeEndpoints returns the listed endpoints and those of the previous claim,
-// which may still run work although they are no longer listed.
-func mergeEndpoints(listed, claimed []modeler.Instance) []modeler.Instance {
-	all := slices.Clone(listed)
-	for _, endpoint := range claimed {
-		if !slices.ContainsFunc(listed, func(e modeler.Instance) bool { return e.ID == endpoint.ID }) {
-			all = append(all, endpoint)
+// claimEndpoints returns the endpoints that a takeover names: those of the claim
+// in force, as they are now listed, or the listed ones if there is none. The
+// owner adds and removes endpoints in a later claim, once it has a majority of
+// these.
+func claimEndpoints(listed, claimed []modeler.Instance) []modeler.Instance {
+	if len(claimed) == 0 {
+		return slices.Clone(listed)
+	}
+	current := slices.Clone(claimed)
+	for i, endpoint := range current {
+		if at := slices.IndexFunc(listed, func(e modeler.Instance) bool { return e.ID == endpoint.ID }); at >= 0 {
+			current[i] = listed[at]
 		}
 	}
 
-	return all
+	return current
 }
 
 // checkPendingClaim decides on a pending claim while the log does not answer. It
@@ -220,7 +225,7 @@
 // over while the log is down. The first claims after start-up name no successor,
 // because no heartbeat of a peer has arrived yet.
 func (r *Runner) refreshSuccessors(ctx context.Context, now time.Time) {
-	if r.core == nil || !r.core.Ready() || now.Sub(r.lastSuccessorCheck) < successorCheckInterval {
+	if r.core == nil || !r.core.Ready(now) || now.Sub(r.lastSuccessorCheck) < successorCheckInterval {
 		return
 	}
 	r.lastSuccessorCheck = now
@@ -247,7 +252,7 @@
 // without a majority starts with a new core, because another owner may have been
 // active in the meantime.
 func (r *Runner) applyOwnClaim(ctx context.Context, batch encoder.Batch) {
-	if r.core != nil && !r.core.Ready() {
+	if r.core != nil && !r.core.Ready(r.settings.Clock()) {
 		r.loseOwnership(ctx, true)
 	}
 	if r.core != nil {
