--- a/internal/partition/owner/attempt_test.go
+++ b/internal/partition/owner/attempt_test.go
@@ -68,6 +68,30 @@
 	}
 }
 
+// TestAdopt_ResultOfEarlierAttempt guards against an attempt that counts as listed
+// because the inventory has the result of the one before it.
+func TestAdopt_ResultOfEarlierAttempt(t *testing.T) {
+	h, s := secondAttempt(t)
+	h.start(s, "e000")
+	earlier := h.starts[0]
+	earlier.Request.Task.Attempt = 1
+	h.report(earlier, false)
+	if h.core.tasks["j/0"].endpoint != nil {
+		t.Error("the second attempt, which the inventory does not list, is still at its endpoint")
+	}
+}
+
+// TestAdopt_OtherAttemptAtEndpoint guards against a run of an earlier attempt that
+// is taken for the attempt that this owner has placed at the endpoint.
+func TestAdopt_OtherAttemptAtEndpoint(t *testing.T) {
+	h, s := secondAttempt(t)
+	h.start(s, "e000")
+	h.grant("e000", 2, 1)
+	if h.stops() != 1 || len(h.starts) != 1 {
+		t.Errorf("%d stops and %d starts, want the earlier attempt stopped and no other start", h.stops(), len(h.starts))
+	}
+}
+
 // TestAdopt_EarlierAttempt guards against a run that an earlier owner has judged as
 // over and that is adopted all the same, or left running beside the next attempt.
 func TestAdopt_EarlierAttempt(t *testing.T) {
