--- a/internal/cell/planner/judgement_test.go
+++ b/internal/cell/planner/judgement_test.go
@@ -269,3 +269,87 @@
 		t.Errorf("run %d started although no majority was held for the time of a lease", c.started[0].Order.Run)
 	}
 }
+
+// TestTableIsNotChangedBeforeMajority guards against two later owners that count
+// different endpoints: an owner without the majority of the inherited ones must not
+// add or remove any.
+func TestTableIsNotChangedBeforeMajority(t *testing.T) {
+	c := inheritedJob(t)
+	c.listEndpoint("e000")
+	c.planner.UpdateListing(c.listing("new1"), c.now)
+	c.planner.Tick(c.now, c.wall)
+	if stored, removed := c.planner.ChangedEndpoints(); c.planner.HasChangedEndpoints() || len(stored)+len(removed) != 0 {
+		t.Errorf("%d endpoints stored and %d removed by an owner that holds one of three inherited endpoints", len(stored), len(removed))
+	}
+	c.listEndpoint("e001")
+	c.planner.Tick(c.now, c.wall)
+	if stored, _ := c.planner.ChangedEndpoints(); len(stored) != 1 {
+		t.Errorf("%d endpoints stored with the majority, want 1", len(stored))
+	}
+}
+
+// expectStartOnceStored accepts a job that only the endpoint with the label may run,
+// and expects its start when the pending changes of the table are stored.
+func (c *testCell) expectStartOnceStored(label, reason string) {
+	c.Helper()
+	step := simpleStep(1)
+	step.Requires = label
+	c.accept(c.job("a", step))
+	c.planner.Tick(c.now, c.wall)
+	c.plan()
+	if len(c.started) != 0 {
+		c.Errorf("run started %s", reason)
+	}
+	c.storeEndpoints()
+	c.advance(100 * time.Millisecond)
+	c.plan()
+	if len(c.started) != 1 {
+		c.Errorf("%d starts once the table is up to date, want 1", len(c.started))
+	}
+}
+
+// TestEndpointIsStoredBeforeUse guards against runs on an endpoint that the next
+// owner does not ask, because the table does not name it.
+func TestEndpointIsStoredBeforeUse(t *testing.T) {
+	c := newCell(t, 3)
+	c.storeEndpoints()
+	c.born["new9"] = 1
+	c.planner.UpdateListing(c.listing("new9"), c.now)
+	c.report("new9")
+	c.expectStartOnceStored("r1-9", "on an endpoint that the table does not name")
+}
+
+// TestMovedEndpointIsStoredBeforeUse is the same with the address of an endpoint.
+func TestMovedEndpointIsStoredBeforeUse(t *testing.T) {
+	c := newCell(t, 3)
+	c.storeEndpoints()
+	moved := c.listing("e000")
+	moved.Address = netip.MustParseAddrPort("10.0.0.2:80")
+	c.planner.UpdateListing(moved, c.now)
+	c.expectStartOnceStored("r1-0", "at an address that the table does not have")
+}
+
+// TestSilentEndpointGetsNoLease guards against a lease that never expires: the owner
+// waits for the end of the lease of an endpoint that does not answer.
+func TestSilentEndpointGetsNoLease(t *testing.T) {
+	c := newCell(t, 3)
+	c.silentFor(testSettings.Freshness, "e000")
+	c.expectNoLease("although the endpoint has not answered within the freshness limit")
+}
+
+// TestMissingEndpointIsWaitedFor guards against a wait that is cut short by endpoints
+// that count as gone: they are not listed and do not answer, but may still run tasks.
+func TestMissingEndpointIsWaitedFor(t *testing.T) {
+	c := inheritedJob(t)
+	delete(c.born, "e001")
+	delete(c.born, "e002")
+	c.listEndpoint("e000")
+	c.storeFor(listReturn + 2*testSettings.Freshness + testSettings.LeaseBound() - time.Second)
+	if len(c.started) != 0 {
+		t.Errorf("run %d started before the leases of the missing endpoints had expired", c.started[0].Order.Run)
+	}
+	c.storeFor(2 * time.Second)
+	if len(c.started) != 1 {
+		t.Errorf("%d starts after the leases of the missing endpoints, want 1", len(c.started))
+	}
+}
