Repeat a run whose lease expired only after an append

What callers could see: a task that starts after its end was acknowledged. A superseded owner that is cut off from the store and from an endpoint can keep a majority for the freshness limit. The newer owner keeps the endpoint's lease alive and acknowledges the end of a run there; the earlier one takes the lease for expired and starts the task again, without an append. The same after a takeover that is settled by time.

Change: a run that was taken for over because time has passed is repeated only after an append made since, which shows that there was no newer owner then.

TestExpiredRunIsRepeatedAfterAppend and TestTakeoverIsSettledByAppend fail without the change.

--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -258,7 +258,7 @@
 	}
 	l.journal.current = nil
 	l.journal.end = b.offset + int64(len(b.records))
-	l.planner.TableEnds(l.journal.end)
+	l.planner.Appended(l.journal.end, b.created)
 	l.lastStoreReply.Store(int64(now))
 	l.ownedAt = b.created
 	wall := time.Now()
--- a/internal/cell/planner/cell_test.go
+++ b/internal/cell/planner/cell_test.go
@@ -135,7 +135,7 @@
 func (c *testCell) storeProgress() {
 	snapshots, ends := c.planner.Dirty()
 	c.planner.Stored(snapshots)
-	c.planner.TableEnds(c.planner.tableEnd + int64(len(snapshots)))
+	c.planner.Appended(c.planner.tableEnd+int64(len(snapshots)), c.now)
 	c.planner.Acknowledge(ends, c.planner.Lives())
 }
 
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -350,9 +350,12 @@
 			}
 			p.note("lease ran out", r.name.Job, "endpoint", e.ID, "step", r.name.Step, "index", r.name.Index, "run", r.number)
 			p.presumeOver(r, overLeaseExpired)
+			if r.task != nil {
+				r.task.expiredAt = now
+			}
 			p.writeOff(r)
 		}
-		if len(e.runs) == 0 && !e.listed && e.entry != entryRemoving && (e.acceptedTerm || e.missing || p.takeoverSettled(now)) {
+		if len(e.runs) == 0 && !e.listed && e.entry != entryRemoving && (e.acceptedTerm || e.missing || p.takeoverSettled()) {
 			e.entry = entryRemoving
 			p.changedEndpoints[id] = struct{}{}
 			p.note("endpoint gone", "", "endpoint", id)
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -84,6 +84,8 @@
 	// checkpointRun is the number of the run that the checkpoint is from, or a higher one.
 	checkpointRun int
 	run           *run
+	// expiredAt is when a run of the task was last taken for over because its lease had expired, or 0.
+	expiredAt definer.Instant
 	// activeRuns counts the runs of the task that are not known to be over, including run.
 	activeRuns int
 	// avoid is the endpoint on which the last run failed.
--- a/internal/cell/planner/judgement_test.go
+++ b/internal/cell/planner/judgement_test.go
@@ -353,3 +353,49 @@
 		t.Errorf("%d starts after the leases of the missing endpoints, want 1", len(c.started))
 	}
 }
+
+// TestExpiredRunIsRepeatedAfterAppend guards against a start after an acknowledged
+// end: while an owner is cut off with a majority, a newer one may keep the lease of
+// a silent endpoint alive and acknowledge the end of a run there.
+func TestExpiredRunIsRepeatedAfterAppend(t *testing.T) {
+	c := newCell(t, 3)
+	first := c.startOne()
+	for elapsed := time.Duration(0); elapsed < testSettings.Freshness+testSettings.LeaseBound()+time.Second; elapsed += 100 * time.Millisecond {
+		c.now, c.wall = c.now.Add(100*time.Millisecond), c.wall.Add(100*time.Millisecond)
+		for id := range c.born {
+			if id != first.Target.ID {
+				c.report(id)
+			}
+		}
+		c.planner.Tick(c.now, c.wall)
+		c.plan()
+	}
+	if len(c.started) != 0 {
+		t.Errorf("run %d started by an owner that has not appended since the lease of the run before it expired", c.started[0].Order.Run)
+	}
+	c.advance(100*time.Millisecond, first.Target.ID)
+	c.plan()
+	if len(c.started) != 1 {
+		t.Errorf("%d starts after an append, want 1", len(c.started))
+	}
+}
+
+// TestTakeoverIsSettledByAppend is the same for the runs of a previous owner.
+func TestTakeoverIsSettledByAppend(t *testing.T) {
+	c := inheritedJob(t)
+	for elapsed := time.Duration(0); elapsed < testSettings.Freshness+testSettings.LeaseBound()+time.Second; elapsed += 100 * time.Millisecond {
+		c.now, c.wall = c.now.Add(100*time.Millisecond), c.wall.Add(100*time.Millisecond)
+		c.listEndpoint("e000")
+		c.listEndpoint("e001")
+		c.planner.Tick(c.now, c.wall)
+		c.plan()
+	}
+	if len(c.started) != 0 {
+		t.Errorf("run %d started by an owner that has not appended since the leases of the previous one expired", c.started[0].Order.Run)
+	}
+	c.storeProgress()
+	c.plan()
+	if len(c.started) != 1 {
+		t.Errorf("%d starts after an append, want 1", len(c.started))
+	}
+}
--- a/internal/cell/planner/number.go
+++ b/internal/cell/planner/number.go
@@ -1,5 +1,7 @@
 package planner
 
+import "gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+
 // Every start of a task gets a run number of its own, whoever the owner is. An
 // owner gives inherited tasks numbers from its term on, and no number above the end
 // of the state table. The next owner's term lies above that end, so its numbers are
@@ -22,6 +24,8 @@
 // mayGive reports whether no later owner gives the run number.
 func (p *Planner) mayGive(number int) bool { return int64(number) <= p.tableEnd }
 
-// TableEnds records the offset after the last record of the state table, which an
-// append of the owner has shown.
-func (p *Planner) TableEnds(offset int64) { p.tableEnd = max(p.tableEnd, offset) }
+// Appended records a successful append: the offset after its last record, and when
+// it was made.
+func (p *Planner) Appended(end int64, at definer.Instant) {
+	p.tableEnd, p.ownedAt = max(p.tableEnd, end), max(p.ownedAt, at)
+}
--- a/internal/cell/planner/overlap.go
+++ b/internal/cell/planner/overlap.go
@@ -223,7 +223,7 @@
 		p.majorityNoted = true
 		p.note("majority reached", "", p.takeoverArgs(now)...)
 	}
-	if p.settledNoted || !p.takeoverSettled(now) {
+	if p.settledNoted || !p.takeoverSettled() {
 		return
 	}
 	p.settledNoted = true
--- a/internal/cell/planner/ownership.go
+++ b/internal/cell/planner/ownership.go
@@ -98,6 +98,20 @@
 	}
 }
 
+// withoutExpired returns the tasks without a run that was taken for over, because its
+// lease had expired, since the owner's last append. A newer owner may have kept that
+// lease alive and acknowledged the run's end; only an append shows that there is none.
+func (p *Planner) withoutExpired(pending []*task) []*task {
+	startable := pending[:0]
+	for _, t := range pending {
+		if t.expiredAt == 0 || t.expiredAt <= p.ownedAt {
+			startable = append(startable, t)
+		}
+	}
+
+	return startable
+}
+
 // fresh reports whether e has answered under the owner's term within Freshness.
 func (p *Planner) fresh(e *endpoint, now definer.Instant) bool {
 	return e.acceptedTerm && now.Sub(e.lastAnswered) < p.settings.Freshness
@@ -187,9 +201,9 @@
 
 // takeoverSettled reports whether the runs of the previous owner are all known
 // or over: either every endpoint that it used has answered, or every lease that
-// it may have granted has expired.
-func (p *Planner) takeoverSettled(now definer.Instant) bool {
-	if p.majoritySince != 0 && now.Sub(p.majoritySince) > p.settings.Freshness+p.settings.LeaseBound() {
+// it may have granted had expired when the owner last appended.
+func (p *Planner) takeoverSettled() bool {
+	if p.majoritySince != 0 && p.ownedAt.Sub(p.majoritySince) > p.settings.Freshness+p.settings.LeaseBound() {
 		return true
 	}
 	if p.mustWait {
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -70,7 +70,7 @@
 	}
 	p.noteMajority(now)
 	p.noteTakeover(now)
-	ps := &pass{planner: p, now: now, takeoverSettled: p.takeoverSettled(now), unconfirmed: p.unconfirmedUsage(now), reservations: map[*endpoint]*step{}, unplaceable: map[string][]modeler.Resources{}}
+	ps := &pass{planner: p, now: now, takeoverSettled: p.takeoverSettled(), unconfirmed: p.unconfirmedUsage(), reservations: map[*endpoint]*step{}, unplaceable: map[string][]modeler.Resources{}}
 	for _, e := range p.ordered {
 		if e.usable(now, p.settings.Freshness) {
 			ps.usable = append(ps.usable, e)
@@ -128,6 +128,7 @@
 
 		return
 	}
+	pending = p.withoutExpired(pending)
 	if s.def.Gang {
 		switch {
 		case s.gangRun == 0 && len(pending) == s.tasksLeft:
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -62,6 +62,8 @@
 	dirty map[*job]struct{}
 	// changedEndpoints holds the ids of the endpoints whose records in the state table are out of date.
 	changedEndpoints map[string]struct{}
+	// ownedAt is when the last successful append was made; the instance owned the cell then.
+	ownedAt definer.Instant
 	// tableEnd is the offset after the last record of the state table, as far as the owner knows.
 	tableEnd int64
 	// listReadAt is when the first entry of the endpoint list was read, or 0.
@@ -233,8 +235,8 @@
 // bound is the need of the account's inherited tasks that are neither done nor
 // known to run, limited by the capacity of these endpoints. It is nil once the
 // takeover is settled.
-func (p *Planner) unconfirmedUsage(now definer.Instant) map[*account]modeler.Resources {
-	if p.takeoverSettled(now) {
+func (p *Planner) unconfirmedUsage() map[*account]modeler.Resources {
+	if p.takeoverSettled() {
 		return nil
 	}
 	var capacity modeler.Resources
--- a/internal/cell/planner/replaced_test.go
+++ b/internal/cell/planner/replaced_test.go
@@ -31,7 +31,7 @@
 			c.planner.EndpointReplaced(definer.Target{ID: id, Address: c.listing(id).Address}, c.now)
 		}
 		c.storeEndpoints()
-		c.planner.TableEnds(c.planner.tableEnd + 1)
+		c.planner.Appended(c.planner.tableEnd+1, c.now)
 		c.plan()
 	}
 }
--- a/internal/cell/planner/world_calls_test.go
+++ b/internal/cell/planner/world_calls_test.go
@@ -137,7 +137,7 @@
 
 // newBatch mirrors leader.journal.newBatch: the order of the records matters.
 func (o *owner) newBatch() *batch {
-	b := &batch{submissions: o.submissions, confirmations: o.confirmations}
+	b := &batch{created: o.world.now, submissions: o.submissions, confirmations: o.confirmations}
 	b.endpoints, b.removedEndpoints = o.planner.ChangedEndpoints()
 	slices.SortFunc(b.endpoints, func(a, b definer.Listing) int { return strings.Compare(a.ID, b.ID) })
 	slices.Sort(b.removedEndpoints)
@@ -191,7 +191,7 @@
 	for _, id := range b.removedEndpoints {
 		delete(o.renewals, id)
 	}
-	o.planner.TableEnds(o.end)
+	o.planner.Appended(o.end, b.created)
 	o.planner.Stored(b.snapshots)
 	o.planner.Acknowledge(b.ends, b.lives)
 	for id := range b.ends {
--- a/internal/cell/planner/world_faults_test.go
+++ b/internal/cell/planner/world_faults_test.go
@@ -44,6 +44,7 @@
 		}
 	}},
 	{"cutlink", (*world).cutLinks},
+	{"partition", (*world).partition},
 	{"outage", func(w *world) {
 		w.store.downUntil, w.store.refuses = w.now.Add(w.between(300*time.Millisecond, 4*time.Second)), w.chance(0.5)
 		w.record(definer.TaskName{}, "", "store is down until %v", time.Duration(w.store.downUntil))
@@ -85,6 +86,7 @@
 func (w *world) heal() {
 	w.quiet = true
 	w.store.downUntil = 0
+	clear(w.onlyReachedBy)
 	w.record(definer.TaskName{}, "", "all faults end")
 	for _, o := range w.owners {
 		o.cutFromStore, o.cut = false, map[string]bool{}
@@ -187,6 +189,27 @@
 	w.after(w.between(time.Second, 9*time.Second), func() { o.cut = map[string]bool{} })
 }
 
+// partition cuts an owner off with a few endpoints that nobody else reaches.
+func (w *world) partition() {
+	o := w.someOwner()
+	if o == nil || len(w.onlyReachedBy) > 0 {
+		return
+	}
+	for _, m := range w.machines {
+		if w.chance(0.4) {
+			w.onlyReachedBy[m.id] = o
+		} else {
+			o.cut[m.id] = true
+		}
+	}
+	o.cutFromStore = true
+	w.record(definer.TaskName{}, "", "%s is cut off, but for endpoints other than %v", o.name, o.cut)
+	w.after(w.between(2*time.Second, 20*time.Second), func() {
+		o.cut, o.cutFromStore = map[string]bool{}, false
+		clear(w.onlyReachedBy)
+	})
+}
+
 // usableMachines returns the number of machines that run and stay.
 func (w *world) usableMachines() int {
 	count := 0
--- a/internal/cell/planner/world_owner_test.go
+++ b/internal/cell/planner/world_owner_test.go
@@ -69,6 +69,7 @@
 
 // batch mirrors leader.batch.
 type batch struct {
+	created          definer.Instant
 	records          []definer.Record
 	submissions      []*client
 	confirmations    []func()
@@ -146,11 +147,17 @@
 		if w.happens("takeover", 0.4) {
 			delay = w.between(time.Second, 8*time.Second)
 		}
-		w.after(delay, func() {
-			if o.loaded {
-				o.post(func() { o.stepDown("told of " + newest.name) })
-			}
-		})
+		w.after(delay, func() { o.tell(newest) })
+	}
+}
+
+// tell tells the owner that it is superseded, once it is not cut off.
+func (o *owner) tell(newest *owner) {
+	switch {
+	case o.cutFromStore:
+		o.later(stopRetryDelay, func() { o.tell(newest) })
+	case o.loaded:
+		o.post(func() { o.stepDown("told of " + newest.name) })
 	}
 }
 
--- a/internal/cell/planner/world_state_test.go
+++ b/internal/cell/planner/world_state_test.go
@@ -32,6 +32,8 @@
 	// listings is the endpoint list.
 	listings map[string]definer.Listing
 	owners   []*owner
+	// onlyReachedBy holds the endpoints that only one owner reaches.
+	onlyReachedBy map[string]*owner
 	// claiming counts the claims without an outcome.
 	claiming int
 	clients  []*client
@@ -251,7 +253,7 @@
 			handle(l, answer)
 		}
 	}
-	if o.cut[target.ID] || w.isolated(target.Address) || w.happens("loss", lossShare) {
+	if w.lost(o, target) {
 		if w.happens("late", lateShare) {
 			intended := w.lives[target.Address]
 			w.after(w.between(2*time.Second, 12*time.Second), func() {
@@ -265,7 +267,7 @@
 	}
 	w.after(w.latency(), func() {
 		arrive(func(r reply) {
-			if o.cut[target.ID] || w.isolated(target.Address) || w.happens("loss", lossShare) {
+			if w.lost(o, target) {
 				return
 			}
 			w.after(w.latency(), func() { finish(r) })
@@ -273,10 +275,16 @@
 	})
 }
 
-func (w *world) isolated(address netip.AddrPort) bool {
-	l := w.lives[address]
+// lost reports whether the network loses a call of the owner, or its answer.
+func (w *world) lost(o *owner, target definer.Target) bool {
+	if l := w.lives[target.Address]; l != nil && l.machine.isolated {
+		return true
+	}
+	if only := w.onlyReachedBy[target.ID]; only != nil && only != o {
+		return true
+	}
 
-	return l != nil && l.machine.isolated
+	return o.cut[target.ID] || w.happens("loss", lossShare)
 }
 
 func (w *world) latency() time.Duration {
--- a/internal/cell/planner/world_test.go
+++ b/internal/cell/planner/world_test.go
@@ -90,6 +90,7 @@
 	w := &world{
 		rng: rand.New(rand.NewSource(seed)), now: startTime, kinds: kinds, holdMax: 6 * time.Second,
 		lives: map[netip.AddrPort]*life{}, listings: map[string]definer.Listing{}, tasks: map[definer.TaskName]*history{},
+		onlyReachedBy: map[string]*owner{},
 	}
 	w.store = store{world: w, newest: map[string][]byte{}, first: map[int64]definer.Record{}}
 	if kinds["longhold"] && w.chance(0.5) {
