--- a/internal/cell/planner/number.go
+++ b/internal/cell/planner/number.go
@@ -1,7 +1,5 @@
 package planner
 
-import "gitlab.com/greengagewall/greengagewall/internal/cell/definer"
-
 // Every start of a task gets a run number of its own, whoever the owner is. An
 // owner gives inherited tasks numbers from its term on, and no number above the end
 // of the state table. The next owner's term lies above that end, so its numbers are
@@ -23,9 +21,3 @@
 
 // mayGive reports whether no later owner gives the run number.
 func (p *Planner) mayGive(number int) bool { return int64(number) <= p.tableEnd }
-
-// Appended records a successful append: the offset after its last record, and when
-// it was made.
-func (p *Planner) Appended(end int64, at definer.Instant) {
-	p.tableEnd, p.ownedAt = max(p.tableEnd, end), max(p.ownedAt, at)
-}
--- a/internal/cell/planner/ownership.go
+++ b/internal/cell/planner/ownership.go
@@ -98,6 +98,12 @@
 	}
 }
 
+// Appended records a successful append: the offset after its last record, and when
+// it was made.
+func (p *Planner) Appended(end int64, at definer.Instant) {
+	p.tableEnd, p.ownedAt = max(p.tableEnd, end), max(p.ownedAt, at)
+}
+
 // withoutExpired returns the tasks without a run that was taken for over, because its
 // lease had expired, since the owner's last append. A newer owner may have kept that
 // lease alive and acknowledged the run's end; only an append shows that there is none.
@@ -161,10 +167,10 @@
 	return false
 }
 
-// noteMajority records when a majority of the inherited endpoints was first held, that
+// recordMajority records when a majority of the inherited endpoints was first held, that
 // is, had answered under the owner's term within Freshness or was gone. They have to
 // be held at the same time, because a restarted endpoint has forgotten the term.
-func (p *Planner) noteMajority(now definer.Instant) {
+func (p *Planner) recordMajority(now definer.Instant) {
 	if p.majoritySince != 0 {
 		return
 	}
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -51,7 +51,7 @@
 	p.now = now
 	p.CheckSuspension(now)
 	p.dropMissing(now)
-	p.noteMajority(now)
+	p.recordMajority(now)
 	p.majorityUntil = p.majorityEnd(now)
 	p.noteTakeover(now)
 	for j := range p.scheduled {
@@ -70,7 +70,7 @@
 	if len(p.readySteps) == 0 || !p.HasMajority(now) {
 		return
 	}
-	p.noteMajority(now)
+	p.recordMajority(now)
 	p.noteTakeover(now)
 	ps := &pass{planner: p, now: now, takeoverSettled: p.takeoverSettled(), unconfirmed: p.unconfirmedUsage(), reservations: map[*endpoint]*step{}, unplaceable: map[string][]modeler.Resources{}}
 	for _, e := range p.ordered {
