Look only at endpoints with room in a round of placement

Cause: in each round every waiting step looked at every endpoint, and each admission counted the tasks of every waiting step. With 1,100 endpoints and a burst of jobs the owner's loop had no time left for reports and renewals.

Change: a round sorts the usable endpoints by their free processors once, and a step stops where they do not suffice. Endpoints reserved for others count as without room. A gang looks at the endpoints that its policy has admitted. The number of pending tasks of a step, the endpoints with ends that are not stored, and the order in which jobs end are kept instead of searched for; the backlog is measured every 50 ms.

--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
@@ -29,6 +28,8 @@
 type admission struct {
 	// answers holds the answers by the slots of the endpoints.
 	answers []policyAnswer
+	// admitted holds the endpoints that the policy has admitted, each once, in the order of the answers.
+	admitted []*endpoint
 	// validUntil is when the tickets of the last answer expire.
 	validUntil definer.Instant
 	// askBlockedUntil is when the outstanding question counts as lost, or when the
@@ -43,9 +44,11 @@
 	// It may differ from the current endpoint of the slot, since slots are reused.
 	endpoint *endpoint
 	admitted bool
-	value    string
-	life     int64
-	expires  definer.Instant
+	// listed means that the endpoint is in the list of the admitted endpoints.
+	listed  bool
+	value   string
+	life    int64
+	expires definer.Instant
 }
 
 // answer returns the policy's answer for e, or nil when there is none.
@@ -62,8 +65,13 @@
 	if e.slot >= len(a.answers) {
 		a.answers = append(a.answers, make([]policyAnswer, e.slot+1-len(a.answers))...)
 	}
-	answer.endpoint = e
-	a.answers[e.slot] = answer
+	previous := &a.answers[e.slot]
+	answer.endpoint, answer.listed = e, previous.endpoint == e && previous.listed
+	if answer.admitted && !answer.listed {
+		answer.listed = true
+		a.admitted = append(a.admitted, e)
+	}
+	*previous = answer
 }
 
 func (a *admission) expireTicket(e *endpoint) {
@@ -79,11 +87,9 @@
 	return answer != nil && answer.admitted
 }
 
-// hasValidTicket reports whether there is a ticket with which a start may be sent to e now.
-func (a *admission) hasValidTicket(e *endpoint, now definer.Instant) bool {
-	answer := a.answer(e)
-
-	return answer != nil && answer.admitted && answer.life == e.life && now.Add(ticketMargin) < answer.expires
+// validFor reports whether a start may be sent to e now with the ticket of an admission.
+func (a *policyAnswer) validFor(e *endpoint, now definer.Instant) bool {
+	return a.life == e.life && now.Add(ticketMargin) < a.expires
 }
 
 // ticketValue returns the ticket for a start on e, or an empty string.
@@ -95,18 +101,6 @@
 	return ""
 }
 
-// filterAdmitted returns the endpoints that the policy has admitted.
-func (a *admission) filterAdmitted(endpoints []*endpoint) []*endpoint {
-	var result []*endpoint
-	for _, e := range endpoints {
-		if a.admits(e) {
-			result = append(result, e)
-		}
-	}
-
-	return result
-}
-
 // refuses reports whether the policy has refused e.
 func (a *admission) refuses(e *endpoint) bool {
 	answer := a.answer(e)
@@ -152,15 +146,17 @@
 		return
 	}
 	s.admission.askBlockedUntil = 0
-	for _, endpointID := range endpoints {
-		if e := p.endpoints[endpointID]; e != nil {
-			s.admission.record(e, policyAnswer{life: e.life})
-		}
-	}
+	values := make(map[string]string, len(tickets))
 	for _, t := range tickets {
-		if e := p.endpoints[t.Endpoint]; e != nil {
-			s.admission.record(e, policyAnswer{admitted: true, value: t.Value, life: e.life, expires: now.Add(j.Queue.Policy.Validity)})
+		values[t.Endpoint] = t.Value
+	}
+	for _, endpointID := range endpoints {
+		e := p.endpoints[endpointID]
+		if e == nil {
+			continue
 		}
+		value, admitted := values[endpointID]
+		s.admission.record(e, policyAnswer{admitted: admitted, value: value, life: e.life, expires: now.Add(j.Queue.Policy.Validity)})
 	}
 	if len(tickets) > 0 {
 		s.admission.validUntil = now.Add(j.Queue.Policy.Validity)
@@ -182,16 +178,14 @@
 	return result
 }
 
-// endpointsToAsk returns the endpoints to ask the policy about, those with the
-// most free processors first. A gang asks about all candidates. Any other step
+// endpointsToAsk returns the endpoints to ask the policy about, from candidates in
+// the order of preference. A gang asks about all candidates. Any other step
 // asks about as many as its tasks are likely to need, or about more as long as
 // that at most doubles the time of the decision. The policy's answer for an
 // endpoint does not change; only its tickets expire.
 func (p *Planner) endpointsToAsk(s *step, candidates []*endpoint, pending int) []*endpoint {
-	ordered := append([]*endpoint(nil), candidates...)
-	sort.SliceStable(ordered, func(a, b int) bool { return ordered[a].free().Millis > ordered[b].free().Millis })
 	if s.def.Gang {
-		return ordered
+		return candidates
 	}
 	policy := s.job.Queue.Policy
 	want := int(math.Ceil(float64(pending)/p.stats(s.job.Queue.Name).admissionRate)) + spareAskedEndpoints
@@ -199,5 +193,5 @@
 		want = max(want, int(policy.Decide/policy.Each))
 	}
 
-	return ordered[:min(want, len(ordered))]
+	return candidates[:min(want, len(candidates))]
 }
--- a/internal/cell/planner/backlog.go
+++ b/internal/cell/planner/backlog.go
@@ -27,7 +27,7 @@
 // job is refused when the wait alone would make it too late to be useful.
 func (p *Planner) Admit(j *definer.Job, now definer.Instant) *Refusal {
 	a := p.account(j.Account)
-	wait := p.estimatedWait(j.Queue.Priority)
+	wait := p.estimatedWait(j.Queue.Priority, now)
 	retryAfter := min(max(wait, minRetryAfter), maxRetryAfter)
 	if a.overRate(now) && wait > excessBacklog {
 		return &Refusal{Reason: "account is over its rate", RetryAfter: retryAfter}
@@ -41,8 +41,8 @@
 
 // estimatedWait returns the time that a job of the priority is expected to wait
 // for the backlog ahead of it.
-func (p *Planner) estimatedWait(priority int) time.Duration {
-	work, processors := p.Backlog(priority)
+func (p *Planner) estimatedWait(priority int, now definer.Instant) time.Duration {
+	work, processors := p.Backlog(priority, now)
 	if processors == 0 {
 		return 0
 	}
@@ -50,24 +50,54 @@
 	return time.Duration(work / processors * float64(time.Second))
 }
 
+// backlogAge is how long a measured backlog is used. Work that is accepted meanwhile
+// is added to it.
+const backlogAge = 50 * time.Millisecond
+
+// backlog is the waiting work of the cell.
+type backlog struct {
+	measuredAt definer.Instant
+	// work is the estimated work of the pending tasks in core-seconds, by the priority of their queue.
+	work map[int]float64
+	// processors is the number of cores of all listed endpoints that are not draining.
+	processors float64
+}
+
 // Backlog returns the estimated work in core-seconds of the pending tasks whose
 // queue has the given priority or a more urgent one, and the cores of all
 // listed endpoints that are not draining. Jobs beyond their account's rate are
 // left out.
-func (p *Planner) Backlog(priority int) (work, processors float64) {
-	for s := range p.readySteps {
-		if s.job.Queue.Priority > priority || s.job.excess {
-			continue
+func (p *Planner) Backlog(priority int, now definer.Instant) (work, processors float64) {
+	if p.backlog.work == nil || now.Sub(p.backlog.measuredAt) >= backlogAge {
+		p.measureBacklog(now)
+	}
+	for other, w := range p.backlog.work {
+		if other <= priority {
+			work += w
 		}
-		work += float64(len(s.pending())) * float64(s.def.Need.Millis) / millisPerCore * s.def.Estimate.Seconds()
 	}
-	for _, e := range p.endpoints {
+
+	return work, p.backlog.processors
+}
+
+func (p *Planner) measureBacklog(now definer.Instant) {
+	p.backlog = backlog{measuredAt: now, work: map[int]float64{}}
+	for s := range p.readySteps {
+		p.backlog.add(s)
+	}
+	for _, e := range p.ordered {
 		if e.listed && !e.Draining {
-			processors += float64(e.Capacity.Millis) / millisPerCore
+			p.backlog.processors += float64(e.Capacity.Millis) / millisPerCore
 		}
 	}
+}
 
-	return work, processors
+// add adds the pending tasks of a step.
+func (b *backlog) add(s *step) {
+	if s.job.excess {
+		return
+	}
+	b.work[s.job.Queue.Priority] += float64(s.pendingCount) * float64(s.def.Need.Millis) / millisPerCore * s.def.Estimate.Seconds()
 }
 
 const millisPerCore = 1000
--- a/internal/cell/planner/bench_test.go
+++ b/internal/cell/planner/bench_test.go
@@ -39,19 +39,12 @@
 // BenchmarkPlanFull measures a round of placement on a full cell in which the
 // policies have answered and tasks of all kinds wait for room.
 func BenchmarkPlanFull(b *testing.B) {
-	for _, size := range []struct{ endpoints, jobs int }{{48, 100}, {350, 400}, {350, 1000}} {
+	for _, size := range []struct{ endpoints, jobs int }{{48, 100}, {350, 400}, {350, 1000}, {1100, 300}, {1100, 1000}, {1100, 2000}} {
 		b.Run(fmt.Sprintf("%d-endpoints-%d-jobs", size.endpoints, size.jobs), func(b *testing.B) {
 			c := newCell(b, size.endpoints)
 			policy := &definer.Policy{Decide: 46 * time.Millisecond, Each: time.Millisecond, Validity: 1500 * time.Millisecond}
 			for n := range size.jobs {
-				step := definer.Step{Count: 3, Need: modeler.Resources{Millis: 2500, Memory: 7 << 30}, Estimate: time.Second}
-				switch n % 5 {
-				case 0:
-					step = definer.Step{Count: 20, Gang: true, Need: modeler.Resources{Millis: 4500, Memory: 9 << 30}, Estimate: 5 * time.Second}
-				case 1:
-					step = definer.Step{Count: 25, Checkpointing: true, Need: modeler.Resources{Millis: 1700, Memory: 4 << 30}, Estimate: 3 * time.Second}
-				}
-				job := c.job(fmt.Sprintf("%016x", n), step)
+				job := c.job(fmt.Sprintf("%016x", n), mixedStep(n))
 				job.Queue.Policy = policy
 				c.planner.Accept(job, c.now, c.wall)
 			}
@@ -73,6 +66,76 @@
 	}
 }
 
+// BenchmarkPlanChurn measures a round of placement on a full cell in which, as in a
+// cell under load, tasks end all the time and others wait for their room.
+func BenchmarkPlanChurn(b *testing.B) {
+	const endsPerRound = 15
+	for _, size := range []struct{ endpoints, jobs int }{{350, 400}, {1100, 300}, {1100, 1000}, {1100, 2000}} {
+		b.Run(fmt.Sprintf("%d-endpoints-%d-jobs", size.endpoints, size.jobs), func(b *testing.B) {
+			c := newCell(b, size.endpoints)
+			policy := &definer.Policy{Decide: 46 * time.Millisecond, Each: time.Millisecond, Validity: 1500 * time.Millisecond}
+			accepted := 0
+			var running []StartCmd
+			round := func() {
+				for len(c.planner.readySteps) < size.jobs {
+					job := c.job(fmt.Sprintf("%016x", accepted), mixedStep(accepted))
+					job.Queue.Policy = policy
+					c.planner.Accept(job, c.now, c.wall)
+					accepted++
+				}
+				c.now = c.now.Add(10 * time.Millisecond)
+				for _, e := range c.planner.endpoints {
+					e.lastAnswered = c.now
+				}
+				c.planner.Plan(c.now)
+				for _, command := range c.planner.Commands() {
+					switch command := command.(type) {
+					case AskPolicyCmd:
+						c.admitSome(command, accepted)
+					case StartCmd:
+						running = append(running, command)
+					}
+				}
+				c.planner.Notes()
+			}
+			end := func() {
+				ended := min(endsPerRound, len(running)/2)
+				for _, start := range running[:ended] {
+					e := c.planner.endpoints[start.Target.ID]
+					if r := e.runs[runKey{start.Order.Task, start.Order.Run}]; r != nil {
+						c.planner.runEnded(e, definer.EndedTask{Task: start.Order.Task, Run: start.Order.Run, End: definer.EndDone}, c.now)
+					}
+				}
+				running = running[ended:]
+			}
+			for range 300 {
+				round()
+				end()
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				round()
+				b.StopTimer()
+				end()
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+// mixedStep returns the n-th step of a mix of gangs, wide steps and small ones.
+func mixedStep(n int) definer.Step {
+	switch n % 5 {
+	case 0:
+		return definer.Step{Count: 20, Gang: true, Need: modeler.Resources{Millis: 4500, Memory: 9 << 30}, Estimate: 5 * time.Second}
+	case 1:
+		return definer.Step{Count: 25, Checkpointing: true, Need: modeler.Resources{Millis: 1700, Memory: 4 << 30}, Estimate: 3 * time.Second}
+	default:
+		return definer.Step{Count: 3, Need: modeler.Resources{Millis: 2500, Memory: 7 << 30}, Estimate: time.Second}
+	}
+}
+
 // admitSome answers a question by admitting every other endpoint.
 func (c *testCell) admitSome(ask AskPolicyCmd, salt int) {
 	var tickets []definer.Ticket
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -14,6 +14,11 @@
 	definer.Listing
 	// slot is the endpoint's index in per-step lists; slots of removed endpoints are reused.
 	slot int
+	// round is the last round of placement in which the endpoint was usable, and room its free resources then.
+	round int
+	room  modeler.Resources
+	// reservedFor is the waiting gang that the endpoint is reserved for in this round of placement, or nil.
+	reservedFor *step
 	// listed means that the endpoint list contains the endpoint, and unlistedAt is when its entry was removed, or 0.
 	listed     bool
 	unlistedAt definer.Instant
@@ -172,6 +177,7 @@
 // removeEndpoint removes an endpoint and frees its slot.
 func (p *Planner) removeEndpoint(e *endpoint) {
 	delete(p.endpoints, e.ID)
+	delete(p.unacknowledged, e)
 	p.freeSlots = append(p.freeSlots, e.slot)
 	if at, found := slices.BinarySearchFunc(p.ordered, e.ID, (*endpoint).compareID); found {
 		p.ordered = slices.Delete(p.ordered, at, at+1)
@@ -259,6 +265,7 @@
 	e.acceptedTerm, e.lastAnswered = false, 0
 	e.leaseUntil = now.Add(p.settings.maxLeaseBound())
 	e.lastEnd, e.acknowledgedEnd = 0, 0
+	delete(p.unacknowledged, e)
 	e.consecutiveFailures, e.quarantinedUntil, e.quarantine = 0, 0, 0
 	for _, r := range e.runs {
 		if r.phase == phaseSent || r.phase == phaseStopping && !r.confirmed {
@@ -303,7 +310,9 @@
 
 		return
 	}
-	r.task.activeRuns++
+	if r.task.activeRuns++; r.task.activeRuns == 1 && !r.task.done {
+		r.task.step.pendingCount--
+	}
 	def := r.task.step.def
 	r.account.used = r.account.used.Add(def.Need)
 	e.countKinds(def, 1)
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -22,8 +22,8 @@
 			continue
 		}
 		for _, e := range s.reserved {
-			if ps.reservations[e] == nil {
-				ps.reservations[e] = s
+			if e.reservedFor == nil {
+				e.reservedFor = s
 			}
 		}
 	}
@@ -54,10 +54,7 @@
 
 		return
 	}
-	candidates := ps.candidates(s)
-	if policy != nil {
-		candidates = s.admission.filterAdmitted(candidates)
-	}
+	candidates := ps.admittedTo(s)
 	if taskCapacity(s, candidates) < len(pending) {
 		if policy != nil && mayWait && !askBlocked {
 			// The admitted endpoints are too small for the gang even when they are empty; ask about the others.
@@ -66,7 +63,8 @@
 
 		return
 	}
-	assigned := ps.assignEndpoints(s, len(pending), ps.withValidTickets(s, candidates))
+	ready, _ := ps.withTickets(s, candidates)
+	assigned := ps.assignEndpoints(s, len(pending), ready)
 	switch {
 	case assigned != nil:
 	case mayWait:
@@ -116,19 +114,21 @@
 	ps.reserveEndpoints(s, candidates, count)
 }
 
-// withValidTickets returns the candidates to which a start may be sent now.
-func (ps *pass) withValidTickets(s *step, candidates []*endpoint) []*endpoint {
+// admittedTo returns the endpoints that candidates returns and, if s has a placement
+// policy, that the policy has admitted.
+func (ps *pass) admittedTo(s *step) []*endpoint {
 	if s.job.Queue.Policy == nil {
-		return candidates
+		return ps.candidates(s)
 	}
-	var ready []*endpoint
-	for _, e := range candidates {
-		if s.admission.hasValidTicket(e, ps.now) {
-			ready = append(ready, e)
+	need := s.need()
+	var admitted []*endpoint
+	for _, e := range s.admission.admitted {
+		if ps.isUsable(e) && need.Fits(e.Capacity) && s.admission.admits(e) && s.eligible(e) {
+			admitted = append(admitted, e)
 		}
 	}
 
-	return ready
+	return admitted
 }
 
 // reserveAssigned reserves the endpoints in assigned for a gang, each once, if it may
@@ -140,7 +140,7 @@
 	}
 	for _, e := range assigned {
 		if !slices.Contains(s.reserved, e) {
-			ps.reservations[e] = s
+			e.reservedFor = s
 			s.reserved = append(s.reserved, e)
 		}
 	}
@@ -181,7 +181,7 @@
 // is no room. A SameRack gang gets a single rack when one has room for it.
 func (ps *pass) assignEndpoints(s *step, count int, candidates []*endpoint) []*endpoint {
 	fit := func(e *endpoint) int {
-		if !ps.availableTo(e, s) {
+		if !availableTo(e, s) {
 			return 0
 		}
 
@@ -272,7 +272,7 @@
 		return
 	}
 	for _, e := range s.reserved {
-		ps.reservations[e] = s
+		e.reservedFor = s
 	}
 	if !s.preempted && ps.now.Sub(s.reservedSince) > preemptDelay {
 		s.preempted = true
@@ -284,7 +284,7 @@
 // enough for the gang.
 func (ps *pass) reservationValid(s *step, count int) bool {
 	for _, e := range s.reserved {
-		if holder := ps.reservations[e]; holder != nil && holder != s || !e.usable(ps.now, ps.planner.settings.Freshness) {
+		if holder := e.reservedFor; holder != nil && holder != s || !e.usable(ps.now, ps.planner.settings.Freshness) {
 			return false
 		}
 	}
@@ -301,7 +301,7 @@
 	}
 	var options []option
 	for _, e := range candidates {
-		if holder := ps.reservations[e]; holder == nil || holder == s {
+		if holder := e.reservedFor; holder == nil || holder == s {
 			options = append(options, option{e, tasksFitting(s, e.free().Add(preemptibleUsage(s, e)), s.def.PerEndpoint)})
 		}
 	}
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -49,6 +49,8 @@
 	def        *definer.Step
 	tasks      []*task
 	tasksLeft  int
+	// pendingCount is the number of tasks that are neither done nor on an endpoint.
+	pendingCount int
 	// placed counts the runs of the step on each endpoint.
 	placed map[*endpoint]int
 	// gangRun is the number of the gang's current run, or 0.
@@ -135,6 +137,16 @@
 	j.excess = p.account(j.Account).takeCredit(now)
 	p.note("accepted", j.ID, "account", j.Account, "queue", j.Queue.Name, "excess", j.excess)
 	p.advance(j, wall)
+	if p.backlog.work == nil {
+		return
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if _, ready := p.readySteps[s]; ready {
+				p.backlog.add(s)
+			}
+		}
+	}
 }
 
 func (p *Planner) newJob(definition definer.Job, now definer.Instant, wall time.Time) *job {
@@ -232,7 +244,7 @@
 func (p *Planner) openOccurrence(j *job, number int) {
 	o := &occurrence{number: number, stepsLeft: len(j.Steps)}
 	for i := range j.Steps {
-		s := &step{job: j, occurrence: o, index: i, def: &j.Steps[i], tasksLeft: j.Steps[i].Count, placed: map[*endpoint]int{}}
+		s := &step{job: j, occurrence: o, index: i, def: &j.Steps[i], tasksLeft: j.Steps[i].Count, pendingCount: j.Steps[i].Count, placed: map[*endpoint]int{}}
 		for n := range j.Steps[i].Count {
 			s.tasks = append(s.tasks, &task{step: s, index: n})
 		}
@@ -341,6 +353,9 @@
 	if !j.state.Final() {
 		p.account(j.Account).active--
 	}
+	if !j.state.Final() {
+		p.finished = append(p.finished, j)
+	}
 	j.state, j.finishedAt = state, now
 	p.dirty[j] = struct{}{}
 	p.note(string(state), j.ID, "after", now.Sub(j.accepted), "objective", j.deadline.Sub(j.accepted), "account", j.Account)
@@ -353,6 +368,9 @@
 	if t.done || s.def.LongRunning {
 		return
 	}
+	if t.activeRuns == 0 {
+		s.pendingCount--
+	}
 	t.done = true
 	s.tasksLeft--
 	p.dirty[s.job] = struct{}{}
@@ -425,12 +443,15 @@
 // whose final state is stored, and returns their ids.
 func (p *Planner) expire(now definer.Instant) []string {
 	var dropped []string
-	for id, j := range p.jobs {
-		if j.finalStored && now.Sub(j.finishedAt) > FinalRetention {
-			delete(p.jobs, id)
-			delete(p.dirty, j)
-			dropped = append(dropped, id)
+	for len(p.finished) > 0 {
+		j := p.finished[0]
+		if !j.finalStored || now.Sub(j.finishedAt) <= FinalRetention {
+			break
 		}
+		p.finished = p.finished[1:]
+		delete(p.jobs, j.ID)
+		delete(p.dirty, j)
+		dropped = append(dropped, j.ID)
 	}
 
 	return dropped
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -72,12 +73,9 @@
 	}
 	p.recordMajority(now)
 	p.noteTakeover(now)
-	ps := &pass{planner: p, now: now, takeoverSettled: p.takeoverSettled(), unconfirmed: p.unconfirmedUsage(), reservations: map[*endpoint]*step{}, unplaceable: map[string][]modeler.Resources{}}
-	for _, e := range p.ordered {
-		if e.usable(now, p.settings.Freshness) {
-			ps.usable = append(ps.usable, e)
-		}
-	}
+	p.rounds++
+	ps := &pass{planner: p, now: now, takeoverSettled: p.takeoverSettled(), unconfirmed: p.unconfirmedUsage(), unplaceable: map[group][]modeler.Resources{}}
+	ps.findUsable()
 	fair := p.fairUse()
 	steps := make([]*step, 0, len(p.readySteps))
 	for s := range p.readySteps {
@@ -99,9 +97,8 @@
 	takeoverSettled bool
 	// unconfirmed bounds what each account may have running on endpoints that have not answered.
 	unconfirmed map[*account]modeler.Resources
-	usable      []*endpoint
-	// reservations maps endpoints to the waiting gangs that they are reserved for.
-	reservations map[*endpoint]*step
+	// usable holds the endpoints on which tasks may be started, those with the most free processors first.
+	usable []*endpoint
 	// reservingGangs counts the gangs with reservations, waitingGangs those that wait for room or tickets,
 	// exploringGangs those without an answer of their policy, and prefetched the steps that request tickets
 	// before there is room.
@@ -111,10 +108,27 @@
 	prefetched     int
 	// scratch is the reused buffer for lists of candidates.
 	scratch []*endpoint
-	// unplaceable holds, for each service, the needs that no endpoint has room for in this round.
-	unplaceable map[string][]modeler.Resources
+	// unplaceable holds, for each group of steps, the needs that no endpoint has room for in this round.
+	unplaceable map[group][]modeler.Resources
 }
 
+// findUsable collects the usable endpoints and records their free resources.
+func (ps *pass) findUsable() {
+	p := ps.planner
+	ps.usable = make([]*endpoint, 0, len(p.ordered))
+	for _, e := range p.ordered {
+		e.reservedFor = nil
+		if e.usable(ps.now, p.settings.Freshness) {
+			e.round, e.room = p.rounds, e.free()
+			ps.usable = append(ps.usable, e)
+		}
+	}
+	slices.SortStableFunc(ps.usable, func(a, b *endpoint) int { return cmp.Compare(b.room.Millis, a.room.Millis) })
+}
+
+// isUsable reports whether e is among the usable endpoints of the round.
+func (ps *pass) isUsable(e *endpoint) bool { return e.round == ps.planner.rounds }
+
 // limit returns 1 plus the given share of the number of usable endpoints.
 func (ps *pass) limit(share float64) int { return 1 + int(share*float64(len(ps.usable))) }
 
@@ -125,15 +139,14 @@
 	if s.job.inherited && !ps.takeoverSettled {
 		return
 	}
-	pending := s.pending()
-	if len(pending) == 0 {
+	if s.pendingCount == 0 {
 		// requeue adds the step again when a run ends.
 		delete(p.readySteps, s)
 
 		return
 	}
-	pending = p.withoutExpired(pending)
 	if s.def.Gang {
+		pending := p.withoutExpired(s.pending())
 		switch {
 		case s.gangRun == 0 && len(pending) == s.tasksLeft:
 			ps.placeGang(s, pending)
@@ -147,16 +160,24 @@
 	if ps.lacksRoom(s) {
 		ps.prefetchTickets(s)
 	} else {
-		ps.placeTasks(s, pending)
+		ps.placeTasks(s)
 	}
 }
 
+// group is a set of steps that may use the same endpoints, reservations included.
+type group struct {
+	service  string
+	priority int
+}
+
+func groupOf(s *step) group { return group{s.job.Queue.Service, s.job.Queue.Priority} }
+
 // lacksRoom reports whether an earlier search of this round found no room for
 // needs no larger than those of s. The result holds for the whole round, because
-// free resources only shrink during it.
+// free resources only shrink and reservations only grow during it.
 func (ps *pass) lacksRoom(s *step) bool {
 	need := s.need()
-	for _, unplaceable := range ps.unplaceable[s.job.Queue.Service] {
+	for _, unplaceable := range ps.unplaceable[groupOf(s)] {
 		if unplaceable.Fits(need) {
 			return true
 		}
@@ -172,7 +193,7 @@
 // pending returns the tasks of s that are neither done nor on an endpoint. A task
 // with a run that is being stopped is still on its endpoint.
 func (s *step) pending() []*task {
-	var pending []*task
+	pending := make([]*task, 0, s.pendingCount)
 	for _, t := range s.tasks {
 		if !t.done && t.activeRuns == 0 {
 			pending = append(pending, t)
@@ -183,8 +204,9 @@
 }
 
 // candidates returns the usable endpoints that are eligible for s and whose
-// capacity fits a task, regardless of their current load. The slice is reused
-// by the next call of candidates or candidatesWithRoom.
+// capacity fits a task, regardless of their current load, those with the most free
+// processors first. The slice is reused by the next call of candidates or
+// candidatesWithRoom.
 func (ps *pass) candidates(s *step) []*endpoint {
 	need := s.need()
 	candidates := ps.scratch[:0]
@@ -199,15 +221,20 @@
 }
 
 // candidatesWithRoom returns the candidates whose free resources fit a task of
-// s now. The slice is reused by the next call of candidates or
-// candidatesWithRoom.
+// s now. It looks no further than the endpoints that had enough free processors at
+// the beginning of the round, because free resources only shrink during it. The
+// slice is reused by the next call of candidates or candidatesWithRoom.
 func (ps *pass) candidatesWithRoom(s *step) []*endpoint {
 	need := s.need()
 	candidates := ps.scratch[:0]
 	fits := false
 	service := s.job.Queue.Service
+	group := groupOf(s)
 	for _, e := range ps.usable {
-		if e.Service != service || !need.Fits(e.free()) {
+		if e.room.Millis < need.Millis {
+			break
+		}
+		if e.Service != service || !availableTo(e, s) || !need.Fits(e.free()) {
 			continue
 		}
 		fits = true
@@ -217,7 +244,7 @@
 	}
 	ps.scratch = candidates
 	if !fits {
-		ps.unplaceable[service] = append(ps.unplaceable[service], need)
+		ps.unplaceable[group] = append(ps.unplaceable[group], need)
 	}
 
 	return candidates
@@ -238,37 +265,56 @@
 
 // placeTasks starts the tasks of a step one by one, and asks the placement
 // policy for tickets when some of them cannot be placed.
-func (ps *pass) placeTasks(s *step, pending []*task) {
-	p := ps.planner
+func (ps *pass) placeTasks(s *step) {
 	policy := s.job.Queue.Policy
-	account := p.account(s.job.Account)
 	askBlocked := s.admission.askBlockedUntil != 0 && ps.now < s.admission.askBlockedUntil
 	if policy != nil && askBlocked && ps.now.Add(ticketMargin) >= s.admission.validUntil {
 		// All tickets have expired or are about to; nothing can start before the policy answers.
 		return
 	}
+	if policy == nil {
+		ps.startTasks(s, ps.candidatesWithRoom(s))
+
+		return
+	}
 	candidates := ps.candidatesWithRoom(s)
-	ticketExpired := false
-	unplaced := 0
+	ready, ticketExpired := ps.withTickets(s, candidates)
+	if unplaced, limited := ps.startTasks(s, ready); unplaced > 0 && !limited && !askBlocked {
+		ps.askForRoom(s, candidates, unplaced, ticketExpired)
+	}
+}
+
+// startTasks starts pending tasks of s on endpoints to which a start may be sent. It
+// returns how many found no room, and whether the account's limit ended the search.
+func (ps *pass) startTasks(s *step, ready []*endpoint) (unplaced int, limited bool) {
+	p := ps.planner
+	account := p.account(s.job.Account)
+	if len(ready) == 0 {
+		return s.pendingCount, !account.withinLimit(s.def.Need, ps.unconfirmed[account])
+	}
+	pending := p.withoutExpired(s.pending())
 	for i, t := range pending {
 		if !account.withinLimit(s.def.Need, ps.unconfirmed[account]) {
-			return
+			return len(pending) - i, true
 		}
 		number := p.nextRun(t)
 		if !p.mayGive(number) {
 			continue
 		}
-		best, expired := ps.chooseEndpoint(s, t, candidates)
+		best := ps.chooseEndpoint(s, t, ready)
 		if best == nil {
-			unplaced, ticketExpired = len(pending)-i, expired
-
-			break
+			return len(pending) - i, false
 		}
 		ps.start(t, best, number)
 	}
-	if policy == nil || askBlocked || unplaced == 0 {
-		return
-	}
+
+	return 0, false
+}
+
+// askForRoom asks the policy for the tickets that a step with unplaced tasks lacks.
+// candidates are the endpoints that had room for a task.
+func (ps *pass) askForRoom(s *step, candidates []*endpoint, unplaced int, ticketExpired bool) {
+	p := ps.planner
 	if unasked := s.admission.filterUnasked(candidates); len(unasked) > 0 && len(s.admission.answers) > 0 {
 		p.ask(s, p.endpointsToAsk(s, unasked, unplaced), ps.now)
 
@@ -306,29 +352,44 @@
 
 // availableTo reports whether s may use e: e is not reserved, is reserved for
 // s, or is reserved for a gang of a less urgent queue.
-func (ps *pass) availableTo(e *endpoint, s *step) bool {
-	holder := ps.reservations[e]
+func availableTo(e *endpoint, s *step) bool {
+	holder := e.reservedFor
 
 	return holder == nil || holder == s || s.job.Queue.Priority < holder.job.Queue.Priority
 }
 
-// chooseEndpoint returns the endpoint with the highest score for a task, or nil
-// when none fits. expired reports whether an endpoint was skipped only because
-// its ticket is no longer valid.
-func (ps *pass) chooseEndpoint(s *step, t *task, candidates []*endpoint) (best *endpoint, expired bool) {
-	need := s.need()
-	bestScore := 0.0
+// withTickets returns the candidates to which a start may be sent now. expired reports
+// whether one was left out only because its ticket is no longer valid.
+func (ps *pass) withTickets(s *step, candidates []*endpoint) (ready []*endpoint, expired bool) {
+	if s.job.Queue.Policy == nil {
+		return candidates, false
+	}
 	for _, e := range candidates {
-		if e == t.avoid && len(ps.usable) > 1 || !need.Fits(e.free()) || !s.belowEndpointLimit(e) || !ps.availableTo(e, s) {
-			continue
+		answer := s.admission.answer(e)
+		switch {
+		case answer == nil || !answer.admitted:
+		case answer.validFor(e, ps.now):
+			ready = append(ready, e)
+		case s.belowEndpointLimit(e) && availableTo(e, s):
+			expired = true
 		}
-		if s.job.Queue.Policy != nil && !s.admission.hasValidTicket(e, ps.now) {
-			expired = expired || s.admission.admits(e)
+	}
+
+	return ready, expired
+}
 
+// chooseEndpoint returns the endpoint with the highest score for a task, or nil
+// when none fits.
+func (ps *pass) chooseEndpoint(s *step, t *task, ready []*endpoint) *endpoint {
+	need := s.need()
+	var best *endpoint
+	bestScore := 0.0
+	for _, e := range ready {
+		if e == t.avoid && len(ps.usable) > 1 || !need.Fits(e.free()) || !s.belowEndpointLimit(e) || !availableTo(e, s) {
 			continue
 		}
 		score := s.score(e, need)
-		if holder := ps.reservations[e]; holder != nil && holder != s {
+		if holder := e.reservedFor; holder != nil && holder != s {
 			score -= reservedPenalty
 		}
 		if best == nil || score > bestScore {
@@ -336,7 +397,7 @@
 		}
 	}
 
-	return best, expired
+	return best
 }
 
 // score rates an endpoint for a task of s. Proximity to the data weighs most,
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -62,6 +62,14 @@
 	dirty map[*job]struct{}
 	// changedEndpoints holds the ids of the endpoints whose records in the state table are out of date.
 	changedEndpoints map[string]struct{}
+	// unacknowledged holds the endpoints that have reported ends which are not stored yet.
+	unacknowledged map[*endpoint]struct{}
+	// finished holds the final jobs in the order in which they became final.
+	finished []*job
+	// backlog is the last result of measureBacklog.
+	backlog backlog
+	// rounds counts the rounds of placement.
+	rounds int
 	// ownedAt is when the last successful append was made; the instance owned the cell then.
 	ownedAt definer.Instant
 	// tableEnd is the offset after the last record of the state table, as far as the owner knows.
@@ -161,7 +169,7 @@
 		settings: settings, tableEnd: settings.Term, config: &definer.Configuration{}, jobs: map[string]*job{},
 		endpoints: map[string]*endpoint{}, accounts: map[string]*account{}, queues: map[string]*queueStats{},
 		readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{}, dirty: map[*job]struct{}{},
-		changedEndpoints: map[string]struct{}{},
+		changedEndpoints: map[string]struct{}{}, unacknowledged: map[*endpoint]struct{}{},
 	}
 }
 
@@ -253,7 +261,7 @@
 		a := p.account(j.Account)
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				usage[a] = usage[a].Add(s.def.Need.Scale(int64(len(s.pending()))))
+				usage[a] = usage[a].Add(s.def.Need.Scale(int64(s.pendingCount)))
 			}
 		}
 	}
--- a/internal/cell/planner/progress.go
+++ b/internal/cell/planner/progress.go
@@ -45,11 +45,9 @@
 		snapshots = append(snapshots, Snapshot{ID: j.ID, Queue: j.Queue.Name, Account: j.Account, Progress: j.progress()})
 	}
 	clear(p.dirty)
-	ends := map[string]int64{}
-	for id, e := range p.endpoints {
-		if e.lastEnd > e.acknowledgedEnd {
-			ends[id] = e.lastEnd
-		}
+	ends := make(map[string]int64, len(p.unacknowledged))
+	for e := range p.unacknowledged {
+		ends[e.ID] = e.lastEnd
 	}
 
 	return snapshots, ends
@@ -70,8 +68,12 @@
 // endpoint that has restarted since then are ignored.
 func (p *Planner) Acknowledge(ends map[string]int64, lives map[string]int64) {
 	for id, number := range ends {
-		if e := p.endpoints[id]; e != nil && e.life == lives[id] {
-			e.acknowledgedEnd = max(e.acknowledgedEnd, number)
+		e := p.endpoints[id]
+		if e == nil || e.life != lives[id] {
+			continue
+		}
+		if e.acknowledgedEnd = max(e.acknowledgedEnd, number); e.acknowledgedEnd >= e.lastEnd {
+			delete(p.unacknowledged, e)
 		}
 	}
 }
@@ -89,11 +91,12 @@
 	}
 }
 
-// Lives returns the current life of each endpoint, identified by its start time.
+// Lives returns the current life of each endpoint with ends that are not
+// acknowledged, identified by its start time.
 func (p *Planner) Lives() map[string]int64 {
-	lives := make(map[string]int64, len(p.endpoints))
-	for id, e := range p.endpoints {
-		lives[id] = e.life
+	lives := make(map[string]int64, len(p.unacknowledged))
+	for e := range p.unacknowledged {
+		lives[e.ID] = e.life
 	}
 
 	return lives
@@ -161,21 +164,13 @@
 func (p *Planner) RestoreFinal(id, queue, account string, state definer.JobState, now definer.Instant) {
 	j := &job{Job: definer.Job{ID: id, Account: account, Queue: definer.Queue{Name: queue}}, state: state, finishedAt: now, finalStored: true}
 	p.jobs[id] = j
+	p.finished = append(p.finished, j)
 }
 
 // HasUnstoredProgress reports whether jobs have changed since the last call of
 // Dirty or ends are not acknowledged.
 func (p *Planner) HasUnstoredProgress() bool {
-	if len(p.dirty) > 0 {
-		return true
-	}
-	for _, e := range p.endpoints {
-		if e.lastEnd > e.acknowledgedEnd {
-			return true
-		}
-	}
-
-	return false
+	return len(p.dirty) > 0 || len(p.unacknowledged) > 0
 }
 
 // HasUnacknowledgedEnds reports whether the endpoint has reported ends that are
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -58,6 +58,7 @@
 			continue
 		}
 		e.lastEnd = row.Number
+		p.unacknowledged[e] = struct{}{}
 		p.runEnded(e, row, now)
 	}
 	for key, r := range e.runs {
@@ -328,7 +329,9 @@
 
 		return
 	}
-	r.task.activeRuns--
+	if r.task.activeRuns--; r.task.activeRuns == 0 && !r.task.done {
+		r.task.step.pendingCount++
+	}
 	def := r.task.step.def
 	r.account.used = r.account.used.Sub(def.Need)
 	r.endpoint.countKinds(def, -1)
