Leave half of the owner's time to other work than placement

Cause: the next round of placement was due 60 ms after the last one had begun at the latest, so rounds that took longer followed one another.

Change: the next round is due after at least twice the time that the last one took.

--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -85,8 +85,9 @@
 	maxMessagesPerPlan = 256
 	// minPlanInterval is the minimum time between two placement rounds; messages that arrive in between are decided together.
 	minPlanInterval = 10 * time.Millisecond
-	// planRestFactor is the minimum time for other work after a placement round, as a multiple of the round's
-	// duration, so that a long queue leaves the owner time for leases and callers; maxPlanInterval bounds it.
+	// planRestFactor is the time for other work after a placement round, as a multiple of the round's duration, so
+	// that a long queue leaves the owner time for leases and callers. It is less for rounds that would be further
+	// apart than maxPlanInterval.
 	planRestFactor  = 3
 	maxPlanInterval = 60 * time.Millisecond
 	// quorumTimeout is how long, in addition to the lease bound, an owner keeps the cell without a majority of
@@ -286,7 +287,7 @@
 		began := definer.Now()
 		l.planner.Plan(now)
 		took := definer.Since(began)
-		l.nextPlan = now.Add(min(max(minPlanInterval, (1+planRestFactor)*took), maxPlanInterval))
+		l.nextPlan = nextPlan(now, took)
 		l.metrics.Observe("plan", took)
 	}
 	for _, note := range l.planner.Notes() {
@@ -298,6 +299,15 @@
 	l.journal.appendIfDue(ctx, l, now)
 }
 
+// nextPlan returns when the next placement round may begin after one that began at
+// now and took the given time. At least half of the time is left for other work,
+// however long the rounds are.
+func nextPlan(now definer.Instant, took time.Duration) definer.Instant {
+	interval := max(minPlanInterval, (1+planRestFactor)*took)
+
+	return now.Add(max(min(interval, maxPlanInterval), 2*took))
+}
+
 func (l *Leader) recordNote(note planner.Note) {
 	args := append([]any{"job", note.Job, "term", l.settings.Term}, note.Args...)
 	level := hclog.Info
