Bound calls of the store by the time without progress, not by their size

Cause: a page of the configuration or of the state that a narrow link needs longer for than 1.5 s never arrived; each load began anew and kept the link full, so that after a loss of power no instance had a configuration. An owner that loaded the state counted as one that had lost the store after 0.9 s, and was replaced by one that had to load it again.

Change: WithStallTimeout ends a call that transfers nothing; the store's client reports each part that it sends or receives. A load of a table continues after the last page that was read, and the table counts as up to date as of its first page. The age of an owner's store is that of the last part of the state while it loads it, and a suspected owner is asked again before a claim. The delay of a claim for the store's latency is bounded, since that is the duration of a load. A suspicion asks 15 random instances and not all, and a new owner announces itself to 24 and not all; the others read it in the instances table.

--- a/internal/cell/definer/interfaces.go
+++ b/internal/cell/definer/interfaces.go
@@ -59,6 +59,7 @@
 // leaves the outcome open: the records may have been appended or may still be.
 // Newest returns the records with keys that follow after. Read returns records
 // from an offset on, at most limit kilobytes, and waits for new ones up to wait.
+// All of them call Progressed while data is transferred.
 type Store interface {
 	Append(ctx context.Context, table Table, at int64, records []Record) (AppendReply, error)
 	Newest(ctx context.Context, table Table, after string) (Page, error)
--- a/internal/cell/elector/campaign.go
+++ b/internal/cell/elector/campaign.go
@@ -33,9 +33,12 @@
 	// latencyFactor is the delay of a claim in multiples of the store's latency, since an instance far from the
 	// store would append slowly.
 	latencyFactor = 3
+	// maxLatencyDelay bounds that delay. The latency is that of the last load of a table, which a large table or a
+	// narrow link makes long.
+	maxLatencyDelay = 300 * time.Millisecond
 	// maxPowerDelay is the delay of a claim by an instance without processor time.
 	maxPowerDelay = 250 * time.Millisecond
-	// readTimeout bounds a read of the state table.
+	// readTimeout bounds the time without progress of a read of the state table.
 	readTimeout = 700 * time.Millisecond
 	// lastKey sorts after every key of the state table, so that a page after it holds no records, only the end.
 	lastKey = "~"
@@ -178,11 +181,11 @@
 	if noClaim || e.config.Load() == nil {
 		return
 	}
-	definer.Sleep(ctx, time.Duration(rand.Int64N(int64(claimJitter)))+latencyFactor*e.storeLatency()+e.powerDelay(), nil)
+	definer.Sleep(ctx, time.Duration(rand.Int64N(int64(claimJitter)))+e.latencyDelay()+e.powerDelay(), nil)
 	if owner, _ := e.Owner(); owner.Term > known.Term {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	callCtx, cancel := definer.WithStallTimeout(ctx, readTimeout)
 	page, err := e.store.Newest(callCtx, definer.TableState, lastKey)
 	cancel()
 	if err != nil {
@@ -194,12 +197,19 @@
 	if page.End > 0 && e.newerClaimExists(ctx, known, page.End) {
 		return
 	}
-	if page.End == 0 || ended || e.majorityLostOwner(ctx, known) {
+	if page.End == 0 || ended {
 		e.claim(ctx, page.End, reason)
 
 		return
 	}
-	callCtx, cancel = context.WithTimeout(ctx, tableSilence+readTimeout)
+	if e.majorityLostOwner(ctx, known) {
+		if !e.ownerAnswers(ctx, known) {
+			e.claim(ctx, page.End, reason)
+		}
+
+		return
+	}
+	callCtx, cancel = definer.WithStallTimeout(ctx, tableSilence+readTimeout)
 	tail, err := e.store.Read(callCtx, definer.TableState, page.End, 1, tableSilence)
 	cancel()
 	if err != nil {
@@ -211,7 +221,10 @@
 		return
 	}
 	if tail.End == page.End {
-		e.claim(ctx, page.End, reason)
+		// An owner that loads the state does not append.
+		if !e.ownerAnswers(ctx, known) {
+			e.claim(ctx, page.End, reason)
+		}
 
 		return
 	}
@@ -219,11 +232,23 @@
 	e.learnFromRecords(tail.Records, page.End)
 }
 
+// ownerAnswers asks a suspected owner again. It reports whether the owner answers,
+// still owns the cell and has the store.
+func (e *Elector) ownerAnswers(ctx context.Context, known Ownership) bool {
+	reply := e.exchange(ctx, known.Address, false)
+	answers := reply != nil && reply.IsOwner && reply.Term == known.Term && reply.StoreAge <= maxOwnerStoreAge
+	if answers {
+		e.logger.Info("owner answers again", "term", known.Term, "store age", reply.StoreAge.String())
+	}
+
+	return answers
+}
+
 // newerClaimExists reports whether the state table ends with the claim of an owner
 // that this instance did not know. Otherwise, instances that learn of the end of
 // an owner at the same time would take the cell over from one another.
 func (e *Elector) newerClaimExists(ctx context.Context, known Ownership, end int64) bool {
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	callCtx, cancel := definer.WithStallTimeout(ctx, readTimeout)
 	defer cancel()
 	tail, err := e.store.Read(callCtx, definer.TableState, end-1, 1, 0)
 	if err != nil {
@@ -237,6 +262,11 @@
 	return owner.Term > known.Term
 }
 
+// latencyDelay returns the delay of a claim by the latency of the store.
+func (e *Elector) latencyDelay() time.Duration {
+	return min(latencyFactor*e.storeLatency(), maxLatencyDelay)
+}
+
 // powerDelay returns the delay of a claim: from 0 for the strongest instance up to
 // maxPowerDelay for one without processor time.
 func (e *Elector) powerDelay() time.Duration {
@@ -273,14 +303,22 @@
 	}
 }
 
+// maxVoters bounds the peers that are asked whether they reach the owner. All
+// instances suspect it at the same time, so asking all of them would cost the square
+// of their number in calls.
+const maxVoters = 15
+
 // majorityLostOwner reports whether most instances, including this one, cannot
-// reach the owner. The instance of the owner counts as one of them. It is false with
-// fewer than 2 peers.
+// reach the owner. It asks a random sample of them. The instance of the owner counts
+// as one of them. It is false with fewer than 2 peers. An error only costs a change
+// of the owner: the store accepts one claim at an offset.
 func (e *Elector) majorityLostOwner(ctx context.Context, owner Ownership) bool {
 	peers := e.peerInstances()
 	if len(peers) < 2 {
 		return false
 	}
+	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
+	peers = peers[:min(len(peers), maxVoters)]
 	lost := make(chan bool, len(peers))
 	var group sync.WaitGroup
 	for _, peer := range peers {
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -161,7 +161,7 @@
 
 			return
 		}
-		callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
+		callCtx, cancel := definer.WithStallTimeout(ctx, tableTimeout)
 		_, err = e.store.Append(callCtx, definer.TableInstances, definer.AnyOffset, []definer.Record{{Key: e.settings.Name, Value: value}})
 		cancel()
 		if err == nil {
@@ -173,7 +173,7 @@
 }
 
 const (
-	// tableTimeout bounds an append to the instances table, and registerRetryDelay is the delay after a failure.
+	// tableTimeout bounds the time without progress of an append to the instances table, and registerRetryDelay is the delay after a failure.
 	tableTimeout       = time.Second
 	registerRetryDelay = 300 * time.Millisecond
 )
@@ -241,6 +241,14 @@
 	return list
 }
 
+// peersByPower returns the peers, those with the most processor time first.
+func (e *Elector) peersByPower() []Instance {
+	peers := e.peerInstances()
+	sort.SliceStable(peers, func(a, b int) bool { return peers[a].Power > peers[b].Power })
+
+	return peers
+}
+
 // Suspect makes the elector check the owner at once instead of at the next heartbeat.
 func (e *Elector) Suspect() {
 	select {
@@ -274,9 +282,7 @@
 	if !ok {
 		return
 	}
-	peers := e.peerInstances()
-	sort.SliceStable(peers, func(a, b int) bool { return peers[a].Power > peers[b].Power })
-	for _, peer := range peers {
+	for _, peer := range e.peersByPower() {
 		callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
 		reply, err := forwarder.Call[forwarder.Handover, forwarder.Reply](callCtx, e.pool, peer.Address, "TakeOver", &forwarder.Handover{End: end})
 		cancel()
@@ -414,8 +420,14 @@
 // noQuorumCooldown is how long an instance does not claim the cell after most endpoints stopped answering it.
 const noQuorumCooldown = 5 * time.Second
 
-// announce sends a heartbeat to all peers and writes the owner to the instances
-// table, which it retries until the ownership ends.
+// maxAnnounced bounds the peers to which a new owner sends a heartbeat. The others
+// learn of it from the instances table, so that it does not open a connection to
+// every instance while it loads the state.
+const maxAnnounced = 24
+
+// announce sends a heartbeat to the peers with the most processor time, which relay
+// orders, and writes the owner to the instances table, which it retries until the
+// ownership ends.
 func (e *Elector) announce(ctx context.Context, lead *leader.Leader, owner Ownership) {
 	value, err := msgpack.Marshal(owner)
 	if err != nil {
@@ -424,7 +436,8 @@
 		return
 	}
 	var group sync.WaitGroup
-	for _, peer := range e.peerInstances() {
+	peers := e.peersByPower()
+	for _, peer := range peers[:min(len(peers), maxAnnounced)] {
 		group.Add(1)
 		go func() {
 			defer group.Done()
@@ -432,7 +445,7 @@
 		}()
 	}
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
+		callCtx, cancel := definer.WithStallTimeout(ctx, tableTimeout)
 		_, err := e.store.Append(callCtx, definer.TableInstances, definer.AnyOffset, []definer.Record{{Key: ownerKey, Value: value}})
 		cancel()
 		if err == nil {
--- a/internal/cell/elector/replace_test.go
+++ b/internal/cell/elector/replace_test.go
@@ -13,6 +13,7 @@
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/journaler"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/leader"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/recorder"
 )
 
@@ -32,6 +33,8 @@
 	// silenceReads counts the reads that waited for tableSilence. claims receives their number at an append.
 	silenceReads int
 	claims       chan int
+	// onSilence, if set, is called when nothing was appended for tableSilence.
+	onSilence func()
 }
 
 func newClaimStore(owner netip.AddrPort) *claimStore {
@@ -48,6 +51,9 @@
 func (s *claimStore) Read(ctx context.Context, table definer.Table, from int64, limit int, wait time.Duration) (definer.Tail, error) {
 	if wait == tableSilence && definer.Sleep(ctx, wait, nil) {
 		s.silenceReads++
+		if s.onSilence != nil {
+			s.onSilence()
+		}
 	}
 
 	return s.tableStore.Read(ctx, table, from, limit, wait)
@@ -202,3 +208,36 @@
 		t.Errorf("heartbeat of another instance: owner %+v, want term 2 and life %d", known, claimLife)
 	}
 }
+
+// TestOwnerThatLoadsIsNotReplaced guards against an owner that is replaced because it
+// appends nothing and misses heartbeats while it loads a large state: each successor
+// would have to load it again (seen as six claims in 31 s on instances with narrow
+// links).
+func TestOwnerThatLoadsIsNotReplaced(t *testing.T) {
+	var listen net.ListenConfig
+	listener, err := listen.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	store := newClaimStore(address)
+	x := newElector(Settings{Name: "x", Address: address, Life: claimLife}, store)
+	x.learnFromRecords(store.records, 0)
+	store.onSilence = func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.local = leader.New(leader.Settings{Term: 2}, store, nil, nil, nil, nil, hclog.NewNullLogger(), recorder.NewMetrics())
+	}
+	server := forwarder.NewServer(x)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	y := newElector(Settings{Name: "y"}, store)
+	defer y.Pool().Close()
+	y.learnFromRecords(store.records, 0)
+	y.campaign(context.Background(), "owner does not answer", false)
+	select {
+	case <-store.claims:
+		t.Error("the cell was claimed although its owner answers and reads the store")
+	default:
+	}
+}
--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -23,9 +23,9 @@
 	heartbeatInterval = 300 * time.Millisecond
 	// submissionTimeout is how long a submission may wait for its append to begin before it is refused.
 	submissionTimeout = 1200 * time.Millisecond
-	// appendTimeout bounds an append; if there is no answer, the outcome is read back.
+	// appendTimeout bounds the time without progress of an append; if there is no answer, the outcome is read back.
 	appendTimeout = 600 * time.Millisecond
-	// readTimeout bounds a read-back, and appendRetryDelay is the delay after a failure.
+	// readTimeout bounds the time without progress of a read-back, and appendRetryDelay is the delay after a failure.
 	readTimeout      = 600 * time.Millisecond
 	appendRetryDelay = 80 * time.Millisecond
 	// maxBatchSize is the size in bytes from which no more jobs are added to a batch; it is well below the
@@ -184,7 +184,7 @@
 func Append(ctx context.Context, store definer.Store, offset int64, records []definer.Record) (definer.AppendReply, error) {
 	uncertain := false
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		callCtx, cancel := definer.WithStallTimeout(ctx, appendTimeout)
 		reply, err := store.Append(callCtx, definer.TableState, offset, records)
 		cancel()
 		if err == nil && (reply.Appended || !uncertain) {
@@ -215,7 +215,7 @@
 // readBack reads the record at the offset. The second result reports whether
 // the outcome of the append is known, that is, whether the offset is occupied.
 func readBack(ctx context.Context, store definer.Store, offset int64, records []definer.Record) (definer.AppendReply, bool, error) {
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	callCtx, cancel := definer.WithStallTimeout(ctx, readTimeout)
 	defer cancel()
 	tail, err := store.Read(callCtx, definer.TableState, offset, 1, 0)
 	if err != nil {
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -49,7 +49,8 @@
 	planner *planner.Planner
 	// config is the newest configuration.
 	config atomic.Pointer[definer.Configuration]
-	// lastStoreReply is when the owner last learned that an append had succeeded.
+	// lastStoreReply is when the owner last learned that an append had succeeded, or last received a part of the
+	// state while it loaded it.
 	lastStoreReply atomic.Int64
 	cancel         context.CancelCauseFunc
 	done           chan struct{}
@@ -128,11 +129,14 @@
 // Term returns the fencing token.
 func (l *Leader) Term() int64 { return l.settings.Term }
 
-// StoreAge returns the time since the owner last learned that an append had succeeded.
+// StoreAge returns the time since the owner last learned that an append had
+// succeeded, or since the load of the state last made progress.
 func (l *Leader) StoreAge() time.Duration {
 	return definer.Since(definer.Instant(l.lastStoreReply.Load()))
 }
 
+func (l *Leader) recordStoreReply() { l.lastStoreReply.Store(int64(definer.Now())) }
+
 // Configure passes a newer configuration to the owner.
 func (l *Leader) Configure(config *definer.Configuration) {
 	l.config.Store(config)
@@ -202,7 +206,8 @@
 	// write to it.
 	listWait         = 2 * time.Second
 	listReadInterval = 400 * time.Millisecond
-	// loadTimeout bounds reading a page of the state, and loadRetryDelay is the delay after a failure.
+	// loadTimeout bounds the time without progress while a page of the state is read, and loadRetryDelay is the delay
+	// after a failure.
 	loadTimeout    = 1500 * time.Millisecond
 	loadRetryDelay = 50 * time.Millisecond
 )
@@ -217,7 +222,7 @@
 		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
 		}
-		callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+		callCtx, cancel := definer.WithProgress(ctx, loadTimeout, l.recordStoreReply)
 		page, err := l.store.Newest(callCtx, definer.TableState, after)
 		cancel()
 		if err != nil {
--- a/internal/cell/watcher/watcher.go
+++ b/internal/cell/watcher/watcher.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// readSlack is the time that a read may take in addition to its wait.
+	// readSlack is the time without progress of a read in addition to its wait.
 	readSlack = 900 * time.Millisecond
-	// pageTimeout bounds reading a page.
+	// pageTimeout bounds the time without progress while a page is read.
 	pageTimeout = 1500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call, which doubles with each failure.
 	minRetryDelay = 100 * time.Millisecond
@@ -53,6 +53,8 @@
 	keys map[string]struct{}
 	// next is the offset of the next read.
 	next int64
+	// partial is the load of the table that a failed call has interrupted, or nil.
+	partial *partialLoad
 	// lost means that the last call failed.
 	lost bool
 }
@@ -99,7 +101,7 @@
 		var err error
 		if progress != notLoaded {
 			progress, err = w.read(ctx)
-		} else if err = w.load(ctx); err == nil {
+		} else if sent, err = w.load(ctx); err == nil {
 			progress = upToDate
 			w.latency.Store(int64(definer.Since(sent)))
 		}
@@ -138,45 +140,67 @@
 	}
 }
 
+// partialLoad is how far a load of the table has come.
+type partialLoad struct {
+	// began is when the first page was requested.
+	began definer.Instant
+	// after is the last key that was read.
+	after string
+	// next is the end of the table as of the first page.
+	next int64
+	// present holds the keys that were read.
+	present map[string]struct{}
+}
+
 // load reads the newest record of each key and removes keys that are no longer
 // present. The pages are not a consistent snapshot, so reading continues from the
-// end of the table as of the first page.
-func (w *Watcher) load(ctx context.Context) error {
-	after, next := "", int64(-1)
-	present := map[string]struct{}{}
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, pageTimeout)
-		page, err := w.store.Newest(callCtx, w.settings.Table, after)
-		cancel()
-		if err != nil {
-			return err
-		}
-		if next < 0 {
-			next = page.End
-		}
-		for _, record := range page.Records {
-			present[record.Key] = struct{}{}
-			w.applyRecord(record)
-			after = record.Key
-		}
-		if !page.More || len(page.Records) == 0 {
-			break
+// end of the table as of the first page. After a failed call, the next load
+// continues after the last page that was read. It returns when the first page was
+// requested: the table is not known to be up to date as of any later time.
+func (w *Watcher) load(ctx context.Context) (began definer.Instant, err error) {
+	if w.partial == nil {
+		w.partial = &partialLoad{began: definer.Now(), next: -1, present: map[string]struct{}{}}
+	}
+	for more := true; more; {
+		if more, err = w.loadPage(ctx, w.partial); err != nil {
+			return 0, err
 		}
 	}
 	for key := range w.keys {
-		if _, ok := present[key]; !ok {
+		if _, ok := w.partial.present[key]; !ok {
 			w.applyRecord(definer.Record{Key: key})
 		}
 	}
-	w.next = next
+	began = w.partial.began
+	w.next, w.partial = w.partial.next, nil
+
+	return began, nil
+}
+
+// loadPage reads and applies the next page of a load. It reports whether more follow.
+func (w *Watcher) loadPage(ctx context.Context, partial *partialLoad) (bool, error) {
+	callCtx, cancel := definer.WithStallTimeout(ctx, pageTimeout)
+	defer cancel()
+	page, err := w.store.Newest(callCtx, w.settings.Table, partial.after)
+	if err != nil {
+		return false, err
+	}
+	if partial.next < 0 {
+		partial.next = page.End
+	}
+	for _, record := range page.Records {
+		partial.present[record.Key] = struct{}{}
+		partial.after = record.Key
+		w.applyRecord(record)
+	}
 
-	return nil
+	return page.More && len(page.Records) > 0, nil
 }
 
 // read reads appended records. If some were truncated, the table has to be loaded
 // again. After an error the progress is behind, as the next read may succeed.
 func (w *Watcher) read(ctx context.Context) (progress, error) {
-	callCtx, cancel := context.WithTimeout(ctx, w.settings.Wait+readSlack)
+	callCtx, cancel := definer.WithStallTimeout(ctx, w.settings.Wait+readSlack)
 	defer cancel()
 	tail, err := w.store.Read(callCtx, w.settings.Table, w.next, maxReadKilobytes, w.settings.Wait)
 	if err != nil {
--- a/internal/cell/watcher/watcher_test.go
+++ b/internal/cell/watcher/watcher_test.go
@@ -114,3 +114,47 @@
 		}
 	}
 }
+
+// failingStore has a table of two pages. The first request of the second page fails.
+type failingStore struct {
+	definer.Store
+	requests []string
+}
+
+func (s *failingStore) Newest(_ context.Context, _ definer.Table, after string) (definer.Page, error) {
+	s.requests = append(s.requests, after)
+	switch {
+	case after == "":
+		return definer.Page{Records: []definer.Record{{Key: "a", Value: []byte("1")}}, More: true, End: 5}, nil
+	case len(s.requests) == 2:
+		time.Sleep(10 * time.Millisecond)
+
+		return definer.Page{}, errors.New("connection reset")
+	default:
+		return definer.Page{Records: []definer.Record{{Key: "b", Value: []byte("2")}}, End: 6}, nil
+	}
+}
+
+func (s *failingStore) Read(ctx context.Context, _ definer.Table, from int64, _ int, _ time.Duration) (definer.Tail, error) {
+	<-ctx.Done()
+
+	return definer.Tail{Next: from, End: from}, ctx.Err()
+}
+
+// TestLoadContinuesAfterFailure guards against a load that begins anew after each
+// failed call, which a table larger than a slow link carries without a failure never
+// survives (seen after all instances lost power), and against a table that counts as
+// up to date as of a time later than its first page.
+func TestLoadContinuesAfterFailure(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	store := &failingStore{}
+	w := New(Settings{Table: definer.TableOperator}, store, hclog.NewNullLogger(), func(definer.Record) {}, cancel)
+	began := definer.Now()
+	w.Run(ctx)
+	if diff := cmp.Diff([]string{"", "a", "a"}, store.requests); diff != "" {
+		t.Errorf("requested pages (-want +got):\n%s", diff)
+	}
+	if age := w.AsOf().Sub(began); age >= 10*time.Millisecond {
+		t.Errorf("the table counts as up to date as of %s after the first page", age)
+	}
+}
