Keep no policy answers and tasks of work that is done

Cause: a step kept an array of 48 bytes for each endpoint of the cell with the answers of its policy, 53 KB at 1,100 endpoints, and a final job kept its steps and tasks for 150 s. The owner of the large site reached 346 MB, and the garbage collector worked against its memory limit.

Change: a step keeps the answers that it has and an index of 4 bytes for each endpoint, and drops both when it is done. A final job drops its tasks 15 s after its final state was stored, the time within which a late run may be reported.

--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -26,8 +26,11 @@
 
 // admission holds the answers of the queue's placement policy for a step.
 type admission struct {
-	// answers holds the answers by the slots of the endpoints.
+	// answers holds the answers in the order in which they arrived first.
 	answers []policyAnswer
+	// positions holds, by the slots of the endpoints, 1 plus the index of the last answer for an endpoint of the slot;
+	// 0 means none. A step asks about few of the endpoints, and a cell holds thousands of steps.
+	positions []uint32
 	// admitted holds the endpoints that the policy has admitted, each once, in the order of the answers.
 	admitted []*endpoint
 	// validUntil is when the tickets of the last answer expire.
@@ -53,20 +56,29 @@
 
 // answer returns the policy's answer for e, or nil when there is none.
 func (a *admission) answer(e *endpoint) *policyAnswer {
-	if e.slot >= len(a.answers) || a.answers[e.slot].endpoint != e {
+	if e.slot >= len(a.positions) || a.positions[e.slot] == 0 {
 		return nil
 	}
+	if answer := &a.answers[a.positions[e.slot]-1]; answer.endpoint == e {
+		return answer
+	}
 
-	return &a.answers[e.slot]
+	return nil
 }
 
 // record stores the answer for an endpoint.
 func (a *admission) record(e *endpoint, answer policyAnswer) {
-	if e.slot >= len(a.answers) {
-		a.answers = append(a.answers, make([]policyAnswer, e.slot+1-len(a.answers))...)
+	answer.endpoint = e
+	previous := a.answer(e)
+	if previous == nil {
+		if e.slot >= len(a.positions) {
+			a.positions = append(a.positions, make([]uint32, e.slot+1-len(a.positions))...)
+		}
+		a.answers = append(a.answers, policyAnswer{})
+		a.positions[e.slot] = uint32(len(a.answers))
+		previous = &a.answers[len(a.answers)-1]
 	}
-	previous := &a.answers[e.slot]
-	answer.endpoint, answer.listed = e, previous.endpoint == e && previous.listed
+	answer.listed = previous.listed
 	if answer.admitted && !answer.listed {
 		answer.listed = true
 		a.admitted = append(a.admitted, e)
@@ -140,6 +152,9 @@
 		return
 	}
 	s := o.steps[index]
+	if s.tasksLeft == 0 || j.state.Final() {
+		return
+	}
 	if !answered {
 		s.admission.askBlockedUntil = now.Add(askRetryPause)
 
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -245,8 +245,11 @@
 	o := &occurrence{number: number, stepsLeft: len(j.Steps)}
 	for i := range j.Steps {
 		s := &step{job: j, occurrence: o, index: i, def: &j.Steps[i], tasksLeft: j.Steps[i].Count, pendingCount: j.Steps[i].Count, placed: map[*endpoint]int{}}
-		for n := range j.Steps[i].Count {
-			s.tasks = append(s.tasks, &task{step: s, index: n})
+		tasks := make([]task, j.Steps[i].Count)
+		s.tasks = make([]*task, len(tasks))
+		for n := range tasks {
+			tasks[n] = task{step: s, index: n}
+			s.tasks[n] = &tasks[n]
 		}
 		o.steps = append(o.steps, s)
 	}
@@ -338,6 +341,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			delete(p.readySteps, s)
+			s.admission = admission{}
 			for _, t := range s.tasks {
 				if t.run != nil {
 					p.stopRun(t.run)
@@ -378,6 +382,7 @@
 		return
 	}
 	delete(p.readySteps, s)
+	s.admission = admission{}
 	s.occurrence.stepsLeft--
 	for _, next := range s.occurrence.steps {
 		p.makeReady(next)
@@ -439,9 +444,28 @@
 // FinalRetention is how long a job is kept after it became final.
 const FinalRetention = 150 * time.Second
 
+// detailRetention is how long the tasks of a final job are kept. An endpoint may
+// report a run of the job for as long.
+const detailRetention = lateOrderWindow
+
+// dropDetails drops the steps and tasks of the jobs that have been final for longer
+// than detailRetention and whose final state is stored. Most of the jobs that an
+// owner knows are final, and of these callers only ask for the state.
+func (p *Planner) dropDetails(now definer.Instant) {
+	for p.withoutDetails < len(p.finished) {
+		j := p.finished[p.withoutDetails]
+		if !j.finalStored || now.Sub(j.finishedAt) <= detailRetention {
+			return
+		}
+		p.withoutDetails++
+		j.occurrences, j.Steps, j.Spec = nil, nil, ""
+	}
+}
+
 // expire drops the jobs that have been final for longer than FinalRetention and
 // whose final state is stored, and returns their ids.
 func (p *Planner) expire(now definer.Instant) []string {
+	p.dropDetails(now)
 	var dropped []string
 	for len(p.finished) > 0 {
 		j := p.finished[0]
@@ -449,6 +473,7 @@
 			break
 		}
 		p.finished = p.finished[1:]
+		p.withoutDetails = max(p.withoutDetails-1, 0)
 		delete(p.jobs, j.ID)
 		delete(p.dirty, j)
 		dropped = append(dropped, j.ID)
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -66,6 +66,8 @@
 	unacknowledged map[*endpoint]struct{}
 	// finished holds the final jobs in the order in which they became final.
 	finished []*job
+	// withoutDetails is how many of the finished jobs, from the first on, have no tasks any more.
+	withoutDetails int
 	// backlog is the last result of measureBacklog.
 	backlog backlog
 	// rounds counts the rounds of placement.
