Bound the progress in an append and acknowledge the ends that it holds

Cause: an append held the progress of all jobs that had changed. An owner that is behind collects ever more, and one append of over 2 MiB is refused by the store for good, after which the owner stores nothing.

Change: an append holds the jobs that changed first, up to 8,000 tasks. Changes are numbered, and an end is acknowledged with the append that holds the last change up to its report.

--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -59,6 +59,8 @@
 	unansweredStarts map[runKey]definer.Instant
 	// lastEnd is the highest number of a processed end, and acknowledgedEnd the highest that is stored.
 	lastEnd, acknowledgedEnd int64
+	// reportedEnds holds the ends that are not acknowledged, an entry for each report.
+	reportedEnds []reportedEnd
 	// listsEnds means that the last renewal was answered and its report listed ends.
 	listsEnds bool
 	// consecutiveFailures counts the failed runs since the last successful one;
@@ -264,7 +266,7 @@
 	e.life = born
 	e.acceptedTerm, e.lastAnswered = false, 0
 	e.leaseUntil = now.Add(p.settings.maxLeaseBound())
-	e.lastEnd, e.acknowledgedEnd = 0, 0
+	e.lastEnd, e.acknowledgedEnd, e.reportedEnds = 0, 0, nil
 	delete(p.unacknowledged, e)
 	e.consecutiveFailures, e.quarantinedUntil, e.quarantine = 0, 0, 0
 	for _, r := range e.runs {
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -26,6 +26,8 @@
 	cancelling bool
 	// finishedAt is when the job became final.
 	finishedAt definer.Instant
+	// change is the number under which the job became dirty, or 0 if its stored progress is up to date.
+	change uint64
 	// finalStored means that the store holds the job's final state.
 	finalStored bool
 	// finalShown means that the final state has been shown to a caller.
@@ -100,7 +102,7 @@
 func (p *Planner) raiseLastRun(t *task, number int) {
 	if number > t.lastRun {
 		t.lastRun = number
-		p.dirty[t.step.job] = struct{}{}
+		p.markDirty(t.step.job)
 	}
 }
 
@@ -114,7 +116,7 @@
 	if checkpoint == "" || checkpoint == t.checkpoint || number < t.checkpointRun {
 		return
 	}
-	p.dirty[s.job] = struct{}{}
+	p.markDirty(s.job)
 	t.checkpoint, t.checkpointRun = checkpoint, number
 	if !s.def.Gang {
 		return
@@ -224,7 +226,7 @@
 	p.openOccurrence(j, j.due)
 	j.due++
 	if j.Repeats > 0 {
-		p.dirty[j] = struct{}{}
+		p.markDirty(j)
 	}
 }
 
@@ -321,7 +323,7 @@
 	}
 	j.cancelling = true
 	p.stopAllRuns(j)
-	p.dirty[j] = struct{}{}
+	p.markDirty(j)
 
 	return true
 }
@@ -361,7 +363,7 @@
 		p.finished = append(p.finished, j)
 	}
 	j.state, j.finishedAt = state, now
-	p.dirty[j] = struct{}{}
+	p.markDirty(j)
 	p.note(string(state), j.ID, "after", now.Sub(j.accepted), "objective", j.deadline.Sub(j.accepted), "account", j.Account)
 }
 
@@ -377,7 +379,7 @@
 	}
 	t.done = true
 	s.tasksLeft--
-	p.dirty[s.job] = struct{}{}
+	p.markDirty(s.job)
 	if s.tasksLeft > 0 {
 		return
 	}
@@ -475,7 +477,6 @@
 		p.finished = p.finished[1:]
 		p.withoutDetails = max(p.withoutDetails-1, 0)
 		delete(p.jobs, j.ID)
-		delete(p.dirty, j)
 		dropped = append(dropped, j.ID)
 	}
 
--- a/internal/cell/planner/observation.go
+++ b/internal/cell/planner/observation.go
@@ -39,7 +39,7 @@
 // record is out of date.
 func (p *Planner) Unstored() []Observation {
 	observations := make([]Observation, 0, len(p.dirty))
-	for j := range p.dirty {
+	for _, j := range p.dirty {
 		observations = append(observations, j.observation())
 	}
 
@@ -66,7 +66,7 @@
 		return
 	}
 	p.note("progress inherited", j.ID, "from term", term, "cancelled", observation.Cancelled, "tasks", len(observation.Tasks))
-	p.dirty[j] = struct{}{}
+	p.markDirty(j)
 	for i := range observation.Tasks {
 		p.inheritTask(j, &observation.Tasks[i], now)
 	}
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -58,8 +58,10 @@
 	readySteps map[*step]struct{}
 	// scheduled holds the jobs with occurrences that are not due yet.
 	scheduled map[*job]struct{}
-	// dirty holds the jobs whose stored progress is out of date.
-	dirty map[*job]struct{}
+	// dirty holds the jobs whose stored progress is out of date, in the order of their change numbers.
+	dirty []*job
+	// changes is the last change number that was given.
+	changes uint64
 	// changedEndpoints holds the ids of the endpoints whose records in the state table are out of date.
 	changedEndpoints map[string]struct{}
 	// unacknowledged holds the endpoints that have reported ends which are not stored yet.
@@ -170,7 +172,7 @@
 	return &Planner{
 		settings: settings, tableEnd: settings.Term, config: &definer.Configuration{}, jobs: map[string]*job{},
 		endpoints: map[string]*endpoint{}, accounts: map[string]*account{}, queues: map[string]*queueStats{},
-		readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{}, dirty: map[*job]struct{}{},
+		readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{},
 		changedEndpoints: map[string]struct{}{}, unacknowledged: map[*endpoint]struct{}{},
 	}
 }
--- a/internal/cell/planner/progress.go
+++ b/internal/cell/planner/progress.go
@@ -36,29 +36,94 @@
 	Progress Progress
 }
 
-// Dirty returns the progress of the jobs that have changed since the last call
-// and, for each endpoint with ends that are not acknowledged, the highest
-// number of an end that this progress includes.
+// maxDirtyTasks is the number of tasks from which no more jobs are added to the
+// result of Dirty. A task takes about 50 bytes in a record, and the store accepts
+// 2 MiB in an append.
+const maxDirtyTasks = 8000
+
+// markDirty records that the stored progress of a job is out of date.
+func (p *Planner) markDirty(j *job) {
+	if j.change != 0 {
+		return
+	}
+	p.changes++
+	j.change = p.changes
+	p.dirty = append(p.dirty, j)
+}
+
+// Dirty returns the progress of jobs that have changed since it was last returned,
+// those that changed first first, and, for each endpoint with ends that are not
+// acknowledged, the highest number of an end that this and earlier progress
+// includes. Further jobs follow in the next call.
 func (p *Planner) Dirty() ([]Snapshot, map[string]int64) {
-	snapshots := make([]Snapshot, 0, len(p.dirty))
-	for j := range p.dirty {
-		snapshots = append(snapshots, Snapshot{ID: j.ID, Queue: j.Queue.Name, Account: j.Account, Progress: j.progress()})
+	var snapshots []Snapshot
+	returned, tasks := 0, 0
+	through := p.changes
+	for _, j := range p.dirty {
+		if tasks >= maxDirtyTasks {
+			through = j.change - 1
+
+			break
+		}
+		returned++
+		j.change = 0
+		if p.jobs[j.ID] != j {
+			continue
+		}
+		snapshot := Snapshot{ID: j.ID, Queue: j.Queue.Name, Account: j.Account, Progress: j.progress()}
+		tasks += 1 + len(snapshot.Progress.Tasks)
+		snapshots = append(snapshots, snapshot)
 	}
-	clear(p.dirty)
+	p.dirty = append([]*job(nil), p.dirty[returned:]...)
 	ends := make(map[string]int64, len(p.unacknowledged))
 	for e := range p.unacknowledged {
-		ends[e.ID] = e.lastEnd
+		if number := e.endsThrough(through); number > e.acknowledgedEnd {
+			ends[e.ID] = number
+		}
 	}
 
 	return snapshots, ends
 }
 
+// reportedEnd is the highest number of the ends in a report, and the last change
+// number after the report was processed: once that change is stored, so are the ends.
+type reportedEnd struct {
+	number int64
+	change uint64
+}
+
+// endsThrough returns the highest number of an end whose changes have numbers up to
+// through, or 0.
+func (e *endpoint) endsThrough(through uint64) int64 {
+	number := int64(0)
+	for _, reported := range e.reportedEnds {
+		if reported.change <= through {
+			number = reported.number
+		}
+	}
+
+	return number
+}
+
+// acknowledge records that the ends up to number are stored, and reports whether
+// these are all.
+func (e *endpoint) acknowledge(number int64) bool {
+	e.acknowledgedEnd = max(e.acknowledgedEnd, number)
+	stored := 0
+	for stored < len(e.reportedEnds) && e.reportedEnds[stored].number <= e.acknowledgedEnd {
+		stored++
+	}
+	e.reportedEnds = append([]reportedEnd(nil), e.reportedEnds[stored:]...)
+
+	return e.acknowledgedEnd >= e.lastEnd
+}
+
 // MarkDirty marks jobs whose progress could not be stored, so that Dirty returns
 // them again.
 func (p *Planner) MarkDirty(snapshots []Snapshot) {
 	for i := range snapshots {
 		if j := p.jobs[snapshots[i].ID]; j != nil {
-			p.dirty[j] = struct{}{}
+			p.markDirty(j)
 		}
 	}
 }
@@ -72,7 +137,7 @@
 		if e == nil || e.life != lives[id] {
 			continue
 		}
-		if e.acknowledgedEnd = max(e.acknowledgedEnd, number); e.acknowledgedEnd >= e.lastEnd {
+		if e.acknowledge(number) {
 			delete(p.unacknowledged, e)
 		}
 	}
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -53,14 +53,7 @@
 		listed[runKey{row.Task, row.Run}] = true
 		p.runListed(e, row, now)
 	}
-	for _, row := range report.Ended {
-		if row.Number <= e.lastEnd {
-			continue
-		}
-		e.lastEnd = row.Number
-		p.unacknowledged[e] = struct{}{}
-		p.runEnded(e, row, now)
-	}
+	p.processEnds(e, report.Ended, now)
 	for key, r := range e.runs {
 		if !listed[key] && !report.MoreEnds {
 			p.runMissing(r, sent)
@@ -73,6 +66,22 @@
 	}
 }
 
+// processEnds processes the ends of a report that are new.
+func (p *Planner) processEnds(e *endpoint, ended []definer.EndedTask, now definer.Instant) {
+	before := e.lastEnd
+	for _, row := range ended {
+		if row.Number <= e.lastEnd {
+			continue
+		}
+		e.lastEnd = row.Number
+		p.runEnded(e, row, now)
+	}
+	if e.lastEnd > before {
+		p.unacknowledged[e] = struct{}{}
+		e.reportedEnds = append(e.reportedEnds, reportedEnd{number: e.lastEnd, change: p.changes})
+	}
+}
+
 const (
 	// StopRetryWindow is how long the caller repeats a stop that is not answered.
 	StopRetryWindow = 7 * time.Second
@@ -285,7 +294,7 @@
 		}
 	}
 	t.failed = append(t.failed, row.Run)
-	p.dirty[j] = struct{}{}
+	p.markDirty(j)
 	p.note("task failed", j.ID, "endpoint", r.endpoint.ID, "step", s.index, "index", t.index, "run", row.Run, "attempts", len(t.failed), "most", j.Queue.MaxAttempts)
 	if t.exhausted() && !j.state.Final() && !j.cancelling {
 		p.requeue(r, row.Checkpoint)
@@ -358,7 +367,7 @@
 	if t.done || s.job.state.Final() || s.job.cancelling {
 		return
 	}
-	p.dirty[s.job] = struct{}{}
+	p.markDirty(s.job)
 	if s.def.Gang {
 		p.stopGang(s)
 	}
--- a/internal/cell/planner/retention_test.go
+++ b/internal/cell/planner/retention_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -46,3 +47,32 @@
 		t.Errorf("state %q of queue %q, known %t", state, queue, known)
 	}
 }
+
+// TestEndsAreAcknowledgedWithTheirProgress guards against an append that the store
+// refuses for its size, after which the owner could store nothing any more, and
+// against an end that is acknowledged although its effect comes in a later append.
+func TestEndsAreAcknowledgedWithTheirProgress(t *testing.T) {
+	c := newCell(t, 1)
+	job := c.job("0000000000000001", definer.Step{Count: 1, Need: modeler.Resources{Millis: 1000}, Estimate: time.Second})
+	c.planner.Accept(job, c.now, c.wall)
+	c.planAndRun()
+	c.storeProgress()
+	const more = 10
+	for n := range maxDirtyTasks + more {
+		id := fmt.Sprintf("%016x", 100+n)
+		c.planner.Accept(c.job(id, definer.Step{Count: 1, Need: modeler.Resources{Millis: 1 << 40}}), c.now, c.wall)
+		c.planner.Cancel(id)
+	}
+	c.endRun("e000", definer.TaskName{Job: job.ID}, c.running["e000"][0].Run, definer.EndDone)
+	snapshots, ends := c.planner.Dirty()
+	if len(snapshots) != maxDirtyTasks || len(ends) != 0 {
+		t.Errorf("first append: %d jobs, ends %v; want %d jobs and no ends", len(snapshots), ends, maxDirtyTasks)
+	}
+	snapshots, ends = c.planner.Dirty()
+	if len(snapshots) != more+1 || ends["e000"] != 1 {
+		t.Errorf("second append: %d jobs, ends %v; want %d jobs and the end", len(snapshots), ends, more+1)
+	}
+	if c.planner.Acknowledge(ends, c.planner.Lives()); c.planner.HasUnstoredProgress() {
+		t.Error("there is unstored progress after all was stored")
+	}
+}
