Take odd entries and malformed messages as the loss of one record or call

The form of MessagePack data is checked without recursion before it is decoded. A panic in a call is its error; one of the owner ends the ownership, after which another instance claims.

--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,15 @@
 SEED ?= 1
 SEEDS ?= 1
 DURATION ?= 30s
+FUZZTIME ?= 1000x
+FUZZ_PLATFORM := FuzzEndpointEntry FuzzConfiguration FuzzJob FuzzReport FuzzTail
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS := -X main.version=$(VERSION)
 # Tests listed in KNOWN-RED.txt are printed and passed over.
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: build test lint fmt tools demo soak chaos disrupt takeover measure bench generate zoneinfo
+.PHONY: build test fuzz lint fmt tools demo soak chaos disrupt takeover measure bench generate zoneinfo
 
 build:
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -25,6 +27,11 @@
 
 tools: $(GOLANGCI)
 
+# The fuzz targets of all decoders at an edge; FUZZTIME is a number of inputs, such as 1000x, or a duration.
+fuzz:
+	@for target in $(FUZZ_PLATFORM); do $(GO) test -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) ./platform || exit 1; done
+	$(GO) test -run '^$$' -fuzz '^FuzzCheck$$' -fuzztime $(FUZZTIME) ./internal/codec/inspector
+
 lint: tools
 	$(GOLANGCI) fmt --diff ./...
 	$(GOLANGCI) run ./...
--- a/internal/cell/courier/courier.go
+++ b/internal/cell/courier/courier.go
@@ -49,7 +49,7 @@
 		}
 		for i := range batch.Orders {
 			order := &batch.Orders[i]
-			if order.Start != nil && order.Spec < len(batch.Specs) {
+			if order.Start != nil && order.Spec >= 0 && order.Spec < len(batch.Specs) {
 				order.Start.Spec = batch.Specs[order.Spec]
 			}
 			go s.run(ctx, order)
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -8,7 +8,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"runtime/debug"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -25,6 +27,7 @@
 	"gitlab.com/greengagewall/greengagewall/internal/cell/leader"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/planner"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/recorder"
+	"gitlab.com/greengagewall/greengagewall/internal/codec/inspector"
 )
 
 // Settings identify an instance.
@@ -189,6 +192,11 @@
 
 		return
 	}
+	if err := inspector.Check(record.Value); err != nil {
+		e.logger.Error("unreadable record in the instances table", "key", record.Key, "error", err)
+
+		return
+	}
 	if record.Key == ownerKey {
 		var owner Ownership
 		if err := msgpack.Unmarshal(record.Value, &owner); err != nil {
@@ -365,12 +373,12 @@
 	go e.announce(ctx, lead, owner)
 	clientCtx, stopClient := context.WithCancel(ctx)
 	go client.Run(clientCtx)
-	err := lead.Run(ctx)
+	err := e.runOwner(ctx, lead)
 	stopClient()
 	e.mu.Lock()
 	e.local = nil
 	close(e.localEnded)
-	if errors.Is(err, leader.ErrNoQuorum) {
+	if errors.Is(err, leader.ErrNoQuorum) || errors.Is(err, errOwnerPanic) {
 		e.noClaimUntil = definer.Now().Add(noQuorumCooldown)
 	}
 	e.ownerReached = 0
@@ -382,6 +390,24 @@
 	}
 }
 
+// errOwnerPanic means that the owner panicked.
+var errOwnerPanic = errors.New("the owner panicked")
+
+// runOwner runs the owner and returns why its ownership ended. A panic ends the
+// ownership and not the process, which still serves callers; another instance claims
+// the cell.
+func (e *Elector) runOwner(ctx context.Context, lead *leader.Leader) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			e.metrics.Count("panics")
+			e.logger.Error("owner panicked", "term", lead.Term(), "panic", fmt.Sprint(cause), "stack", string(debug.Stack()))
+			err = errOwnerPanic
+		}
+	}()
+
+	return lead.Run(ctx)
+}
+
 const (
 	// passOnWindow is how long a previous owner tries to pass on what it could not store. It covers outages of the
 	// store and cuts between instances.
--- a/internal/cell/elector/replace_test.go
+++ b/internal/cell/elector/replace_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
@@ -276,3 +277,14 @@
 		t.Error("the claim waited for silence of the table")
 	}
 }
+
+// TestOwnerThatPanicsEndsAlone guards against an unexpected error of the owner that
+// ends the process, which also serves callers.
+func TestOwnerThatPanicsEndsAlone(t *testing.T) {
+	e := newElector(Settings{Name: "y"}, nil)
+	lead := leader.New(leader.Settings{Term: 2}, nil, nil, nil, nil, nil, hclog.NewNullLogger(), recorder.NewMetrics())
+	if err := e.runOwner(context.Background(), lead); !errors.Is(err, errOwnerPanic) {
+		t.Errorf("the owner ended with %v, want %v", err, errOwnerPanic)
+	}
+	<-lead.Done()
+}
--- a/internal/cell/forwarder/carry.go
+++ b/internal/cell/forwarder/carry.go
@@ -85,7 +85,9 @@
 // carryStreamDesc is the gRPC description of the stream of orders.
 var carryStreamDesc = grpc.StreamDesc{
 	StreamName: carryStreamName, ServerStreams: true, ClientStreams: true,
-	Handler: func(server any, stream grpc.ServerStream) error {
+	Handler: func(server any, stream grpc.ServerStream) (err error) {
+		defer recoverCall(carryStreamName, &err)
+
 		return server.(Server).Carry(&CarryServer{stream})
 	},
 }
--- a/internal/cell/forwarder/forwarder.go
+++ b/internal/cell/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/planner"
+	"gitlab.com/greengagewall/greengagewall/internal/codec/inspector"
 )
 
 // Outcome is the outcome of a call to the owner.
@@ -154,15 +156,21 @@
 }
 
 func (codec) Unmarshal(data []byte, v any) error {
+	if err := inspector.Check(data); err != nil {
+		return err
+	}
+
 	return errors.Wrap(msgpack.Unmarshal(data, v), "decode message")
 }
+
 func (codec) Name() string { return codecName }
 
 // unary adapts a method of Server to gRPC.
 func unary[Q, R any](name string, call func(Server, context.Context, *Q) (*R, error)) grpc.MethodDesc {
 	return grpc.MethodDesc{
 		MethodName: name,
-		Handler: func(server any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		Handler: func(server any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (reply any, err error) {
+			defer recoverCall(name, &err)
 			request := new(Q)
 			if err := decode(request); err != nil {
 				return nil, err
@@ -173,6 +181,14 @@
 	}
 }
 
+// recoverCall turns a panic of a call into an error, so that a malformed message of a
+// peer does not end the process.
+func recoverCall(name string, err *error) {
+	if cause := recover(); cause != nil {
+		*err = status.Errorf(codes.Internal, "%s: panic: %v\n%s", name, cause, debug.Stack())
+	}
+}
+
 var serviceDesc = grpc.ServiceDesc{
 	ServiceName: serviceName,
 	HandlerType: (*Server)(nil),
--- a/internal/cell/journaler/journaler.go
+++ b/internal/cell/journaler/journaler.go
@@ -13,6 +13,7 @@
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/planner"
+	"gitlab.com/greengagewall/greengagewall/internal/codec/inspector"
 )
 
 // The key of claims and the key prefixes of the other records in the state table.
@@ -93,6 +94,16 @@
 // EncodeEndpointRemoval returns the record that removes an endpoint.
 func EncodeEndpointRemoval(id string) definer.Record { return definer.Record{Key: endpointPrefix + id} }
 
+// decode decodes a value. The tables are shared with other writers, so its form is
+// checked first.
+func decode(data []byte, v any) error {
+	if err := inspector.Check(data); err != nil {
+		return err
+	}
+
+	return msgpack.Unmarshal(data, v)
+}
+
 // Decode decodes a record. It returns an error for an unknown key or an invalid value.
 func Decode(record definer.Record) (Entry, error) {
 	kind, id, _ := strings.Cut(record.Key, "/")
@@ -101,28 +112,28 @@
 	case claimKey + "/":
 		claim := &Claim{}
 
-		return Entry{Claim: claim}, errors.Wrap(msgpack.Unmarshal(record.Value, claim), "decode claim")
+		return Entry{Claim: claim}, errors.Wrap(decode(record.Value, claim), "decode claim")
 	case jobPrefix:
 		if removed {
 			return Entry{RemovedJob: id}, nil
 		}
 		job := &definer.Job{}
 
-		return Entry{Job: job}, errors.Wrap(msgpack.Unmarshal(record.Value, job), "decode job")
+		return Entry{Job: job}, errors.Wrap(decode(record.Value, job), "decode job")
 	case progressPrefix:
 		if removed {
 			return Entry{RemovedProgress: id}, nil
 		}
 		snapshot := &planner.Snapshot{}
 
-		return Entry{Progress: snapshot}, errors.Wrap(msgpack.Unmarshal(record.Value, snapshot), "decode progress")
+		return Entry{Progress: snapshot}, errors.Wrap(decode(record.Value, snapshot), "decode progress")
 	case endpointPrefix:
 		if removed {
 			return Entry{RemovedEndpoint: id}, nil
 		}
 		listing := &definer.Listing{}
 
-		return Entry{Endpoint: listing}, errors.Wrap(msgpack.Unmarshal(record.Value, listing), "decode endpoint")
+		return Entry{Endpoint: listing}, errors.Wrap(decode(record.Value, listing), "decode endpoint")
 	default:
 		return Entry{}, errors.Errorf("unknown record %q", record.Key)
 	}
--- a/internal/cell/watcher/watcher.go
+++ b/internal/cell/watcher/watcher.go
@@ -188,13 +188,15 @@
 	if partial.next < 0 {
 		partial.next = page.End
 	}
+	before := partial.after
 	for _, record := range page.Records {
 		partial.present[record.Key] = struct{}{}
 		partial.after = record.Key
 		w.applyRecord(record)
 	}
 
-	return page.More && len(page.Records) > 0, nil
+	// A key that is not valid text is changed on the way, so that the next page may begin with it again.
+	return page.More && partial.after != before, nil
 }
 
 // read reads appended records. If some were truncated, the table has to be loaded
