Ask about all endpoints that a wide gang needs at the same time

Cause: a question names at most 100 endpoints, and a gang asked the next one after the answer. With 25% admitted, a decision of 0.5 s and 7 ms for each endpoint, and tickets that are valid for 1.5 s, the first tickets of a gang of 240 tasks had expired before the last arrived; it then asked a fifth time.

Change: a gang asks about as many endpoints as are likely to hold it, in questions that at most double the time of a decision, to several instances at once.

Result: TestWideGangGetsTicketsTogether: before, no start within 2 s on idle endpoints.

--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
@@ -35,8 +36,12 @@
 	admitted []*endpoint
 	// validUntil is when the tickets of the last answer expire.
 	validUntil definer.Instant
-	// askBlockedUntil is when the outstanding question counts as lost, or when the
-	// pause after an unanswered one ends. It is 0 after an answer.
+	// retryAt is when the pause after an unanswered question ends, while others are outstanding, or 0.
+	retryAt definer.Instant
+	// outstanding counts the questions without an answer.
+	outstanding int
+	// askBlockedUntil is when the outstanding questions count as lost, or when the
+	// pause after an unanswered one ends. It is 0 after the last answer.
 	askBlockedUntil definer.Instant
 }
 
@@ -120,23 +125,44 @@
 	return answer != nil && !answer.admitted
 }
 
-// ask emits a question to the policy about at most maxAskedEndpoints of the
-// endpoints. It is a no-op while asking is blocked.
+// ask emits questions to the policy about the endpoints. Those of a gang go to several
+// instances at once if they are many, because the tickets for all members have to be
+// valid at the same time; any other step asks about at most maxAskedEndpoints. It is a
+// no-op while asking is blocked.
 func (p *Planner) ask(s *step, endpoints []*endpoint, now definer.Instant) {
 	if len(endpoints) == 0 || s.admission.askBlockedUntil != 0 && now < s.admission.askBlockedUntil {
 		return
 	}
-	if len(endpoints) > maxAskedEndpoints {
-		endpoints = endpoints[:maxAskedEndpoints]
-	}
 	policy := s.job.Queue.Policy
-	cost := policy.Decide + time.Duration(len(endpoints))*policy.Each
-	s.admission.askBlockedUntil = now.Add(cost*2 + askTimeout)
-	ids := make([]string, len(endpoints))
-	for i, e := range endpoints {
-		ids[i] = e.ID
+	size := maxAskedEndpoints
+	if s.def.Gang {
+		size = questionSize(policy)
+	} else if len(endpoints) > size {
+		endpoints = endpoints[:size]
+	}
+	s.admission.outstanding = 0
+	for question := range slices.Chunk(endpoints, size) {
+		s.admission.outstanding++
+		cost := policy.Decide + time.Duration(len(question))*policy.Each
+		s.admission.askBlockedUntil = max(s.admission.askBlockedUntil, now.Add(cost*2+askTimeout))
+		ids := make([]string, len(question))
+		for i, e := range question {
+			ids[i] = e.ID
+		}
+		p.emit(AskPolicyCmd{Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.index, Endpoints: ids, DecisionTime: cost, Priority: s.job.Queue.Priority})
+	}
+}
+
+// answered records that a question was answered, or not, and unblocks asking after the
+// last one.
+func (a *admission) answered(ok bool, now definer.Instant) {
+	a.outstanding = max(a.outstanding-1, 0)
+	if !ok {
+		a.retryAt = now.Add(askRetryPause)
+	}
+	if a.outstanding == 0 {
+		a.askBlockedUntil, a.retryAt = a.retryAt, 0
 	}
-	p.emit(AskPolicyCmd{Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.index, Endpoints: ids, DecisionTime: cost, Priority: s.job.Queue.Priority})
 }
 
 // PolicyAnswered processes the answer of a placement policy about endpoints. The
@@ -155,12 +181,10 @@
 	if s.tasksLeft == 0 || j.state.Final() {
 		return
 	}
+	s.admission.answered(answered, now)
 	if !answered {
-		s.admission.askBlockedUntil = now.Add(askRetryPause)
-
 		return
 	}
-	s.admission.askBlockedUntil = 0
 	values := make(map[string]string, len(tickets))
 	for _, t := range tickets {
 		values[t.Endpoint] = t.Value
@@ -193,14 +217,49 @@
 	return result
 }
 
+// questionSize returns how many of a gang's endpoints are in one question: as many as
+// at most double the time of the decision.
+func questionSize(policy *definer.Policy) int {
+	if policy.Each <= 0 {
+		return maxAskedEndpoints
+	}
+
+	return min(max(int(policy.Decide/policy.Each), minQuestionSize), maxAskedEndpoints)
+}
+
+const (
+	// minQuestionSize is the least number of endpoints in one of several questions.
+	minQuestionSize = 10
+	// askedRoomFactor and askedCapacityFactor are the room and the capacity of the endpoints that a gang asks about
+	// and is likely to be admitted to, as multiples of its size.
+	askedRoomFactor     = 2
+	askedCapacityFactor = admittedCapacityFactor
+)
+
+// gangEndpointsToAsk returns the first of the candidates that, with the usual share of
+// admitted ones, have room for the gang or are large enough for it when they are empty.
+func (p *Planner) gangEndpointsToAsk(s *step, candidates []*endpoint, count int) []*endpoint {
+	rate := p.stats(s.job.Queue.Name).admissionRate
+	room, capacity := 0, 0
+	for i, e := range candidates {
+		room += tasksFitting(s, e.free(), s.def.PerEndpoint)
+		capacity += tasksFitting(s, e.Capacity, s.def.PerEndpoint)
+		if rate*float64(room) >= float64(askedRoomFactor*count) || rate*float64(capacity) >= float64(askedCapacityFactor*count) {
+			return candidates[:i+1]
+		}
+	}
+
+	return candidates
+}
+
 // endpointsToAsk returns the endpoints to ask the policy about, from candidates in
-// the order of preference. A gang asks about all candidates. Any other step
-// asks about as many as its tasks are likely to need, or about more as long as
+// the order of preference. For a gang these are those of gangEndpointsToAsk. Any other
+// step asks about as many as its tasks are likely to need, or about more as long as
 // that at most doubles the time of the decision. The policy's answer for an
 // endpoint does not change; only its tickets expire.
 func (p *Planner) endpointsToAsk(s *step, candidates []*endpoint, pending int) []*endpoint {
 	if s.def.Gang {
-		return candidates
+		return p.gangEndpointsToAsk(s, candidates, pending)
 	}
 	policy := s.job.Queue.Policy
 	want := int(math.Ceil(float64(pending)/p.stats(s.job.Queue.Name).admissionRate)) + spareAskedEndpoints
--- /dev/null
+++ b/internal/cell/planner/advice_test.go
@@ -0,0 +1,74 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// slowPolicy answers questions after their decision time, all at once, and admits each
+// endpoint with the given share.
+type slowPolicy struct {
+	share   float64
+	pending []pendingQuestion
+}
+
+type pendingQuestion struct {
+	ask AskPolicyCmd
+	at  definer.Instant
+}
+
+func (s *slowPolicy) take(asked []AskPolicyCmd, now definer.Instant) {
+	for _, ask := range asked {
+		s.pending = append(s.pending, pendingQuestion{ask, now.Add(ask.DecisionTime)})
+	}
+}
+
+func (s *slowPolicy) answer(c *testCell) {
+	waiting := s.pending[:0]
+	for _, question := range s.pending {
+		if question.at > c.now {
+			waiting = append(waiting, question)
+
+			continue
+		}
+		var tickets []definer.Ticket
+		for _, id := range question.ask.Endpoints {
+			if float64(xxhash.Sum64String(id)%1000) < s.share*1000 {
+				tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "t"})
+			}
+		}
+		ask := question.ask
+		c.planner.PolicyAnswered(ask.Job, ask.Occurrence, ask.Step, ask.Endpoints, tickets, true, c.now)
+	}
+	s.pending = waiting
+}
+
+// TestWideGangGetsTicketsTogether guards against a gang that needs more endpoints than
+// one question may name and asks about them one question after the other: the
+// tickets of the first expire before the last answer arrives.
+func TestWideGangGetsTicketsTogether(t *testing.T) {
+	c := newCell(t, 600)
+	policy := &slowPolicy{share: 0.25}
+	c.planner.stats("queue").admissionRate = policy.share
+	job := c.job("0000000000000001", definer.Step{Count: 240, Gang: true, Need: modeler.Resources{Millis: 4500, Memory: 9 << 30}, Estimate: 5 * time.Second})
+	job.Queue.Policy = &definer.Policy{Decide: 490 * time.Millisecond, Each: 7 * time.Millisecond, Validity: 1500 * time.Millisecond}
+	c.planner.Accept(job, c.now, c.wall)
+	const limit = 2 * time.Second
+	for began := c.now; len(c.started) == 0; {
+		if c.now.Sub(began) > limit {
+			t.Fatalf("a gang with room on idle endpoints has not started after %v", limit)
+		}
+		c.advance(10 * time.Millisecond)
+		policy.answer(c)
+		c.plan()
+		policy.take(c.takeAsked(), c.now)
+	}
+	if len(c.started) != job.Steps[0].Count {
+		t.Errorf("%d members started, want %d", len(c.started), job.Steps[0].Count)
+	}
+}
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -58,7 +58,7 @@
 	if taskCapacity(s, candidates) < len(pending) {
 		if policy != nil && mayWait && !askBlocked {
 			// The admitted endpoints are too small for the gang even when they are empty; ask about the others.
-			p.ask(s, s.admission.filterUnasked(ps.candidates(s)), ps.now)
+			p.ask(s, p.endpointsToAsk(s, s.admission.filterUnasked(ps.candidates(s)), len(pending)), ps.now)
 		}
 
 		return
@@ -109,7 +109,7 @@
 		return
 	}
 	if s.job.Queue.Policy != nil && !askBlocked && taskCapacity(s, candidates) < admittedCapacityFactor*count {
-		p.ask(s, s.admission.filterUnasked(ps.candidates(s)), ps.now)
+		p.ask(s, p.endpointsToAsk(s, s.admission.filterUnasked(ps.candidates(s)), count), ps.now)
 	}
 	ps.reserveEndpoints(s, candidates, count)
 }
