Load the state in parts at the same time, and let stronger instances claim first

Heartbeats come every 300 ms, so the delay of at most 250 ms by processor time did not let stronger instances go first.

Change: the state table is read in four parts at once. The delay of a claim by processor time and link is up to 700 ms.

The store of the receiver's tests ignored the key that a page follows; it now returns what the interface asks for.

--- a/internal/cell/elector/campaign.go
+++ b/internal/cell/elector/campaign.go
@@ -42,8 +42,9 @@
 	// maxLatencyDelay bounds that delay. The latency is that of the last load of a table, which a large table or a
 	// narrow link makes long.
 	maxLatencyDelay = 300 * time.Millisecond
-	// maxPowerDelay is the delay of a claim by an instance without processor time.
-	maxPowerDelay = 250 * time.Millisecond
+	// maxPowerDelay is the delay of a claim by an instance without processor time. It exceeds the period of the
+	// heartbeats by which instances notice a failure at different times, since a weak owner serves the cell badly.
+	maxPowerDelay = 700 * time.Millisecond
 	// readTimeout bounds the time without progress of a read of the state table.
 	readTimeout = 700 * time.Millisecond
 	// lastKey sorts after every key of the state table, so that a page after it holds no records, only the end.
--- a/internal/cell/elector/replace_test.go
+++ b/internal/cell/elector/replace_test.go
@@ -281,8 +281,11 @@
 // TestOwnerThatPanicsEndsAlone guards against an unexpected error of the owner that
 // ends the process, which also serves callers.
 func TestOwnerThatPanicsEndsAlone(t *testing.T) {
-	e := newElector(Settings{Name: "y"}, nil)
-	lead := leader.New(leader.Settings{Term: 2}, nil, nil, nil, nil, nil, hclog.NewNullLogger(), recorder.NewMetrics())
+	store := newClaimStore(netip.MustParseAddrPort("10.0.0.1:7420"))
+	e := newElector(Settings{Name: "y"}, store)
+	settings := leader.Settings{Term: 2, End: int64(len(store.records))}
+	// Without a configuration the owner panics after it has loaded the state.
+	lead := leader.New(settings, store, nil, nil, nil, nil, hclog.NewNullLogger(), recorder.NewMetrics())
 	if err := e.runOwner(context.Background(), lead); !errors.Is(err, errOwnerPanic) {
 		t.Errorf("the owner ended with %v, want %v", err, errOwnerPanic)
 	}
--- a/internal/cell/journaler/journaler.go
+++ b/internal/cell/journaler/journaler.go
@@ -24,6 +24,12 @@
 	endpointPrefix = "e/"
 )
 
+// Ranges returns keys that divide the state table into parts, which can be loaded at
+// the same time. Each part follows its key and goes up to the next one, including it;
+// the first key is empty. Most of the records are those of the progress of jobs, whose
+// ids begin with hexadecimal digits.
+func Ranges() []string { return []string{"", jobPrefix, progressPrefix, progressPrefix + "8"} }
+
 // Claim is a claim or a heartbeat of the owner of a cell. The owner's term is the
 // offset after its claim.
 type Claim struct {
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -208,48 +208,8 @@
 	// write to it.
 	listWait         = 2 * time.Second
 	listReadInterval = 400 * time.Millisecond
-	// loadTimeout bounds the time without progress while a page of the state is read, and loadRetryDelay is the delay
-	// after a failure.
-	loadTimeout    = 1500 * time.Millisecond
-	loadRetryDelay = 50 * time.Millisecond
 )
 
-// load reads the state table up to the claim. The pages are consistent because
-// only the owner appends to the table and every append names its offset. It
-// returns ErrSuperseded if the table has grown since the claim.
-func (l *Leader) load(ctx context.Context) (*journaler.State, error) {
-	state := journaler.NewState()
-	after := ""
-	for {
-		if ctx.Err() != nil {
-			return nil, context.Cause(ctx)
-		}
-		callCtx, cancel := definer.WithProgress(ctx, loadTimeout, l.recordStoreReply)
-		page, err := l.store.Newest(callCtx, definer.TableState, after)
-		cancel()
-		if err != nil {
-			l.logger.Warn("state table not read", "after", after, "error", err)
-			if !definer.Sleep(ctx, loadRetryDelay, nil) {
-				return nil, context.Cause(ctx)
-			}
-
-			continue
-		}
-		if page.End != l.settings.End {
-			return nil, ErrSuperseded
-		}
-		for _, record := range page.Records {
-			if err := state.Apply(record); err != nil {
-				l.logger.Error("unreadable record in the state table", "key", record.Key, "error", err)
-			}
-			after = record.Key
-		}
-		if !page.More || len(page.Records) == 0 {
-			return state, nil
-		}
-	}
-}
-
 // loop applies messages and ticks to the planner until ctx ends. No other
 // goroutine uses the planner.
 func (l *Leader) loop(ctx context.Context) {
--- a/internal/cell/receiver/fakes_test.go
+++ b/internal/cell/receiver/fakes_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -75,18 +77,16 @@
 		return definer.Page{}, errRejected
 	}
 	page := definer.Page{End: int64(len(c.store.tables[table]))}
-	if after != "" {
-		return page, nil
-	}
 	newest := map[string]int{}
 	for i, record := range c.store.tables[table] {
 		newest[record.Key] = i
 	}
 	for i, record := range c.store.tables[table] {
-		if newest[record.Key] == i && len(record.Value) > 0 {
+		if newest[record.Key] == i && len(record.Value) > 0 && record.Key > after {
 			page.Records = append(page.Records, record)
 		}
 	}
+	slices.SortFunc(page.Records, func(a, b definer.Record) int { return strings.Compare(a.Key, b.Key) })
 
 	return page, nil
 }
