Wait in turn right before a claim, and leave a new owner time to load

The delay by processor time came before the check of the owner and the store, so that of 130 weak instances one was always past it.

Change: the delay comes right before the claim and ends when another owner is learned. An owner that does not answer is left for 3 s after it became known; one that has ended, or says that it has lost the store, is replaced as before.

Result: TestStrongerInstancesClaimFirst, TestNewOwnerIsLeftToLoad.

--- a/internal/cell/elector/campaign.go
+++ b/internal/cell/elector/campaign.go
@@ -32,6 +32,8 @@
 	quickRead = 200 * time.Millisecond
 	// reasonLostStore is the reason of a claim when the owner has lost the store.
 	reasonLostStore = "owner has lost the store"
+	// minTenure is how long after a claim an owner that does not answer is left to load the state.
+	minTenure = 3 * time.Second
 	// claimRetryDelay is the delay after a campaign that failed because the store did not answer.
 	claimRetryDelay = 200 * time.Millisecond
 	// claimJitter bounds the random delay that keeps instances from claiming at the same time.
@@ -187,8 +189,7 @@
 
 // campaign claims the cell if the state table is empty, if the owner is known to
 // have ended, if the state table stays unchanged for tableSilence, or if most
-// instances cannot reach the owner. It first waits longer on instances that are
-// weaker or farther from the store, so that the best-placed instance claims first.
+// instances cannot reach the owner.
 func (e *Elector) campaign(ctx context.Context, reason string, ended bool) {
 	e.mu.Lock()
 	noClaim := e.stopping || e.claiming || definer.Now() < e.noClaimUntil
@@ -197,7 +198,7 @@
 	if noClaim || e.config.Load() == nil {
 		return
 	}
-	definer.Sleep(ctx, time.Duration(rand.Int64N(int64(claimJitter)))+e.latencyDelay()+e.powerDelay(), nil)
+	definer.Sleep(ctx, time.Duration(rand.Int64N(int64(claimJitter))), nil)
 	if owner, _ := e.Owner(); owner.Term > known.Term {
 		return
 	}
@@ -216,14 +217,17 @@
 		return
 	}
 	if page.End == 0 || ended {
-		e.claim(ctx, page.End, reason)
+		e.claimInTurn(ctx, known, page.End, reason)
 
 		return
 	}
+	if reason != reasonLostStore && e.isNew(known) {
+		return
+	}
 	// An owner that says that it has lost a store that serves this instance need not be waited for.
 	if reason == reasonLostStore && took < quickRead || e.majorityLostOwner(ctx, known) {
 		if !e.ownerAnswers(ctx, known) {
-			e.claim(ctx, page.End, reason)
+			e.claimInTurn(ctx, known, page.End, reason)
 		}
 
 		return
@@ -242,7 +246,7 @@
 	if tail.End == page.End {
 		// An owner that loads the state does not append.
 		if !e.ownerAnswers(ctx, known) {
-			e.claim(ctx, page.End, reason)
+			e.claimInTurn(ctx, known, page.End, reason)
 		}
 
 		return
@@ -251,6 +255,35 @@
 	e.learnFromRecords(tail.Records, page.End)
 }
 
+// claimInTurn claims the cell at the offset end after a delay that is longer on
+// instances that are weaker or farther from the store, unless another owner becomes
+// known meanwhile. The delay begins when the claim could be made, because instances
+// get there at different times and most of them may be weak.
+func (e *Elector) claimInTurn(ctx context.Context, known Ownership, end int64, reason string) {
+	until := definer.Now().Add(e.latencyDelay() + e.powerDelay())
+	for remaining := until.Sub(definer.Now()); remaining > 0; remaining = until.Sub(definer.Now()) {
+		owner, changed := e.Owner()
+		if owner.Term > known.Term || ctx.Err() != nil {
+			return
+		}
+		definer.Sleep(ctx, remaining, changed)
+	}
+	if owner, _ := e.Owner(); owner.Term > known.Term {
+		return
+	}
+	e.claim(ctx, end, reason)
+}
+
+// isNew reports whether the owner became known so recently that it may still be
+// loading the state. Such an owner is only replaced if it has ended: the next one
+// would need as long.
+func (e *Elector) isNew(known Ownership) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return known.Term != 0 && e.owner.Term == known.Term && definer.Since(e.ownerLearned) < minTenure
+}
+
 // ownerAnswers asks a suspected owner again. It reports whether the owner answers,
 // still owns the cell and has the store.
 func (e *Elector) ownerAnswers(ctx context.Context, known Ownership) bool {
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -89,6 +89,8 @@
 	changed chan struct{}
 	// ownerReached is when the owner last answered a heartbeat or became known.
 	ownerReached definer.Instant
+	// ownerLearned is when the owner became known.
+	ownerLearned definer.Instant
 	peers        map[string]Instance
 	// local is the owner if it is this instance.
 	local *leader.Leader
@@ -233,6 +235,7 @@
 	e.logger.Info("owner learned", "owner", owner.Name, "address", owner.Address.String(), "term", owner.Term, "before", e.owner.Term, "source", source)
 	e.owner = owner
 	e.ownerReached = definer.Now()
+	e.ownerLearned = e.ownerReached
 	close(e.changed)
 	e.changed = make(chan struct{})
 	if e.local != nil && owner.Address != e.settings.Address {
--- a/internal/cell/elector/replace_test.go
+++ b/internal/cell/elector/replace_test.go
@@ -248,7 +248,11 @@
 	y := newElector(Settings{Name: "y"}, store)
 	defer y.Pool().Close()
 	y.learnFromRecords(store.records, 0)
+	y.ownerLearned = 0 // The owner has been known for long.
 	y.campaign(context.Background(), "owner does not answer", false)
+	if store.silenceReads != 1 {
+		t.Fatalf("%d checks that nothing is appended, want 1", store.silenceReads)
+	}
 	select {
 	case <-store.claims:
 		t.Error("the cell was claimed although its owner answers and reads the store")
@@ -278,6 +282,52 @@
 	}
 }
 
+// TestNewOwnerIsLeftToLoad guards against claims that follow one another while each
+// new owner still loads the state (seen as five claims in 8 s on 147 instances).
+func TestNewOwnerIsLeftToLoad(t *testing.T) {
+	store := newClaimStore(netip.MustParseAddrPort("127.0.0.1:1"))
+	y := newElector(Settings{Name: "y"}, store)
+	defer y.Pool().Close()
+	y.learnFromRecords(store.records, 0)
+	y.campaign(context.Background(), "owner does not answer", false)
+	select {
+	case <-store.claims:
+		t.Error("an owner that was learned just now was replaced")
+	default:
+	}
+	y.ownerLearned = 0
+	y.campaign(context.Background(), "owner does not answer", false)
+	awaitClaim(t, store)
+}
+
+// TestStrongerInstancesClaimFirst guards against a weak instance that claims before a
+// stronger one because it noticed the failure earlier.
+func TestStrongerInstancesClaimFirst(t *testing.T) {
+	store := newClaimStore(netip.MustParseAddrPort("127.0.0.1:1"))
+	weak := newElector(Settings{Name: "y", Power: 0.05}, store)
+	defer weak.Pool().Close()
+	weak.learnFromRecords(store.records, 0)
+	weak.peers["z"] = Instance{Name: "z", Power: 1}
+	began := definer.Now()
+	done := make(chan struct{})
+	go func() {
+		weak.campaign(context.Background(), "owner has ended", true)
+		close(done)
+	}()
+	time.Sleep(maxPowerDelay / 2)
+	stronger := Ownership{Term: 3, Address: netip.MustParseAddrPort("10.0.0.9:7420"), Name: "z"}
+	weak.learn(stronger, "table")
+	<-done
+	select {
+	case <-store.claims:
+		t.Error("the weak instance claimed although a stronger one had claimed")
+	default:
+	}
+	if took := definer.Since(began); took >= maxPowerDelay {
+		t.Errorf("the weak instance waited %v after another owner was known", took)
+	}
+}
+
 // TestOwnerThatPanicsEndsAlone guards against an unexpected error of the owner that
 // ends the process, which also serves callers.
 func TestOwnerThatPanicsEndsAlone(t *testing.T) {
