--- a/internal/proof/disrupter/fault.go
+++ b/internal/proof/disrupter/fault.go
@@ -135,6 +135,7 @@
 				waiting = false
 			}
 		}
+		i.checkProcesses()
 		chosen := catalogue[i.random.IntN(len(catalogue))]
 		duration := minFaultDuration + time.Duration(i.random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		i.logf("%s, duration %s if it takes one", chosen.name, duration.Round(time.Millisecond))
@@ -151,6 +152,7 @@
 
 // undoAll undoes all faults and restarts processes that do not run.
 func (i *faultInjector) undoAll() {
+	i.checkProcesses()
 	for _, timer := range i.timers {
 		timer.Stop()
 	}
--- a/internal/proof/disrupter/series.go
+++ b/internal/proof/disrupter/series.go
@@ -26,6 +26,8 @@
 	// MixStoreCut injects series in which an owner is cut from the store while
 	// endpoints that hold ends are killed.
 	MixStoreCut Mix = "store-cut"
+	// MixOdd leaves odd entries in the endpoint list while owners are replaced.
+	MixOdd Mix = "odd"
 	// MixAll injects all faults and series.
 	MixAll Mix = "all"
 )
@@ -33,7 +35,7 @@
 // UnmarshalText implements encoding.TextUnmarshaler and refuses unknown mixes.
 func (m *Mix) UnmarshalText(text []byte) error {
 	switch mix := Mix(text); mix {
-	case MixSingle, MixStruckTwice, MixStoreCut, MixAll:
+	case MixSingle, MixStruckTwice, MixStoreCut, MixOdd, MixAll:
 		*m = mix
 
 		return nil
@@ -96,8 +98,10 @@
 		return struckTwice
 	case MixStoreCut:
 		return storeCut
+	case MixOdd:
+		return odd
 	case MixAll:
-		return slices.Concat(faults, struckTwice, storeCut)
+		return slices.Concat(faults, struckTwice, storeCut, odd)
 	case MixSingle:
 	}
 
