--- a/internal/cell/watcher/watcher_test.go
+++ b/internal/cell/watcher/watcher_test.go
@@ -158,3 +158,29 @@
 		t.Errorf("the table counts as up to date as of %s after the first page", age)
 	}
 }
+
+// repeatingStore returns the same page for ever, as it does for a last key that is not
+// valid text and is changed on the way.
+type repeatingStore struct {
+	failingStore
+}
+
+func (s *repeatingStore) Newest(_ context.Context, _ definer.Table, after string) (definer.Page, error) {
+	s.requests = append(s.requests, after)
+
+	return definer.Page{Records: []definer.Record{{Key: "odd", Value: []byte("1")}}, More: true, End: 5}, nil
+}
+
+// TestOddKeyEndsTheLoad guards against a key of another writer that makes a load read
+// the same page for ever, so that the table is never followed.
+func TestOddKeyEndsTheLoad(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	store := &repeatingStore{}
+	w := New(Settings{Table: definer.TableEndpoints}, store, hclog.NewNullLogger(), func(definer.Record) {
+		if len(store.requests) > 3 {
+			cancel()
+			t.Error("the same page was read again and again")
+		}
+	}, cancel)
+	w.Run(ctx)
+}
