--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -134,12 +134,11 @@
 		return
 	}
 	policy := s.job.Queue.Policy
-	size := maxAskedEndpoints
-	if s.def.Gang {
-		size = questionSize(policy)
-	} else if len(endpoints) > size {
-		endpoints = endpoints[:size]
+	if !s.def.Gang && len(endpoints) > maxAskedEndpoints {
+		endpoints = endpoints[:maxAskedEndpoints]
 	}
+	questions := (len(endpoints) + maxAskedEndpoints - 1) / maxAskedEndpoints
+	size := (len(endpoints) + questions - 1) / questions
 	s.admission.outstanding = 0
 	for question := range slices.Chunk(endpoints, size) {
 		s.admission.outstanding++
@@ -217,27 +216,17 @@
 	return result
 }
 
-// questionSize returns how many of a gang's endpoints are in one question: as many as
-// at most double the time of the decision.
-func questionSize(policy *definer.Policy) int {
-	if policy.Each <= 0 {
-		return maxAskedEndpoints
-	}
-
-	return min(max(int(policy.Decide/policy.Each), minQuestionSize), maxAskedEndpoints)
-}
-
+// askedRoomFactor and askedCapacityFactor are the room and the capacity of the
+// endpoints that a gang asks about and is likely to be admitted to, as multiples of its
+// size.
 const (
-	// minQuestionSize is the least number of endpoints in one of several questions.
-	minQuestionSize = 10
-	// askedRoomFactor and askedCapacityFactor are the room and the capacity of the endpoints that a gang asks about
-	// and is likely to be admitted to, as multiples of its size.
 	askedRoomFactor     = 2
 	askedCapacityFactor = admittedCapacityFactor
 )
 
 // gangEndpointsToAsk returns the first of the candidates that, with the usual share of
-// admitted ones, have room for the gang or are large enough for it when they are empty.
+// admitted ones, have room for the gang or are large enough for it when they are empty,
+// and at least as many as one question may name.
 func (p *Planner) gangEndpointsToAsk(s *step, candidates []*endpoint, count int) []*endpoint {
 	rate := p.stats(s.job.Queue.Name).admissionRate
 	room, capacity := 0, 0
@@ -245,7 +234,7 @@
 		room += tasksFitting(s, e.free(), s.def.PerEndpoint)
 		capacity += tasksFitting(s, e.Capacity, s.def.PerEndpoint)
 		if rate*float64(room) >= float64(askedRoomFactor*count) || rate*float64(capacity) >= float64(askedCapacityFactor*count) {
-			return candidates[:i+1]
+			return candidates[:min(max(i+1, maxAskedEndpoints), len(candidates))]
 		}
 	}
 
