Take back the preemption of less urgent runs for urgent tasks

Lookups that end late do not wait for room that the runs of other classes hold: of 1,100 endpoints about 1,500 runs end each second.

Change: none remains.

--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -65,8 +65,6 @@
 	reservedSince definer.Instant
 	// preempted means that runs on the reserved endpoints have been preempted for the gang.
 	preempted bool
-	// preparation holds the endpoints on which runs were preempted for tasks of the step.
-	preparation preparation
 	// remainingPath is the estimated time from the start of the step to the end of its
 	// occurrence, along the longest chain of dependent steps.
 	remainingPath time.Duration
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -85,7 +85,6 @@
 	}
 	slices.SortFunc(steps, (*step).compare)
 	ps.restoreReservations(steps)
-	ps.restorePreparations(steps)
 	for _, s := range steps {
 		ps.place(s)
 	}
@@ -107,8 +106,6 @@
 	waitingGangs   int
 	exploringGangs int
 	prefetched     int
-	// prepared counts the endpoints that are kept for tasks for which runs were preempted there.
-	prepared int
 	// scratch is the reused buffer for lists of candidates.
 	scratch []*endpoint
 	// unplaceable holds, for each group of steps, the needs that no endpoint has room for in this round.
@@ -161,7 +158,6 @@
 		return
 	}
 	if ps.lacksRoom(s) {
-		ps.prepareRoom(s, s.pendingCount)
 		ps.prefetchTickets(s)
 	} else {
 		ps.placeTasks(s)
@@ -276,17 +272,14 @@
 		// All tickets have expired or are about to; nothing can start before the policy answers.
 		return
 	}
-	candidates := ps.candidatesWithRoom(s)
-	ready, ticketExpired := ps.withTickets(s, candidates)
-	unplaced, limited := ps.startTasks(s, ready)
-	if unplaced == 0 {
-		s.preparation.waitingSince = 0
-	}
-	if unplaced == 0 || limited {
+	if policy == nil {
+		ps.startTasks(s, ps.candidatesWithRoom(s))
+
 		return
 	}
-	ps.prepareRoom(s, unplaced)
-	if policy != nil && !askBlocked {
+	candidates := ps.candidatesWithRoom(s)
+	ready, ticketExpired := ps.withTickets(s, candidates)
+	if unplaced, limited := ps.startTasks(s, ready); unplaced > 0 && !limited && !askBlocked {
 		ps.askForRoom(s, candidates, unplaced, ticketExpired)
 	}
 }
