Send callers to another instance at once when only this one has lost the store

Cause: an instance that the store turns away cannot check keys and refused requests with Retry-After 1, also while two thirds of the instances served.

Change: instances learn from heartbeats when the store last answered the owner. If that was recently, the refusal says Retry-After 0, because each try of a caller reaches another instance; otherwise 1 second as before.

--- a/internal/cell/elector/campaign.go
+++ b/internal/cell/elector/campaign.go
@@ -156,11 +156,7 @@
 	}
 	if reply.IsOwner {
 		e.learn(Ownership{Term: reply.Term, Address: reply.Owner, Name: reply.Name, Life: reply.Life}, "heartbeat")
-		e.mu.Lock()
-		if reply.Term == e.owner.Term {
-			e.ownerReached = definer.Now()
-		}
-		e.mu.Unlock()
+		e.recordOwner(reply)
 	} else if reply.Term > 0 {
 		e.learn(Ownership{Term: reply.Term, Address: reply.Owner, Life: reply.OwnerLife}, "heartbeat")
 	}
@@ -168,6 +164,16 @@
 	return reply
 }
 
+// recordOwner records a heartbeat of the owner.
+func (e *Elector) recordOwner(heartbeat *forwarder.Heartbeat) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if heartbeat.Term == e.owner.Term {
+		e.ownerReached = definer.Now()
+		e.ownerStoreSeen = max(e.ownerStoreSeen, e.ownerReached.Add(-heartbeat.StoreAge))
+	}
+}
+
 // heartbeat returns the heartbeat of this instance.
 func (e *Elector) heartbeat() *forwarder.Heartbeat {
 	e.mu.Lock()
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -89,6 +89,8 @@
 	changed chan struct{}
 	// ownerReached is when the owner last answered a heartbeat or became known.
 	ownerReached definer.Instant
+	// ownerStoreSeen is when the owner last had an answer of the store, as far as its replies to heartbeats tell.
+	ownerStoreSeen definer.Instant
 	// ownerLearned is when the owner became known.
 	ownerLearned definer.Instant
 	peers        map[string]Instance
@@ -151,6 +153,18 @@
 	return e.owner, e.changed
 }
 
+// ownerStoreLimit is how long after an answer of the store to the owner the store is
+// likely to serve other instances. It covers the slowest heartbeats.
+const ownerStoreLimit = 2500 * time.Millisecond
+
+// OwnerHasStore reports whether the store has answered the owner recently.
+func (e *Elector) OwnerHasStore() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return definer.Since(e.ownerStoreSeen) < ownerStoreLimit
+}
+
 // LocalLeader returns the owner if it is this instance, or nil.
 func (e *Elector) LocalLeader() *leader.Leader {
 	e.mu.Lock()
--- a/internal/cell/elector/serve.go
+++ b/internal/cell/elector/serve.go
@@ -50,6 +50,7 @@
 func (e *Elector) Exchange(_ context.Context, heartbeat *forwarder.Heartbeat) (*forwarder.Heartbeat, error) {
 	if heartbeat.IsOwner {
 		e.learn(Ownership{Term: heartbeat.Term, Address: heartbeat.Address, Name: heartbeat.Name, Life: heartbeat.Life}, "heartbeat")
+		e.recordOwner(heartbeat)
 	}
 	e.mu.Lock()
 	e.lastHeartbeat[heartbeat.Address] = definer.Now()
--- a/internal/cell/receiver/receiver.go
+++ b/internal/cell/receiver/receiver.go
@@ -79,7 +79,7 @@
 	Answer Answer
 	State  definer.JobState
 	Count  int
-	// RetryAfter is the delay after which a refused request may be retried.
+	// RetryAfter is the delay after which a refused request may be retried; 0 means at once, at another instance.
 	RetryAfter time.Duration
 }
 
@@ -154,7 +154,7 @@
 		if age := request.Arrived.Sub(r.asOf()); age > r.settings.Revocation-revocationMargin {
 			r.logger.Warn("request refused", "path", request.Path, "reason", "keys may be out of date", "age", age.String(), "version", idx.config.Version)
 
-			return match, &Result{Answer: AnswerUnavailable, RetryAfter: noOwnerRetryAfter}
+			return match, &Result{Answer: AnswerUnavailable, RetryAfter: r.staleKeysRetryAfter()}
 		}
 		if match.Account == "" {
 			r.logger.Info("request refused", "path", request.Path, "reason", "unknown key", "version", idx.config.Version)
@@ -169,6 +169,17 @@
 	return RouteMatch{}, &Result{Answer: AnswerNoQueue}
 }
 
+// staleKeysRetryAfter returns the retry delay of a request whose key cannot be checked
+// because this instance has lost the store. If the store serves the owner, it is likely
+// to serve other instances, and a caller reaches another one with each try.
+func (r *Receiver) staleKeysRetryAfter() time.Duration {
+	if r.elector.OwnerHasStore() {
+		return 0
+	}
+
+	return noOwnerRetryAfter
+}
+
 // Submit forwards a job to the owner.
 func (r *Receiver) Submit(ctx context.Context, request *Request, job *definer.Job) Result {
 	return r.forward(ctx, request, "Submit", job.ID, func(ctx context.Context, timeout time.Duration, lead *leader.Leader, owner elector.Ownership) (*forwarder.Reply, error) {
--- a/internal/cell/receiver/resolve_test.go
+++ b/internal/cell/receiver/resolve_test.go
@@ -1,20 +1,26 @@
 package receiver
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/elector"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/recorder"
 )
 
 // TestKeysGoStale guards against a withdrawn key that still works at an
-// instance which no longer receives configuration updates.
+// instance which no longer receives configuration updates, and against callers that
+// wait before they try another instance, which may have them.
 func TestKeysGoStale(t *testing.T) {
 	var asOf definer.Instant
-	r := New(Settings{Revocation: 5 * time.Second}, nil, func() definer.Instant { return asOf }, hclog.NewNullLogger(), recorder.NewMetrics())
+	none := func() time.Duration { return 0 }
+	el := elector.New(elector.Settings{Name: "x"}, nil, nil, nil, nil, none, none, hclog.NewNullLogger(), recorder.NewMetrics())
+	r := New(Settings{Revocation: 5 * time.Second}, el, func() definer.Instant { return asOf }, hclog.NewNullLogger(), recorder.NewMetrics())
 	request := &Request{Host: "host", Path: "/q/job", Key: "key", Arrived: definer.Now()}
 	if _, refusal := r.Resolve(request); refusal == nil || refusal.Answer != AnswerUnavailable {
 		t.Errorf("without a configuration: %+v, want unavailable", refusal)
@@ -55,6 +61,16 @@
 			t.Errorf("%s: public route: %+v, %+v; want the longest prefix without a key", c.name, match, refusal)
 		}
 	}
+	if _, refusal := r.Resolve(request); refusal == nil || refusal.RetryAfter != noOwnerRetryAfter {
+		t.Errorf("stale, store lost by the owner as well: %+v, want a retry after %v", refusal, noOwnerRetryAfter)
+	}
+	heartbeat := &forwarder.Heartbeat{Name: "o", IsOwner: true, Term: 1}
+	if _, err := el.Exchange(context.Background(), heartbeat); err != nil {
+		t.Fatal(err)
+	}
+	if _, refusal := r.Resolve(request); refusal == nil || refusal.RetryAfter != 0 {
+		t.Errorf("stale, store reached by the owner: %+v, want a retry at another instance at once", refusal)
+	}
 	request.Path = "/other/job"
 	if _, refusal := r.Resolve(request); refusal == nil || refusal.Answer != AnswerNoQueue {
 		t.Errorf("unknown path: %+v, want no queue", refusal)
