--- a/internal/cell/elector/campaign.go
+++ b/internal/cell/elector/campaign.go
@@ -197,11 +197,8 @@
 // have ended, if the state table stays unchanged for tableSilence, or if most
 // instances cannot reach the owner.
 func (e *Elector) campaign(ctx context.Context, reason string, ended bool) {
-	e.mu.Lock()
-	noClaim := e.stopping || e.claiming || definer.Now() < e.noClaimUntil
-	known := e.owner
-	e.mu.Unlock()
-	if noClaim || e.config.Load() == nil {
+	known, may := e.mayCampaign()
+	if !may {
 		return
 	}
 	definer.Sleep(ctx, time.Duration(rand.Int64N(int64(claimJitter))), nil)
@@ -209,37 +206,53 @@
 		return
 	}
 	sent := definer.Now()
+	end, ok := e.readEnd(ctx, reason)
+	took := definer.Since(sent)
+	if !ok || end > 0 && e.newerClaimExists(ctx, known, end) {
+		return
+	}
+	switch {
+	case end == 0 || ended:
+		e.claimInTurn(ctx, known, end, reason)
+	case reason != reasonLostStore && e.isNew(known):
+	case reason == reasonLostStore && took < quickRead || e.majorityLostOwner(ctx, known):
+		// An owner that says that it has lost a store that serves this instance need not be waited for.
+		e.claimUnlessAnswered(ctx, known, end, reason)
+	default:
+		e.claimAfterSilence(ctx, known, end, reason)
+	}
+}
+
+// mayCampaign returns the known owner and whether this instance may claim the cell.
+func (e *Elector) mayCampaign() (Ownership, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	may := !e.stopping && !e.claiming && definer.Now() >= e.noClaimUntil && e.config.Load() != nil
+
+	return e.owner, may
+}
+
+// readEnd returns the end of the state table. It returns false if the store does not
+// answer.
+func (e *Elector) readEnd(ctx context.Context, reason string) (int64, bool) {
 	callCtx, cancel := definer.WithStallTimeout(ctx, readTimeout)
+	defer cancel()
 	page, err := e.store.Newest(callCtx, definer.TableState, lastKey)
-	cancel()
-	took := definer.Since(sent)
 	if err != nil {
 		e.logger.Info("contest given up", "why", reason, "error", err)
 		definer.Sleep(ctx, claimRetryDelay, nil)
 
-		return
-	}
-	if page.End > 0 && e.newerClaimExists(ctx, known, page.End) {
-		return
+		return 0, false
 	}
-	if page.End == 0 || ended {
-		e.claimInTurn(ctx, known, page.End, reason)
 
-		return
-	}
-	if reason != reasonLostStore && e.isNew(known) {
-		return
-	}
-	// An owner that says that it has lost a store that serves this instance need not be waited for.
-	if reason == reasonLostStore && took < quickRead || e.majorityLostOwner(ctx, known) {
-		if !e.ownerAnswers(ctx, known) {
-			e.claimInTurn(ctx, known, page.End, reason)
-		}
+	return page.End, true
+}
 
-		return
-	}
-	callCtx, cancel = definer.WithStallTimeout(ctx, tableSilence+readTimeout)
-	tail, err := e.store.Read(callCtx, definer.TableState, page.End, 1, tableSilence)
+// claimAfterSilence claims the cell if nothing is appended at the offset end for
+// tableSilence.
+func (e *Elector) claimAfterSilence(ctx context.Context, known Ownership, end int64, reason string) {
+	callCtx, cancel := definer.WithStallTimeout(ctx, tableSilence+readTimeout)
+	tail, err := e.store.Read(callCtx, definer.TableState, end, 1, tableSilence)
 	cancel()
 	if err != nil {
 		e.logger.Info("contest given up", "why", reason, "error", err)
@@ -249,16 +262,21 @@
 	if owner, _ := e.Owner(); owner.Term > known.Term {
 		return
 	}
-	if tail.End == page.End {
-		// An owner that loads the state does not append.
-		if !e.ownerAnswers(ctx, known) {
-			e.claimInTurn(ctx, known, page.End, reason)
-		}
+	if tail.End == end {
+		e.claimUnlessAnswered(ctx, known, end, reason)
 
 		return
 	}
 	e.logger.Info("owner still appends", "why", reason, "term", known.Term, "end", tail.End)
-	e.learnFromRecords(tail.Records, page.End)
+	e.learnFromRecords(tail.Records, end)
+}
+
+// claimUnlessAnswered claims the cell unless the suspected owner answers now. An owner
+// that loads the state does not append.
+func (e *Elector) claimUnlessAnswered(ctx context.Context, known Ownership, end int64, reason string) {
+	if !e.ownerAnswers(ctx, known) {
+		e.claimInTurn(ctx, known, end, reason)
+	}
 }
 
 // claimInTurn claims the cell at the offset end after a delay that is longer on
--- a/internal/cell/elector/replace_test.go
+++ b/internal/cell/elector/replace_test.go
@@ -81,6 +81,14 @@
 // serveOwner serves the instance "x", which knows the given number of claims, and
 // returns its store.
 func serveOwner(t *testing.T, life int64, known int) *claimStore {
+	t.Helper()
+	_, store := serveInstance(t, life, known)
+
+	return store
+}
+
+// serveInstance is serveOwner and also returns the instance.
+func serveInstance(t *testing.T, life int64, known int) (*Elector, *claimStore) {
 	t.Helper()
 	var listen net.ListenConfig
 	listener, err := listen.Listen(context.Background(), "tcp4", "127.0.0.1:0")
@@ -95,7 +103,7 @@
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
 
-	return store
+	return x, store
 }
 
 // runObserver connects the instance "y", which knows all claims of the store, to
@@ -215,15 +223,7 @@
 // atOnce is set.
 func serveActiveOwner(t *testing.T, atOnce bool) *claimStore {
 	t.Helper()
-	var listen net.ListenConfig
-	listener, err := listen.Listen(context.Background(), "tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := netip.MustParseAddrPort(listener.Addr().String())
-	store := newClaimStore(address)
-	x := newElector(Settings{Name: "x", Address: address, Life: claimLife}, store)
-	x.learnFromRecords(store.records, 0)
+	x, store := serveInstance(t, claimLife, 2)
 	store.onSilence = func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
@@ -232,9 +232,6 @@
 	if atOnce {
 		store.onSilence()
 	}
-	server := forwarder.NewServer(x)
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(server.Stop)
 
 	return store
 }
