--- a/internal/config/parser/quantity.go
+++ b/internal/config/parser/quantity.go
@@ -97,7 +97,7 @@
 		return modeler.Deadline{Within: within}, nil
 	}
 	if _, err := locator.Load(zone); err != nil {
-		return modeler.Deadline{}, err
+		return modeler.Deadline{}, errors.Errorf("%q is not the name of a time zone", zone)
 	}
 
 	return modeler.Deadline{Clock: clock, Zone: zone}, nil
--- a/internal/domain/locator/locator.go
+++ b/internal/domain/locator/locator.go
@@ -30,7 +30,7 @@
 	}
 	file, err := archive.Open(name)
 	if err != nil {
-		return nil, errors.Errorf("%q is not the name of a time zone", name)
+		return nil, errors.Errorf("unknown time zone %s", name)
 	}
 	defer func() { _ = file.Close() }()
 	data, err := io.ReadAll(file)
--- a/internal/domain/modeler/template.go
+++ b/internal/domain/modeler/template.go
@@ -47,7 +47,7 @@
 	}
 	zone, err := locator.Load(d.Zone)
 	if err != nil {
-		return time.Time{}, err
+		return time.Time{}, fmt.Errorf("time zone %q: %w", d.Zone, err)
 	}
 	clock, err := time.Parse("15:04", d.Clock)
 	if err != nil {
