--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -261,32 +261,32 @@
 
 func (m listedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
 	if len(m.record.Value) == 0 {
-		delete(l.oddEntries, m.record.Key)
+		delete(l.malformedEntries, m.record.Key)
 		l.planner.RemoveListing(m.record.Key)
 
 		return
 	}
 	listing, err := l.decoder.Endpoint(m.record)
 	if err != nil {
-		l.recordOddEntry(m.record.Key, err)
+		l.recordMalformedEntry(m.record.Key, err)
 		l.planner.RemoveListing(m.record.Key)
 
 		return
 	}
-	delete(l.oddEntries, m.record.Key)
+	delete(l.malformedEntries, m.record.Key)
 	l.planner.UpdateListing(listing, now)
 }
 
-// maxOddEntries bounds the keys of odd entries that are remembered.
-const maxOddEntries = 1000
+// maxMalformedEntries bounds the keys of malformed entries that are remembered.
+const maxMalformedEntries = 1000
 
-// recordOddEntry counts an entry of the endpoint list that names no endpoint to use,
+// recordMalformedEntry counts an entry of the endpoint list that names no endpoint to use,
 // and logs it once, not each time that it is written again.
-func (l *Leader) recordOddEntry(key string, err error) {
-	l.metrics.Count("odd endpoint entries")
-	if _, known := l.oddEntries[key]; known || len(l.oddEntries) >= maxOddEntries {
+func (l *Leader) recordMalformedEntry(key string, err error) {
+	l.metrics.Count("malformed endpoint entries")
+	if _, known := l.malformedEntries[key]; known || len(l.malformedEntries) >= maxMalformedEntries {
 		return
 	}
-	l.oddEntries[key] = struct{}{}
+	l.malformedEntries[key] = struct{}{}
 	l.logger.Warn("endpoint entry ignored", "key", key, "error", err)
 }
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -68,8 +68,8 @@
 	pendingStarts int
 	// ownedAt is when the last append that succeeded was made; the instance owned the cell then.
 	ownedAt definer.Instant
-	// oddEntries holds the keys of the entries of the endpoint list that name no endpoint to use.
-	oddEntries map[string]struct{}
+	// malformedEntries holds the keys of the entries of the endpoint list that name no endpoint to use.
+	malformedEntries map[string]struct{}
 	// nextPlan is when the next placement round may begin.
 	nextPlan definer.Instant
 }
@@ -115,7 +115,7 @@
 	l := &Leader{
 		settings: settings, store: store, endpoints: endpoints, policy: policy, decoder: decoder, logger: logger, metrics: metrics,
 		inbox: buffer.NewRing[message](inboxSize), planner: planner.New(settings.Planner), done: make(chan struct{}),
-		renewals: map[string]*renewal{}, oddEntries: map[string]struct{}{}, journal: newJournal(),
+		renewals: map[string]*renewal{}, malformedEntries: map[string]struct{}{}, journal: newJournal(),
 	}
 	l.journal.end = settings.End
 	l.config.Store(config)
--- a/internal/cell/watcher/watcher_test.go
+++ b/internal/cell/watcher/watcher_test.go
@@ -168,12 +168,12 @@
 func (s *repeatingStore) Newest(_ context.Context, _ definer.Table, after string) (definer.Page, error) {
 	s.requests = append(s.requests, after)
 
-	return definer.Page{Records: []definer.Record{{Key: "odd", Value: []byte("1")}}, More: true, End: 5}, nil
+	return definer.Page{Records: []definer.Record{{Key: "malformed", Value: []byte("1")}}, More: true, End: 5}, nil
 }
 
-// TestOddKeyEndsTheLoad guards against a key of another writer that makes a load read
+// TestMalformedKeyEndsTheLoad guards against a key of another writer that makes a load read
 // the same page for ever, so that the table is never followed.
-func TestOddKeyEndsTheLoad(t *testing.T) {
+func TestMalformedKeyEndsTheLoad(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	store := &repeatingStore{}
 	w := New(Settings{Table: definer.TableEndpoints}, store, hclog.NewNullLogger(), func(definer.Record) {
--- a/internal/proof/disrupter/disrupter_test.go
+++ b/internal/proof/disrupter/disrupter_test.go
@@ -14,9 +14,9 @@
 // overlapping takeovers, lost connections and restarts.
 func TestPromisesHoldUnderFaults(t *testing.T) { runMix(t, MixSingle, 8*time.Second) }
 
-// TestOddEntriesEndNoProcess guards against entries of another writer in the endpoint
+// TestMalformedEntriesEndNoProcess guards against entries of another writer in the endpoint
 // list that end the processes which read it, or make them stop following it.
-func TestOddEntriesEndNoProcess(t *testing.T) { runMix(t, MixOdd, 6*time.Second) }
+func TestMalformedEntriesEndNoProcess(t *testing.T) { runMix(t, MixMalformed, 6*time.Second) }
 
 // runMix builds the program and runs it for the duration under a mix of faults.
 func runMix(t *testing.T, mix Mix, duration time.Duration) {
--- a/internal/proof/disrupter/odd.go
+++ b/internal/proof/disrupter/malformed.go
@@ -8,45 +8,45 @@
 	"gitlab.com/greengagewall/greengagewall/internal/standin/storer"
 )
 
-// oddDepth is the nesting of an odd entry, beyond what decoders accept.
-const oddDepth = 100000
+// malformedDepth is the nesting of an malformed entry, beyond what decoders accept.
+const malformedDepth = 100000
 
-// oddEntries are values that another writer may leave among those of the endpoints.
+// malformedEntries are values that another writer may leave among those of the endpoints.
 // None of them describes an endpoint that can be used.
-var oddEntries = []string{
+var malformedEntries = []string{
 	`{"service":"service","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":1e300,"mem-mb":2}}`,
 	`{"service":"service","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":16000,"mem-mb":9007199254740993}}`,
 	`{"service":"service","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":16000},"born":1e99}`,
 	`{"service":"service","address":"10.0.0.1:80800","state":"ready","capacity":{"cpu":16000}}`,
 	`{"service":"service","address":"10.0.0.1:0","state":"ready","capacity":{"cpu":16000}}`,
-	`{"service":"service","address":"10.0.0.1:80","state":"ready","labels":` + strings.Repeat("[", oddDepth) + strings.Repeat("]", oddDepth) + `}`,
+	`{"service":"service","address":"10.0.0.1:80","state":"ready","labels":` + strings.Repeat("[", malformedDepth) + strings.Repeat("]", malformedDepth) + `}`,
 	`{"service":7,"address":[],"state":{}}`,
 	"\x00\xff\xfe",
-	strings.Repeat("{\"a\":", oddDepth),
+	strings.Repeat("{\"a\":", malformedDepth),
 }
 
-// oddKeys are keys of odd entries beside those of endpoints.
-var oddKeys = []string{"odd", "odd\r\nkey", "\xff\xfe", strings.Repeat("k", 255)}
+// malformedKeys are keys of malformed entries beside those of endpoints.
+var malformedKeys = []string{"malformed", "malformed\r\nkey", "\xff\xfe", strings.Repeat("k", 255)}
 
-// writeOddEntries leaves odd entries in the endpoint list, one of them in place of an
+// writeMalformedEntries leaves malformed entries in the endpoint list, one of them in place of an
 // endpoint's, which that endpoint soon writes again.
-func (i *faultInjector) writeOddEntries(duration time.Duration) {
-	keys := append([]string{i.randomHost().endpoint.ID}, oddKeys...)
+func (i *faultInjector) writeMalformedEntries(duration time.Duration) {
+	keys := append([]string{i.randomHost().endpoint.ID}, malformedKeys...)
 	for _, key := range keys {
-		i.cluster.store.Put(storer.TopicEndpoints, key, []byte(oddEntries[i.random.IntN(len(oddEntries))]))
+		i.cluster.store.Put(storer.TopicEndpoints, key, []byte(malformedEntries[i.random.IntN(len(malformedEntries))]))
 	}
 	i.callAfter(duration, func() {
-		for _, key := range oddKeys {
+		for _, key := range malformedKeys {
 			i.cluster.store.Put(storer.TopicEndpoints, key, nil)
 		}
 	})
 }
 
-// odd lists the faults of MixOdd: odd entries, and new owners that read them.
-var odd = []fault{
-	{"odd endpoint entries", (*faultInjector).writeOddEntries},
-	{"odd endpoint entries and another owner", func(i *faultInjector, duration time.Duration) {
-		i.writeOddEntries(duration)
+// malformed lists the faults of MixMalformed: malformed entries, and new owners that read them.
+var malformed = []fault{
+	{"malformed endpoint entries", (*faultInjector).writeMalformedEntries},
+	{"malformed endpoint entries and another owner", func(i *faultInjector, duration time.Duration) {
+		i.writeMalformedEntries(duration)
 		i.stopProcess(i.owner(), syscall.SIGKILL)
 	}},
 }
--- a/internal/proof/disrupter/series.go
+++ b/internal/proof/disrupter/series.go
@@ -26,8 +26,8 @@
 	// MixStoreCut injects series in which an owner is cut from the store while
 	// endpoints that hold ends are killed.
 	MixStoreCut Mix = "store-cut"
-	// MixOdd leaves odd entries in the endpoint list while owners are replaced.
-	MixOdd Mix = "odd"
+	// MixMalformed leaves malformed entries in the endpoint list while owners are replaced.
+	MixMalformed Mix = "malformed"
 	// MixAll injects all faults and series.
 	MixAll Mix = "all"
 )
@@ -35,7 +35,7 @@
 // UnmarshalText implements encoding.TextUnmarshaler and refuses unknown mixes.
 func (m *Mix) UnmarshalText(text []byte) error {
 	switch mix := Mix(text); mix {
-	case MixSingle, MixStruckTwice, MixStoreCut, MixOdd, MixAll:
+	case MixSingle, MixStruckTwice, MixStoreCut, MixMalformed, MixAll:
 		*m = mix
 
 		return nil
@@ -98,10 +98,10 @@
 		return struckTwice
 	case MixStoreCut:
 		return storeCut
-	case MixOdd:
-		return odd
+	case MixMalformed:
+		return malformed
 	case MixAll:
-		return slices.Concat(faults, struckTwice, storeCut, odd)
+		return slices.Concat(faults, struckTwice, storeCut, malformed)
 	case MixSingle:
 	}
 
--- a/internal/proof/disrupter/series_test.go
+++ b/internal/proof/disrupter/series_test.go
@@ -13,8 +13,8 @@
 		{"single", len(faults), true},
 		{"struck-twice", len(struckTwice), true},
 		{"store-cut", len(storeCut), true},
-		{"odd", len(odd), true},
-		{"all", len(faults) + len(struckTwice) + len(storeCut) + len(odd), true},
+		{"malformed", len(malformed), true},
+		{"all", len(faults) + len(struckTwice) + len(storeCut) + len(malformed), true},
 		{"none", 0, false},
 	} {
 		var mix Mix
