Apply each message of the owner's loop at its own time

Cause: the loop took the time once for up to 256 messages. A report that had been requested after that moment, but before the run began, did not list it; at 21.562 the run was taken for over (`not listed`), and run 2 began at 21.744 beside it. The rule is that a run is over if a report that was requested after the start's answer does not list it.

Ruled out: another owner (one term throughout), a restart of the endpoint (one life), an answer out of order (`out of order` false).

Change: each message is applied with the time of its application.

--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -234,17 +234,23 @@
 			}
 			l.planAndExecute(ctx, now)
 		case <-l.inbox.Ready():
-			now := definer.Now()
-			l.planner.CheckSuspension(now)
-			for range maxMessagesPerPlan {
-				m, ok := l.inbox.TryPop()
-				if !ok {
-					break
-				}
-				m.apply(ctx, l, now)
-			}
-			l.planAndExecute(ctx, now)
+			l.planner.CheckSuspension(definer.Now())
+			l.applyMessages(ctx)
+			l.planAndExecute(ctx, definer.Now())
+		}
+	}
+}
+
+// applyMessages applies queued messages, each at its own time: a message may arrive
+// while others are applied, and a report of an endpoint that was requested before the
+// answer to a start arrived must not count as requested after it.
+func (l *Leader) applyMessages(ctx context.Context) {
+	for range maxMessagesPerPlan {
+		m, ok := l.inbox.TryPop()
+		if !ok {
+			return
 		}
+		m.apply(ctx, l, definer.Now())
 	}
 }
 
