--- a/internal/cell/planner/advice_test.go
+++ b/internal/cell/planner/advice_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -72,3 +73,32 @@
 		t.Errorf("%d members started, want %d", len(c.started), job.Steps[0].Count)
 	}
 }
+
+// TestDeferrableStepsTakeTurns replays an account that sends many times its rate. It
+// guards against rounds of placement, and questions to the policy, that grow with the
+// work that may wait, and against such work that never has its turn.
+func TestDeferrableStepsTakeTurns(t *testing.T) {
+	const endpoints, jobs = 24, 100
+	c := newCell(t, endpoints)
+	c.planner.Configure(&definer.Configuration{Accounts: []definer.Account{{Name: "account", Weight: 0.001}}})
+	for n := range jobs {
+		job := c.job(fmt.Sprintf("%016x", n+1), definer.Step{Count: 1, Need: modeler.Resources{Millis: 1000}, Estimate: time.Second})
+		job.Queue.Policy = &definer.Policy{Decide: 100 * time.Millisecond, Each: time.Millisecond, Validity: time.Second}
+		c.planner.Accept(job, c.now, c.wall)
+	}
+	asked := map[string]bool{}
+	for round := range jobs {
+		c.now = c.now.Add(time.Millisecond)
+		c.plan()
+		questions := c.takeAsked()
+		if limit := 1 + endpoints/4; len(questions) > limit {
+			t.Fatalf("%d questions in round %d, want at most %d", len(questions), round, limit)
+		}
+		for _, question := range questions {
+			asked[question.Job] = true
+		}
+	}
+	if len(asked) != jobs {
+		t.Errorf("%d of %d jobs had their turn", len(asked), jobs)
+	}
+}
