--- a/internal/entry/starter/starter_test.go
+++ b/internal/entry/starter/starter_test.go
@@ -154,19 +154,23 @@
 	b.waitForStatus(t, http.StatusOK, http.MethodPost, path, "forwarded")
 
 	// Both calls are in progress at the owner, a, when it begins to shut down.
-	statuses := make(chan int, 2)
+	type answer struct {
+		status int
+		body   string
+	}
+	answers := make(chan answer, 2)
 	for _, e := range []*entry{a, b} {
 		go func() {
-			status, _ := e.send(http.MethodPost, path, "open")
-			statuses <- status
+			status, body := e.send(http.MethodPost, path, "open")
+			answers <- answer{status, body}
 		}()
 	}
 	time.Sleep(300 * time.Millisecond)
 	a.stop()
 	a.waitForStatus(t, http.StatusServiceUnavailable, http.MethodGet, "/readyz", "")
 	for range 2 {
-		if status := <-statuses; status != http.StatusOK {
-			t.Errorf("a call in progress at the shutdown ended with status %d", status)
+		if got := <-answers; got.status != http.StatusOK {
+			t.Errorf("a call in progress at the shutdown ended with status %d: %s", got.status, got.body)
 		}
 	}
 	if err := <-a.result; err != nil {
