--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -373,3 +373,46 @@
 	rec.note("most that the tenant had running: %d", worst)
 	return broken, nil
 }
+
+// lateStarts lets one executor at a time crash and start again under its id, while half of the
+// starts of 1.3 s get no answer and are carried out 2 to 12 s later, also by a later life. It
+// goes beyond the users' pages, by which a later life knows nothing of before, and is no case.
+func lateStarts(rec *recorder, root string, trouble bool) ([]string, error) {
+	t := tenant{"forecasts", "k-forecasts", 1000, 0}
+	c, err := setUp(rec, root, []tenant{t}, 3, 10, 16000, alternate, 3)
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	c.fleet.quiet = true
+	time.Sleep(2 * time.Second)
+	for n := 0; n < 9; n++ {
+		c.fleet.mu.Lock()
+		if trouble {
+			c.fleet.lateShare = 0.5
+		}
+		e := c.fleet.executors[n%10]
+		c.fleet.mu.Unlock()
+		for i := 0; i < 10; i++ {
+			j := newJob(t, work{Millis: 5000}, 60, 200)
+			go c.submit(j, time.Time{})
+		}
+		time.Sleep(1300 * time.Millisecond)
+		c.fleet.mu.Lock()
+		c.fleet.lateShare = 0
+		c.fleet.mu.Unlock()
+		if trouble {
+			rec.note("executor %s crashes", e.id)
+			e.crash()
+			time.Sleep(1000 * time.Millisecond)
+			if err := e.start(e.address); err != nil {
+				return nil, err
+			}
+			rec.note("executor %s starts again", e.id)
+		}
+		time.Sleep(8 * time.Second)
+	}
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	return c.fleet.twice, nil
+}
--- a/review/harness/executor.go
+++ b/review/harness/executor.go
@@ -100,7 +100,10 @@
 	twice []string
 	// onStart is called with the lock held when a run begins.
 	onStart func(e *executor, j *job, r *run)
-	stop    chan struct{}
+	// lateShare is the share of the starts that get no answer and are carried out 2 to 12 s later.
+	lateShare float64
+	lateRuns  int
+	stop      chan struct{}
 }
 
 func newFleet(rec *recorder, st *store) *fleet {
@@ -267,6 +270,13 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		if strings.HasSuffix(r.URL.Path, "/run-start") && rand.Float64() < f.lateShare {
+			life := e.born
+			f.mu.Unlock()
+			time.AfterFunc(2*time.Second+time.Duration(rand.Int63n(int64(10*time.Second))), func() { e.late(r, &o, life) })
+			<-r.Context().Done()
+			return
+		}
 		status, reason := http.StatusConflict, "fence"
 		if o.Token >= e.token {
 			e.token = o.Token
@@ -428,3 +438,21 @@
 	}
 	return free, total, tenant
 }
+
+// late carries out a start that got no answer.
+func (e *executor) late(r *http.Request, o *order, life time.Time) {
+	f := e.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !e.up || o.Token < e.token {
+		return
+	}
+	e.token = o.Token
+	status, reason := e.runStart(r, o)
+	if status == http.StatusOK {
+		f.lateRuns++
+		f.rec.note("executor %s: late start of %s run %d is carried out; same life %t", e.id, o.Task, o.Run, life.Equal(e.born))
+	} else {
+		f.rec.note("executor %s: late start of %s run %d is rejected: %d %s; same life %t", e.id, o.Task, o.Run, status, reason, life.Equal(e.born))
+	}
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,7 +21,7 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.note("case %s, trouble %t", os.Args[1], trouble)
 	play := map[string]func(*recorder, string, bool) ([]string, error){
-		"large-job": largeJob, "many-ends": manyEnds, "sole-endpoint": soleEndpoint, "changed-kind": changedKind, "foreign-entries": foreignEntries, "cancelled-runs": cancelledRuns,
+		"large-job": largeJob, "late-starts": lateStarts, "many-ends": manyEnds, "sole-endpoint": soleEndpoint, "changed-kind": changedKind, "foreign-entries": foreignEntries, "cancelled-runs": cancelledRuns,
 	}[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
