Note when an owner loses the majority of its endpoints

"majority lost" (a warning) and "majority held" give the endpoints that count, those that have answered, and up to five silent ones with their services.

--- a/internal/cell/planner/overlap.go
+++ b/internal/cell/planner/overlap.go
@@ -236,6 +236,39 @@
 	p.note("takeover settled", "", append([]any{"how", how}, p.takeoverArgs(now)...)...)
 }
 
+// maxNotedEndpoints bounds the endpoints that a note names.
+const maxNotedEndpoints = 5
+
+// noteMajority notes that the majority of the endpoints was lost or is held again.
+// While it is lost nothing starts and no lease is extended, so the note names the
+// endpoints that count against it.
+func (p *Planner) noteMajority(now definer.Instant) {
+	held := now < p.majorityUntil
+	if held == p.majorityHeld {
+		return
+	}
+	p.majorityHeld = held
+	counted, answered := 0, 0
+	silent := make([]string, 0, maxNotedEndpoints)
+	for _, e := range p.ordered {
+		counts, answers := p.countsForMajority(e, now)
+		if counts {
+			counted++
+		}
+		switch {
+		case answers:
+			answered++
+		case counts && len(silent) < maxNotedEndpoints:
+			silent = append(silent, e.ID+" of "+e.Service)
+		}
+	}
+	event := "majority held"
+	if !held {
+		event = "majority lost"
+	}
+	p.notes = append(p.notes, Note{Event: event, Warn: !held, Args: []any{"counted", counted, "answered", answered, "silent", silent}})
+}
+
 // takeoverArgs counts the endpoints that a takeover rests on.
 func (p *Planner) takeoverArgs(now definer.Instant) []any {
 	stored, accepted, notStored := 0, 0, 0
--- a/internal/cell/planner/ownership.go
+++ b/internal/cell/planner/ownership.go
@@ -137,15 +137,13 @@
 	answered := make([]definer.Instant, 0, len(p.endpoints))
 	total := 0
 	for _, e := range p.endpoints {
-		switch {
-		case e.entry == entryStored:
-			total++
-			if e.addressStored && p.fresh(e, now) {
-				answered = append(answered, e.lastAnswered)
-			}
-		case !p.fresh(e, now):
+		counts, answers := p.countsForMajority(e, now)
+		if counts {
 			total++
 		}
+		if answers {
+			answered = append(answered, e.lastAnswered)
+		}
 	}
 	needed := total/2 + 1
 	if len(answered) < needed {
@@ -156,6 +154,17 @@
 	return answered[len(answered)-needed].Add(p.settings.Freshness)
 }
 
+// countsForMajority reports whether e is one of the endpoints of which a majority has
+// to answer, and whether it has answered in time and at the address that the table has.
+func (p *Planner) countsForMajority(e *endpoint, now definer.Instant) (counts, answers bool) {
+	fresh := p.fresh(e, now)
+	if e.entry == entryStored {
+		return true, e.addressStored && fresh
+	}
+
+	return !fresh, false
+}
+
 // HasEndpoints reports whether the table names endpoints.
 func (p *Planner) HasEndpoints() bool {
 	for _, e := range p.endpoints {
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -57,6 +57,7 @@
 	p.dropMissing(now)
 	p.recordMajority(now)
 	p.majorityUntil = p.majorityEnd(now)
+	p.noteMajority(now)
 	p.noteTakeover(now)
 	for j := range p.scheduled {
 		p.advance(j, wall)
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -88,6 +88,8 @@
 	majoritySince definer.Instant
 	// majorityUntil is when the majority that the last tick found lapses, or 0 if there was none.
 	majorityUntil definer.Instant
+	// majorityHeld is whether the last tick found a majority.
+	majorityHeld bool
 	// majorityNoted and settledNoted mean that noteTakeover has written its lines.
 	majorityNoted, settledNoted bool
 	// inventorySent is when the inventory being processed was requested.
