Count an endpoint only once it has answered

Cause: the owner took each entry of the endpoint list for an endpoint, stored it in the state table and counted it for the majority.

Now an entry of a service that neither a route nor an unfinished job needs gets no orders until its service is needed, and any other entry is stored and counts only once an endpoint has answered there. Nothing starts at an endpoint that the table does not name, so the majorities of two owners still intersect.

Cells of tests name their service.

--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -207,6 +207,9 @@
 
 func (m reportMsg) apply(ctx context.Context, l *Leader, now definer.Instant) {
 	id := m.target.ID
+	if m.verdict != definer.VerdictFenced && l.forgetRenewal(id) {
+		return
+	}
 	if m.extra {
 		if m.verdict == definer.VerdictDone {
 			l.planner.Report(id, m.sent, now, m.report)
@@ -252,6 +255,17 @@
 	}
 }
 
+// forgetRenewal drops the schedule of an endpoint that the planner does not know any
+// more, and reports whether that is so.
+func (l *Leader) forgetRenewal(id string) bool {
+	if l.planner.HasEndpoint(id) {
+		return false
+	}
+	delete(l.renewals, id)
+
+	return true
+}
+
 // postListing passes a record of the endpoint list to loop.
 func (l *Leader) postListing(record definer.Record) {
 	l.post(listedMsg{record})
@@ -262,14 +276,14 @@
 func (m listedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
 	if len(m.record.Value) == 0 {
 		delete(l.malformedEntries, m.record.Key)
-		l.planner.RemoveListing(m.record.Key)
+		l.removeListing(m.record.Key)
 
 		return
 	}
 	listing, err := l.decoder.Endpoint(m.record)
 	if err != nil {
 		l.recordMalformedEntry(m.record.Key, err)
-		l.planner.RemoveListing(m.record.Key)
+		l.removeListing(m.record.Key)
 
 		return
 	}
@@ -277,6 +291,11 @@
 	l.planner.UpdateListing(listing, now)
 }
 
+func (l *Leader) removeListing(id string) {
+	l.planner.RemoveListing(id)
+	l.forgetRenewal(id)
+}
+
 // maxMalformedEntries bounds the keys of malformed entries that are remembered.
 const maxMalformedEntries = 1000
 
--- a/internal/cell/planner/cell_test.go
+++ b/internal/cell/planner/cell_test.go
@@ -27,6 +27,9 @@
 
 var testSettings = Settings{Term: 10, Lease: 4500 * time.Millisecond, Freshness: 2500 * time.Millisecond}
 
+// testRoutes name the service of the endpoints of a test.
+var testRoutes = []definer.Route{{Queue: definer.Queue{Name: "queue", Service: "service"}}}
+
 // newCell returns a cell whose endpoints have 16 processors and 64 GiB each and have answered once.
 func newCell(tb testing.TB, endpoints int) *testCell {
 	tb.Helper()
@@ -34,6 +37,7 @@
 		TB: tb, planner: New(testSettings), now: definer.Instant(time.Hour), wall: time.Date(2026, 4, 10, 7, 0, 0, 0, time.UTC),
 		running: map[string][]definer.RunningTask{}, ended: map[string][]definer.EndedTask{}, born: map[string]int64{},
 	}
+	c.planner.Configure(&definer.Configuration{Routes: testRoutes})
 	for n := range endpoints {
 		c.listEndpoint(fmt.Sprintf("e%03d", n))
 	}
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -132,36 +132,6 @@
 	quarantineThreshold = 3
 )
 
-// UpdateListing processes an entry of the endpoint list, which may be new.
-func (p *Planner) UpdateListing(listing definer.Listing, now definer.Instant) {
-	if p.listReadAt == 0 {
-		p.listReadAt = now
-	}
-	e := p.endpoints[listing.ID]
-	if e == nil {
-		e = p.addEndpoint(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1})
-		p.changedEndpoints[e.ID] = struct{}{}
-	}
-	p.keepEndpoint(e)
-	if e.life != 0 && listing.Born > e.life {
-		p.endpointRestarted(e, listing.Born, now)
-		p.emit(InventoryCmd{Endpoint: e.ID})
-	}
-	if e.Address != listing.Address {
-		e.addressStored = false
-	}
-	if e.Address != listing.Address || e.Capacity != listing.Capacity {
-		p.changedEndpoints[e.ID] = struct{}{}
-	}
-	if listing.Draining && !e.Draining {
-		p.note("endpoint leaving", "", "endpoint", e.ID, "remaining", listing.Remaining)
-	}
-	p.noteAddressChange(e, &listing)
-	e.Listing = listing
-	e.listed = true
-	e.updateDeparture(&listing, now)
-}
-
 // addEndpoint adds an endpoint and assigns it a slot.
 func (p *Planner) addEndpoint(e *endpoint) *endpoint {
 	p.endpoints[e.ID] = e
@@ -179,6 +149,7 @@
 // removeEndpoint removes an endpoint and frees its slot.
 func (p *Planner) removeEndpoint(e *endpoint) {
 	delete(p.endpoints, e.ID)
+	delete(p.changedEndpoints, e.ID)
 	delete(p.unacknowledged, e)
 	p.freeSlots = append(p.freeSlots, e.slot)
 	if at, found := slices.BinarySearchFunc(p.ordered, e.ID, (*endpoint).compareID); found {
@@ -188,13 +159,8 @@
 
 func (e *endpoint) compareID(id string) int { return strings.Compare(e.ID, id) }
 
-// RemoveListing processes the removal of an entry from the endpoint list. The
-// endpoint is kept until it has stopped answering and its runs have ended.
-func (p *Planner) RemoveListing(id string) {
-	if e := p.endpoints[id]; e != nil {
-		e.listed, e.unlistedAt = false, p.now
-	}
-}
+// HasEndpoint reports whether the planner knows an endpoint with the id.
+func (p *Planner) HasEndpoint(id string) bool { return p.endpoints[id] != nil }
 
 // Endpoints returns the ids of all endpoints that are not being removed.
 func (p *Planner) Endpoints() []string {
@@ -366,6 +332,11 @@
 			}
 			p.writeOff(r)
 		}
+		if e.entry == entryAbsent && len(e.runs) == 0 && !e.listed {
+			p.removeEndpoint(e)
+
+			continue
+		}
 		if len(e.runs) == 0 && !e.listed && e.entry != entryRemoving && (e.acceptedTerm || e.missing || p.takeoverSettled()) {
 			e.entry = entryRemoving
 			p.changedEndpoints[id] = struct{}{}
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -157,6 +157,7 @@
 	j.deadline = j.accepted.Add(objective(&j.Job))
 	p.jobs[j.ID] = j
 	p.account(j.Account).active++
+	p.addJobOfService(j.Queue.Service)
 	if j.Repeats > 0 {
 		p.scheduled[j] = struct{}{}
 	}
@@ -358,8 +359,7 @@
 	p.stopAllRuns(j)
 	if !j.state.Final() {
 		p.account(j.Account).active--
-	}
-	if !j.state.Final() {
+		p.removeJobOfService(j.Queue.Service)
 		p.finished = append(p.finished, j)
 	}
 	j.state, j.finishedAt = state, now
--- a/internal/cell/planner/ownership.go
+++ b/internal/cell/planner/ownership.go
@@ -19,9 +19,11 @@
 type tableEntry int
 
 const (
+	// entryAbsent means that the table does not name the endpoint, and no append that would is outstanding.
+	entryAbsent tableEntry = iota
 	// entryUncertain means that the table may or may not name the endpoint: an append that stores or
 	// removes it has not been answered yet.
-	entryUncertain tableEntry = iota
+	entryUncertain
 	// entryStored means that the table names the endpoint, so that the next owner asks it for its runs.
 	entryStored
 	// entryRemoving means that the endpoint is not used any more and its record is to be removed.
@@ -42,6 +44,14 @@
 func (p *Planner) keepEndpoint(e *endpoint) {
 	if e.entry == entryRemoving {
 		e.entry = entryUncertain
+		p.storeEndpoint(e)
+	}
+}
+
+// storeEndpoint makes the next append store e, if it has ever answered or the table
+// may name it.
+func (p *Planner) storeEndpoint(e *endpoint) {
+	if !e.neverUsed() {
 		p.changedEndpoints[e.ID] = struct{}{}
 	}
 }
@@ -67,6 +77,9 @@
 	for id := range p.changedEndpoints {
 		// An endpoint may have been removed and listed again since the last append; its present state counts.
 		if e := p.endpoints[id]; e != nil && e.entry != entryRemoving {
+			if e.entry == entryAbsent {
+				e.entry = entryUncertain
+			}
 			stored = append(stored, e.Listing)
 		} else {
 			removed = append(removed, id)
@@ -84,7 +97,7 @@
 		if e == nil {
 			continue
 		}
-		if e.entry == entryUncertain {
+		if e.entry != entryRemoving {
 			e.entry = entryStored
 		}
 		if e.Address == stored[i].Address {
@@ -158,11 +171,15 @@
 // to answer, and whether it has answered in time and at the address that the table has.
 func (p *Planner) countsForMajority(e *endpoint, now definer.Instant) (counts, answers bool) {
 	fresh := p.fresh(e, now)
-	if e.entry == entryStored {
+	switch e.entry {
+	case entryStored:
 		return true, e.addressStored && fresh
+	case entryUncertain, entryRemoving:
+		return !fresh, false
+	case entryAbsent:
 	}
 
-	return !fresh, false
+	return false, false
 }
 
 // HasEndpoints reports whether the table names endpoints.
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -64,6 +64,12 @@
 	changes uint64
 	// changedEndpoints holds the ids of the endpoints whose records in the state table are out of date.
 	changedEndpoints map[string]struct{}
+	// unusedListings holds, by id, the entries of the endpoint list whose services the cell does not use.
+	unusedListings map[string]unusedListing
+	// routedServices holds the services that routes of the configuration use, and jobsOfService the numbers of
+	// jobs that are not final and need endpoints of a service.
+	routedServices map[string]bool
+	jobsOfService  map[string]int
 	// unacknowledged holds the endpoints that have reported ends which are not stored yet.
 	unacknowledged map[*endpoint]struct{}
 	// finished holds the final jobs in the order in which they became final.
@@ -175,6 +181,7 @@
 		settings: settings, tableEnd: settings.Term, config: &definer.Configuration{}, jobs: map[string]*job{},
 		endpoints: map[string]*endpoint{}, accounts: map[string]*account{}, queues: map[string]*queueStats{},
 		readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{},
+		unusedListings: map[string]unusedListing{}, jobsOfService: map[string]int{},
 		changedEndpoints: map[string]struct{}{}, unacknowledged: map[*endpoint]struct{}{},
 	}
 }
@@ -199,6 +206,7 @@
 // their usage but lose their limit and weight.
 func (p *Planner) Configure(config *definer.Configuration) {
 	p.config = config
+	p.configureServices(config.Routes)
 	for _, a := range p.accounts {
 		a.limit, a.weight = modeler.Resources{}, 0
 	}
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -35,6 +35,9 @@
 		p.endpointRestarted(e, report.Born, now)
 	}
 	e.life = report.Born
+	if e.entry == entryAbsent {
+		p.storeEndpoint(e)
+	}
 	p.inventorySent = sent
 	if !e.acceptedTerm {
 		e.acceptedTerm = true
--- a/internal/cell/planner/takeover_test.go
+++ b/internal/cell/planner/takeover_test.go
@@ -120,6 +120,7 @@
 	settings.Term = 1
 	c := newCell(t, 0)
 	c.planner = New(settings)
+	c.planner.Configure(&definer.Configuration{Routes: testRoutes})
 	for _, id := range []string{"e000", "e001", "e002"} {
 		c.listEndpoint(id)
 	}
--- a/internal/cell/planner/world_faults_test.go
+++ b/internal/cell/planner/world_faults_test.go
@@ -1,10 +1,13 @@
 package planner_test
 
 import (
+	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
 // fault is a kind of fault that the world injects at random times.
@@ -61,6 +64,33 @@
 		}
 	}},
 	{"drain", (*world).drain},
+	{"entries", (*world).writeOtherEntries},
+}
+
+// writeOtherEntries lets another writer leave as many entries as there are machines, of
+// a service that nobody uses or at addresses where nothing answers. They stay, or
+// come and go, and one may stand in place of a machine's entry until it writes its own.
+func (w *world) writeOtherEntries() {
+	service := "service"
+	if w.chance(0.5) {
+		service = "other"
+		if m := w.someMachine(); w.chance(0.5) {
+			listing := w.listings[m.id]
+			listing.ID, listing.Service = m.id, service
+			w.list(m.id, &listing)
+		}
+	}
+	stay := w.chance(0.5)
+	for n := range len(w.machines) + w.rng.Intn(3) {
+		id := fmt.Sprintf("x%02d", n)
+		w.list(id, &definer.Listing{
+			ID: id, Service: service, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, byte(n)}), 9), Zone: "zone",
+			Born: w.wall().UnixMilli(), Capacity: modeler.Resources{Millis: 12000, Memory: 64 << 30},
+		})
+		if !stay {
+			w.after(w.between(200*time.Millisecond, 12*time.Second), func() { w.list(id, nil) })
+		}
+	}
 }
 
 // injectFaults injects faults until the end.
--- a/internal/proof/disrupter/malformed.go
+++ b/internal/proof/disrupter/malformed.go
@@ -1,6 +1,7 @@
 package disrupter
 
 import (
+	"fmt"
 	"strings"
 	"syscall"
 	"time"
@@ -42,13 +43,28 @@
 	})
 }
 
-// malformed lists the faults of MixMalformed: malformed entries, and new owners that read them.
+// unansweredFormat is an entry at whose address nothing listens; its field is the service.
+const unansweredFormat = `{"service":%q,"address":"127.0.0.1:9","zone":"zone","version":"1","slots":8,"state":"ready","sequence":1,"born":1,"labels":["a","r9-1"],"capacity":{"cpu":16000,"mem-mb":65536,"gpu":0}}`
+
+// writeUnansweredEntries leaves more entries than there are endpoints in the endpoint list, of
+// a service that the configuration does not name or of the one that it names. They are the
+// same each time and stay.
+func (i *faultInjector) writeUnansweredEntries(service string) {
+	for n := range len(i.cluster.hosts) + 1 {
+		i.cluster.store.Put(storer.TopicEndpoints, fmt.Sprintf("unanswered-%d", n), fmt.Appendf(nil, unansweredFormat, service))
+	}
+}
+
+// malformed lists the faults of MixMalformed: malformed entries and those of no endpoint, and
+// new owners that read them.
 var malformed = []fault{
 	{"malformed endpoint entries", (*faultInjector).writeMalformedEntries},
 	{"malformed endpoint entries and another owner", func(i *faultInjector, duration time.Duration) {
 		i.writeMalformedEntries(duration)
 		i.stopProcess(i.owner(), syscall.SIGKILL)
 	}},
+	{"entries of another service", func(i *faultInjector, _ time.Duration) { i.writeUnansweredEntries("other") }},
+	{"entries without an endpoint", func(i *faultInjector, _ time.Duration) { i.writeUnansweredEntries("service") }},
 }
 
 // checkProcesses records a violation for each process that has ended although nobody
