Note when a task avoids the endpoint on which it failed

"task avoids endpoint" says, once for each failure, that the task is not started on an endpoint that has room because its last run failed there, and how many others may run it.

--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -94,6 +94,8 @@
 	activeRuns int
 	// avoid is the endpoint on which the last run failed.
 	avoid *endpoint
+	// avoidNoted means that noteAvoided has written its line about avoid.
+	avoidNoted bool
 	// overlaps is kept for the log; it is nil for most tasks.
 	overlaps *overlapRecord
 }
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -409,7 +409,12 @@
 	var best *endpoint
 	bestScore := 0.0
 	for _, e := range ready {
-		if e == t.avoid && len(ps.usable) > 1 || !need.Fits(e.free()) || !s.belowEndpointLimit(e) || !availableTo(e, s) {
+		if !need.Fits(e.free()) || !s.belowEndpointLimit(e) || !availableTo(e, s) {
+			continue
+		}
+		if e == t.avoid && len(ps.usable) > 1 {
+			ps.noteAvoided(t, e)
+
 			continue
 		}
 		score := s.score(e, need)
@@ -424,6 +429,22 @@
 	return best
 }
 
+// noteAvoided notes, once for each failure, that t does not start on e because its last
+// run failed there, and how many other endpoints may run it.
+func (ps *pass) noteAvoided(t *task, e *endpoint) {
+	if t.avoidNoted {
+		return
+	}
+	t.avoidNoted = true
+	others := 0
+	for _, other := range ps.usable {
+		if other != e && t.step.need().Fits(other.Capacity) && t.step.eligible(other) {
+			others++
+		}
+	}
+	ps.planner.note("task avoids endpoint", t.step.job.ID, "endpoint", e.ID, "step", t.step.index, "index", t.index, "others", others)
+}
+
 // score rates an endpoint for a task of s. Proximity to the data weighs most,
 // then speed, then tight packing; recent failures lower the score.
 func (s *step) score(e *endpoint, need modeler.Resources) float64 {
