Return a failed task to the only endpoint that may run it

Cause: a task left out the endpoint of its last failure as long as any other one was usable, whether or not that one may run the task.

Now that endpoint comes last: a task waits for another one only if one may run it, for a second at most, and a new life is not avoided. A task that waits no longer ends the search for the other tasks of its step.

--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -92,10 +92,8 @@
 	expiredAt definer.Instant
 	// activeRuns counts the runs of the task that are not known to be over, including run.
 	activeRuns int
-	// avoid is the endpoint on which the last run failed.
-	avoid *endpoint
-	// avoidNoted means that noteAvoided has written its line about avoid.
-	avoidNoted bool
+	// avoid is about the endpoint on which the last run failed.
+	avoid avoidance
 	// overlaps is kept for the log; it is nil for most tasks.
 	overlaps *overlapRecord
 }
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -317,22 +317,27 @@
 		return s.pendingCount, !account.withinLimit(s.def.Need, ps.unconfirmed[account])
 	}
 	pending := p.withoutExpired(s.pending())
+	waiting := 0
 	for i, t := range pending {
 		if !account.withinLimit(s.def.Need, ps.unconfirmed[account]) {
-			return len(pending) - i, true
+			return waiting + len(pending) - i, true
 		}
 		number := p.nextRun(t)
 		if !p.mayGive(number) {
 			continue
 		}
-		best := ps.chooseEndpoint(s, t, ready)
-		if best == nil {
-			return len(pending) - i, false
+		best, waits := ps.chooseEndpoint(s, t, ready)
+		switch {
+		case waits:
+			waiting++
+		case best == nil:
+			return waiting + len(pending) - i, false
+		default:
+			ps.start(t, best, number)
 		}
-		ps.start(t, best, number)
 	}
 
-	return 0, false
+	return waiting, false
 }
 
 // askForRoom asks the policy for the tickets that a step with unplaced tasks lacks.
@@ -402,18 +407,19 @@
 	return ready, expired
 }
 
-// chooseEndpoint returns the endpoint with the highest score for a task, or nil
-// when none fits.
-func (ps *pass) chooseEndpoint(s *step, t *task, ready []*endpoint) *endpoint {
+// chooseEndpoint returns the endpoint with the highest score for a task, or nil when
+// none fits. The endpoint on which the task's last run failed comes last; waits means
+// that it is the only one with room, and that the task waits for another one.
+func (ps *pass) chooseEndpoint(s *step, t *task, ready []*endpoint) (best *endpoint, waits bool) {
 	need := s.need()
-	var best *endpoint
+	var failed *endpoint
 	bestScore := 0.0
 	for _, e := range ready {
 		if !need.Fits(e.free()) || !s.belowEndpointLimit(e) || !availableTo(e, s) {
 			continue
 		}
-		if e == t.avoid && len(ps.usable) > 1 {
-			ps.noteAvoided(t, e)
+		if t.avoids(e) {
+			failed = e
 
 			continue
 		}
@@ -425,24 +431,14 @@
 			best, bestScore = e, score
 		}
 	}
-
-	return best
-}
-
-// noteAvoided notes, once for each failure, that t does not start on e because its last
-// run failed there, and how many other endpoints may run it.
-func (ps *pass) noteAvoided(t *task, e *endpoint) {
-	if t.avoidNoted {
-		return
-	}
-	t.avoidNoted = true
-	others := 0
-	for _, other := range ps.usable {
-		if other != e && t.step.need().Fits(other.Capacity) && t.step.eligible(other) {
-			others++
-		}
+	switch {
+	case best != nil || failed == nil:
+		return best, false
+	case ps.mustAvoid(t, failed):
+		return nil, true
+	default:
+		return failed, false
 	}
-	ps.planner.note("task avoids endpoint", t.step.job.ID, "endpoint", e.ID, "step", t.step.index, "index", t.index, "others", others)
 }
 
 // score rates an endpoint for a task of s. Proximity to the data weighs most,
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -157,7 +157,7 @@
 		"percent", r.percent, "for", now.Sub(r.progressedAt))
 	e.quarantine = min(max(e.quarantine*2, minQuarantine), maxQuarantine)
 	e.quarantinedUntil = now.Add(e.quarantine)
-	t.avoid, t.avoidNoted = e, false
+	t.avoidEndpoint(e, now)
 	p.stopRun(r)
 }
 
@@ -310,7 +310,7 @@
 	if r.endpoint.recordFailure(j.ID, now) {
 		p.note("endpoint in quarantine", "", "endpoint", r.endpoint.ID, "for", r.endpoint.quarantine)
 	}
-	t.avoid, t.avoidNoted = r.endpoint, false
+	t.avoidEndpoint(r.endpoint, now)
 	for _, number := range t.failed {
 		if number == row.Run {
 			p.requeue(r, row.Checkpoint)
--- a/internal/cell/planner/world_endpoint_test.go
+++ b/internal/cell/planner/world_endpoint_test.go
@@ -33,6 +33,8 @@
 	leavesAt         definer.Instant
 	// gone means that it does not come back.
 	gone bool
+	// label is the kind of the machine.
+	label string
 }
 
 // life is an endpoint from one start to its end.
@@ -85,12 +87,24 @@
 
 // addMachine adds a machine at an address.
 func (w *world) addMachine(address netip.AddrPort) {
-	m := &machine{world: w, id: fmt.Sprintf("e%02d", len(w.machines)), address: address}
+	m := &machine{world: w, id: fmt.Sprintf("e%02d", len(w.machines)), address: address, label: labelCommon}
+	if !slices.ContainsFunc(w.machines, (*machine).isSole) {
+		m.label = labelSole
+	}
 	w.machines = append(w.machines, m)
 	m.start()
 	m.beat()
 }
 
+// The kinds of machines: one of those that stay has labelSole, which some jobs require.
+const (
+	labelCommon = "common"
+	labelSole   = "sole"
+)
+
+// isSole reports whether m is the machine with labelSole.
+func (m *machine) isSole() bool { return m.label == labelSole && !m.gone && !m.draining }
+
 func (w *world) newAddress() netip.AddrPort {
 	for n := 1; ; n++ {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80)
@@ -141,6 +155,7 @@
 		listing := definer.Listing{
 			ID: m.id, Service: "service", Address: m.address, Zone: "zone", Born: m.life.born, Draining: m.draining,
 			Capacity: modeler.Resources{Millis: 12000, Memory: 64 << 30}, Remaining: max(m.leavesAt.Sub(w.now), 0),
+			Labels: []string{m.label},
 		}
 		old, listed := w.listings[m.id]
 		if !listed || old.Service != listing.Service || old.Born != listing.Born || old.Draining != listing.Draining || old.Address != listing.Address {
--- a/internal/cell/planner/world_faults_test.go
+++ b/internal/cell/planner/world_faults_test.go
@@ -106,7 +106,7 @@
 		w.record(definer.TaskName{}, "", "fault: %s", f.kind)
 		f.inject(w)
 	}
-	for w.usableMachines() < 3 {
+	for w.usableMachines() < 3 || !slices.ContainsFunc(w.machines, (*machine).isSole) {
 		w.addMachine(w.newAddress())
 	}
 	w.after(w.between(100*time.Millisecond, 1500*time.Millisecond), func() { w.injectFaults(end) })
--- a/internal/cell/planner/world_state_test.go
+++ b/internal/cell/planner/world_state_test.go
@@ -26,6 +26,9 @@
 	holdMax time.Duration
 	// listedEnds is how many ends an endpoint lists at a time.
 	listedEnds int
+	// setup draws what a seed's faults do not depend on; soleShare is the share of the jobs that require labelSole.
+	setup     *rand.Rand
+	soleShare float64
 
 	store    store
 	machines []*machine
--- a/internal/cell/planner/world_test.go
+++ b/internal/cell/planner/world_test.go
@@ -23,12 +23,15 @@
 )
 
 // callFaults are the kinds of faults that apply to single calls, lives and runs.
-var callFaults = []string{"slowclock", "longhold", "loss", "late", "lostappend", "refuse", "stall", "failed", kindFewEnds}
+var callFaults = []string{"slowclock", "longhold", "loss", "late", "lostappend", "refuse", "stall", "failed", kindFewEnds, kindSole}
 
 // kindFewEnds lets endpoints list one to three ends at a time, so that some of their
 // ends follow in later reports.
 const kindFewEnds = "fewends"
 
+// kindSole lets some jobs require a label that only one machine has.
+const kindSole = "sole"
+
 // kindNewLife lets orders that are carried out late reach an endpoint that has
 // restarted since. It only happens when it is named, because no owner can prevent
 // that such an order breaks a rule: the endpoint has forgotten what it was told.
@@ -97,9 +100,12 @@
 		onlyReachedBy: map[string]*owner{},
 	}
 	// Draws of its own leave the other faults of a seed as they are.
-	setup := rand.New(rand.NewSource(-seed))
-	if w.listedEnds = maxListedEnds; kinds[kindFewEnds] && setup.Intn(2) == 0 {
-		w.listedEnds = 1 + setup.Intn(3)
+	w.setup = rand.New(rand.NewSource(-seed))
+	if w.listedEnds = maxListedEnds; kinds[kindFewEnds] && w.setup.Intn(2) == 0 {
+		w.listedEnds = 1 + w.setup.Intn(3)
+	}
+	if kinds[kindSole] && w.setup.Intn(2) == 0 {
+		w.soleShare = 0.2
 	}
 	w.store = store{world: w, newest: map[string][]byte{}, first: map[int64]definer.Record{}}
 	if kinds["longhold"] && w.chance(0.5) {
@@ -134,6 +140,12 @@
 			steps[i].After = []int{0}
 		}
 	}
+	if w.setup.Float64() < w.soleShare {
+		for i := range steps {
+			// One machine has room for three tasks.
+			steps[i].Requires, steps[i].Count = labelSole, min(steps[i].Count, 2)
+		}
+	}
 	queue := definer.Queue{Name: "queue", Service: "service", Priority: 1, MaxAttempts: 50, Stretch: 2, Target: time.Second}
 	c := &client{job: definer.Job{ID: id, Account: "account", Spec: "spec", Steps: steps, Accepted: w.wall(), Queue: queue}}
 	w.clients = append(w.clients, c)
