Let work that fits nowhere else into a quarantine after 2 s

Now work that the usable endpoints could not hold even if they were empty, a gang's as a whole, is placed on an endpoint in quarantine after 2 s. The pause after a start that was not accepted has a field of its own and holds for all work, as before.

Measured: both cases of TestQuarantineOfSoleEndpointIsShort fail without the change.

--- a/internal/cell/planner/avoid.go
+++ b/internal/cell/planner/avoid.go
@@ -7,11 +7,17 @@
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 )
 
-// Failures keep a task away from an endpoint only for the sake of another one. Where no
-// other endpoint may run it, whatever the reason, it goes back to the only one.
+// Failures keep work away from an endpoint only for the sake of another one: a task
+// leaves the endpoint on which it failed to the others, and an endpoint in quarantine
+// leaves them all of its work. Where no other endpoint may run a task, whatever the
+// reason, it goes back to the only one.
 
-// maxAvoidTime is how long a task whose run failed waits for room on another endpoint.
-const maxAvoidTime = time.Second
+const (
+	// maxAvoidTime is how long a task whose run failed waits for room on another endpoint.
+	maxAvoidTime = time.Second
+	// maxSoleQuarantine is how long a quarantine holds back tasks that no other endpoint may run.
+	maxSoleQuarantine = 2 * time.Second
+)
 
 // avoidance says on which endpoint the last run of a task failed or stood still.
 type avoidance struct {
@@ -54,3 +60,58 @@
 		return other != e && need.Fits(other.Capacity) && s.eligible(other)
 	})
 }
+
+// beginQuarantine keeps work away from e after failures, each time for longer.
+func (e *endpoint) beginQuarantine(now definer.Instant) {
+	e.quarantine = min(max(e.quarantine*2, minQuarantine), maxQuarantine)
+	e.quarantinedAt, e.quarantinedUntil = now, now.Add(e.quarantine)
+}
+
+// inQuarantine reports whether e gets no work that another endpoint may run.
+func (e *endpoint) inQuarantine(now definer.Instant) bool { return now < e.quarantinedUntil }
+
+// soleUsable reports whether tasks that no other endpoint may run can be started on e
+// although it is in quarantine.
+func (e *endpoint) soleUsable(now definer.Instant, freshness time.Duration) bool {
+	return e.inQuarantine(now) && now.Sub(e.quarantinedAt) >= maxSoleQuarantine && e.reachable(now, freshness)
+}
+
+// poolFor returns the endpoints on which tasks of s may be started, those with the most
+// free processors first: the usable ones and, if these can't hold the tasks even when
+// they are empty, also those in quarantine.
+func (ps *pass) poolFor(s *step) []*endpoint {
+	if !ps.needsQuarantined(s) {
+		return ps.usable
+	}
+	if ps.all == nil {
+		ps.all = slices.Concat(ps.usable, ps.quarantined)
+		sortByRoom(ps.all)
+	}
+
+	return ps.all
+}
+
+// needsQuarantined reports whether the usable endpoints can't hold the tasks of s, and
+// endpoints in quarantine might.
+func (ps *pass) needsQuarantined(s *step) bool {
+	return len(ps.quarantined) > 0 && !s.fitsOn(ps.usable)
+}
+
+// fitsOn reports whether the endpoints can hold one task of s, or all of a gang, when
+// they are empty.
+func (s *step) fitsOn(endpoints []*endpoint) bool {
+	count := 1
+	if s.def.Gang {
+		count = s.tasksLeft
+	}
+	for _, e := range endpoints {
+		if !s.eligible(e) {
+			continue
+		}
+		if count -= tasksFitting(s, e.Capacity, s.def.PerEndpoint); count <= 0 {
+			return true
+		}
+	}
+
+	return false
+}
--- a/internal/cell/planner/avoid_test.go
+++ b/internal/cell/planner/avoid_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
 // maxIdleTime is how long a task may have nothing running while there is room for it.
@@ -131,3 +132,69 @@
 		t.Errorf("%d starts on a new life of the endpoint, want 1", len(c.started))
 	}
 }
+
+// failJobs lets the first run of several jobs that require the label fail on an endpoint.
+func (c *testCell) failJobs(count int, id, label string) {
+	for n := range count {
+		step := simpleStep(1)
+		step.Requires = label
+		job := c.job(fmt.Sprint("poison", n), step)
+		job.Queue.MaxAttempts = 1
+		c.accept(job)
+		c.planAndRun()
+		c.failRun(id)
+	}
+}
+
+// TestQuarantineOfSoleEndpointIsShort guards against tasks that wait for the end of a
+// long quarantine, because the only endpoint that may run them is in it.
+func TestQuarantineOfSoleEndpointIsShort(t *testing.T) {
+	for name, gang := range map[string]bool{"task": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newCell(t, 3)
+			c.failJobs(quarantineThreshold, "e000", "r1-0")
+			e := c.planner.endpoints["e000"]
+			e.quarantine, e.quarantinedUntil = maxQuarantine, c.now.Add(maxQuarantine)
+			step := simpleStep(1)
+			step.Gang = gang
+			if !gang {
+				step.Requires = "r1-0"
+			} else {
+				step.Count, step.Need = 3, modeler.Resources{Millis: 16000, Memory: gib}
+			}
+			c.accept(c.job("a", step))
+			c.plan()
+			if len(c.started) != 0 {
+				t.Fatalf("%d starts right after the failures, want none", len(c.started))
+			}
+			for began := c.now; len(c.started) == 0 && c.now.Sub(began) < maxIdleTime; {
+				c.advance(100 * time.Millisecond)
+				c.plan()
+			}
+			if len(c.started) != step.Count {
+				t.Errorf("%d starts within %v, want %d", len(c.started), maxIdleTime, step.Count)
+			}
+		})
+	}
+}
+
+// TestQuarantineHoldsWhileOthersMayRun guards against work on an endpoint that fails
+// all of it, while another endpoint may run it and is full.
+func TestQuarantineHoldsWhileOthersMayRun(t *testing.T) {
+	c := newCell(t, 2)
+	full := simpleStep(1)
+	full.Need.Millis, full.Requires, full.LongRunning = 16000, "r1-1", true
+	c.accept(c.job("full", full))
+	c.planAndRun()
+	c.failJobs(quarantineThreshold, "e000", "r1-0")
+	e := c.planner.endpoints["e000"]
+	e.quarantine, e.quarantinedUntil = maxQuarantine, c.now.Add(maxQuarantine)
+	c.accept(c.job("a", simpleStep(1)))
+	for range 50 {
+		c.advance(100 * time.Millisecond)
+		c.plan()
+	}
+	if len(c.started) != 0 {
+		t.Errorf("starts %+v in a quarantine, want none", c.started)
+	}
+}
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -70,10 +70,12 @@
 	consecutiveFailures int
 	// lastFailedJob is the job of the last failed run, so that a job that always fails does not count repeatedly.
 	lastFailedJob string
-	// quarantinedUntil is when starts are allowed again after failures, and quarantine
-	// the length of the last quarantine.
-	quarantinedUntil definer.Instant
-	quarantine       time.Duration
+	// quarantinedAt and quarantinedUntil are when the last quarantine after failures began and ends, and quarantine
+	// is its length.
+	quarantinedAt, quarantinedUntil definer.Instant
+	quarantine                      time.Duration
+	// pausedUntil is when starts are allowed again after one that was not accepted.
+	pausedUntil definer.Instant
 	// speed is the mean ratio of expected to actual run times.
 	speed float64
 }
@@ -216,7 +218,13 @@
 
 // usable reports whether tasks may be started on e.
 func (e *endpoint) usable(now definer.Instant, freshness time.Duration) bool {
-	return e.acceptedTerm && e.listed && e.entry == entryStored && e.addressStored && !e.Draining && e.unknownRuns == 0 && now >= e.quarantinedUntil && now.Sub(e.lastAnswered) < freshness
+	return e.reachable(now, freshness) && !e.inQuarantine(now)
+}
+
+// reachable reports whether e would carry out a start, quarantine aside.
+func (e *endpoint) reachable(now definer.Instant, freshness time.Duration) bool {
+	return e.acceptedTerm && e.listed && e.entry == entryStored && e.addressStored && !e.Draining && e.unknownRuns == 0 &&
+		now >= e.pausedUntil && now.Sub(e.lastAnswered) < freshness
 }
 
 func (e *endpoint) target() definer.Target {
@@ -238,7 +246,7 @@
 	e.leaseUntil = now.Add(p.settings.maxLeaseBound())
 	e.lastEnd, e.acknowledgedEnd, e.reportedEnds = 0, 0, nil
 	delete(p.unacknowledged, e)
-	e.consecutiveFailures, e.quarantinedUntil, e.quarantine = 0, 0, 0
+	e.consecutiveFailures, e.quarantinedUntil, e.quarantine, e.pausedUntil = 0, 0, 0, 0
 	for _, r := range e.runs {
 		if r.phase == phaseSent || r.phase == phaseStopping && !r.confirmed {
 			// The new process may still receive and carry out the start, so the run has to be stopped there.
@@ -369,8 +377,7 @@
 	if e.consecutiveFailures < quarantineThreshold {
 		return false
 	}
-	e.quarantine = min(max(e.quarantine*2, minQuarantine), maxQuarantine)
-	e.quarantinedUntil = now.Add(e.quarantine)
+	e.beginQuarantine(now)
 	// One more failure after the quarantine starts the next one.
 	e.consecutiveFailures = quarantineThreshold - 1
 
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -123,7 +123,7 @@
 	need := s.need()
 	var admitted []*endpoint
 	for _, e := range s.admission.admitted {
-		if ps.isUsable(e) && need.Fits(e.Capacity) && s.admission.admits(e) && s.eligible(e) {
+		if ps.isUsable(s, e) && need.Fits(e.Capacity) && s.admission.admits(e) && s.eligible(e) {
 			admitted = append(admitted, e)
 		}
 	}
@@ -284,7 +284,7 @@
 // enough for the gang.
 func (ps *pass) reservationValid(s *step, count int) bool {
 	for _, e := range s.reserved {
-		if holder := e.reservedFor; holder != nil && holder != s || !e.usable(ps.now, ps.planner.settings.Freshness) {
+		if holder := e.reservedFor; holder != nil && holder != s || !ps.isUsable(s, e) {
 			return false
 		}
 	}
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -123,6 +123,9 @@
 	unconfirmed map[*account]modeler.Resources
 	// usable holds the endpoints on which tasks may be started, those with the most free processors first.
 	usable []*endpoint
+	// quarantined holds the endpoints that soleUsable reports, and all these and the usable ones, if a step needs
+	// them, in the order of usable.
+	quarantined, all []*endpoint
 	// reservingGangs counts the gangs with reservations, waitingGangs those that wait for room or tickets,
 	// exploringGangs those without an answer of their policy, and prefetched the steps that request tickets
 	// before there is room.
@@ -136,22 +139,37 @@
 	unplaceable map[group][]modeler.Resources
 }
 
-// findUsable collects the usable endpoints and records their free resources.
+// findUsable collects the endpoints on which tasks may be started and records their
+// free resources.
 func (ps *pass) findUsable() {
 	p := ps.planner
 	ps.usable = make([]*endpoint, 0, len(p.ordered))
 	for _, e := range p.ordered {
 		e.reservedFor = nil
-		if e.usable(ps.now, p.settings.Freshness) {
-			e.round, e.room = p.rounds, e.free()
+		switch {
+		case e.usable(ps.now, p.settings.Freshness):
 			ps.usable = append(ps.usable, e)
+		case e.soleUsable(ps.now, p.settings.Freshness):
+			ps.quarantined = append(ps.quarantined, e)
+		default:
+			continue
 		}
+		e.round, e.room = p.rounds, e.free()
 	}
-	slices.SortStableFunc(ps.usable, func(a, b *endpoint) int { return cmp.Compare(b.room.Millis, a.room.Millis) })
+	sortByRoom(ps.usable)
 }
 
-// isUsable reports whether e is among the usable endpoints of the round.
-func (ps *pass) isUsable(e *endpoint) bool { return e.round == ps.planner.rounds }
+// sortByRoom sorts endpoints by their free processors at the beginning of the round,
+// the most first.
+func sortByRoom(endpoints []*endpoint) {
+	slices.SortStableFunc(endpoints, func(a, b *endpoint) int { return cmp.Compare(b.room.Millis, a.room.Millis) })
+}
+
+// isUsable reports whether tasks of s may be started on e in this round, if it is
+// eligible.
+func (ps *pass) isUsable(s *step, e *endpoint) bool {
+	return e.round == ps.planner.rounds && (!e.inQuarantine(ps.now) || ps.needsQuarantined(s))
+}
 
 // limit returns 1 plus the given share of the number of usable endpoints.
 func (ps *pass) limit(share float64) int { return 1 + int(share*float64(len(ps.usable))) }
@@ -181,7 +199,7 @@
 
 		return
 	}
-	if ps.lacksRoom(s) {
+	if ps.lacksRoom(s) && !ps.needsQuarantined(s) {
 		ps.prefetchTickets(s)
 	} else {
 		ps.placeTasks(s)
@@ -234,7 +252,7 @@
 func (ps *pass) candidates(s *step) []*endpoint {
 	need := s.need()
 	candidates := ps.scratch[:0]
-	for _, e := range ps.usable {
+	for _, e := range ps.poolFor(s) {
 		if need.Fits(e.Capacity) && s.eligible(e) {
 			candidates = append(candidates, e)
 		}
@@ -254,7 +272,7 @@
 	fits := false
 	service := s.job.Queue.Service
 	group := groupOf(s)
-	for _, e := range ps.usable {
+	for _, e := range ps.poolFor(s) {
 		if e.room.Millis < need.Millis {
 			break
 		}
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -155,8 +155,7 @@
 	e := r.endpoint
 	p.note("task stands still", r.name.Job, "endpoint", e.ID, "step", r.name.Step, "index", r.name.Index, "run", r.number,
 		"percent", r.percent, "for", now.Sub(r.progressedAt))
-	e.quarantine = min(max(e.quarantine*2, minQuarantine), maxQuarantine)
-	e.quarantinedUntil = now.Add(e.quarantine)
+	e.beginQuarantine(now)
 	t.avoidEndpoint(e, now)
 	p.stopRun(r)
 }
@@ -464,7 +463,7 @@
 // pauseStarts prevents starts for startFailurePause on an endpoint that did not
 // accept a start.
 func (p *Planner) pauseStarts(e *endpoint, now definer.Instant) {
-	e.quarantinedUntil = max(e.quarantinedUntil, now.Add(startFailurePause))
+	e.pausedUntil = now.Add(startFailurePause)
 }
 
 // startFailurePause is how long an endpoint gets no work after it did not accept a start.
