Disrupt cells with full lists of ends and with a sole endpoint

The stand-in now lists 500 ends at a time, like the users' endpoints, and the mix many-ends pauses the owner while more runs end on each endpoint.

--- a/internal/cell/planner/avoid_test.go
+++ b/internal/cell/planner/avoid_test.go
@@ -48,7 +48,7 @@
 		"the policy has refused the others": func(_ *testCell, job *definer.Job) {
 			job.Queue.Policy = &definer.Policy{Validity: time.Minute}
 		},
-		"the others are full": func(c *testCell, job *definer.Job) {
+		"the others are full": func(c *testCell, _ *definer.Job) {
 			for n := range 2 {
 				full := simpleStep(1)
 				full.Need.Millis, full.Requires, full.LongRunning = 16000, fmt.Sprint("r1-", n+1), true
--- a/internal/cell/planner/judgement_test.go
+++ b/internal/cell/planner/judgement_test.go
@@ -64,7 +64,7 @@
 // may have succeeded without an answer.
 func TestEndpointsBeingStoredCountForMajority(t *testing.T) {
 	c := newCell(t, 3)
-	var added []string
+	added := make([]string, 0, 4)
 	for n := range 4 {
 		id := fmt.Sprintf("new%d", n)
 		added = append(added, id)
--- a/internal/proof/disrupter/client.go
+++ b/internal/proof/disrupter/client.go
@@ -27,6 +27,10 @@
 	// of those submitted with the spare key.
 	cancelShare = 0.1
 	spareShare  = 0.15
+	// soleShare is the share of the jobs that only the endpoint with labelSole may run, and maxSoleCount the
+	// maximum number of their tasks.
+	soleShare    = 0.1
+	maxSoleCount = 2
 	// minLength is the minimum time for which a task runs.
 	minLength = 100 * time.Millisecond
 )
@@ -56,7 +60,8 @@
 }
 
 // loop submits jobs until stop is closed and waits for their clients.
-func (cs *clients) loop(ctx context.Context, random *rand.Rand, stop <-chan struct{}) {
+// sole is a source of its own for the jobs with labelSole.
+func (cs *clients) loop(ctx context.Context, random, sole *rand.Rand, stop <-chan struct{}) {
 	ticker := time.NewTicker(time.Second / time.Duration(cs.cluster.settings.Rate))
 	defer ticker.Stop()
 	defer cs.pending.Wait()
@@ -67,6 +72,10 @@
 		case <-ticker.C:
 		}
 		job := &submittedJob{id: fmt.Sprintf("%016x", random.Uint64()), work: randomWork(random, cs.cluster.settings.Mix.maxLength())}
+		if sole.Float64() < soleShare && !job.work.Gang && !cs.cluster.settings.Mix.onlySeries() {
+			job.work.Requires, job.work.Count = labelSole, min(job.work.Count, maxSoleCount)
+			job.work.Fails = sole.IntN(maxAttempts)
+		}
 		key := mainKey
 		if random.Float64() < spareShare {
 			key = spareKey
@@ -98,7 +107,7 @@
 func (j *submittedJob) body() []byte {
 	return encode(map[string]any{"spec": j.work.Spec, "steps": []map[string]any{{
 		"count": j.work.Count, "cpu": j.work.Need.Millis, "mem-mb": j.work.Need.Memory >> 20, "gang": j.work.Gang,
-		"estimate-ms": j.work.Length.Milliseconds(),
+		"estimate-ms": j.work.Length.Milliseconds(), "requires": j.work.Requires,
 	}}})
 }
 
--- a/internal/proof/disrupter/cluster.go
+++ b/internal/proof/disrupter/cluster.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 	endpoint *executor.Endpoint
 	route    *relayer.Route
 	zone     string
+	label    string
 
 	mu       sync.Mutex
 	draining bool
@@ -141,8 +143,11 @@
 	if err != nil {
 		return err
 	}
-	h := &host{endpoint: endpoint, route: route, zone: zone}
+	h := &host{endpoint: endpoint, route: route, zone: zone, label: labelCommon}
 	c.mu.Lock()
+	if !slices.ContainsFunc(c.hosts, (*host).isSole) {
+		h.label = labelSole
+	}
 	c.hosts = append(c.hosts, h)
 	c.mu.Unlock()
 	c.publishEndpoint(h)
@@ -150,6 +155,15 @@
 	return nil
 }
 
+// The kinds of endpoints: one of those that stay has labelSole, which some jobs require.
+const (
+	labelCommon = "common"
+	labelSole   = "sole"
+)
+
+// isSole reports whether h is the endpoint with labelSole.
+func (h *host) isSole() bool { return h.label == labelSole && h.available() }
+
 func zoneOf(number int) string {
 	return []string{"costa-lima", "sierra-cusco", "selva-iquitos"}[number%3]
 }
@@ -167,7 +181,7 @@
 	h.heartbeats++
 	state := map[string]any{
 		"service": "service", "address": h.route.Address().String(), "zone": h.zone, "version": "1", "slots": 8, "state": "ready",
-		"sequence": h.heartbeats, "born": h.endpoint.Born().UnixMilli(), "labels": []string{"a", "r1-1"},
+		"sequence": h.heartbeats, "born": h.endpoint.Born().UnixMilli(), "labels": []string{h.label, "r1-1"},
 		"capacity": map[string]any{"cpu": endpointMillis, "mem-mb": endpointMemory >> 20, "gpu": 0},
 	}
 	if h.draining {
--- a/internal/proof/disrupter/disrupter.go
+++ b/internal/proof/disrupter/disrupter.go
@@ -80,9 +80,9 @@
 		return errors.Errorf("no job accepted within %s", startTimeout)
 	}
 	logf("first job accepted")
-	i := &faultInjector{cluster: c, mix: settings.Mix, random: newRandom(2), counts: map[string]int{}, stopping: map[*launcher.Process]bool{}, logf: logf, steps: make(chan func(), 1024)}
+	i := &faultInjector{cluster: c, clients: cs, mix: settings.Mix, random: newRandom(2), counts: map[string]int{}, stopping: map[*launcher.Process]bool{}, logf: logf, steps: make(chan func(), 1024)}
 	var work sync.WaitGroup
-	work.Go(func() { cs.loop(ctx, newRandom(3), stop) })
+	work.Go(func() { cs.loop(ctx, newRandom(3), newRandom(5), stop) })
 	work.Go(func() { i.run(ctx, stop) })
 	p := &poller{clients: cs, random: newRandom(4)}
 	work.Go(func() { p.loop(ctx, stop) })
--- a/internal/proof/disrupter/fault.go
+++ b/internal/proof/disrupter/fault.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -103,8 +105,11 @@
 // faultInjector injects random faults into a cluster.
 type faultInjector struct {
 	cluster *cluster
+	clients *clients
 	mix     Mix
 	random  *rand.Rand
+	// bursts are the clients of the jobs that a fault submits.
+	bursts sync.WaitGroup
 	// addedHosts counts the endpoints added in place of drained ones.
 	addedHosts int
 	counts     map[string]int
@@ -119,6 +124,7 @@
 
 // run injects faults until stop is closed or ctx ends, and then undoes them.
 func (i *faultInjector) run(ctx context.Context, stop <-chan struct{}) {
+	defer i.bursts.Wait()
 	defer i.undoAll()
 	catalogue := i.mix.faults()
 	for {
@@ -321,7 +327,7 @@
 // formatCounts lists the counts of the injected faults by name.
 func formatCounts(counts map[string]int) string {
 	text := ""
-	for _, f := range MixAll.faults() {
+	for _, f := range slices.Concat(MixAll.faults(), manyEnds) {
 		if counts[f.name] > 0 {
 			text += fmt.Sprintf("  %-40s %d\n", f.name, counts[f.name])
 		}
--- a/internal/proof/disrupter/series.go
+++ b/internal/proof/disrupter/series.go
@@ -28,6 +28,8 @@
 	MixStoreCut Mix = "store-cut"
 	// MixMalformed leaves malformed entries in the endpoint list while owners are replaced.
 	MixMalformed Mix = "malformed"
+	// MixManyEnds pauses the owner while more runs end on each endpoint than it lists at a time.
+	MixManyEnds Mix = "many-ends"
 	// MixAll injects all faults and series.
 	MixAll Mix = "all"
 )
@@ -35,7 +37,7 @@
 // UnmarshalText implements encoding.TextUnmarshaler and refuses unknown mixes.
 func (m *Mix) UnmarshalText(text []byte) error {
 	switch mix := Mix(text); mix {
-	case MixSingle, MixStruckTwice, MixStoreCut, MixMalformed, MixAll:
+	case MixSingle, MixStruckTwice, MixStoreCut, MixMalformed, MixManyEnds, MixAll:
 		*m = mix
 
 		return nil
@@ -100,6 +102,8 @@
 		return storeCut
 	case MixMalformed:
 		return malformed
+	case MixManyEnds:
+		return manyEnds
 	case MixAll:
 		return slices.Concat(faults, struckTwice, storeCut, malformed)
 	case MixSingle:
@@ -113,6 +117,9 @@
 
 // interval returns a random time from one fault to the next.
 func (m Mix) interval(random *rand.Rand) time.Duration {
+	if m == MixManyEnds {
+		return burstInterval
+	}
 	if m.onlySeries() {
 		return minSeriesInterval + randomDuration(random, maxSeriesInterval-minSeriesInterval)
 	}
--- a/internal/proof/disrupter/series_test.go
+++ b/internal/proof/disrupter/series_test.go
@@ -14,6 +14,7 @@
 		{"struck-twice", len(struckTwice), true},
 		{"store-cut", len(storeCut), true},
 		{"malformed", len(malformed), true},
+		{"many-ends", len(manyEnds), true},
 		{"all", len(faults) + len(struckTwice) + len(storeCut) + len(malformed), true},
 		{"none", 0, false},
 	} {
--- a/internal/standin/executor/ledger.go
+++ b/internal/standin/executor/ledger.go
@@ -21,6 +21,8 @@
 	Need    modeler.Resources
 	Length  time.Duration
 	Gang    bool
+	// Requires is a label that the endpoint must have; empty means any endpoint.
+	Requires string
 	// Attempts is the number of failures after which a task is not started again,
 	// and Fails the number of runs of each task that fail.
 	Attempts, Fails int
--- a/internal/standin/executor/server.go
+++ b/internal/standin/executor/server.go
@@ -164,8 +164,13 @@
 	return http.StatusOK, ""
 }
 
+// maxListedEnds is how many ends an endpoint lists at a time; the next ones follow once
+// these are acknowledged.
+const maxListedEnds = 500
+
 // listRuns returns the runs in progress, each with the percentage of its duration
-// that has passed, and the listed ends; the caller holds the lock.
+// that has passed, and the first ends that are not acknowledged; the caller holds the
+// lock.
 func (e *Endpoint) listRuns() (running, ended [][5]any) {
 	for _, r := range e.running {
 		percent := 0
@@ -174,7 +179,7 @@
 		}
 		running = append(running, [5]any{r.task, r.number, "", min(percent, 100), 0})
 	}
-	for _, end := range e.ends {
+	for _, end := range e.ends[:min(len(e.ends), maxListedEnds)] {
 		ended = append(ended, [5]any{end.number, end.task, end.run, end.result.outcome, ""})
 	}
 
