Keep the wait for a sole endpoint in quarantine at 2 s

Each further failure on an endpoint in quarantine began the 2 s anew after which work that fits nowhere else may use it. Tasks that had been started there before and fail now and then thus kept such work waiting for longer. Found by reading.

Now a failure begins a new wait only once the last one is over.

--- a/internal/cell/planner/avoid.go
+++ b/internal/cell/planner/avoid.go
@@ -61,10 +61,14 @@
 	})
 }
 
-// beginQuarantine keeps work away from e after failures, each time for longer.
+// beginQuarantine keeps work away from e after failures, each time for longer. Further
+// failures do not prolong the time for which tasks that no other endpoint may run wait.
 func (e *endpoint) beginQuarantine(now definer.Instant) {
+	if !e.inQuarantine(now) || now.Sub(e.quarantinedAt) >= maxSoleQuarantine {
+		e.quarantinedAt = now
+	}
 	e.quarantine = min(max(e.quarantine*2, minQuarantine), maxQuarantine)
-	e.quarantinedAt, e.quarantinedUntil = now, now.Add(e.quarantine)
+	e.quarantinedUntil = now.Add(e.quarantine)
 }
 
 // inQuarantine reports whether e gets no work that another endpoint may run.
--- a/internal/cell/planner/avoid_test.go
+++ b/internal/cell/planner/avoid_test.go
@@ -178,6 +178,34 @@
 	}
 }
 
+// TestFurtherFailuresDoNotProlongTheWait guards against tasks that wait for as long as
+// other tasks fail now and then on the only endpoint that may run them.
+func TestFurtherFailuresDoNotProlongTheWait(t *testing.T) {
+	c := newCell(t, 3)
+	const failing = 5
+	step := definer.Step{Count: 1, Need: modeler.Resources{Millis: 1000}, Requires: "r1-0", LongRunning: true}
+	for n := range failing {
+		c.accept(c.job(fmt.Sprint("failing", n), step))
+	}
+	c.planAndRun()
+	e := c.planner.endpoints["e000"]
+	e.consecutiveFailures = quarantineThreshold
+	began := c.now
+	for n := range failing {
+		c.endRun("e000", definer.TaskName{Job: fmt.Sprint("failing", n)}, 1, definer.EndFailed)
+		if n == 0 {
+			c.accept(c.job("a", step))
+		}
+		for range 9 {
+			c.advance(100 * time.Millisecond)
+			c.plan()
+		}
+	}
+	if len(c.started) == 0 {
+		t.Errorf("no start within %v in which other tasks have failed", c.now.Sub(began))
+	}
+}
+
 // TestQuarantineHoldsWhileOthersMayRun guards against work on an endpoint that fails
 // all of it, while another endpoint may run it and is full.
 func TestQuarantineHoldsWhileOthersMayRun(t *testing.T) {
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -70,8 +70,8 @@
 	consecutiveFailures int
 	// lastFailedJob is the job of the last failed run, so that a job that always fails does not count repeatedly.
 	lastFailedJob string
-	// quarantinedAt and quarantinedUntil are when the last quarantine after failures began and ends, and quarantine
-	// is its length.
+	// quarantinedAt is when tasks that no other endpoint may run were last held back after failures,
+	// quarantinedUntil the end of the last quarantine, and quarantine its length.
 	quarantinedAt, quarantinedUntil definer.Instant
 	quarantine                      time.Duration
 	// pausedUntil is when starts are allowed again after one that was not accepted.
