--- a/internal/cell/planner/backlog.go
+++ b/internal/cell/planner/backlog.go
@@ -59,14 +59,14 @@
 	measuredAt definer.Instant
 	// work is the estimated work of the pending tasks in core-seconds, by the priority of their queue.
 	work map[int]float64
-	// processors is the number of cores of all listed endpoints that are not draining.
+	// processors is the number of cores of all listed endpoints that are not draining and have ever answered.
 	processors float64
 }
 
 // Backlog returns the estimated work in core-seconds of the pending tasks whose
 // queue has the given priority or a more urgent one, and the cores of all
-// listed endpoints that are not draining. Jobs beyond their account's rate are
-// left out.
+// listed endpoints that are not draining and have ever answered. Jobs beyond their
+// account's rate are left out.
 func (p *Planner) Backlog(priority int, now definer.Instant) (work, processors float64) {
 	if p.backlog.work == nil || now.Sub(p.backlog.measuredAt) >= backlogAge {
 		p.measureBacklog(now)
@@ -86,7 +86,7 @@
 		p.backlog.add(s)
 	}
 	for _, e := range p.ordered {
-		if e.listed && !e.Draining {
+		if e.listed && !e.Draining && !e.neverUsed() {
 			p.backlog.processors += float64(e.Capacity.Millis) / millisPerCore
 		}
 	}
--- a/internal/cell/planner/listing_test.go
+++ b/internal/cell/planner/listing_test.go
@@ -119,3 +119,15 @@
 		t.Errorf("after the endpoint has written its entry: listed %v, %d unused entries", e.listed, len(c.planner.unusedListings))
 	}
 }
+
+// TestEntriesWithoutEndpointAreNoRoom guards against jobs that are accepted although
+// they can't be done in time, because room is expected where nothing answers.
+func TestEntriesWithoutEndpointAreNoRoom(t *testing.T) {
+	c := newCell(t, 3)
+	_, before := c.planner.Backlog(1, c.now)
+	c.listUnanswered(3, "service")
+	c.now = c.now.Add(backlogAge)
+	if _, after := c.planner.Backlog(1, c.now); after != before {
+		t.Errorf("%v cores with entries at which nothing answers, %v before", after, before)
+	}
+}
