Keep a machine with the sole label in the simulated cell

A machine with a taken address is no longer the one with the label, and another one comes, also once the faults have ended. The check is as it was.

--- a/internal/cell/planner/world_endpoint_test.go
+++ b/internal/cell/planner/world_endpoint_test.go
@@ -102,8 +102,11 @@
 	labelSole   = "sole"
 )
 
-// isSole reports whether m is the machine with labelSole.
-func (m *machine) isSole() bool { return m.label == labelSole && !m.gone && !m.draining }
+// isSole reports whether m is the machine with labelSole. One whose address another
+// machine has taken does not come back.
+func (m *machine) isSole() bool {
+	return m.label == labelSole && !m.gone && !m.draining && (m.life != nil || m.world.lives[m.address] == nil)
+}
 
 func (w *world) newAddress() netip.AddrPort {
 	for n := 1; ; n++ {
--- a/internal/cell/planner/world_faults_test.go
+++ b/internal/cell/planner/world_faults_test.go
@@ -106,10 +106,15 @@
 		w.record(definer.TaskName{}, "", "fault: %s", f.kind)
 		f.inject(w)
 	}
+	w.replaceMachines()
+	w.after(w.between(100*time.Millisecond, 1500*time.Millisecond), func() { w.injectFaults(end) })
+}
+
+// replaceMachines adds machines while too few are usable or none has labelSole.
+func (w *world) replaceMachines() {
 	for w.usableMachines() < 3 || !slices.ContainsFunc(w.machines, (*machine).isSole) {
 		w.addMachine(w.newAddress())
 	}
-	w.after(w.between(100*time.Millisecond, 1500*time.Millisecond), func() { w.injectFaults(end) })
 }
 
 // heal ends all faults.
@@ -125,6 +130,7 @@
 	for _, m := range w.machines {
 		m.silent, m.isolated = false, false
 	}
+	w.replaceMachines()
 }
 
 // supervise makes an instance claim the cell when the owner has ended or appends nothing.
