Say in the log why a job has nothing at work

The log had no line about such a job between its acceptance and its next start, so that a placement limit, a missing turn, a question without an answer and expired tickets looked alike.

--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -40,6 +40,8 @@
 	retryAt definer.Instant
 	// outstanding counts the questions without an answer.
 	outstanding int
+	// askedAt is when a question was last sent, and answeredAt when one was last answered, or 0.
+	askedAt, answeredAt definer.Instant
 	// askBlockedUntil is when the outstanding questions count as lost, or when the
 	// pause after an unanswered one ends. It is 0 after the last answer.
 	askBlockedUntil definer.Instant
@@ -139,7 +141,7 @@
 	}
 	questions := (len(endpoints) + maxAskedEndpoints - 1) / maxAskedEndpoints
 	size := (len(endpoints) + questions - 1) / questions
-	s.admission.outstanding = 0
+	s.admission.outstanding, s.admission.askedAt = 0, now
 	for question := range slices.Chunk(endpoints, size) {
 		s.admission.outstanding++
 		cost := policy.Decide + time.Duration(len(question))*policy.Each
@@ -184,6 +186,7 @@
 	if !answered {
 		return
 	}
+	s.admission.answeredAt = now
 	values := make(map[string]string, len(tickets))
 	for _, t := range tickets {
 		values[t.Endpoint] = t.Value
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
@@ -34,6 +35,8 @@
 	finalShown bool
 	// begun means that a task of the job has been started.
 	begun bool
+	// standsSince is when the job was first seen to stand, or 0, and standNotedAt when a note last said why.
+	standsSince, standNotedAt definer.Instant
 }
 
 // occurrence is one execution of all steps of a job.
@@ -71,6 +74,8 @@
 	// urgency and overShare are computed anew in each round of placement.
 	urgency   int
 	overShare bool
+	// turnAt is when a round of placement last considered the step.
+	turnAt definer.Instant
 }
 
 // task is one task of a step.
@@ -274,12 +279,14 @@
 	if s.tasksLeft == 0 || s.job.state.Final() || s.job.cancelling {
 		return
 	}
-	for _, dependency := range s.def.After {
-		if s.occurrence.steps[dependency].tasksLeft > 0 {
-			return
-		}
+	if s.dependenciesDone() {
+		p.readySteps[s] = struct{}{}
 	}
-	p.readySteps[s] = struct{}{}
+}
+
+// dependenciesDone reports whether the steps that s depends on are done.
+func (s *step) dependenciesDone() bool {
+	return !slices.ContainsFunc(s.def.After, func(dependency int) bool { return s.occurrence.steps[dependency].tasksLeft > 0 })
 }
 
 // occurrence returns the occurrence with the given number, or nil.
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -72,7 +72,12 @@
 // nothing without a majority of the endpoints.
 func (p *Planner) Plan(now definer.Instant) {
 	p.now = now
-	if len(p.readySteps) == 0 || !p.HasMajority(now) {
+	if !p.HasMajority(now) {
+		p.noteStanding(nil, now)
+
+		return
+	}
+	if len(p.readySteps) == 0 && !p.standingDue(now) {
 		return
 	}
 	p.recordMajority(now)
@@ -96,6 +101,7 @@
 	for _, s := range ps.inTurn(steps[urgent:]) {
 		ps.place(s)
 	}
+	p.noteStanding(ps, now)
 }
 
 // inTurn returns the deferrable steps that have their turn in this round, the same
@@ -178,6 +184,7 @@
 // starts as a whole or not at all.
 func (ps *pass) place(s *step) {
 	p := ps.planner
+	s.turnAt = ps.now
 	if s.job.inherited && !ps.takeoverSettled {
 		return
 	}
@@ -294,8 +301,13 @@
 
 // eligible reports whether e may run tasks of s, not considering resources.
 func (s *step) eligible(e *endpoint) bool {
-	return e.Service == s.job.Queue.Service && (s.def.Requires == "" || e.Label(s.def.Requires)) &&
-		(s.job.Queue.Policy == nil || !s.admission.refuses(e)) && !s.interferes(e)
+	return s.matches(e) && (s.job.Queue.Policy == nil || !s.admission.refuses(e))
+}
+
+// matches reports whether e may run tasks of s, not considering resources and the
+// placement policy.
+func (s *step) matches(e *endpoint) bool {
+	return e.Service == s.job.Queue.Service && (s.def.Requires == "" || e.Label(s.def.Requires)) && !s.interferes(e)
 }
 
 // interferes reports whether a task of s must not share e with the runs there.
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -106,6 +106,8 @@
 	// lastActive is the time of the last call of CheckSuspension, and resumedAt when the owner
 	// last ran again after it had been suspended.
 	lastActive, resumedAt definer.Instant
+	// standingNotedAt is when jobs that stand were last looked for.
+	standingNotedAt definer.Instant
 	// now is the time of the last processed message.
 	now      definer.Instant
 	commands []Command
