Count only present runs under a step's limit for each endpoint

Cause: the step's count of its runs on an endpoint went down only when a run was requeued, not when it ended as done, and not when another run had replaced it. A step with more tasks than its limit times the endpoints that its policy admits ran out of endpoints, and went on only as new ones were added.

The count now follows the runs on the endpoint, as capacity does: up when a run is sent or adopted, down when its end is known. A run that is being stopped counts until then, also after a takeover, a restart of the endpoint under its id (its runs are released by the next inventory) and while the store is cut.

TestEndedTaskLeavesRoomUnderEndpointLimit and TestAdoptedRunCountsUnderEndpointLimit failed before. Without the decrement, and without the increment, both and TestStoppingRunCountsUnderEndpointLimit fail.

--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -296,10 +296,12 @@
 
 		return
 	}
+	s := r.task.step
 	if r.task.activeRuns++; r.task.activeRuns == 1 && !r.task.done {
-		r.task.step.pendingCount--
+		s.pendingCount--
 	}
-	def := r.task.step.def
+	s.placed[e]++
+	def := s.def
 	r.account.used = r.account.used.Add(def.Need)
 	e.countKinds(def, 1)
 }
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -56,7 +56,7 @@
 	tasksLeft  int
 	// pendingCount is the number of tasks that are neither done nor on an endpoint.
 	pendingCount int
-	// placed counts the runs of the step on each endpoint.
+	// placed counts the runs of the step that each endpoint has, also those that are being stopped.
 	placed map[*endpoint]int
 	// gangRun is the number of the gang's current run, or 0.
 	gangRun int
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -500,7 +500,6 @@
 	e.addRun(r)
 	// A start order extends the lease of every run on the endpoint.
 	e.lastSent = ps.now
-	s.placed[e]++
 	if !s.job.begun {
 		s.job.begun = true
 		p.note("first start", s.job.ID, "waited", ps.now.Sub(s.job.accepted), "endpoint", e.ID)
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -194,7 +194,6 @@
 	s := t.step
 	t.run = r
 	p.raiseLastRun(t, row.Run)
-	s.placed[e]++
 	s.job.begun = true
 	if s.def.Gang {
 		s.gangRun, s.gangSince = row.Run, now
@@ -362,10 +361,14 @@
 
 		return
 	}
+	s := r.task.step
 	if r.task.activeRuns--; r.task.activeRuns == 0 && !r.task.done {
-		r.task.step.pendingCount++
+		s.pendingCount++
 	}
-	def := r.task.step.def
+	if s.placed[r.endpoint]--; s.placed[r.endpoint] <= 0 {
+		delete(s.placed, r.endpoint)
+	}
+	def := s.def
 	r.account.used = r.account.used.Sub(def.Need)
 	r.endpoint.countKinds(def, -1)
 }
@@ -385,9 +388,6 @@
 	}
 	t.run = nil
 	s := t.step
-	if s.placed[r.endpoint]--; s.placed[r.endpoint] <= 0 {
-		delete(s.placed, r.endpoint)
-	}
 	if t.done || s.job.state.Final() || s.job.cancelling {
 		return
 	}
