Give deferrable steps their turns by the time of the last one

What callers saw: accepted work beyond the rate of its account, or too late to be useful, may stand for as long as other such work comes and goes beside it.

Cause: the turns were a window over the list of deferrable steps that began at rounds * count % length. That is a rotation only while the length stays the same. When it changes with the rounds, the windows may leave out the same steps each time.

The steps whose last turn was longest ago have theirs first. A step that joins goes behind all others, and each other step goes before it at most once, so that M deferrable steps all have a turn within M / count rounds, whatever comes and goes.

--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -22,9 +22,6 @@
 	// exploringGangShare bounds the gangs that may wait for the first answer of their
 	// placement policy, as a share of the usable endpoints.
 	exploringGangShare = 1.0 / 4
-	// deferrableShare bounds the steps in a round that are too late to be useful or exceed the rate of their account,
-	// as a share of the usable endpoints, so that their number does not lengthen the rounds.
-	deferrableShare = 1.0 / 4
 	// prefetchShare bounds the waiting steps that request tickets before there is room,
 	// as a share of the usable endpoints.
 	prefetchShare = 1.0 / 8
@@ -93,25 +90,7 @@
 	for _, s := range steps[:urgent] {
 		ps.place(s)
 	}
-	for _, s := range ps.inTurn(steps[urgent:]) {
-		ps.place(s)
-	}
-}
-
-// inTurn returns the deferrable steps that have their turn in this round, the same
-// number in each. All have it after a few rounds, so that steps which can never start
-// do not keep the others from it.
-func (ps *pass) inTurn(deferrable []*step) []*step {
-	count := ps.limit(deferrableShare)
-	if len(deferrable) <= count {
-		return deferrable
-	}
-	first := ps.planner.rounds * count % len(deferrable)
-	if last := first + count; last > len(deferrable) {
-		return slices.Concat(deferrable[first:], deferrable[:last-len(deferrable)])
-	}
-
-	return deferrable[first : first+count]
+	ps.placeInTurn(steps[urgent:])
 }
 
 // pass is one round of placement.
