Use the tickets of deferrable steps before they expire

What callers saw: accepted work beyond the rate of its account, or too late to be useful, has nothing running on an idle cell, and the more of it waits the longer: many jobs of one account stand together.

Cause: a step asks its policy in one turn and uses the tickets in a later one. The turns were N / (1 + endpoints / 4) rounds apart, with no relation to the validity of the tickets. When N turns take longer than that, each turn finds expired tickets and asks again.

Evidence: a model of 12 idle endpoints with room for 48 tasks of 0.2 s, N jobs of one task, a policy of 49 ms + 0.7 ms an endpoint that admits 45 of 100, with tickets valid for 2.5 s, and seven instances that answer one question at a time.

Steps that hold valid tickets have turns of their own, as many in a round as the others, those with tickets that they have not tried first. The rotation asks at most as many questions in a round as untried tickets are looked at, so that those do not pile up, whatever N is; the number in a round stays bounded by the endpoints.

With a policy that is silent nothing changes: a step without tickets stays in the rotation. If it answers everything at once, the tickets that expire first are tried first.

--- a/internal/cell/planner/turn.go
+++ b/internal/cell/planner/turn.go
@@ -3,22 +3,49 @@
 import (
 	"cmp"
 	"slices"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 )
 
 // deferrableShare bounds the steps in a round that are too late to be useful or exceed the rate of their account,
-// as a share of the usable endpoints, so that their number does not lengthen the rounds.
+// as a share of the usable endpoints, so that their number does not lengthen the rounds. It bounds those with
+// valid tickets and the others separately.
 const deferrableShare = 1.0 / 4
 
-// placeInTurn places the deferrable steps that have their turn in this round: those whose
-// last turn was longest ago.
+// placeInTurn places the deferrable steps that have their turn in this round. Steps with
+// valid tickets do not wait for the turns of the others, because their tickets would
+// expire meanwhile.
 func (ps *pass) placeInTurn(deferrable []*step) {
+	var holders []*step
+	others := make([]*step, 0, len(deferrable))
 	for _, s := range deferrable {
 		if s.queuedSince == 0 {
 			s.queuedSince = ps.now
 		}
+		if s.holdsTickets(ps.now) {
+			holders = append(holders, s)
+		} else {
+			others = append(others, s)
+		}
+	}
+	slices.SortStableFunc(holders, compareHolders)
+	slices.SortStableFunc(others, func(a, b *step) int { return cmp.Compare(a.queuedSince, b.queuedSince) })
+	ps.placeFirst(holders)
+	ps.placeFirst(others)
+}
+
+// compareHolders orders steps with valid tickets: those that have had no turn since their
+// last answer come first, in the order in which their tickets expire, then those whose
+// last turn was longest ago.
+func compareHolders(a, b *step) int {
+	switch untriedA, untriedB := a.hasUntriedTickets(), b.hasUntriedTickets(); {
+	case untriedA != untriedB:
+		return compareBool(untriedB, untriedA)
+	case untriedA:
+		return cmp.Compare(a.admission.validUntil, b.admission.validUntil)
+	default:
+		return cmp.Compare(a.queuedSince, b.queuedSince)
 	}
-	slices.SortStableFunc(deferrable, func(a, b *step) int { return cmp.Compare(a.queuedSince, b.queuedSince) })
-	ps.placeFirst(deferrable)
 }
 
 // placeFirst places the first of the steps, up to deferrableShare.
@@ -28,3 +55,13 @@
 		ps.place(s)
 	}
 }
+
+// holdsTickets reports whether tickets of the last answer are valid at the given time.
+func (s *step) holdsTickets(now definer.Instant) bool {
+	return now.Add(ticketMargin) < s.admission.validUntil
+}
+
+// hasUntriedTickets reports whether s has had no turn since it last got tickets.
+func (s *step) hasUntriedTickets() bool {
+	return s.queuedSince <= s.admission.validUntil.Add(-s.job.Queue.Policy.Validity)
+}
--- a/internal/cell/planner/turn_test.go
+++ b/internal/cell/planner/turn_test.go
@@ -5,10 +5,173 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
+// standingWork is a cell with jobs that wait, endpoints that run their tasks for a fixed
+// time, and instances that answer questions to the placement policy one at a time.
+type standingWork struct {
+	*testCell
+	policy definer.Policy
+	// admitted is the share of the endpoints that the policy admits, in percent.
+	admitted uint64
+	// interval is the time between rounds of placement, and runTime the time that a task takes.
+	interval, runTime time.Duration
+	// freeAt holds, for each instance, when it has answered its last question.
+	freeAt  []definer.Instant
+	answers []pendingQuestion
+	runs    []modelRun
+	// acceptedAt holds when the jobs without a question were accepted, and answeredAt when
+	// those that have neither started nor asked since were last answered.
+	acceptedAt, answeredAt map[string]definer.Instant
+	// starts, questions, longestUnasked and longestUnused are the result: the numbers of starts and questions,
+	// and the longest times from the acceptance of a job to its first question, and from
+	// an answer to its use or the next question of the job.
+	starts, questions             int
+	longestUnasked, longestUnused time.Duration
+}
+
+// modelRun is a run of a task that ends at a given time.
+type modelRun struct {
+	start StartCmd
+	end   definer.Instant
+}
+
+// newStandingWork returns a cell of 12 idle endpoints with room for four tasks each, and
+// jobs of one task that all exceed the rate of their account.
+func newStandingWork(tb testing.TB, jobs int, interval time.Duration) *standingWork {
+	tb.Helper()
+	const endpoints, instances = 12, 7
+	w := &standingWork{
+		testCell: newCell(tb, endpoints), policy: definer.Policy{Decide: 49 * time.Millisecond, Each: 700 * time.Microsecond, Validity: 2500 * time.Millisecond},
+		admitted: 45, interval: interval, runTime: 200 * time.Millisecond, freeAt: make([]definer.Instant, instances),
+		acceptedAt: map[string]definer.Instant{}, answeredAt: map[string]definer.Instant{},
+	}
+	w.planner.Configure(&definer.Configuration{Accounts: []definer.Account{{Name: "account", Weight: 0.001}}, Routes: testRoutes})
+	for n := range jobs {
+		w.accept(n)
+	}
+
+	return w
+}
+
+// accept accepts the n-th job.
+func (w *standingWork) accept(n int) {
+	job := w.job(fmt.Sprintf("%016x", n+1), definer.Step{Count: 1, Need: modeler.Resources{Millis: 4000}, Estimate: time.Second})
+	policy := w.policy
+	job.Queue.Policy = &policy
+	w.planner.Accept(job, w.now, w.wall)
+	w.acceptedAt[job.ID] = w.now
+}
+
+// step advances the time by one round of placement.
+func (w *standingWork) step() {
+	w.advance(w.interval)
+	w.answerQuestions()
+	w.endRuns()
+	w.plan()
+	for _, ask := range w.takeAsked() {
+		w.ask(ask)
+	}
+	for _, start := range w.started {
+		w.observeUse(start.Order.Task.Job)
+		w.run(start)
+		w.runs = append(w.runs, modelRun{start, w.now.Add(w.runTime)})
+	}
+	w.starts += len(w.started)
+	w.started = nil
+}
+
+// ask assigns a question to the instance that is free first.
+func (w *standingWork) ask(ask AskPolicyCmd) {
+	if accepted, first := w.acceptedAt[ask.Job]; first {
+		w.longestUnasked = max(w.longestUnasked, w.now.Sub(accepted))
+		delete(w.acceptedAt, ask.Job)
+	}
+	w.observeUse(ask.Job)
+	w.questions++
+	instance := 0
+	for i, at := range w.freeAt {
+		if at < w.freeAt[instance] {
+			instance = i
+		}
+	}
+	w.freeAt[instance] = max(w.freeAt[instance], w.now).Add(ask.DecisionTime)
+	w.answers = append(w.answers, pendingQuestion{ask, w.freeAt[instance]})
+}
+
+// observeUse notes that the last answer for a job was used or asked for again.
+func (w *standingWork) observeUse(job string) {
+	if answered, ok := w.answeredAt[job]; ok {
+		w.longestUnused = max(w.longestUnused, w.now.Sub(answered))
+		delete(w.answeredAt, job)
+	}
+}
+
+func (w *standingWork) answerQuestions() {
+	waiting := w.answers[:0]
+	for _, question := range w.answers {
+		if question.at > w.now {
+			waiting = append(waiting, question)
+
+			continue
+		}
+		ask := question.ask
+		var tickets []definer.Ticket
+		for _, id := range ask.Endpoints {
+			if xxhash.Sum64String(ask.Job+id)%100 < w.admitted {
+				tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "t"})
+			}
+		}
+		w.planner.PolicyAnswered(ask.Job, ask.Occurrence, ask.Step, ask.Endpoints, tickets, true, w.now)
+		w.answeredAt[ask.Job] = w.now
+	}
+	w.answers = waiting
+}
+
+func (w *standingWork) endRuns() {
+	running := w.runs[:0]
+	for _, run := range w.runs {
+		if run.end > w.now {
+			running = append(running, run)
+
+			continue
+		}
+		w.endRun(run.start.Target.ID, run.start.Order.Task, run.start.Order.Run, definer.EndDone)
+	}
+	w.runs = running
+}
+
+// TestTicketsOfDeferrableStepsAreUsedBeforeTheyExpire guards against work beyond the rate
+// of its account that stands on an idle cell, because the turns of its steps are
+// further apart than their tickets are valid.
+func TestTicketsOfDeferrableStepsAreUsedBeforeTheyExpire(t *testing.T) {
+	const limit = 20 * time.Second
+	for _, interval := range []time.Duration{10 * time.Millisecond, 20 * time.Millisecond, 60 * time.Millisecond} {
+		for _, jobs := range []int{50, 200, 400, 800} {
+			t.Run(fmt.Sprintf("%d-jobs-%v", jobs, interval), func(t *testing.T) {
+				w := newStandingWork(t, jobs, interval)
+				for began := w.now; w.now.Sub(began) < limit; {
+					w.step()
+				}
+				t.Logf("%d starts, %d questions, first question after %v, answer used after %v", w.starts, w.questions, w.longestUnasked, w.longestUnused)
+				if w.starts < jobs {
+					t.Errorf("%d of %d jobs started in %v", w.starts, jobs, limit)
+				}
+				if bound := w.policy.Validity / 4; w.longestUnused > bound {
+					t.Errorf("an answer was used after %v, want at most %v", w.longestUnused, bound)
+				}
+				if bound := time.Duration(jobs) * interval; w.longestUnasked > bound {
+					t.Errorf("a job asked first after %v, want at most %v", w.longestUnasked, bound)
+				}
+			})
+		}
+	}
+}
+
 // TestDeferrableStepIsNotLeftOut guards against a step that never has its turn, because
 // others come and go at the pace of the rounds.
 func TestDeferrableStepIsNotLeftOut(t *testing.T) {
@@ -48,3 +211,40 @@
 		t.Errorf("%d of %d jobs had no turn in %d rounds", len(unasked), resident, rounds)
 	}
 }
+
+// BenchmarkPlanDeferrable measures a round of placement on a full cell in which only
+// work waits that exceeds the rate of its account.
+func BenchmarkPlanDeferrable(b *testing.B) {
+	for _, size := range []struct{ endpoints, jobs int }{{48, 1000}, {48, 2000}, {1100, 2000}} {
+		b.Run(fmt.Sprintf("%d-endpoints-%d-jobs", size.endpoints, size.jobs), func(b *testing.B) {
+			c := newCell(b, size.endpoints)
+			c.planner.Configure(&definer.Configuration{Accounts: []definer.Account{{Name: "account", Weight: 0.001}}, Routes: testRoutes})
+			policy := &definer.Policy{Decide: 46 * time.Millisecond, Each: time.Millisecond, Validity: 1500 * time.Millisecond}
+			for n := range size.jobs {
+				job := c.job(fmt.Sprintf("%016x", n), mixedStep(n))
+				job.Queue.Policy = policy
+				c.planner.Accept(job, c.now, c.wall)
+			}
+			round := func(n int) {
+				c.now = c.now.Add(10 * time.Millisecond)
+				for _, e := range c.planner.endpoints {
+					e.lastAnswered = c.now
+				}
+				c.planner.Plan(c.now)
+				for _, command := range c.planner.Commands() {
+					if ask, ok := command.(AskPolicyCmd); ok {
+						c.admitSome(ask, n)
+					}
+				}
+			}
+			for n := range 300 {
+				round(n)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := range b.N {
+				round(n)
+			}
+		})
+	}
+}
