Give turns only to deferrable steps that can act

What callers saw: work beyond the rate of its account, or too late to be useful, stands beside room that it could use while much other such work waits for something else.

Cause: a step had its turn, and used up one of the few of a round, when it could neither start nor ask: its question was out, an earlier search of the round had found no room for it, its account was at its limit, or it was inherited and the takeover was not settled. With M such steps a step that could start waited for M / (1 + endpoints / 4) rounds: 6 s for 400 steps, 12 endpoints and rounds 60 ms apart, after each answer of the policy and each end of a run again.

Evidence: four tests with 400 steps that wait for one of these reasons and one that does not. On the untouched code it neither starts nor asks in its first round; now it does.

Steps that can do nothing keep their place and take no turn. TestDeferrableStepIsNotLeftOut waits with steps that can act but never start, so that it still needs the rotation, and covers new steps in each round.

--- a/internal/cell/planner/turn.go
+++ b/internal/cell/planner/turn.go
@@ -48,11 +48,40 @@
 	}
 }
 
-// placeFirst places the first of the steps, up to deferrableShare.
+// placeFirst places the first of the steps, up to deferrableShare. Steps that can do
+// nothing in this round keep their place and do not count.
 func (ps *pass) placeFirst(steps []*step) {
-	for _, s := range steps[:min(len(steps), ps.limit(deferrableShare))] {
+	turns := ps.limit(deferrableShare)
+	for _, s := range steps {
+		if turns == 0 {
+			return
+		}
+		if ps.cannotAct(s) {
+			continue
+		}
 		s.queuedSince = ps.now
 		ps.place(s)
+		turns--
+	}
+}
+
+// cannotAct reports whether s can neither start nor ask in this round, as far as that is
+// known without looking at the endpoints.
+func (ps *pass) cannotAct(s *step) bool {
+	account := ps.planner.account(s.job.Account)
+	switch {
+	case s.pendingCount == 0:
+		return false
+	case s.job.inherited && !ps.takeoverSettled:
+		return true
+	case !account.withinLimit(s.def.Need, ps.unconfirmed[account]):
+		return true
+	case s.def.Gang:
+		return false
+	case s.admission.askBlocked(ps.now) && !s.holdsTickets(ps.now):
+		return true
+	default:
+		return len(ps.quarantined) == 0 && ps.lacksRoom(s)
 	}
 }
 
@@ -65,3 +94,9 @@
 func (s *step) hasUntriedTickets() bool {
 	return s.queuedSince <= s.admission.validUntil.Add(-s.job.Queue.Policy.Validity)
 }
+
+// askBlocked reports whether a question is out, or the pause after an unanswered one has
+// not ended.
+func (a *admission) askBlocked(now definer.Instant) bool {
+	return a.askBlockedUntil != 0 && now < a.askBlockedUntil
+}
--- a/internal/cell/planner/turn_test.go
+++ b/internal/cell/planner/turn_test.go
@@ -50,7 +50,7 @@
 		admitted: 45, interval: interval, runTime: 200 * time.Millisecond, freeAt: make([]definer.Instant, instances),
 		acceptedAt: map[string]definer.Instant{}, answeredAt: map[string]definer.Instant{},
 	}
-	w.planner.Configure(&definer.Configuration{Accounts: []definer.Account{{Name: "account", Weight: 0.001}}, Routes: testRoutes})
+	w.limitRate()
 	for n := range jobs {
 		w.accept(n)
 	}
@@ -145,6 +145,11 @@
 	w.runs = running
 }
 
+// limitRate makes all jobs that are accepted from now on exceed the rate of their account.
+func (c *testCell) limitRate() {
+	c.planner.Configure(&definer.Configuration{Accounts: []definer.Account{{Name: "account", Weight: 0.001}}, Routes: testRoutes})
+}
+
 // TestTicketsOfDeferrableStepsAreUsedBeforeTheyExpire guards against work beyond the rate
 // of its account that stands on an idle cell, because the turns of its steps are
 // further apart than their tickets are valid.
@@ -173,42 +178,129 @@
 }
 
 // TestDeferrableStepIsNotLeftOut guards against a step that never has its turn, because
-// others come and go at the pace of the rounds.
+// others, which can't start, come and go at the pace of the rounds.
 func TestDeferrableStepIsNotLeftOut(t *testing.T) {
-	const endpoints, resident, rounds = 12, 8, 100
-	c := newCell(t, endpoints)
-	c.planner.Configure(&definer.Configuration{Accounts: []definer.Account{{Name: "account", Weight: 0.001}}, Routes: testRoutes})
-	accept := func(id int, waited time.Duration) string {
-		job := c.job(fmt.Sprintf("%016x", id), definer.Step{Count: 1, Need: modeler.Resources{Millis: 1000}, Estimate: time.Second})
-		job.Queue.Policy = &definer.Policy{Decide: 100 * time.Millisecond, Each: time.Millisecond, Validity: time.Second}
-		job.Accepted = c.wall.Add(-waited)
-		c.planner.Accept(job, c.now, c.wall)
+	const endpoints, resident, rounds = 12, 7, 100
+	for name, arrive := range map[string]func(round int) bool{
+		"each-round":        func(int) bool { return true },
+		"each-second-round": func(round int) bool { return round%2 == 0 },
+		"never":             func(int) bool { return false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCell(t, endpoints)
+			c.limitRate()
+			accept := func(id int, requires string, waited time.Duration) string {
+				job := c.job(fmt.Sprintf("%016x", id), definer.Step{Count: 1, Requires: requires, Need: modeler.Resources{Millis: 1000}, Estimate: time.Second})
+				job.Accepted = c.wall.Add(-waited)
+				c.planner.Accept(job, c.now, c.wall)
 
-		return job.ID
+				return job.ID
+			}
+			for n := range resident {
+				accept(1000+n, "none", 0)
+			}
+			accept(1000+resident, "", 0)
+			for round := range rounds {
+				var passing []string
+				if arrive(round) {
+					for n := range 4 {
+						passing = append(passing, accept(10*round+n+1, "none", time.Minute), accept(1_000_000+10*round+n, "none", 0))
+					}
+				}
+				c.now = c.now.Add(10 * time.Millisecond)
+				c.plan()
+				for _, id := range passing {
+					c.planner.Cancel(id)
+					c.planner.CancelStored(id, c.now)
+				}
+			}
+			if len(c.started) != 1 {
+				t.Errorf("%d starts in %d rounds, want 1", len(c.started), rounds)
+			}
+		})
 	}
-	unasked := map[string]bool{}
-	for n := range resident {
-		unasked[accept(1000*(n+1), 0)] = true
+}
+
+// TestStepsThatWaitForAnAnswerTakeNoTurns guards against work that stands behind a
+// backlog whose policy does not answer.
+func TestStepsThatWaitForAnAnswerTakeNoTurns(t *testing.T) {
+	w := newStandingWork(t, 400, 10*time.Millisecond)
+	for range 110 {
+		w.advance(w.interval)
+		w.plan()
 	}
-	for round := range rounds {
-		var passing []string
-		if round%2 == 0 {
-			for n := range resident / 2 {
-				passing = append(passing, accept(10*round+n+1, time.Minute), accept(1_000_000+10*round+n, 0))
-			}
-		}
-		c.now = c.now.Add(10 * time.Millisecond)
-		c.plan()
-		for _, question := range c.takeAsked() {
-			delete(unasked, question.Job)
-		}
-		for _, id := range passing {
-			c.planner.Cancel(id)
-			c.planner.CancelStored(id, c.now)
-		}
+	if asked := len(w.takeAsked()); asked != 400 {
+		t.Fatalf("%d of 400 jobs asked", asked)
+	}
+	w.accept(400)
+	w.advance(w.interval)
+	w.plan()
+	if asked := w.takeAsked(); len(asked) != 1 {
+		t.Errorf("%d questions in the first round after a job was accepted, want 1", len(asked))
+	}
+}
+
+// TestStepsWithoutRoomTakeNoTurns guards against small work that stands beside room
+// behind a backlog of large work.
+func TestStepsWithoutRoomTakeNoTurns(t *testing.T) {
+	c := newCell(t, 12)
+	c.planner.Accept(c.job("0000000000000001", definer.Step{Count: 12, PerEndpoint: 1, Need: modeler.Resources{Millis: 14000}, Estimate: time.Minute}), c.now, c.wall)
+	c.planAndRun()
+	c.limitRate()
+	for n := range 400 {
+		c.planner.Accept(c.job(fmt.Sprintf("%016x", n+2), definer.Step{Count: 1, Need: modeler.Resources{Millis: 4000}, Estimate: time.Second}), c.now, c.wall)
+	}
+	c.advance(10 * time.Millisecond)
+	c.plan()
+	small := c.job("1000000000000000", definer.Step{Count: 1, Need: modeler.Resources{Millis: 1000}, Estimate: time.Second})
+	c.planner.Accept(small, c.now, c.wall)
+	c.advance(10 * time.Millisecond)
+	c.plan()
+	if len(c.started) != 1 {
+		t.Errorf("%d starts in the first round after a job with room was accepted, want 1", len(c.started))
+	}
+}
+
+// TestStepsBeyondTheLimitTakeNoTurns guards against work that stands behind a backlog of
+// an account that may run no more.
+func TestStepsBeyondTheLimitTakeNoTurns(t *testing.T) {
+	c := newCell(t, 12)
+	c.planner.Configure(&definer.Configuration{Routes: testRoutes, Accounts: []definer.Account{
+		{Name: "account", Weight: 0.001, Limit: modeler.Resources{Millis: 500}}, {Name: "other", Weight: 0.001},
+	}})
+	for n := range 400 {
+		c.planner.Accept(c.job(fmt.Sprintf("%016x", n+1), definer.Step{Count: 1, Need: modeler.Resources{Millis: 1000}, Estimate: time.Second}), c.now, c.wall)
+	}
+	c.advance(10 * time.Millisecond)
+	c.plan()
+	other := c.job("1000000000000000", definer.Step{Count: 1, Need: modeler.Resources{Millis: 1000}, Estimate: time.Second})
+	other.Account = "other"
+	c.planner.Accept(other, c.now, c.wall)
+	c.advance(10 * time.Millisecond)
+	c.plan()
+	if len(c.started) != 1 {
+		t.Errorf("%d starts in the first round after a job of another account was accepted, want 1", len(c.started))
+	}
+}
+
+// TestInheritedStepsTakeNoTurns guards against new work that stands behind an inherited
+// backlog, which can't start before the takeover is settled.
+func TestInheritedStepsTakeNoTurns(t *testing.T) {
+	c := newCell(t, 12)
+	c.limitRate()
+	for n := range 400 {
+		job := c.job(fmt.Sprintf("%016x", n+1), definer.Step{Count: 1, Need: modeler.Resources{Millis: 1000}, Estimate: time.Second})
+		c.planner.Accept(job, c.now, c.wall)
+		c.planner.jobs[job.ID].inherited = true
 	}
-	if len(unasked) > 0 {
-		t.Errorf("%d of %d jobs had no turn in %d rounds", len(unasked), resident, rounds)
+	c.planner.mustWait = true
+	c.advance(10 * time.Millisecond)
+	c.plan()
+	c.planner.Accept(c.job("1000000000000000", definer.Step{Count: 1, Need: modeler.Resources{Millis: 1000}, Estimate: time.Second}), c.now, c.wall)
+	c.advance(10 * time.Millisecond)
+	c.plan()
+	if len(c.started) != 1 {
+		t.Errorf("%d starts in the first round after a job was accepted, want 1", len(c.started))
 	}
 }
 
@@ -218,7 +310,7 @@
 	for _, size := range []struct{ endpoints, jobs int }{{48, 1000}, {48, 2000}, {1100, 2000}} {
 		b.Run(fmt.Sprintf("%d-endpoints-%d-jobs", size.endpoints, size.jobs), func(b *testing.B) {
 			c := newCell(b, size.endpoints)
-			c.planner.Configure(&definer.Configuration{Accounts: []definer.Account{{Name: "account", Weight: 0.001}}, Routes: testRoutes})
+			c.limitRate()
 			policy := &definer.Policy{Decide: 46 * time.Millisecond, Each: time.Millisecond, Validity: 1500 * time.Millisecond}
 			for n := range size.jobs {
 				job := c.job(fmt.Sprintf("%016x", n), mixedStep(n))
