--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -76,6 +76,8 @@
 	overShare bool
 	// turnAt is when a round of placement last considered the step.
 	turnAt definer.Instant
+	// queuedSince is when the step last had its turn among the deferrable ones, or became one of them.
+	queuedSince definer.Instant
 }
 
 // task is one task of a step.
