--- a/internal/cell/planner/standing.go
+++ b/internal/cell/planner/standing.go
@@ -259,7 +259,7 @@
 		return standPerEndpoint
 	case view.places < wanted:
 		return standNoRoom
-	case view.tickets == 0 && s.isQuestionOut(ps.now):
+	case view.tickets == 0 && s.admission.askBlocked(ps.now):
 		return standQuestionOut
 	case view.tickets == 0:
 		return standTickets
@@ -274,7 +274,7 @@
 // an empty reason.
 func (s *step) askingReason(view endpointView, now definer.Instant) standReason {
 	switch {
-	case len(s.admission.answers) == 0 && s.isQuestionOut(now):
+	case len(s.admission.answers) == 0 && s.admission.askBlocked(now):
 		return standQuestionOut
 	case len(s.admission.answers) == 0:
 		return standNotAsked
@@ -285,11 +285,6 @@
 	}
 }
 
-// isQuestionOut reports whether s may not ask now, because a question is out or has just failed.
-func (s *step) isQuestionOut(now definer.Instant) bool {
-	return s.admission.askBlockedUntil != 0 && now < s.admission.askBlockedUntil
-}
-
 // unsettledRun returns a run that keeps a task of s from starting again, or nil.
 func (s *step) unsettledRun() *run {
 	if s.pendingCount > 0 && !s.def.Gang {
