Let every gang with room ask for tickets, and every gang have its turn to ask

Cause: one gang per 12 endpoints, the first in the order of the steps, could ask while it waited. A gang behind these had its first answer, its tickets ran out, and it asked no more until one in front started or the order changed. The same count, and one of gangs that did not ask at all, decided on first questions.

Change: the share of waiting gangs bounds only those without room. A gang with room on admitted endpoints asks for tickets and claims the room against the questions of other gangs, which respect claims for a second. Questions that are out are counted, not gangs; free ones go by turns to the first in order and to the longest wait of the queue with the fewest out, and a queue with none out may always ask one.

A silent policy keeps no other queue waiting. A new owner knows no answers and begins with first questions, of which as many may be out as before.

--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -34,46 +34,32 @@
 // endpoints.
 const admittedCapacityFactor = 4
 
-// placeGang starts all tasks of a gang at once. The first gangs that cannot start wait:
-// they ask for tickets, and the first of these reserve endpoints. The others start when
-// there is room beside the reserved endpoints for which they have tickets.
+// placeGang starts all tasks of a gang at once. A gang that has room but no tickets asks
+// for them, and the first gangs without room reserve endpoints. The others wait, and
+// start when there is room beside the reserved endpoints.
 func (ps *pass) placeGang(s *step, pending []*task) {
 	p := ps.planner
 	policy := s.job.Queue.Policy
-	askBlocked := s.admission.askBlockedUntil != 0 && ps.now < s.admission.askBlockedUntil
 	account := p.account(s.job.Account)
-	mayWait := ps.waitingGangs < ps.limit(waitingGangShare)
 	if !account.withinLimit(s.def.Need.Scale(int64(len(pending))), ps.unconfirmed[account]) {
 		return
 	}
 	if policy != nil && len(s.admission.answers) == 0 {
-		if mayWait && !askBlocked && ps.exploringGangs < ps.limit(exploringGangShare) {
-			p.ask(s, p.endpointsToAsk(s, ps.candidates(s), len(pending)), ps.now)
-		}
-		ps.exploringGangs++
+		ps.explore(s, len(pending))
 
 		return
 	}
 	candidates := ps.admittedTo(s)
 	if taskCapacity(s, candidates) < len(pending) {
-		if policy != nil && mayWait && !askBlocked {
-			// The admitted endpoints are too small for the gang even when they are empty; ask about the others.
-			p.ask(s, p.endpointsToAsk(s, s.admission.filterUnasked(ps.candidates(s)), len(pending)), ps.now)
-		}
+		// The admitted endpoints are too small for the gang even when they are empty.
+		ps.explore(s, len(pending))
 
 		return
 	}
 	ready, _ := ps.withTickets(s, candidates)
-	assigned := ps.assignEndpoints(s, len(pending), ready)
-	switch {
-	case assigned != nil:
-	case mayWait:
-		ps.waitingGangs++
-		ps.deferGang(s, candidates, len(pending), askBlocked)
-
-		return
-	default:
-		s.reserved = nil
+	assigned := ps.assignEndpoints(s, len(pending), ready, nil)
+	if assigned == nil {
+		ps.deferGang(s, candidates, len(pending))
 
 		return
 	}
@@ -83,32 +69,62 @@
 	}
 	s.gangRun, s.gangSince = number, ps.now
 	s.reserved, s.reservedSince, s.preempted = nil, 0, false
+	s.wait.roomSince = 0
 	for i, t := range pending {
 		ps.start(t, assigned[i], number)
 	}
 }
 
-// deferGang reserves endpoints for a gang that cannot start yet, and asks the
-// policy for the tickets that it lacks.
-func (ps *pass) deferGang(s *step, candidates []*endpoint, count int, askBlocked bool) {
-	p := ps.planner
-	if askBlocked && len(s.reserved) > 0 {
+// deferGang handles a gang that cannot start: it lacks either tickets or room.
+func (ps *pass) deferGang(s *step, candidates []*endpoint, count int) {
+	if ps.askBlocked(s) && len(s.reserved) > 0 {
 		// The reserved endpoints stay reserved until the policy has answered about them.
 		ps.reservingGangs++
 
 		return
 	}
-	if assigned := ps.assignEndpoints(s, count, candidates); assigned != nil {
-		// There is room, but the tickets have expired; reserve it while new ones are requested.
-		ps.reserveAssigned(s, assigned)
-		if !askBlocked && (len(s.reserved) > 0 || ps.prefetched < ps.limit(prefetchShare)) {
-			ps.prefetched++
-			p.ask(s, slices.Compact(assigned), ps.now)
-		}
+	if totalRoom(s, count, candidates, nil) >= count {
+		ps.renewTickets(s, candidates, count)
+
+		return
+	}
+	s.wait.roomSince = 0
+	ps.waitForRoom(s, candidates, count)
+}
+
+// renewTickets claims the room of a gang whose tickets have expired and asks for new
+// ones. It leaves room that others have claimed to them, for claimPatience at most.
+func (ps *pass) renewTickets(s *step, candidates []*endpoint, count int) {
+	if s.wait.roomSince == 0 {
+		s.wait.roomSince = ps.now
+	}
+	others := ps.claimed
+	if ps.now.Sub(s.wait.roomSince) > claimPatience {
+		others = nil
+	}
+	assigned := ps.assignEndpoints(s, count, candidates, others)
+	if assigned == nil {
+		s.reserved = nil
+
+		return
+	}
+	ps.claim(s, assigned)
+	ps.reserveAssigned(s, assigned)
+	ps.renew(s, slices.Compact(assigned))
+}
+
+// waitForRoom lets the first gangs without room ask about further endpoints and reserve
+// some of them.
+func (ps *pass) waitForRoom(s *step, candidates []*endpoint, count int) {
+	p := ps.planner
+	if ps.waitingGangs >= ps.limit(waitingGangShare) {
+		s.reserved = nil
 
 		return
 	}
-	if s.job.Queue.Policy != nil && !askBlocked && taskCapacity(s, candidates) < admittedCapacityFactor*count {
+	ps.waitingGangs++
+	if s.job.Queue.Policy != nil && !ps.askBlocked(s) && taskCapacity(s, candidates) < admittedCapacityFactor*count {
+		s.wait.question = gangQuestionNone
 		p.ask(s, p.endpointsToAsk(s, s.admission.filterUnasked(ps.candidates(s)), count), ps.now)
 	}
 	ps.reserveEndpoints(s, candidates, count)
@@ -177,25 +193,36 @@
 	return int(count)
 }
 
-// assignEndpoints returns an endpoint for each of count tasks, or nil when there
-// is no room. A SameRack gang gets a single rack when one has room for it.
-func (ps *pass) assignEndpoints(s *step, count int, candidates []*endpoint) []*endpoint {
-	fit := func(e *endpoint) int {
-		if !availableTo(e, s) {
-			return 0
-		}
-
-		return tasksFitting(s, e.free(), s.def.PerEndpoint)
+// roomFor returns the number of tasks of s that have room on e beside what is taken there.
+func roomFor(s *step, e *endpoint, taken map[*endpoint]modeler.Resources) int {
+	if !availableTo(e, s) {
+		return 0
 	}
+
+	return tasksFitting(s, e.free().Sub(taken[e]), s.def.PerEndpoint)
+}
+
+// totalRoom returns the number of tasks of s that have room on the candidates, or some
+// number from count on.
+func totalRoom(s *step, count int, candidates []*endpoint, taken map[*endpoint]modeler.Resources) int {
 	total := 0
 	for _, e := range candidates {
-		if total += fit(e); total >= count {
+		if total += roomFor(s, e, taken); total >= count {
 			break
 		}
 	}
-	if total < count {
+
+	return total
+}
+
+// assignEndpoints returns an endpoint for each of count tasks, or nil when there
+// is no room beside what is taken on them. A SameRack gang gets a single rack when one
+// has room for it.
+func (ps *pass) assignEndpoints(s *step, count int, candidates []*endpoint, taken map[*endpoint]modeler.Resources) []*endpoint {
+	if totalRoom(s, count, candidates, taken) < count {
 		return nil
 	}
+	fit := func(e *endpoint) int { return roomFor(s, e, taken) }
 	if s.def.SameRack {
 		if assigned := assignInOneRack(s, count, candidates, fit); assigned != nil {
 			return assigned
--- /dev/null
+++ b/internal/cell/planner/gang_ask.go
@@ -0,0 +1,221 @@
+package planner
+
+import (
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+const (
+	// renewingGangShare bounds the gangs whose question for new tickets is out, as a
+	// share of the usable endpoints.
+	renewingGangShare = 1.0 / 8
+	// exploringGangShare bounds the gangs whose question about further endpoints is out,
+	// as a share of the usable endpoints.
+	exploringGangShare = 1.0 / 4
+	// crowdedExploringGangShare is exploringGangShare in a round in which as many gangs
+	// wait for room as may: the policies then answer those that have room sooner.
+	crowdedExploringGangShare = 1.0 / 12
+	// claimPatience is how long a gang leaves the room that it could use to others which
+	// ask for tickets for it.
+	claimPatience = time.Second
+	// nothingToAskPause is how long a gang does not look for endpoints to ask about after
+	// it has found none.
+	nothingToAskPause = 250 * time.Millisecond
+)
+
+// gangQuestion is the purpose of a question about a gang.
+type gangQuestion int
+
+const (
+	// gangQuestionNone is that of a gang which has not asked, or waits for room and asks
+	// about more endpoints than it needs.
+	gangQuestionNone gangQuestion = iota
+	// gangQuestionExplore asks about endpoints without an answer, for a gang that is too
+	// large for those to which it is admitted.
+	gangQuestionExplore
+	// gangQuestionRenew asks for new tickets for a gang that has room.
+	gangQuestionRenew
+)
+
+// gangWait is the state of a gang that waits for room or tickets.
+type gangWait struct {
+	// question is the purpose of the last question, and askedAt its time, or 0.
+	question gangQuestion
+	askedAt  definer.Instant
+	// roomSince is since when the gang has had room on endpoints to which it is admitted,
+	// but no tickets, or 0.
+	roomSince definer.Instant
+	// pausedUntil is when the gang looks for endpoints to ask about again.
+	pausedUntil definer.Instant
+}
+
+// gangQuestions holds the questions of one purpose about gangs.
+type gangQuestions struct {
+	purpose gangQuestion
+	// out counts the gangs whose question is out, and outOf those of each queue.
+	out   int
+	outOf map[string]*int
+	// waiting holds the gangs that are to ask, in the order of the steps.
+	waiting []askingGang
+}
+
+// askingGang is a gang that is to ask its policy in this round.
+type askingGang struct {
+	step *step
+	// count is how many tasks it has.
+	count int
+	// endpoints are those to ask about, or nil for those without an answer.
+	endpoints []*endpoint
+	// queueOut is the entry of the gang's queue in outOf.
+	queueOut *int
+}
+
+// queueOut returns the number of gangs of a queue whose question is out.
+func (q *gangQuestions) queueOut(queue string) *int {
+	count := q.outOf[queue]
+	if count == nil {
+		if q.outOf == nil {
+			q.outOf = map[string]*int{}
+		}
+		count = new(int)
+		q.outOf[queue] = count
+	}
+
+	return count
+}
+
+// countGangQuestions counts the gangs whose questions are out.
+func (ps *pass) countGangQuestions(steps []*step) {
+	ps.explorations.purpose, ps.renewals.purpose = gangQuestionExplore, gangQuestionRenew
+	for _, s := range steps {
+		if s.admission.outstanding == 0 || !ps.askBlocked(s) {
+			continue
+		}
+		for _, q := range [...]*gangQuestions{&ps.explorations, &ps.renewals} {
+			if s.wait.question == q.purpose {
+				q.out++
+				*q.queueOut(s.job.Queue.Name)++
+			}
+		}
+	}
+}
+
+// askBlocked reports whether s may not ask its policy now.
+func (ps *pass) askBlocked(s *step) bool {
+	return s.admission.askBlockedUntil != 0 && ps.now < s.admission.askBlockedUntil
+}
+
+// explore lets a gang ask about endpoints without an answer at the end of the round.
+func (ps *pass) explore(s *step, count int) {
+	if s.job.Queue.Policy != nil && !ps.askBlocked(s) && ps.now >= s.wait.pausedUntil {
+		ps.explorations.add(askingGang{step: s, count: count})
+	}
+}
+
+// renew lets a gang ask for tickets for the endpoints at the end of the round.
+func (ps *pass) renew(s *step, endpoints []*endpoint) {
+	if !ps.askBlocked(s) {
+		ps.renewals.add(askingGang{step: s, endpoints: endpoints})
+	}
+}
+
+func (q *gangQuestions) add(gang askingGang) {
+	gang.queueOut = q.queueOut(gang.step.job.Queue.Name)
+	q.waiting = append(q.waiting, gang)
+}
+
+// askForGangs asks the policies for the gangs that have been collected in the round.
+func (ps *pass) askForGangs() {
+	exploring := exploringGangShare
+	if ps.waitingGangs >= ps.limit(waitingGangShare) {
+		exploring = crowdedExploringGangShare
+	}
+	ps.askInTurn(&ps.renewals, ps.limit(renewingGangShare))
+	ps.askInTurn(&ps.explorations, ps.limit(exploring))
+}
+
+// askInTurn asks for gangs until the questions of limit gangs are out. A queue of which
+// none is out may always ask one, so that the gangs of a policy that does not answer
+// keep no other queue waiting. A gang that finds nothing to ask uses up no question, and
+// a round looks at twice the limit at most.
+func (ps *pass) askInTurn(q *gangQuestions, limit int) {
+	for range 2 * limit {
+		next := q.next(ps.planner.gangQuestionsAsked%2 == 0, q.out < limit)
+		if next < 0 {
+			return
+		}
+		gang := q.waiting[next]
+		q.waiting[next].step = nil
+		if ps.askForGang(gang, q.purpose) {
+			q.out++
+			*gang.queueOut++
+		}
+	}
+}
+
+// next returns the index of the gang to ask next, or -1: by turns the first in the order
+// of the steps, and, of the queue with the fewest questions out, the one that has waited
+// longest since its last question or its acceptance. Without a free question it is one of
+// a queue that has none out.
+func (q *gangQuestions) next(inOrder, free bool) int {
+	best := -1
+	for i, gang := range q.waiting {
+		switch {
+		case gang.step == nil || !free && *gang.queueOut > 0:
+		case best < 0 || !inOrder && gang.before(q.waiting[best]):
+			best = i
+		}
+		if inOrder && best >= 0 {
+			return best
+		}
+	}
+
+	return best
+}
+
+// before reports whether the gang's queue has fewer questions out than that of another
+// gang, or has as many and has waited longer.
+func (g askingGang) before(o askingGang) bool {
+	if *g.queueOut != *o.queueOut {
+		return *g.queueOut < *o.queueOut
+	}
+
+	return g.step.lastAsked() < o.step.lastAsked()
+}
+
+// lastAsked returns when the gang's policy was last asked, or when its job was accepted.
+func (s *step) lastAsked() definer.Instant { return max(s.wait.askedAt, s.job.accepted) }
+
+// askForGang asks the policy of a gang. It reports false if there is nothing to ask.
+func (ps *pass) askForGang(gang askingGang, purpose gangQuestion) bool {
+	p, s := ps.planner, gang.step
+	endpoints := gang.endpoints
+	if endpoints == nil {
+		endpoints = p.endpointsToAsk(s, s.admission.filterUnasked(ps.candidates(s)), gang.count)
+	}
+	s.wait.askedAt = ps.now
+	if len(endpoints) == 0 {
+		s.wait.pausedUntil = ps.now.Add(nothingToAskPause)
+
+		return false
+	}
+	p.gangQuestionsAsked++
+	s.wait.question = purpose
+	p.ask(s, endpoints, ps.now)
+
+	return true
+}
+
+// claim keeps the room for which a gang asks for tickets from the questions of others for
+// the rest of the round. Starts may use it.
+func (ps *pass) claim(s *step, assigned []*endpoint) {
+	if ps.claimed == nil {
+		ps.claimed = map[*endpoint]modeler.Resources{}
+	}
+	need := s.need()
+	for _, e := range assigned {
+		ps.claimed[e] = ps.claimed[e].Add(need)
+	}
+}
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -60,6 +60,7 @@
 	// gangSince is when the current run of the gang began or was adopted.
 	gangSince definer.Instant
 	admission admission
+	wait      gangWait
 	// reserved are the endpoints that have been reserved for the waiting gang since reservedSince.
 	reserved      []*endpoint
 	reservedSince definer.Instant
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -12,16 +12,14 @@
 const (
 	// reservingGangShare bounds the gangs that may reserve endpoints, as a share of the usable endpoints.
 	reservingGangShare = 1.0 / 36
-	// waitingGangShare bounds the gangs that ask for tickets while they wait, as a share of the usable endpoints.
+	// waitingGangShare bounds the gangs without room that ask about further endpoints or reserve some, as a share
+	// of the usable endpoints.
 	waitingGangShare = 1.0 / 12
 	// preemptDelay is how long a gang waits with reserved endpoints before less urgent runs are preempted for it.
 	preemptDelay = 800 * time.Millisecond
 	// reservedPenalty lowers the score of reserved endpoints, so that more urgent work
 	// uses them only when no other endpoint fits.
 	reservedPenalty = 4.0
-	// exploringGangShare bounds the gangs that may wait for the first answer of their
-	// placement policy, as a share of the usable endpoints.
-	exploringGangShare = 1.0 / 4
 	// deferrableShare bounds the steps in a round that are too late to be useful or exceed the rate of their account,
 	// as a share of the usable endpoints, so that their number does not lengthen the rounds.
 	deferrableShare = 1.0 / 4
@@ -89,6 +87,7 @@
 	}
 	slices.SortFunc(steps, (*step).compare)
 	ps.restoreReservations(steps)
+	ps.countGangQuestions(steps)
 	urgent, _ := slices.BinarySearchFunc(steps, urgencyMissed, func(s *step, urgency int) int { return cmp.Compare(s.urgency, urgency) })
 	for _, s := range steps[:urgent] {
 		ps.place(s)
@@ -96,6 +95,7 @@
 	for _, s := range ps.inTurn(steps[urgent:]) {
 		ps.place(s)
 	}
+	ps.askForGangs()
 }
 
 // inTurn returns the deferrable steps that have their turn in this round, the same
@@ -126,13 +126,15 @@
 	// quarantined holds the endpoints that soleUsable reports, and all these and the usable ones, if a step needs
 	// them, in the order of usable.
 	quarantined, all []*endpoint
-	// reservingGangs counts the gangs with reservations, waitingGangs those that wait for room or tickets,
-	// exploringGangs those without an answer of their policy, and prefetched the steps that request tickets
-	// before there is room.
+	// reservingGangs counts the gangs with reservations, waitingGangs those that wait for room, and prefetched the
+	// steps that request tickets before there is room.
 	reservingGangs int
 	waitingGangs   int
-	exploringGangs int
 	prefetched     int
+	// explorations and renewals are the questions about gangs, and claimed is the room for which gangs ask for
+	// tickets.
+	explorations, renewals gangQuestions
+	claimed                map[*endpoint]modeler.Resources
 	// scratch is the reused buffer for lists of candidates.
 	scratch []*endpoint
 	// unplaceable holds, for each group of steps, the needs that no endpoint has room for in this round.
