End the reservations of gangs that do not start, and let others have their turn

What callers saw: nothing yet; shown by tests on the code before. A gang that reserved endpoints kept their idle room from all other work for as long as the runs beside it lasted, and the first gangs in order kept the places among those that may reserve, also without finding endpoints to reserve.

Change: a reservation ends after 20 s. The pause until the next one of the gang doubles each time, up to 320 s, so the gangs behind have their turn. A gang that finds too few endpoints holds no place. The code of reservations moves to a file.

Evidence: TestReservationsEnd (two of three small tasks did not start in 30 s beside idle room, now by 21 s) and TestReservationsTakeTurns (1 of 4 gangs ever reserved anything in 4 minutes, now all) failed before.

A new owner knows no reservations and begins with the first gangs again.

--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -7,28 +7,6 @@
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
-// restoreReservations renews the reservations that the first waiting gangs had
-// in the last round. The gangs beyond reservingGangShare lose theirs, because
-// they would keep endpoints idle.
-func (ps *pass) restoreReservations(steps []*step) {
-	holders := 0
-	for _, s := range steps {
-		if len(s.reserved) == 0 {
-			continue
-		}
-		if holders++; holders > ps.limit(reservingGangShare) {
-			s.reserved, s.reservedSince = nil, 0
-
-			continue
-		}
-		for _, e := range s.reserved {
-			if e.reservedFor == nil {
-				e.reservedFor = s
-			}
-		}
-	}
-}
-
 // admittedCapacityFactor is the capacity of admitted endpoints, as a multiple
 // of the gang's size, from which a waiting gang stops asking about further
 // endpoints.
@@ -68,8 +46,9 @@
 		return
 	}
 	s.gangRun, s.gangSince = number, ps.now
-	s.reserved, s.reservedSince, s.preempted = nil, 0, false
-	s.wait.roomSince = 0
+	s.dropReservation()
+	s.wait.loseRoom()
+	s.wait.reservations = 0
 	for i, t := range pending {
 		ps.start(t, assigned[i], number)
 	}
@@ -77,34 +56,35 @@
 
 // deferGang handles a gang that cannot start: it lacks either tickets or room.
 func (ps *pass) deferGang(s *step, candidates []*endpoint, count int) {
-	if ps.askBlocked(s) && len(s.reserved) > 0 {
+	hasRoom := totalRoom(s, count, candidates, nil) >= count
+	switch {
+	case !hasRoom:
+		s.wait.loseRoom()
+	case s.wait.roomSince == 0:
+		s.wait.roomSince = ps.now
+	}
+	switch {
+	case ps.askBlocked(s) && len(s.reserved) > 0:
 		// The reserved endpoints stay reserved until the policy has answered about them.
 		ps.reservingGangs++
-
-		return
-	}
-	if totalRoom(s, count, candidates, nil) >= count {
+	case hasRoom:
 		ps.renewTickets(s, candidates, count)
-
-		return
+	default:
+		ps.waitForRoom(s, candidates, count)
 	}
-	s.wait.roomSince = 0
-	ps.waitForRoom(s, candidates, count)
 }
 
 // renewTickets claims the room of a gang whose tickets have expired and asks for new
-// ones. It leaves room that others have claimed to them, for claimPatience at most.
+// ones. The gang leaves room that others have claimed to them, for claimPatience at most,
+// and keeps what it has reserved meanwhile.
 func (ps *pass) renewTickets(s *step, candidates []*endpoint, count int) {
-	if s.wait.roomSince == 0 {
-		s.wait.roomSince = ps.now
-	}
 	others := ps.claimed
 	if ps.now.Sub(s.wait.roomSince) > claimPatience {
 		others = nil
 	}
 	assigned := ps.assignEndpoints(s, count, candidates, others)
 	if assigned == nil {
-		s.reserved = nil
+		ps.reservingGangs += min(len(s.reserved), 1)
 
 		return
 	}
@@ -117,8 +97,8 @@
 // some of them.
 func (ps *pass) waitForRoom(s *step, candidates []*endpoint, count int) {
 	p := ps.planner
-	if ps.waitingGangs >= ps.limit(waitingGangShare) {
-		s.reserved = nil
+	if ps.now < s.wait.mayReserveAt || ps.waitingGangs >= ps.limit(waitingGangShare) {
+		s.dropReservation()
 
 		return
 	}
@@ -147,22 +127,6 @@
 	return admitted
 }
 
-// reserveAssigned reserves the endpoints in assigned for a gang, each once, if it may
-// reserve any.
-func (ps *pass) reserveAssigned(s *step, assigned []*endpoint) {
-	s.reserved = nil
-	if ps.reservingGangs >= ps.limit(reservingGangShare) {
-		return
-	}
-	for _, e := range assigned {
-		if !slices.Contains(s.reserved, e) {
-			e.reservedFor = s
-			s.reserved = append(s.reserved, e)
-		}
-	}
-	ps.reservingGangs++
-}
-
 // taskCapacity returns the number of tasks of s that the endpoints hold when they are empty.
 func taskCapacity(s *step, endpoints []*endpoint) int {
 	total := 0
@@ -281,70 +245,6 @@
 	return e.Labels[len(e.Labels)-1]
 }
 
-// reserveEndpoints reserves endpoints until the gang fits on them. The same
-// endpoints stay reserved from round to round, so that they become free. After
-// preemptDelay it preempts less urgent runs there.
-func (ps *pass) reserveEndpoints(s *step, candidates []*endpoint, count int) {
-	if ps.reservingGangs >= ps.limit(reservingGangShare) || s.job.excess {
-		s.reserved = nil
-
-		return
-	}
-	ps.reservingGangs++
-	if !ps.reservationValid(s, count) {
-		s.reserved = ps.chooseReservation(s, candidates, count)
-		s.reservedSince, s.preempted = ps.now, false
-	}
-	if len(s.reserved) == 0 {
-		return
-	}
-	for _, e := range s.reserved {
-		e.reservedFor = s
-	}
-	if !s.preempted && ps.now.Sub(s.reservedSince) > preemptDelay {
-		s.preempted = true
-		ps.preempt(s, count)
-	}
-}
-
-// reservationValid reports whether the reserved endpoints are usable and large
-// enough for the gang.
-func (ps *pass) reservationValid(s *step, count int) bool {
-	for _, e := range s.reserved {
-		if holder := e.reservedFor; holder != nil && holder != s || !ps.isUsable(s, e) {
-			return false
-		}
-	}
-
-	return taskCapacity(s, s.reserved) >= count
-}
-
-// chooseReservation returns endpoints that can hold a gang, or nil. It prefers
-// those with the most resources that are free or used by preemptible runs.
-func (ps *pass) chooseReservation(s *step, candidates []*endpoint, count int) []*endpoint {
-	type option struct {
-		endpoint *endpoint
-		fits     int
-	}
-	var options []option
-	for _, e := range candidates {
-		if holder := e.reservedFor; holder == nil || holder == s {
-			options = append(options, option{e, tasksFitting(s, e.free().Add(preemptibleUsage(s, e)), s.def.PerEndpoint)})
-		}
-	}
-	sort.SliceStable(options, func(a, b int) bool { return options[a].fits > options[b].fits })
-	var chosen []*endpoint
-	for _, o := range options {
-		chosen = append(chosen, o.endpoint)
-		if count -= tasksFitting(s, o.endpoint.Capacity, s.def.PerEndpoint); count <= 0 {
-			return chosen
-		}
-	}
-
-	// A partial reservation could deadlock: two gangs would each wait for the other's endpoints.
-	return nil
-}
-
 // preemptibleFor reports whether a run may be stopped for the gang: its queue
 // is less urgent, and it resumes from its checkpoint, so that little work is
 // lost.
--- a/internal/cell/planner/gang_ask.go
+++ b/internal/cell/planner/gang_ask.go
@@ -47,10 +47,19 @@
 	// roomSince is since when the gang has had room on endpoints to which it is admitted,
 	// but no tickets, or 0.
 	roomSince definer.Instant
+	// holdsSince is since when endpoints have been reserved for the gang, or 0.
+	holdsSince definer.Instant
+	// reservations counts the reservations that ended after maxReservation, and
+	// mayReserveAt is when the gang may reserve endpoints again.
+	reservations int
+	mayReserveAt definer.Instant
 	// pausedUntil is when the gang looks for endpoints to ask about again.
 	pausedUntil definer.Instant
 }
 
+// loseRoom notes that a gang has no room, or no use for it any more.
+func (w *gangWait) loseRoom() { w.roomSince = 0 }
+
 // gangQuestions holds the questions of one purpose about gangs.
 type gangQuestions struct {
 	purpose gangQuestion
--- /dev/null
+++ b/internal/cell/planner/reservation.go
@@ -0,0 +1,156 @@
+package planner
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+)
+
+const (
+	// maxReservation is how long a gang reserves endpoints at a time, and the pause until
+	// it does so again after the first time. The pause doubles each time, up to
+	// maxReservationDoublings times, so that the gangs behind have their turn.
+	maxReservation          = 20 * time.Second
+	maxReservationDoublings = 4
+	// reservationRetryPause is how long a gang does not try again to reserve endpoints
+	// after it has found too few.
+	reservationRetryPause = 250 * time.Millisecond
+)
+
+// dropReservation releases the endpoints that are reserved for the gang.
+func (s *step) dropReservation() { s.reserved, s.reservedSince, s.preempted = nil, 0, false }
+
+// restoreReservations renews the reservations that the first waiting gangs had
+// in the last round. The gangs beyond reservingGangShare lose theirs, because
+// they would keep endpoints idle, and so do those that have had one for maxReservation.
+func (ps *pass) restoreReservations(steps []*step) {
+	holders := 0
+	for _, s := range steps {
+		if len(s.reserved) == 0 {
+			s.wait.holdsSince = 0
+
+			continue
+		}
+		if s.wait.holdsSince == 0 {
+			s.wait.holdsSince = ps.now
+		}
+		if ps.now.Sub(s.wait.holdsSince) > maxReservation {
+			s.endReservation(ps.now)
+
+			continue
+		}
+		if holders++; holders > ps.limit(reservingGangShare) {
+			s.dropReservation()
+
+			continue
+		}
+		for _, e := range s.reserved {
+			if e.reservedFor == nil {
+				e.reservedFor = s
+			}
+		}
+	}
+}
+
+// endReservation ends the reservation of a gang that has not started within
+// maxReservation, and begins the pause until its next one.
+func (s *step) endReservation(now definer.Instant) {
+	s.dropReservation()
+	s.wait.holdsSince = 0
+	s.wait.mayReserveAt = now.Add(maxReservation << min(s.wait.reservations, maxReservationDoublings))
+	s.wait.reservations++
+}
+
+// reserveAssigned reserves the endpoints in assigned, each once, for a gang that asks for
+// tickets for them, if it may reserve any.
+func (ps *pass) reserveAssigned(s *step, assigned []*endpoint) {
+	since := s.reservedSince
+	s.dropReservation()
+	if ps.reservingGangs >= ps.limit(reservingGangShare) {
+		return
+	}
+	for _, e := range assigned {
+		if !slices.Contains(s.reserved, e) {
+			e.reservedFor = s
+			s.reserved = append(s.reserved, e)
+		}
+	}
+	if s.reservedSince = since; since == 0 {
+		s.reservedSince = ps.now
+	}
+	ps.reservingGangs++
+}
+
+// reserveEndpoints reserves endpoints until the gang fits on them. The same
+// endpoints stay reserved from round to round, so that they become free. After
+// preemptDelay it preempts less urgent runs there.
+func (ps *pass) reserveEndpoints(s *step, candidates []*endpoint, count int) {
+	if ps.reservingGangs >= ps.limit(reservingGangShare) || s.job.excess {
+		s.dropReservation()
+
+		return
+	}
+	if !ps.reservationValid(s, count) {
+		s.reserved = ps.chooseReservation(s, candidates, count)
+		s.reservedSince, s.preempted = ps.now, false
+	}
+	if len(s.reserved) == 0 {
+		s.wait.mayReserveAt = ps.now.Add(reservationRetryPause)
+
+		return
+	}
+	ps.reservingGangs++
+	for _, e := range s.reserved {
+		e.reservedFor = s
+	}
+	if !s.preempted && ps.now.Sub(s.reservedSince) > preemptDelay {
+		s.preempted = true
+		ps.preempt(s, count)
+	}
+}
+
+// reservationValid reports whether the reserved endpoints are usable and large
+// enough for the gang.
+func (ps *pass) reservationValid(s *step, count int) bool {
+	total := 0
+	for _, e := range s.reserved {
+		if holder := e.reservedFor; holder != nil && holder != s || !ps.isUsable(s, e) {
+			return false
+		}
+		total += tasksFitting(s, e.Capacity, s.def.PerEndpoint)
+	}
+
+	return total >= count
+}
+
+// chooseReservation returns endpoints that can hold a gang, or nil. It prefers
+// those with the most resources that are free or used by preemptible runs.
+func (ps *pass) chooseReservation(s *step, candidates []*endpoint, count int) []*endpoint {
+	type option struct {
+		endpoint *endpoint
+		fits     int
+	}
+	var options []option
+	for _, e := range candidates {
+		if holder := e.reservedFor; holder == nil || holder == s {
+			options = append(options, option{e, tasksFitting(s, e.free().Add(preemptibleUsage(s, e)), s.def.PerEndpoint)})
+		}
+	}
+	sort.SliceStable(options, func(a, b int) bool { return options[a].fits > options[b].fits })
+	var chosen []*endpoint
+	for _, o := range options {
+		room := tasksFitting(s, o.endpoint.Capacity, s.def.PerEndpoint)
+		if room == 0 {
+			continue
+		}
+		chosen = append(chosen, o.endpoint)
+		if count -= room; count <= 0 {
+			return chosen
+		}
+	}
+
+	// A partial reservation could deadlock: two gangs would each wait for the other's endpoints.
+	return nil
+}
--- /dev/null
+++ b/internal/cell/planner/reservation_test.go
@@ -0,0 +1,64 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+)
+
+// acceptWide accepts a gang without a policy that needs count whole endpoints.
+func (g *gangCell) acceptWide(id string, count int) {
+	job := g.gang(id)
+	job.Steps[0].Count, job.Steps[0].Need.Millis = count, 16000
+	job.Queue.Policy = nil
+	g.accept(job)
+}
+
+// acceptSmall accepts a job of one task without a policy.
+func (g *gangCell) acceptSmall(id string) { g.accept(g.job(id, simpleStep(1))) }
+
+// freeOne ends one run on each of the endpoints from first to last.
+func (g *gangCell) freeOne(first, last int) {
+	for n := first; n <= last; n++ {
+		id := fmt.Sprintf("e%03d", n)
+		row := g.running[id][0]
+		g.endRun(id, row.Task, row.Run, definer.EndDone)
+	}
+}
+
+// TestReservationsEnd guards against a gang that keeps idle room from all other work for
+// good, because the runs beside it do not end.
+func TestReservationsEnd(t *testing.T) {
+	g := newGangCell(t, 3)
+	g.acceptWide("a", 2)
+	g.runUntil(time.Second)
+	g.freeOne(0, 2)
+	g.acceptSmall("b00")
+	g.acceptSmall("b01")
+	g.acceptSmall("b02")
+	g.runUntil(30 * time.Second)
+	g.requireStarts(3, 21*time.Second)
+}
+
+// TestReservationsTakeTurns guards against gangs that reserve endpoints in turns which
+// leave out those behind them.
+func TestReservationsTakeTurns(t *testing.T) {
+	g := newGangCell(t, 12)
+	for n := range 4 {
+		g.acceptWide(fmt.Sprintf("%02d", n), 12)
+	}
+	held := map[string]bool{}
+	for end := time.Second; end < 4*time.Minute; end += time.Second {
+		g.runUntil(end)
+		for _, e := range g.planner.ordered {
+			if e.reservedFor != nil {
+				held[e.reservedFor.job.ID] = true
+			}
+		}
+	}
+	if len(held) != 4 {
+		t.Errorf("%d of 4 gangs have reserved endpoints: %v", len(held), held)
+	}
+}
