Do not wait for long-running tasks to leave a gang room

Cause: a gang reserved endpoints by their capacity, of which long-running tasks may hold a part for good. It never fitted there, and kept the rest idle.

Change: resources of long-running tasks do not count as room that becomes free.

Evidence: TestGangWaitsForNoLongRunningTask failed before: a task with room beside did not start within 3 s.

--- a/internal/cell/planner/reservation.go
+++ b/internal/cell/planner/reservation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
 const (
@@ -119,12 +120,25 @@
 		if holder := e.reservedFor; holder != nil && holder != s || !ps.isUsable(s, e) {
 			return false
 		}
-		total += tasksFitting(s, e.Capacity, s.def.PerEndpoint)
+		total += tasksFitting(s, e.reclaimable(), s.def.PerEndpoint)
 	}
 
 	return total >= count
 }
 
+// reclaimable returns the resources of e that are or become free: all but those of
+// long-running tasks.
+func (e *endpoint) reclaimable() modeler.Resources {
+	room := e.Capacity
+	for _, r := range e.runs {
+		if r.task != nil && r.task.step.def.LongRunning {
+			room = room.Sub(r.need)
+		}
+	}
+
+	return room
+}
+
 // chooseReservation returns endpoints that can hold a gang, or nil. It prefers
 // those with the most resources that are free or used by preemptible runs.
 func (ps *pass) chooseReservation(s *step, candidates []*endpoint, count int) []*endpoint {
@@ -141,7 +155,7 @@
 	sort.SliceStable(options, func(a, b int) bool { return options[a].fits > options[b].fits })
 	var chosen []*endpoint
 	for _, o := range options {
-		room := tasksFitting(s, o.endpoint.Capacity, s.def.PerEndpoint)
+		room := tasksFitting(s, o.endpoint.reclaimable(), s.def.PerEndpoint)
 		if room == 0 {
 			continue
 		}
--- a/internal/cell/planner/reservation_test.go
+++ b/internal/cell/planner/reservation_test.go
@@ -62,3 +62,24 @@
 		t.Errorf("%d of 4 gangs have reserved endpoints: %v", len(held), held)
 	}
 }
+
+// TestGangWaitsForNoLongRunningTask guards against a gang that reserves endpoints on which
+// it never fits because of long-running tasks.
+func TestGangWaitsForNoLongRunningTask(t *testing.T) {
+	g := newGangCell(t, 2)
+	g.free(0, 1)
+	serving := simpleStep(1)
+	serving.LongRunning = true
+	for _, id := range []string{"c", "d", "e", "f", "g"} {
+		g.accept(g.job(id, serving))
+	}
+	g.runUntil(time.Second)
+	if len(g.running["e000"]) == 0 || len(g.running["e001"]) == 0 {
+		t.Fatal("a long-running task runs on each endpoint in this test")
+	}
+	g.acceptWide("a", 2)
+	g.runUntil(2 * time.Second)
+	g.acceptSmall("b00")
+	g.runUntil(5 * time.Second)
+	g.requireStarts(1, 2500*time.Millisecond)
+}
