Release the reservation of a gang that may not start

Cause: a gang whose account was at its limit, or whose admitted endpoints had become too small for it, was not looked at further, but its reservation was renewed in every round.

A gang that is below its limit again reserves anew.

--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -20,6 +20,8 @@
 	policy := s.job.Queue.Policy
 	account := p.account(s.job.Account)
 	if !account.withinLimit(s.def.Need.Scale(int64(len(pending))), ps.unconfirmed[account]) {
+		s.dropReservation()
+
 		return
 	}
 	if policy != nil && len(s.admission.answers) == 0 {
@@ -30,6 +32,7 @@
 	candidates := ps.admittedTo(s)
 	if taskCapacity(s, candidates) < len(pending) {
 		// The admitted endpoints are too small for the gang even when they are empty.
+		s.dropReservation()
 		ps.explore(s, len(pending))
 
 		return
--- a/internal/cell/planner/reservation_test.go
+++ b/internal/cell/planner/reservation_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
 // acceptWide accepts a gang without a policy that needs count whole endpoints.
@@ -83,3 +84,18 @@
 	g.runUntil(5 * time.Second)
 	g.requireStarts(1, 2500*time.Millisecond)
 }
+
+// TestGangAtLimitReservesNothing guards against a gang that keeps its reservation while
+// its account is at its limit.
+func TestGangAtLimitReservesNothing(t *testing.T) {
+	g := newGangCell(t, 2)
+	g.acceptWide("a", 2)
+	g.runUntil(time.Second)
+	g.planner.Configure(&definer.Configuration{Routes: testRoutes, Accounts: []definer.Account{{Name: "account", Limit: modeler.Resources{Millis: 1000}}}})
+	g.freeOne(0, 1)
+	small := g.job("b00", simpleStep(1))
+	small.Account = "other"
+	g.accept(small)
+	g.runUntil(3 * time.Second)
+	g.requireStarts(1, 1500*time.Millisecond)
+}
