Reserve no room for the tickets of a gang beyond the rate of its account

Cause: such a gang may not reserve endpoints until they become free, but did reserve free room while it asked for tickets.

Evidence: TestExcessGangReservesNothing failed before: a task of another account did not start within 2 s beside the room while the policy was silent.

--- a/internal/cell/planner/reservation.go
+++ b/internal/cell/planner/reservation.go
@@ -65,11 +65,11 @@
 }
 
 // reserveAssigned reserves the endpoints in assigned, each once, for a gang that asks for
-// tickets for them, if it may reserve any.
+// tickets for them, if it may reserve any. A gang beyond the rate of its account may not.
 func (ps *pass) reserveAssigned(s *step, assigned []*endpoint) {
 	since := s.reservedSince
 	s.dropReservation()
-	if ps.reservingGangs >= ps.limit(reservingGangShare) {
+	if s.job.excess || ps.reservingGangs >= ps.limit(reservingGangShare) {
 		return
 	}
 	for _, e := range assigned {
--- a/internal/cell/planner/reservation_test.go
+++ b/internal/cell/planner/reservation_test.go
@@ -99,3 +99,20 @@
 	g.runUntil(3 * time.Second)
 	g.requireStarts(1, 1500*time.Millisecond)
 }
+
+// TestExcessGangReservesNothing guards against a gang beyond the rate of its account that
+// keeps free room from other work while it asks for tickets.
+func TestExcessGangReservesNothing(t *testing.T) {
+	g := newGangCell(t, 2)
+	g.planner.Configure(&definer.Configuration{Routes: testRoutes, Accounts: []definer.Account{{Name: "over", Weight: 0.001}}})
+	job := g.gang("a")
+	job.Account = "over"
+	g.accept(job)
+	g.runUntil(10 * time.Second)
+	g.silent = func(string) bool { return true }
+	g.free(0, 0)
+	g.runUntil(10*time.Second + 100*time.Millisecond)
+	g.acceptSmall("b00")
+	g.runUntil(12 * time.Second)
+	g.requireStarts(1, 10500*time.Millisecond)
+}
