Reserve room for 2 s at most while tickets for it are asked for

Cause: a gang reserved free room for as long as it asked for tickets. With a policy that does not answer, or tickets that run out before their use, the room stood idle for good, also for gangs whose own policy answers.

Change: the reservation ends after 2 s, and the gangs of that queue then ask without one for 10 s, so the time does not grow with their number.

Evidence: TestGangSharesRoomOfSilentPolicy failed before: the gang did not start within 8 s beside free room behind 20 gangs of a silent policy; now within 3.5 s. While the policies take longer than 2 s for all, small tasks may take the room of a gang before its tickets arrive.

--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -67,7 +67,7 @@
 		s.wait.roomSince = ps.now
 	}
 	switch {
-	case ps.askBlocked(s) && len(s.reserved) > 0:
+	case ps.askBlocked(s) && len(s.reserved) > 0 && (!hasRoom || ps.mayReserveForTickets(s)):
 		// The reserved endpoints stay reserved until the policy has answered about them.
 		ps.reservingGangs++
 	case hasRoom:
--- a/internal/cell/planner/gang_ask.go
+++ b/internal/cell/planner/gang_ask.go
@@ -47,6 +47,8 @@
 	// roomSince is since when the gang has had room on endpoints to which it is admitted,
 	// but no tickets, or 0.
 	roomSince definer.Instant
+	// ticketsSince is since when the gang reserves that room while it asks for tickets, or 0.
+	ticketsSince definer.Instant
 	// holdsSince is since when endpoints have been reserved for the gang, or 0.
 	holdsSince definer.Instant
 	// reservations counts the reservations that ended after maxReservation, and
@@ -58,7 +60,7 @@
 }
 
 // loseRoom notes that a gang has no room, or no use for it any more.
-func (w *gangWait) loseRoom() { w.roomSince = 0 }
+func (w *gangWait) loseRoom() { w.roomSince, w.ticketsSince = 0, 0 }
 
 // gangQuestions holds the questions of one purpose about gangs.
 type gangQuestions struct {
--- a/internal/cell/planner/gang_wait_test.go
+++ b/internal/cell/planner/gang_wait_test.go
@@ -241,3 +241,23 @@
 		t.Errorf("%d questions for the room of two gangs, want 2", asks)
 	}
 }
+
+// TestGangSharesRoomOfSilentPolicy guards against gangs whose policy does not answer and
+// that one after the other keep free room from those that could use it.
+func TestGangSharesRoomOfSilentPolicy(t *testing.T) {
+	g := newGangCell(t, 12)
+	silent := false
+	g.silent = func(job string) bool { return silent && job[0] == 'a' }
+	g.admits = func(_ string, endpoint int) bool { return endpoint == 4 }
+	for n := range 20 {
+		job := g.gang(fmt.Sprintf("a%02d", n))
+		job.Queue.Name = "silent"
+		g.accept(job)
+	}
+	g.acceptGangs("b", 1)
+	g.runUntil(12 * time.Second)
+	silent = true
+	g.free(4, 4)
+	g.runUntil(20 * time.Second)
+	g.requireStarts(1, 15500*time.Millisecond)
+}
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -132,6 +132,8 @@
 	admissionRate float64
 	// durationRatio is the mean ratio of run times to their estimates.
 	durationRatio float64
+	// ticketReservationsFrom is when gangs that ask for tickets may reserve room again.
+	ticketReservationsFrom definer.Instant
 }
 
 // Command is an action that the caller has to carry out.
--- a/internal/cell/planner/reservation.go
+++ b/internal/cell/planner/reservation.go
@@ -15,6 +15,11 @@
 	// maxReservationDoublings times, so that the gangs behind have their turn.
 	maxReservation          = 20 * time.Second
 	maxReservationDoublings = 4
+	// maxTicketReservation is how long a gang reserves room while it asks for tickets.
+	maxTicketReservation = 2 * time.Second
+	// ticketReservationPause is how long the gangs of a queue reserve no room while they
+	// ask for tickets after one of them did so in vain.
+	ticketReservationPause = 10 * time.Second
 	// reservationRetryPause is how long a gang does not try again to reserve endpoints
 	// after it has found too few.
 	reservationRetryPause = 250 * time.Millisecond
@@ -69,7 +74,7 @@
 func (ps *pass) reserveAssigned(s *step, assigned []*endpoint) {
 	since := s.reservedSince
 	s.dropReservation()
-	if s.job.excess || ps.reservingGangs >= ps.limit(reservingGangShare) {
+	if s.job.excess || ps.reservingGangs >= ps.limit(reservingGangShare) || !ps.mayReserveForTickets(s) {
 		return
 	}
 	for _, e := range assigned {
@@ -84,6 +89,25 @@
 	ps.reservingGangs++
 }
 
+// mayReserveForTickets reports whether a gang may reserve room while it asks for tickets:
+// for maxTicketReservation, and not while the gangs of its queue do so in vain.
+func (ps *pass) mayReserveForTickets(s *step) bool {
+	queue := ps.planner.stats(s.job.Queue.Name)
+	switch {
+	case ps.now < queue.ticketReservationsFrom:
+		return false
+	case s.wait.ticketsSince == 0:
+		s.wait.ticketsSince = ps.now
+	case ps.now.Sub(s.wait.ticketsSince) > maxTicketReservation:
+		s.wait.ticketsSince = 0
+		queue.ticketReservationsFrom = ps.now.Add(ticketReservationPause)
+
+		return false
+	}
+
+	return true
+}
+
 // reserveEndpoints reserves endpoints until the gang fits on them. The same
 // endpoints stay reserved from round to round, so that they become free. After
 // preemptDelay it preempts less urgent runs there.
