--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -7,73 +7,40 @@
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
-// restoreReservations renews the reservations that the first waiting gangs had
-// in the last round. The gangs beyond reservingGangShare lose theirs, because
-// they would keep endpoints idle.
-func (ps *pass) restoreReservations(steps []*step) {
-	holders := 0
-	for _, s := range steps {
-		if len(s.reserved) == 0 {
-			continue
-		}
-		if holders++; holders > ps.limit(reservingGangShare) {
-			s.reserved, s.reservedSince = nil, 0
-
-			continue
-		}
-		for _, e := range s.reserved {
-			if e.reservedFor == nil {
-				e.reservedFor = s
-			}
-		}
-	}
-}
-
 // admittedCapacityFactor is the capacity of admitted endpoints, as a multiple
 // of the gang's size, from which a waiting gang stops asking about further
 // endpoints.
 const admittedCapacityFactor = 4
 
-// placeGang starts all tasks of a gang at once. The first gangs that cannot start wait:
-// they ask for tickets, and the first of these reserve endpoints. The others start when
-// there is room beside the reserved endpoints for which they have tickets.
+// placeGang starts all tasks of a gang at once. A gang that has room but no tickets asks
+// for them, and the first gangs without room reserve endpoints. The others wait, and
+// start when there is room beside the reserved endpoints.
 func (ps *pass) placeGang(s *step, pending []*task) {
 	p := ps.planner
 	policy := s.job.Queue.Policy
-	askBlocked := s.admission.askBlockedUntil != 0 && ps.now < s.admission.askBlockedUntil
 	account := p.account(s.job.Account)
-	mayWait := ps.waitingGangs < ps.limit(waitingGangShare)
 	if !account.withinLimit(s.def.Need.Scale(int64(len(pending))), ps.unconfirmed[account]) {
+		s.dropReservation()
+
 		return
 	}
 	if policy != nil && len(s.admission.answers) == 0 {
-		if mayWait && !askBlocked && ps.exploringGangs < ps.limit(exploringGangShare) {
-			p.ask(s, p.endpointsToAsk(s, ps.candidates(s), len(pending)), ps.now)
-		}
-		ps.exploringGangs++
+		ps.explore(s, len(pending))
 
 		return
 	}
 	candidates := ps.admittedTo(s)
 	if taskCapacity(s, candidates) < len(pending) {
-		if policy != nil && mayWait && !askBlocked {
-			// The admitted endpoints are too small for the gang even when they are empty; ask about the others.
-			p.ask(s, p.endpointsToAsk(s, s.admission.filterUnasked(ps.candidates(s)), len(pending)), ps.now)
-		}
+		// The admitted endpoints are too small for the gang even when they are empty.
+		s.dropReservation()
+		ps.explore(s, len(pending))
 
 		return
 	}
 	ready, _ := ps.withTickets(s, candidates)
-	assigned := ps.assignEndpoints(s, len(pending), ready)
-	switch {
-	case assigned != nil:
-	case mayWait:
-		ps.waitingGangs++
-		ps.deferGang(s, candidates, len(pending), askBlocked)
-
-		return
-	default:
-		s.reserved = nil
+	assigned := ps.assignEndpoints(s, len(pending), ready, nil)
+	if assigned == nil {
+		ps.deferGang(s, candidates, len(pending))
 
 		return
 	}
@@ -82,33 +49,65 @@
 		return
 	}
 	s.gangRun, s.gangSince = number, ps.now
-	s.reserved, s.reservedSince, s.preempted = nil, 0, false
+	s.dropReservation()
+	s.wait.loseRoom()
+	s.wait.reservations = 0
 	for i, t := range pending {
 		ps.start(t, assigned[i], number)
 	}
 }
 
-// deferGang reserves endpoints for a gang that cannot start yet, and asks the
-// policy for the tickets that it lacks.
-func (ps *pass) deferGang(s *step, candidates []*endpoint, count int, askBlocked bool) {
-	p := ps.planner
-	if askBlocked && len(s.reserved) > 0 {
+// deferGang handles a gang that cannot start: it lacks either tickets or room.
+func (ps *pass) deferGang(s *step, candidates []*endpoint, count int) {
+	hasRoom := totalRoom(s, count, candidates, nil) >= count
+	switch {
+	case !hasRoom:
+		s.wait.loseRoom()
+	case s.wait.roomSince == 0:
+		s.wait.roomSince = ps.now
+	}
+	switch {
+	case ps.askBlocked(s) && len(s.reserved) > 0 && (!hasRoom || ps.mayReserveForTickets(s)):
 		// The reserved endpoints stay reserved until the policy has answered about them.
 		ps.reservingGangs++
+	case hasRoom:
+		ps.renewTickets(s, candidates, count)
+	default:
+		ps.waitForRoom(s, candidates, count)
+	}
+}
+
+// renewTickets claims the room of a gang whose tickets have expired and asks for new
+// ones. The gang leaves room that others have claimed to them, for claimPatience at most,
+// and keeps what it has reserved meanwhile.
+func (ps *pass) renewTickets(s *step, candidates []*endpoint, count int) {
+	others := ps.claimed
+	if ps.now.Sub(s.wait.roomSince) > claimPatience {
+		others = nil
+	}
+	assigned := ps.assignEndpoints(s, count, candidates, others)
+	if assigned == nil {
+		ps.reservingGangs += min(len(s.reserved), 1)
 
 		return
 	}
-	if assigned := ps.assignEndpoints(s, count, candidates); assigned != nil {
-		// There is room, but the tickets have expired; reserve it while new ones are requested.
-		ps.reserveAssigned(s, assigned)
-		if !askBlocked && (len(s.reserved) > 0 || ps.prefetched < ps.limit(prefetchShare)) {
-			ps.prefetched++
-			p.ask(s, slices.Compact(assigned), ps.now)
-		}
+	ps.claim(s, assigned)
+	ps.reserveAssigned(s, assigned)
+	ps.renew(s, slices.Compact(assigned))
+}
+
+// waitForRoom lets the first gangs without room ask about further endpoints and reserve
+// some of them.
+func (ps *pass) waitForRoom(s *step, candidates []*endpoint, count int) {
+	p := ps.planner
+	if ps.now < s.wait.mayReserveAt || ps.waitingGangs >= ps.limit(waitingGangShare) {
+		s.dropReservation()
 
 		return
 	}
-	if s.job.Queue.Policy != nil && !askBlocked && taskCapacity(s, candidates) < admittedCapacityFactor*count {
+	ps.waitingGangs++
+	if s.job.Queue.Policy != nil && !ps.askBlocked(s) && taskCapacity(s, candidates) < admittedCapacityFactor*count {
+		s.wait.question = gangQuestionNone
 		p.ask(s, p.endpointsToAsk(s, s.admission.filterUnasked(ps.candidates(s)), count), ps.now)
 	}
 	ps.reserveEndpoints(s, candidates, count)
@@ -131,22 +130,6 @@
 	return admitted
 }
 
-// reserveAssigned reserves the endpoints in assigned for a gang, each once, if it may
-// reserve any.
-func (ps *pass) reserveAssigned(s *step, assigned []*endpoint) {
-	s.reserved = nil
-	if ps.reservingGangs >= ps.limit(reservingGangShare) {
-		return
-	}
-	for _, e := range assigned {
-		if !slices.Contains(s.reserved, e) {
-			e.reservedFor = s
-			s.reserved = append(s.reserved, e)
-		}
-	}
-	ps.reservingGangs++
-}
-
 // taskCapacity returns the number of tasks of s that the endpoints hold when they are empty.
 func taskCapacity(s *step, endpoints []*endpoint) int {
 	total := 0
@@ -177,25 +160,36 @@
 	return int(count)
 }
 
-// assignEndpoints returns an endpoint for each of count tasks, or nil when there
-// is no room. A SameRack gang gets a single rack when one has room for it.
-func (ps *pass) assignEndpoints(s *step, count int, candidates []*endpoint) []*endpoint {
-	fit := func(e *endpoint) int {
-		if !availableTo(e, s) {
-			return 0
-		}
-
-		return tasksFitting(s, e.free(), s.def.PerEndpoint)
+// roomFor returns the number of tasks of s that have room on e beside what is taken there.
+func roomFor(s *step, e *endpoint, taken map[*endpoint]modeler.Resources) int {
+	if !availableTo(e, s) {
+		return 0
 	}
+
+	return tasksFitting(s, e.free().Sub(taken[e]), s.def.PerEndpoint)
+}
+
+// totalRoom returns the number of tasks of s that have room on the candidates, or some
+// number from count on.
+func totalRoom(s *step, count int, candidates []*endpoint, taken map[*endpoint]modeler.Resources) int {
 	total := 0
 	for _, e := range candidates {
-		if total += fit(e); total >= count {
+		if total += roomFor(s, e, taken); total >= count {
 			break
 		}
 	}
-	if total < count {
+
+	return total
+}
+
+// assignEndpoints returns an endpoint for each of count tasks, or nil when there
+// is no room beside what is taken on them. A SameRack gang gets a single rack when one
+// has room for it.
+func (ps *pass) assignEndpoints(s *step, count int, candidates []*endpoint, taken map[*endpoint]modeler.Resources) []*endpoint {
+	if totalRoom(s, count, candidates, taken) < count {
 		return nil
 	}
+	fit := func(e *endpoint) int { return roomFor(s, e, taken) }
 	if s.def.SameRack {
 		if assigned := assignInOneRack(s, count, candidates, fit); assigned != nil {
 			return assigned
@@ -254,70 +248,6 @@
 	return e.Labels[len(e.Labels)-1]
 }
 
-// reserveEndpoints reserves endpoints until the gang fits on them. The same
-// endpoints stay reserved from round to round, so that they become free. After
-// preemptDelay it preempts less urgent runs there.
-func (ps *pass) reserveEndpoints(s *step, candidates []*endpoint, count int) {
-	if ps.reservingGangs >= ps.limit(reservingGangShare) || s.job.excess {
-		s.reserved = nil
-
-		return
-	}
-	ps.reservingGangs++
-	if !ps.reservationValid(s, count) {
-		s.reserved = ps.chooseReservation(s, candidates, count)
-		s.reservedSince, s.preempted = ps.now, false
-	}
-	if len(s.reserved) == 0 {
-		return
-	}
-	for _, e := range s.reserved {
-		e.reservedFor = s
-	}
-	if !s.preempted && ps.now.Sub(s.reservedSince) > preemptDelay {
-		s.preempted = true
-		ps.preempt(s, count)
-	}
-}
-
-// reservationValid reports whether the reserved endpoints are usable and large
-// enough for the gang.
-func (ps *pass) reservationValid(s *step, count int) bool {
-	for _, e := range s.reserved {
-		if holder := e.reservedFor; holder != nil && holder != s || !ps.isUsable(s, e) {
-			return false
-		}
-	}
-
-	return taskCapacity(s, s.reserved) >= count
-}
-
-// chooseReservation returns endpoints that can hold a gang, or nil. It prefers
-// those with the most resources that are free or used by preemptible runs.
-func (ps *pass) chooseReservation(s *step, candidates []*endpoint, count int) []*endpoint {
-	type option struct {
-		endpoint *endpoint
-		fits     int
-	}
-	var options []option
-	for _, e := range candidates {
-		if holder := e.reservedFor; holder == nil || holder == s {
-			options = append(options, option{e, tasksFitting(s, e.free().Add(preemptibleUsage(s, e)), s.def.PerEndpoint)})
-		}
-	}
-	sort.SliceStable(options, func(a, b int) bool { return options[a].fits > options[b].fits })
-	var chosen []*endpoint
-	for _, o := range options {
-		chosen = append(chosen, o.endpoint)
-		if count -= tasksFitting(s, o.endpoint.Capacity, s.def.PerEndpoint); count <= 0 {
-			return chosen
-		}
-	}
-
-	// A partial reservation could deadlock: two gangs would each wait for the other's endpoints.
-	return nil
-}
-
 // preemptibleFor reports whether a run may be stopped for the gang: its queue
 // is less urgent, and it resumes from its checkpoint, so that little work is
 // lost.
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -81,8 +81,8 @@
 	withoutDetails int
 	// backlog is the last result of measureBacklog.
 	backlog backlog
-	// rounds counts the rounds of placement.
-	rounds int
+	// rounds counts the rounds of placement, and gangQuestionsAsked the questions about gangs that take turns.
+	rounds, gangQuestionsAsked int
 	// ownedAt is when the last successful append was made; the instance owned the cell then.
 	ownedAt definer.Instant
 	// tableEnd is the offset after the last record of the state table, as far as the owner knows.
@@ -134,6 +134,8 @@
 	admissionRate float64
 	// durationRatio is the mean ratio of run times to their estimates.
 	durationRatio float64
+	// ticketReservationsFrom is when gangs that ask for tickets may reserve room again.
+	ticketReservationsFrom definer.Instant
 }
 
 // Command is an action that the caller has to carry out.
