--- a/internal/cell/elector/serve.go
+++ b/internal/cell/elector/serve.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"sort"
-	"sync"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
@@ -195,89 +193,3 @@
 		delete(e.questionLoad, address)
 	}
 }
-
-const (
-	// shortBudget and longBudget are the total decision times of outstanding
-	// questions per live instance. The policy answers an instance's questions one
-	// at a time, and the budget of short ones must also cover the network round trip.
-	// Long questions may also use what short ones leave.
-	shortBudget = 200 * time.Millisecond
-	longBudget  = 500 * time.Millisecond
-)
-
-// budgetLimiter limits the total cost of concurrent operations to a budget. Waiters
-// with the lowest priority number are served first.
-type budgetLimiter struct {
-	// budget returns the limit of the total cost.
-	budget func() time.Duration
-	mu     sync.Mutex
-	used   time.Duration
-	queue  []*waiter
-}
-
-// waiter is an operation that waits for its share of the budget.
-type waiter struct {
-	priority int
-	cost     time.Duration
-	granted  chan struct{}
-}
-
-// acquire waits until the cost fits into the budget, and reports false if ctx ends
-// first. An operation whose cost exceeds the whole budget runs alone.
-func (b *budgetLimiter) acquire(ctx context.Context, priority int, cost time.Duration) bool {
-	w := &waiter{priority: priority, cost: cost, granted: make(chan struct{}, 1)}
-	budget := b.budget()
-	b.mu.Lock()
-	at := sort.Search(len(b.queue), func(i int) bool { return b.queue[i].priority > priority })
-	b.queue = append(b.queue, nil)
-	copy(b.queue[at+1:], b.queue[at:])
-	b.queue[at] = w
-	b.grant(budget)
-	b.mu.Unlock()
-	select {
-	case <-w.granted:
-		return true
-	case <-ctx.Done():
-	}
-	b.mu.Lock()
-	for i, other := range b.queue {
-		if other == w {
-			b.queue = append(b.queue[:i], b.queue[i+1:]...)
-			b.mu.Unlock()
-
-			return false
-		}
-	}
-	b.mu.Unlock()
-	// The cost was granted just as ctx ended: release it for the next waiter.
-	b.release(cost)
-
-	return false
-}
-
-// inUse returns the total cost of the operations that are under way.
-func (b *budgetLimiter) inUse() time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	return b.used
-}
-
-// release returns the cost of an operation to the budget.
-func (b *budgetLimiter) release(cost time.Duration) {
-	budget := b.budget()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.used -= cost
-	b.grant(budget)
-}
-
-// grant admits waiters while their costs fit into the budget. The caller holds mu.
-func (b *budgetLimiter) grant(budget time.Duration) {
-	for len(b.queue) > 0 && (b.used == 0 || b.used+b.queue[0].cost <= budget) {
-		next := b.queue[0]
-		b.queue = b.queue[1:]
-		b.used += next.cost
-		next.granted <- struct{}{}
-	}
-}
