Grant questions while a part of the budget is free

An expensive question at the head of the queue kept all others waiting until its whole cost fitted into the budget, beside a part that was free; with one or two instances until every question under way had been answered.

A question is now granted as long as a part of the budget is free. The last one may exceed it, so an instance gets at most the cost of one question beyond it.

TestExpensiveDoesNotBlockFreeBudget failed on the code before (nothing granted within a second beside half of the budget). Waiting for the whole cost again, and granting without a limit, each fail it.

--- a/internal/cell/elector/budget.go
+++ b/internal/cell/elector/budget.go
@@ -21,10 +21,11 @@
 	longestWaitPeriod = 4
 )
 
-// budgetLimiter limits the total cost of concurrent operations to a budget. Waiters
-// with the lowest priority number are served first, but every longestWaitPeriod-th
-// grant goes to the one that has waited longest, so that N older waiters delay an
-// operation by at most longestWaitPeriod * (N + 1) grants, whatever their priorities.
+// budgetLimiter limits the total cost of concurrent operations to a budget, which one
+// of them may exceed. Waiters with the lowest priority number are served first, but
+// every longestWaitPeriod-th grant goes to the one that has waited longest, so that N
+// older waiters delay an operation by at most longestWaitPeriod * (N + 1) grants,
+// whatever their priorities.
 type budgetLimiter struct {
 	// budget returns the limit of the total cost.
 	budget func() time.Duration
@@ -44,8 +45,7 @@
 	granted  chan struct{}
 }
 
-// acquire waits until the cost fits into the budget, and reports false if ctx ends
-// first. An operation whose cost exceeds the whole budget runs alone.
+// acquire waits for a share of the budget, and reports false if ctx ends first.
 func (b *budgetLimiter) acquire(ctx context.Context, priority int, cost time.Duration) bool {
 	w := &waiter{priority: priority, cost: cost, since: definer.Now(), granted: make(chan struct{}, 1)}
 	budget := b.budget()
@@ -94,14 +94,13 @@
 	b.grant(budget)
 }
 
-// grant admits waiters while their costs fit into the budget. The caller holds mu.
+// grant admits waiters while a part of the budget is free. The last one may exceed it,
+// since an expensive one would otherwise keep the others waiting beside a free part.
+// The caller holds mu.
 func (b *budgetLimiter) grant(budget time.Duration) {
-	for len(b.queue) > 0 {
+	for len(b.queue) > 0 && b.used < budget {
 		at := b.next()
 		next := b.queue[at]
-		if b.used != 0 && b.used+next.cost > budget {
-			return
-		}
 		b.queue = slices.Delete(b.queue, at, at+1)
 		b.used += next.cost
 		b.grants++
--- a/internal/cell/elector/budget_test.go
+++ b/internal/cell/elector/budget_test.go
@@ -99,3 +99,24 @@
 		t.Error("the urgent operation is not served first")
 	}
 }
+
+// TestExpensiveDoesNotBlockFreeBudget guards against an expensive question at the head
+// that keeps the others waiting while a part of the budget is free.
+func TestExpensiveDoesNotBlockFreeBudget(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	b := newLimiter(2 * testCost)
+	b.acquire(ctx, 0, testCost)
+	if !b.acquire(ctx, 0, 2*testCost) {
+		t.Fatal("an operation waits although half of the budget is free")
+	}
+	b.wait(ctx, t, 0)
+	b.release(testCost)
+	if b.waiting() == 0 {
+		t.Error("an operation is served although the whole budget is in use")
+	}
+	b.release(2 * testCost)
+	if b.waiting() > 0 {
+		t.Error("an operation waits although the budget is free")
+	}
+}
