Give a question to the policy one total time, known to planner and caller

Callers saw jobs without tickets for seconds. A question waited for the budget for its whole timeout and then had two attempts of that timeout each, while the planner counted it as lost after 2 decision times + 2.5 s and asked again: one step had several questions out. The second attempt could go to the same silent instance.

The planner gives a question a deadline (2 decision times + 2.5 s), at which it counts as lost and all work on it ends. Of this, 2 x (decision time + 0.75 s) are kept for two attempts at different instances, so the wait for the budget ends after 1 s, and a silent first instance leaves time for a second one. A question that gets no turn by then costs the policy nothing.

The assignment of questions has its own file.

--- /dev/null
+++ b/internal/cell/elector/ask.go
@@ -0,0 +1,127 @@
+package elector
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
+)
+
+// Ask implements leader.PolicyClient: it assigns the question to the instance with
+// the lowest question load, since the policy answers each instance's questions one
+// at a time. It returns within the question's timeout. A question that gets its turn
+// too late for all attempts is not asked at all.
+func (e *Elector) Ask(ctx context.Context, question *forwarder.Question, decisionTime time.Duration) *forwarder.Advice {
+	deadline := definer.Now().Add(question.Timeout)
+	limiter := &e.shortQuestions
+	if decisionTime >= longDecisionTime {
+		limiter = &e.longQuestions
+	}
+	acquireCtx, cancel := context.WithTimeout(ctx, question.Timeout-askAttempts*attemptTime(decisionTime))
+	defer cancel()
+	if !limiter.acquire(acquireCtx, question.Priority, decisionTime) {
+		return &forwarder.Advice{}
+	}
+	defer limiter.release(decisionTime)
+
+	return e.attempt(ctx, question, decisionTime, deadline)
+}
+
+// attempt asks up to askAttempts instances, one after the other, until one answers. Each
+// leaves time for those after it.
+func (e *Elector) attempt(ctx context.Context, question *forwarder.Question, decisionTime time.Duration, deadline definer.Instant) *forwarder.Advice {
+	var asked []netip.AddrPort
+	for left := min(askAttempts, e.countLive()) - 1; left >= 0; left-- {
+		address := e.assignQuestion(decisionTime, asked)
+		asked = append(asked, address)
+		timeout := deadline.Sub(definer.Now()) - time.Duration(left)*attemptTime(decisionTime)
+		advice := e.askAt(ctx, address, question, timeout)
+		e.releaseQuestion(address, decisionTime)
+		if advice.Answered || ctx.Err() != nil {
+			return advice
+		}
+		e.logger.Warn("question not answered", "job", question.Job, "instance", address.String())
+	}
+
+	return &forwarder.Advice{}
+}
+
+// attemptTime is the time that is reserved for an attempt: that of the decision, of the
+// questions before it at the instance, and of the calls.
+func attemptTime(decisionTime time.Duration) time.Duration { return decisionTime + attemptSlack }
+
+const (
+	// askAttempts is how many times a question is assigned to an instance.
+	askAttempts = 2
+	// attemptSlack is the time of an attempt in addition to the decision time.
+	attemptSlack = 750 * time.Millisecond
+	// localBias is subtracted from the load of this instance, whose questions need no call to a peer.
+	localBias = 20 * time.Millisecond
+	// longDecisionTime is the decision time from which a question counts as long, and longInstanceShare is the share
+	// of the instances to which long questions are assigned first.
+	longDecisionTime  = 250 * time.Millisecond
+	longInstanceShare = 0.6
+)
+
+func (e *Elector) askAt(ctx context.Context, address netip.AddrPort, question *forwarder.Question, timeout time.Duration) *forwarder.Advice {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if address == e.settings.Address {
+		return e.advise(callCtx, question)
+	}
+	advice, err := forwarder.Call[forwarder.Question, forwarder.Advice](callCtx, e.pool, address, "Advise", question)
+	if err != nil {
+		e.mu.Lock()
+		e.questionLoad[address] += unansweredPenalty
+		e.mu.Unlock()
+		time.AfterFunc(unansweredPenalty, func() { e.releaseQuestion(address, unansweredPenalty) })
+
+		return &forwarder.Advice{}
+	}
+
+	return advice
+}
+
+// unansweredPenalty is the load added to an instance that failed to answer a
+// question, and for how long it is added.
+const unansweredPenalty = 2 * time.Second
+
+// assignQuestion chooses the live instance with the lowest load for a question and
+// adds the decision time to its load. It leaves out those that were asked already, as
+// far as there are others. The first attempt of a long question only considers a share
+// of the instances.
+func (e *Elector) assignQuestion(decisionTime time.Duration, asked []netip.AddrPort) netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	addresses := e.live().addresses
+	if decisionTime >= longDecisionTime && len(asked) == 0 {
+		addresses = addresses[:max(1, int(float64(len(addresses))*longInstanceShare))]
+	}
+	best, bestLoad := addresses[0], time.Duration(1<<62)
+	for _, address := range addresses {
+		if slices.Contains(asked, address) {
+			continue
+		}
+		load := e.questionLoad[address]
+		if address == e.settings.Address {
+			load -= localBias
+		}
+		if load < bestLoad {
+			best, bestLoad = address, load
+		}
+	}
+	e.questionLoad[best] += decisionTime
+
+	return best
+}
+
+func (e *Elector) releaseQuestion(address netip.AddrPort, decisionTime time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.questionLoad[address] -= decisionTime; e.questionLoad[address] <= 0 {
+		delete(e.questionLoad, address)
+	}
+}
--- a/internal/cell/elector/budget.go
+++ b/internal/cell/elector/budget.go
@@ -57,6 +57,11 @@
 	b.grant(budget)
 	b.mu.Unlock()
 	select {
+	case <-w.granted:
+		return true
+	default:
+	}
+	select {
 	case <-w.granted:
 		return true
 	case <-ctx.Done():
--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -25,8 +25,6 @@
 	minRenewInterval = 150 * time.Millisecond
 	// minUnstoredRenewInterval replaces minRenewInterval while task ends that the endpoint has reported are not stored.
 	minUnstoredRenewInterval = 400 * time.Millisecond
-	// questionSlack is added to twice the expected decision time to bound a question to a placement policy.
-	questionSlack = 2 * time.Second
 )
 
 // startCall sends a start order to an endpoint.
@@ -124,7 +122,7 @@
 	began := definer.Now()
 	question := &forwarder.Question{
 		Job: c.command.Job, Occurrence: c.command.Occurrence, Step: c.command.Step, Endpoints: c.command.Endpoints,
-		Priority: c.command.Priority, Timeout: 2*c.command.DecisionTime + questionSlack,
+		Priority: c.command.Priority, Timeout: c.command.Deadline.Sub(began),
 	}
 	advice := c.leader.policy.Ask(ctx, question, c.command.DecisionTime)
 	c.leader.metrics.Observe("advice", definer.Since(began))
--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -21,10 +21,14 @@
 	spareAskedEndpoints = 4
 	// askRetryPause is the pause after a question that was not answered.
 	askRetryPause = 150 * time.Millisecond
-	// askTimeout is the time, in addition to twice the decision time, after which a question counts as lost.
-	askTimeout = 2500 * time.Millisecond
+	// questionSlack is the time, in addition to twice the decision time, after which a question counts as lost.
+	questionSlack = 2500 * time.Millisecond
 )
 
+// QuestionTime returns the total time of a question with the decision time: the wait
+// for its turn and all attempts to have it answered.
+func QuestionTime(decision time.Duration) time.Duration { return 2*decision + questionSlack }
+
 // admission holds the answers of the queue's placement policy for a step.
 type admission struct {
 	// answers holds the answers in the order in which they arrived first.
@@ -143,12 +147,16 @@
 	for question := range slices.Chunk(endpoints, size) {
 		s.admission.outstanding++
 		cost := policy.Decide + time.Duration(len(question))*policy.Each
-		s.admission.askBlockedUntil = max(s.admission.askBlockedUntil, now.Add(cost*2+askTimeout))
+		deadline := now.Add(QuestionTime(cost))
+		s.admission.askBlockedUntil = max(s.admission.askBlockedUntil, deadline)
 		ids := make([]string, len(question))
 		for i, e := range question {
 			ids[i] = e.ID
 		}
-		p.emit(AskPolicyCmd{Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.index, Endpoints: ids, DecisionTime: cost, Priority: s.job.Queue.Priority})
+		p.emit(AskPolicyCmd{
+			Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.index, Endpoints: ids, DecisionTime: cost,
+			Priority: s.job.Queue.Priority, Deadline: deadline,
+		})
 	}
 }
 
--- a/internal/cell/planner/advice_test.go
+++ b/internal/cell/planner/advice_test.go
@@ -102,3 +102,24 @@
 		t.Errorf("%d of %d jobs had their turn", len(asked), jobs)
 	}
 }
+
+// TestLostQuestionIsAskedAgain guards against a step that waits for an answer after its
+// question has ended, or asks again while the question is still out.
+func TestLostQuestionIsAskedAgain(t *testing.T) {
+	c := newCell(t, 12)
+	job := c.job("0000000000000001", definer.Step{Count: 1, Need: modeler.Resources{Millis: 1000}, Estimate: time.Second})
+	job.Queue.Policy = &definer.Policy{Decide: 100 * time.Millisecond, Each: time.Millisecond, Validity: time.Second}
+	c.planner.Accept(job, c.now, c.wall)
+	c.plan()
+	first := c.takeAsked()[0]
+	for len(c.asked) == 0 {
+		c.advance(10 * time.Millisecond)
+		c.plan()
+		if late := c.now.Sub(first.Deadline); late > 10*time.Millisecond {
+			t.Fatalf("not asked again %v after the end of the question", late)
+		}
+	}
+	if c.now < first.Deadline {
+		t.Errorf("asked again %v before the end of the question", first.Deadline.Sub(c.now))
+	}
+}
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -159,6 +159,8 @@
 	DecisionTime time.Duration
 	// Priority is the priority of the queue.
 	Priority int
+	// Deadline is when the question counts as lost; nobody works on it after that.
+	Deadline definer.Instant
 }
 
 // InventoryCmd requests the inventory of an endpoint immediately.
