Count the earlier tries of a question towards its wait

A question that got no turn in time ended, and its next try began behind all others, so a step could wait in vain without end.

The limiter keeps the place of a step that gave up, for 30 s after its last try or until it is served, so that the bound of 4 (N + 1) grants holds across tries. A takeover begins with an empty limiter and loses the places: its questions are all new.

TestWaitOfEarlierTryCounts fails if the earlier wait does not count or the place is kept after the grant, TestPlacesAreForgotten if places stay.

--- a/internal/cell/elector/ask.go
+++ b/internal/cell/elector/ask.go
@@ -22,7 +22,7 @@
 	}
 	acquireCtx, cancel := context.WithTimeout(ctx, question.Timeout-askAttempts*attemptTime(decisionTime))
 	defer cancel()
-	if !limiter.acquire(acquireCtx, question.Priority, decisionTime) {
+	if !limiter.acquire(acquireCtx, asker{question.Job, question.Occurrence, question.Step}, question.Priority, decisionTime) {
 		return &forwarder.Advice{}
 	}
 	defer limiter.release(decisionTime)
--- a/internal/cell/elector/budget.go
+++ b/internal/cell/elector/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"sync"
@@ -19,8 +20,19 @@
 	longBudget  = 500 * time.Millisecond
 	// longestWaitPeriod is the number of grants of which one goes to the operation that has waited longest.
 	longestWaitPeriod = 4
+	// placeTime is how long the place of a waiter that gave up is kept for its next try.
+	placeTime = 30 * time.Second
 )
 
+// asker identifies the step that asks.
+type asker struct {
+	job              string
+	occurrence, step int
+}
+
+// place tells since when an asker has waited that gave up at a time.
+type place struct{ since, left definer.Instant }
+
 // budgetLimiter limits the total cost of concurrent operations to a budget, which one
 // of them may exceed. Waiters with the lowest priority number are served first, but
 // every longestWaitPeriod-th grant goes to the one that has waited longest, so that N
@@ -35,25 +47,31 @@
 	queue []*waiter
 	// grants counts the grants.
 	grants int
+	// places holds the askers that gave up and have not been served since, and placesChecked is when those that
+	// did not try again were last removed.
+	places        map[asker]place
+	placesChecked definer.Instant
 }
 
 // waiter is an operation that waits for its share of the budget.
 type waiter struct {
+	asker    asker
 	priority int
 	cost     time.Duration
 	since    definer.Instant
 	granted  chan struct{}
 }
 
-// acquire waits for a share of the budget, and reports false if ctx ends first.
-func (b *budgetLimiter) acquire(ctx context.Context, priority int, cost time.Duration) bool {
-	w := &waiter{priority: priority, cost: cost, since: definer.Now(), granted: make(chan struct{}, 1)}
+// acquire waits for a share of the budget, and reports false if ctx ends first. The wait
+// of earlier tries of the same asker counts.
+func (b *budgetLimiter) acquire(ctx context.Context, from asker, priority int, cost time.Duration) bool {
+	w := &waiter{asker: from, priority: priority, cost: cost, since: definer.Now(), granted: make(chan struct{}, 1)}
 	budget := b.budget()
 	b.mu.Lock()
-	at := sort.Search(len(b.queue), func(i int) bool { return b.queue[i].priority > priority })
-	b.queue = append(b.queue, nil)
-	copy(b.queue[at+1:], b.queue[at:])
-	b.queue[at] = w
+	if kept, ok := b.places[from]; ok {
+		w.since = kept.since
+	}
+	b.queue = slices.Insert(b.queue, sort.Search(len(b.queue), func(i int) bool { return w.before(b.queue[i]) }), w)
 	b.grant(budget)
 	b.mu.Unlock()
 	select {
@@ -67,13 +85,12 @@
 	case <-ctx.Done():
 	}
 	b.mu.Lock()
-	for i, other := range b.queue {
-		if other == w {
-			b.queue = append(b.queue[:i], b.queue[i+1:]...)
-			b.mu.Unlock()
+	if i := slices.Index(b.queue, w); i >= 0 {
+		b.queue = slices.Delete(b.queue, i, i+1)
+		b.keepPlace(from, w.since, definer.Now())
+		b.mu.Unlock()
 
-			return false
-		}
+		return false
 	}
 	b.mu.Unlock()
 	// The cost was granted just as ctx ended: release it for the next waiter.
@@ -82,6 +99,25 @@
 	return false
 }
 
+// before reports whether w comes before o in the order of the queue.
+func (w *waiter) before(o *waiter) bool {
+	return w.priority < o.priority || w.priority == o.priority && w.since < o.since
+}
+
+// keepPlace records that an asker gave up now, and removes the places of those that did
+// so placeTime ago and have not tried again. The caller holds mu.
+func (b *budgetLimiter) keepPlace(from asker, since, now definer.Instant) {
+	if b.places == nil {
+		b.places = map[asker]place{}
+	}
+	b.places[from] = place{since: since, left: now}
+	if now.Sub(b.placesChecked) < placeTime {
+		return
+	}
+	b.placesChecked = now
+	maps.DeleteFunc(b.places, func(_ asker, p place) bool { return now.Sub(p.left) >= placeTime })
+}
+
 // inUse returns the total cost of the operations that are under way.
 func (b *budgetLimiter) inUse() time.Duration {
 	b.mu.Lock()
@@ -109,6 +145,7 @@
 		b.queue = slices.Delete(b.queue, at, at+1)
 		b.used += next.cost
 		b.grants++
+		delete(b.places, next.asker)
 		next.granted <- struct{}{}
 	}
 }
--- a/internal/cell/elector/budget_test.go
+++ b/internal/cell/elector/budget_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 )
 
 const (
@@ -44,17 +46,18 @@
 type acquisition struct {
 	limiter  *budgetLimiter
 	priority int
-	cost     time.Duration
 }
 
 // run waits for the budget.
-func (a *acquisition) run(ctx context.Context) { a.limiter.acquire(ctx, a.priority, a.cost) }
+func (a *acquisition) run(ctx context.Context) {
+	a.limiter.acquire(ctx, asker{}, a.priority, testCost)
+}
 
 // wait starts an operation that has to wait.
 func (b *budgetLimiter) wait(ctx context.Context, t *testing.T, priority int) {
 	t.Helper()
 	before := b.waiting()
-	a := &acquisition{limiter: b, priority: priority, cost: testCost}
+	a := &acquisition{limiter: b, priority: priority}
 	go a.run(ctx)
 	for b.waiting() == before {
 		time.Sleep(time.Millisecond)
@@ -68,7 +71,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	b := newLimiter(testCost)
-	b.acquire(ctx, 0, testCost)
+	b.acquire(ctx, asker{}, 0, testCost)
 	for range lessUrgent {
 		b.wait(ctx, t, leastUrgent)
 	}
@@ -89,7 +92,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	b := newLimiter(testCost)
-	b.acquire(ctx, 0, testCost)
+	b.acquire(ctx, asker{}, 0, testCost)
 	for range longestWaitPeriod {
 		b.wait(ctx, t, leastUrgent)
 	}
@@ -106,8 +109,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	b := newLimiter(2 * testCost)
-	b.acquire(ctx, 0, testCost)
-	if !b.acquire(ctx, 0, 2*testCost) {
+	b.acquire(ctx, asker{}, 0, testCost)
+	if !b.acquire(ctx, asker{}, 0, 2*testCost) {
 		t.Fatal("an operation waits although half of the budget is free")
 	}
 	b.wait(ctx, t, 0)
@@ -120,3 +123,44 @@
 		t.Error("an operation waits although the budget is free")
 	}
 }
+
+// TestWaitOfEarlierTryCounts guards against a question that waits in vain again and again,
+// because each time it ends its next try is behind all others.
+func TestWaitOfEarlierTryCounts(t *testing.T) {
+	b := newLimiter(testCost)
+	b.acquire(context.Background(), asker{}, 0, testCost)
+	first := asker{job: "first"}
+	short, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	if b.acquire(short, first, leastUrgent, testCost) {
+		t.Fatal("granted beyond the budget")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	b.wait(ctx, t, leastUrgent)
+	granted := make(chan bool, 1)
+	go func() { granted <- b.acquire(ctx, first, leastUrgent, testCost) }()
+	for b.waiting() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	b.release(testCost)
+	select {
+	case <-granted:
+	case <-time.After(time.Second):
+		t.Fatal("the operation that began to wait first is not served first")
+	}
+	if len(b.places) > 0 {
+		t.Error("a place is kept after the grant")
+	}
+}
+
+// TestPlacesAreForgotten guards against places that are kept for steps that have gone.
+func TestPlacesAreForgotten(t *testing.T) {
+	b := newLimiter(testCost)
+	now := definer.Now()
+	b.keepPlace(asker{job: "gone"}, now, now)
+	b.keepPlace(asker{job: "last"}, now, now.Add(2*placeTime))
+	if len(b.places) != 1 {
+		t.Errorf("%d places are kept, want 1", len(b.places))
+	}
+}
