--- /dev/null
+++ b/internal/cell/elector/budget.go
@@ -0,0 +1,166 @@
+package elector
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+)
+
+const (
+	// shortBudget and longBudget are the total decision times of outstanding
+	// questions per live instance. The policy answers an instance's questions one
+	// at a time, and the budget of short ones must also cover the network round trip.
+	// Long questions may also use what short ones leave.
+	shortBudget = 200 * time.Millisecond
+	longBudget  = 500 * time.Millisecond
+	// longestWaitPeriod is the number of grants of which one goes to the operation that has waited longest.
+	longestWaitPeriod = 4
+	// placeTime is how long the place of a waiter that gave up is kept for its next try.
+	placeTime = 30 * time.Second
+)
+
+// asker identifies the step that asks.
+type asker struct {
+	job              string
+	occurrence, step int
+}
+
+// place tells since when an asker has waited that gave up at a time.
+type place struct{ since, left definer.Instant }
+
+// budgetLimiter limits the total cost of concurrent operations to a budget, which one
+// of them may exceed. Waiters with the lowest priority number are served first, but
+// every longestWaitPeriod-th grant goes to the one that has waited longest, so that N
+// older waiters delay an operation by at most longestWaitPeriod * (N + 1) grants,
+// whatever their priorities.
+type budgetLimiter struct {
+	// budget returns the limit of the total cost.
+	budget func() time.Duration
+	mu     sync.Mutex
+	used   time.Duration
+	// queue holds the waiters in the order of their priorities, and within one, of their arrival.
+	queue []*waiter
+	// grants counts the grants.
+	grants int
+	// places holds the askers that gave up and have not been served since, and placesChecked is when those that
+	// did not try again were last removed.
+	places        map[asker]place
+	placesChecked definer.Instant
+}
+
+// waiter is an operation that waits for its share of the budget.
+type waiter struct {
+	asker    asker
+	priority int
+	cost     time.Duration
+	since    definer.Instant
+	granted  chan struct{}
+}
+
+// acquire waits for a share of the budget, and reports false if ctx ends first. The wait
+// of earlier tries of the same asker counts.
+func (b *budgetLimiter) acquire(ctx context.Context, from asker, priority int, cost time.Duration) bool {
+	w := &waiter{asker: from, priority: priority, cost: cost, since: definer.Now(), granted: make(chan struct{}, 1)}
+	budget := b.budget()
+	b.mu.Lock()
+	if kept, ok := b.places[from]; ok {
+		w.since = kept.since
+	}
+	b.queue = slices.Insert(b.queue, sort.Search(len(b.queue), func(i int) bool { return w.before(b.queue[i]) }), w)
+	b.grant(budget)
+	b.mu.Unlock()
+	select {
+	case <-w.granted:
+		return true
+	default:
+	}
+	select {
+	case <-w.granted:
+		return true
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	if i := slices.Index(b.queue, w); i >= 0 {
+		b.queue = slices.Delete(b.queue, i, i+1)
+		b.keepPlace(from, w.since, definer.Now())
+		b.mu.Unlock()
+
+		return false
+	}
+	b.mu.Unlock()
+	// The cost was granted just as ctx ended: release it for the next waiter.
+	b.release(cost)
+
+	return false
+}
+
+// before reports whether w comes before o in the order of the queue.
+func (w *waiter) before(o *waiter) bool {
+	return w.priority < o.priority || w.priority == o.priority && w.since < o.since
+}
+
+// keepPlace records that an asker gave up now, and removes the places of those that did
+// so placeTime ago and have not tried again. The caller holds mu.
+func (b *budgetLimiter) keepPlace(from asker, since, now definer.Instant) {
+	if b.places == nil {
+		b.places = map[asker]place{}
+	}
+	b.places[from] = place{since: since, left: now}
+	if now.Sub(b.placesChecked) < placeTime {
+		return
+	}
+	b.placesChecked = now
+	maps.DeleteFunc(b.places, func(_ asker, p place) bool { return now.Sub(p.left) >= placeTime })
+}
+
+// inUse returns the total cost of the operations that are under way.
+func (b *budgetLimiter) inUse() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.used
+}
+
+// release returns the cost of an operation to the budget.
+func (b *budgetLimiter) release(cost time.Duration) {
+	budget := b.budget()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= cost
+	b.grant(budget)
+}
+
+// grant admits waiters while a part of the budget is free. The last one may exceed it,
+// since an expensive one would otherwise keep the others waiting beside a free part.
+// The caller holds mu.
+func (b *budgetLimiter) grant(budget time.Duration) {
+	for len(b.queue) > 0 && b.used < budget {
+		at := b.next()
+		next := b.queue[at]
+		b.queue = slices.Delete(b.queue, at, at+1)
+		b.used += next.cost
+		b.grants++
+		delete(b.places, next.asker)
+		next.granted <- struct{}{}
+	}
+}
+
+// next returns the index of the waiter to serve next. The caller holds mu.
+func (b *budgetLimiter) next() int {
+	if (b.grants+1)%longestWaitPeriod != 0 {
+		return 0
+	}
+	longest := 0
+	for i, w := range b.queue {
+		if w.since < b.queue[longest].since {
+			longest = i
+		}
+	}
+
+	return longest
+}
--- /dev/null
+++ b/internal/cell/elector/budget_test.go
@@ -0,0 +1,166 @@
+package elector
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+)
+
+const (
+	// testCost is the cost of the operations of a test.
+	testCost = 100 * time.Millisecond
+	// leastUrgent is the priority of the least urgent queue.
+	leastUrgent = 3
+)
+
+// newLimiter returns a limiter with a budget.
+func newLimiter(budget time.Duration) *budgetLimiter {
+	return &budgetLimiter{budget: func() time.Duration { return budget }}
+}
+
+// waiting returns the number of operations that wait.
+func (b *budgetLimiter) waiting() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return len(b.queue)
+}
+
+// waitingAt returns the number of operations of a priority that wait.
+func (b *budgetLimiter) waitingAt(priority int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for _, w := range b.queue {
+		if w.priority == priority {
+			count++
+		}
+	}
+
+	return count
+}
+
+// acquisition is an operation of a test.
+type acquisition struct {
+	limiter  *budgetLimiter
+	priority int
+}
+
+// run waits for the budget.
+func (a *acquisition) run(ctx context.Context) {
+	a.limiter.acquire(ctx, asker{}, a.priority, testCost)
+}
+
+// wait starts an operation that has to wait.
+func (b *budgetLimiter) wait(ctx context.Context, t *testing.T, priority int) {
+	t.Helper()
+	before := b.waiting()
+	a := &acquisition{limiter: b, priority: priority}
+	go a.run(ctx)
+	for b.waiting() == before {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestLeastUrgentIsServedBesideUrgent guards against questions of less urgent queues
+// that never get a share of the budget while urgent ones keep coming.
+func TestLeastUrgentIsServedBesideUrgent(t *testing.T) {
+	const urgent, lessUrgent = 5, 3
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	b := newLimiter(testCost)
+	b.acquire(ctx, asker{}, 0, testCost)
+	for range lessUrgent {
+		b.wait(ctx, t, leastUrgent)
+	}
+	for range urgent {
+		b.wait(ctx, t, 0)
+	}
+	for grants := 0; b.waitingAt(leastUrgent) > 0; grants++ {
+		if limit := longestWaitPeriod * (urgent + lessUrgent); grants == limit {
+			t.Fatalf("less urgent operations still wait after %d grants", limit)
+		}
+		b.release(testCost)
+		b.wait(ctx, t, 0)
+	}
+}
+
+// TestUrgentGoFirst guards against urgent questions that wait behind less urgent ones.
+func TestUrgentGoFirst(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	b := newLimiter(testCost)
+	b.acquire(ctx, asker{}, 0, testCost)
+	for range longestWaitPeriod {
+		b.wait(ctx, t, leastUrgent)
+	}
+	b.wait(ctx, t, 0)
+	b.release(testCost)
+	if b.waitingAt(0) > 0 {
+		t.Error("the urgent operation is not served first")
+	}
+}
+
+// TestExpensiveDoesNotBlockFreeBudget guards against an expensive question at the head
+// that keeps the others waiting while a part of the budget is free.
+func TestExpensiveDoesNotBlockFreeBudget(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	b := newLimiter(2 * testCost)
+	b.acquire(ctx, asker{}, 0, testCost)
+	if !b.acquire(ctx, asker{}, 0, 2*testCost) {
+		t.Fatal("an operation waits although half of the budget is free")
+	}
+	b.wait(ctx, t, 0)
+	b.release(testCost)
+	if b.waiting() == 0 {
+		t.Error("an operation is served although the whole budget is in use")
+	}
+	b.release(2 * testCost)
+	if b.waiting() > 0 {
+		t.Error("an operation waits although the budget is free")
+	}
+}
+
+// TestWaitOfEarlierTryCounts guards against a question that waits in vain again and again,
+// because each time it ends its next try is behind all others.
+func TestWaitOfEarlierTryCounts(t *testing.T) {
+	b := newLimiter(testCost)
+	b.acquire(context.Background(), asker{}, 0, testCost)
+	first := asker{job: "first"}
+	short, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	if b.acquire(short, first, leastUrgent, testCost) {
+		t.Fatal("granted beyond the budget")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	b.wait(ctx, t, leastUrgent)
+	granted := make(chan bool, 1)
+	go func() { granted <- b.acquire(ctx, first, leastUrgent, testCost) }()
+	for b.waiting() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	b.release(testCost)
+	select {
+	case <-granted:
+	case <-time.After(time.Second):
+		t.Fatal("the operation that began to wait first is not served first")
+	}
+	if len(b.places) > 0 {
+		t.Error("a place is kept after the grant")
+	}
+}
+
+// TestPlacesAreForgotten guards against places that are kept for steps that have gone.
+func TestPlacesAreForgotten(t *testing.T) {
+	b := newLimiter(testCost)
+	now := definer.Now()
+	b.keepPlace(asker{job: "gone"}, now, now)
+	b.keepPlace(asker{job: "last"}, now, now.Add(2*placeTime))
+	if len(b.places) != 1 {
+		t.Errorf("%d places are kept, want 1", len(b.places))
+	}
+}
