Show jobs that stand beside room with real processes

A stand-in of the policy service answers the questions of each calling machine one at a time, and endpoints refuse starts without a valid ticket. The mix 'policies' submits such jobs, leaves calm spells between faults, and records a violation for an accepted job that has nothing running for 3 s beside room twice over on endpoints that its policy admits. Endpoints check the limit of a step too.

--- a/internal/proof/disrupter/burst.go
+++ b/internal/proof/disrupter/burst.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
@@ -33,10 +32,10 @@
 // submitBurst submits as many short tasks at once as the endpoints hold.
 func (i *faultInjector) submitBurst() {
 	for n := range burstJobs * i.cluster.settings.Endpoints {
-		job := &submittedJob{id: fmt.Sprintf("%016x", i.random.Uint64()), work: executor.Work{
+		job := newJob(i.random.Uint64(), executor.Work{
 			Account: accountName, Spec: "burst", Count: burstCount, Attempts: maxAttempts, Length: burstLength,
 			Need: modeler.Resources{Millis: burstMillis, Memory: 16 << 20},
-		}}
+		})
 		i.clients.pending.Add(1)
 		i.bursts.Go(func() { i.clients.run(context.Background(), job, mainKey, n, false, 0) })
 	}
--- a/internal/proof/disrupter/client.go
+++ b/internal/proof/disrupter/client.go
@@ -37,10 +37,20 @@
 
 // submittedJob is a job with the answers that its client received.
 type submittedJob struct {
-	id        string
-	work      executor.Work
-	accepted  bool
-	cancelled bool
+	id   string
+	work executor.Work
+	// prefix and key are those of the job's queue and account.
+	prefix, key string
+	// resendDelay is the time from the acceptance to another request to submit the
+	// job; 0 means that there is none.
+	resendDelay time.Duration
+	accepted    bool
+	cancelled   bool
+}
+
+// newJob returns a job of the queue without a policy.
+func newJob(id uint64, work executor.Work) *submittedJob {
+	return &submittedJob{id: fmt.Sprintf("%016x", id), work: work, prefix: prefix, key: mainKey}
 }
 
 // clients submits jobs at a steady rate and records the answers.
@@ -49,10 +59,10 @@
 	http    *http.Client
 	mu      sync.Mutex
 	jobs    []*submittedJob
-	// acceptedIDs are the ids of the accepted jobs, the latest one last.
-	acceptedIDs []string
-	answers     map[string]int
-	pending     sync.WaitGroup
+	// acceptedJobs are the accepted jobs, the latest one last.
+	acceptedJobs []*submittedJob
+	answers      map[string]int
+	pending      sync.WaitGroup
 }
 
 func newClients(c *cluster) *clients {
@@ -71,7 +81,7 @@
 			return
 		case <-ticker.C:
 		}
-		job := &submittedJob{id: fmt.Sprintf("%016x", random.Uint64()), work: randomWork(random, cs.cluster.settings.Mix.maxLength())}
+		job := newJob(random.Uint64(), randomWork(random, cs.cluster.settings.Mix.maxLength()))
 		if sole.Float64() < soleShare && !job.work.Gang && !cs.cluster.settings.Mix.onlySeries() {
 			job.work.Requires, job.work.Count = labelSole, min(job.work.Count, maxSoleCount)
 			job.work.Fails = sole.IntN(maxAttempts)
@@ -105,10 +115,20 @@
 
 // body returns the body of the request that submits the job.
 func (j *submittedJob) body() []byte {
-	return encode(map[string]any{"spec": j.work.Spec, "steps": []map[string]any{{
-		"count": j.work.Count, "cpu": j.work.Need.Millis, "mem-mb": j.work.Need.Memory >> 20, "gang": j.work.Gang,
-		"estimate-ms": j.work.Length.Milliseconds(), "requires": j.work.Requires,
-	}}})
+	count := max(j.work.Steps, 1)
+	steps := make([]map[string]any, 0, count)
+	for number := range count {
+		step := map[string]any{
+			"count": j.work.Count, "cpu": j.work.Need.Millis, "mem-mb": j.work.Need.Memory >> 20, "gang": j.work.Gang,
+			"estimate-ms": j.work.Length.Milliseconds(), "requires": j.work.Requires, "anti-affinity": j.work.PerEndpoint,
+		}
+		if number > 0 {
+			step["after"] = []int{number - 1}
+		}
+		steps = append(steps, step)
+	}
+
+	return encode(map[string]any{"spec": j.work.Spec, "steps": steps})
 }
 
 // run submits a job, retries it until it is accepted or maxTries is reached, and
@@ -119,12 +139,12 @@
 	refused := 0
 	for try := range maxTries {
 		sentAt := time.Now()
-		status, _ := cs.call(ctx, firstEntry+try, http.MethodPost, job.id, key, job.body())
+		status, _ := cs.call(ctx, firstEntry+try, http.MethodPost, job, key, job.body())
 		cs.countAnswer(status)
 		if status == http.StatusOK {
 			cs.checkWithdrawnKey(key, sentAt, job.id)
 			job.accepted = true
-			cs.recordAccepted(job.id)
+			cs.recordAccepted(job)
 
 			break
 		}
@@ -139,11 +159,16 @@
 	cs.mu.Lock()
 	cs.jobs = append(cs.jobs, job)
 	cs.mu.Unlock()
+	if job.accepted && job.resendDelay > 0 {
+		cs.pending.Add(1)
+		go cs.resend(ctx, job, firstEntry+1)
+	}
 	if !job.accepted || !cancel {
 		return
 	}
 	time.Sleep(cancelDelay)
-	if status, _ := cs.call(ctx, firstEntry, http.MethodDelete, job.id, mainKey, nil); status == http.StatusOK {
+	cs.cluster.ledger.RecordCancelling(job.id)
+	if status, _ := cs.call(ctx, firstEntry, http.MethodDelete, job, job.key, nil); status == http.StatusOK {
 		cs.cluster.ledger.RecordCancellation(job.id)
 		job.cancelled = true
 	} else {
@@ -153,10 +178,20 @@
 	}
 }
 
-func (cs *clients) recordAccepted(id string) {
+// resend submits a job that was accepted another time after its resendDelay.
+func (cs *clients) resend(ctx context.Context, job *submittedJob, number int) {
+	defer cs.pending.Done()
+	time.Sleep(job.resendDelay)
+	status, _ := cs.call(ctx, number, http.MethodPost, job, job.key, job.body())
+	cs.countAnswer(status)
+	cs.cluster.ledger.CountCheck("accepted job submitted again")
+}
+
+func (cs *clients) recordAccepted(job *submittedJob) {
+	cs.cluster.ledger.RecordAccepted(job.id)
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	cs.acceptedIDs = append(cs.acceptedIDs, id)
+	cs.acceptedJobs = append(cs.acceptedJobs, job)
 }
 
 // checkWithdrawnKey checks that an accepted request did not use the spare key
@@ -183,9 +218,9 @@
 
 // call sends a request to an entry instance and returns the status and body of
 // the answer; the status is 0 if there was none.
-func (cs *clients) call(ctx context.Context, number int, method, id, key string, body []byte) (int, []byte) {
+func (cs *clients) call(ctx context.Context, number int, method string, job *submittedJob, key string, body []byte) (int, []byte) {
 	e := cs.cluster.entries[number%len(cs.cluster.entries)]
-	request, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s%s", e.ip, frontPort, prefix, id), bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s%s", e.ip, frontPort, job.prefix, job.id), bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
@@ -211,7 +246,7 @@
 func (cs *clients) awaitEnds(ctx context.Context, timeout time.Duration) (completed int) {
 	until := time.Now().Add(timeout)
 	for n, job := range cs.jobs {
-		if !job.accepted {
+		if !job.accepted || !cs.cluster.possible(job) {
 			continue
 		}
 		want := "completed"
@@ -226,7 +261,7 @@
 		// spent on earlier jobs.
 		for try := n; time.Now().Before(until) || try < n+len(cs.cluster.entries); try++ {
 			var shown string
-			if shown, status = cs.askState(ctx, try, job.id); status == http.StatusOK {
+			if shown, status = cs.askState(ctx, try, job); status == http.StatusOK {
 				state = shown
 			}
 			if state == want || job.cancelled && (state == "completed" || state == "failed") {
--- a/internal/proof/disrupter/cluster.go
+++ b/internal/proof/disrupter/cluster.go
@@ -42,13 +42,14 @@
 	headerTimeout      = 5 * time.Second
 )
 
-// entry is an entry instance; route leads from it to the store, and file is its
-// settings file.
+// entry is an entry instance; route leads from it to the store, policyRoute to the
+// placement policies, and file is its settings file.
 type entry struct {
-	name  string
-	ip    netip.Addr
-	route *relayer.Route
-	file  string
+	name        string
+	ip          netip.Addr
+	route       *relayer.Route
+	policyRoute *relayer.Route
+	file        string
 
 	mu      sync.Mutex
 	process *launcher.Process
@@ -92,12 +93,13 @@
 	mainKey     = "k-main"
 	spareKey    = "k-spare"
 	hostName    = "cell.example"
+	serviceName = "service"
 	prefix      = "/q/"
 )
 
 func newCluster(ctx context.Context, settings Settings, random func() float64) (*cluster, error) {
 	c := &cluster{settings: settings, store: storer.New(random), launcher: launcher.New(settings.Dir)}
-	c.ledger = executor.NewLedger(map[string]modeler.Resources{accountName: {Millis: accountLimitMillis}}, cancelBound)
+	c.ledger = executor.NewLedger(settings.limits(), cancelBound)
 	c.executors = executor.NewHost(c.ledger, settings.Mix.lease(), gangWait)
 	c.publishConfig(false)
 	for n := range settings.Endpoints {
@@ -180,7 +182,7 @@
 	}
 	h.heartbeats++
 	state := map[string]any{
-		"service": "service", "address": h.route.Address().String(), "zone": h.zone, "version": "1", "slots": 8, "state": "ready",
+		"service": serviceName, "address": h.route.Address().String(), "zone": h.zone, "version": "1", "slots": 8, "state": "ready",
 		"sequence": h.heartbeats, "born": h.endpoint.Born().UnixMilli(), "labels": []string{h.label, "r1-1"},
 		"capacity": map[string]any{"cpu": endpointMillis, "mem-mb": endpointMemory >> 20, "gpu": 0},
 	}
@@ -211,13 +213,13 @@
 	}
 	c.store.Put(storer.TopicOperators, "config", encode(map[string]any{
 		"version": c.version,
-		"routes": []map[string]any{{
-			"name": "queue", "host": hostName, "path-prefix": prefix, "service": "service", "priority": 1,
+		"routes": append([]map[string]any{{
+			"name": "queue", "host": hostName, "path-prefix": prefix, "service": serviceName, "priority": 1,
 			"max-attempts": maxAttempts, "stretch": 3, "target-latency-ms": 60000,
-		}},
-		"tenants": []map[string]any{{
+		}}, c.settings.policyRoutes()...),
+		"tenants": append([]map[string]any{{
 			"name": accountName, "api-keys": keys, "weight": 1000, "cap": map[string]any{"cpu": accountLimitMillis},
-		}},
+		}}, c.settings.policyTenants()...),
 	}))
 	if revoke && c.revokedAt.IsZero() {
 		c.revokedAt = time.Now()
@@ -228,6 +230,7 @@
 const settingsFormat = `node-name = %q
 ip = %q
 zone = %q
+advice = %q
 internal-ports = [%d, %d]
 [listen]
 front = "%s:%d"
@@ -256,12 +259,21 @@
 	if err != nil {
 		return err
 	}
+	// The policies tell calling machines apart, so each instance has an address of its own for them.
+	policies, err := c.listen(ctx, c.executors.PolicyRouter())
+	if err != nil {
+		return err
+	}
+	policyRoute, err := relayer.Listen(ctx, loopback, policies)
+	if err != nil {
+		return err
+	}
 	// The address depends on the process id, so that concurrent runs use separate
 	// networks in the loopback range.
 	pid := os.Getpid()
 	ip := netip.AddrFrom4([4]byte{127, byte(1 + pid>>8%100), byte(pid), byte(1 + number)})
-	e := &entry{name: name, ip: ip, route: route, file: filepath.Join(c.settings.Dir, name+".toml")}
-	text := fmt.Sprintf(settingsFormat, e.name, ip, zoneOf(number), peerPort, peerPort+1, ip, frontPort, ip, readyPort,
+	e := &entry{name: name, ip: ip, route: route, policyRoute: policyRoute, file: filepath.Join(c.settings.Dir, name+".toml")}
+	text := fmt.Sprintf(settingsFormat, e.name, ip, zoneOf(number), policyRoute.Address(), peerPort, peerPort+1, ip, frontPort, ip, readyPort,
 		entryMemoryMB, c.settings.Mix.lease().Milliseconds(), revokeBound.Milliseconds(), int(gracePeriod.Seconds()), route.Address())
 	if err := os.WriteFile(e.file, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
@@ -297,6 +309,7 @@
 	c.launcher.Close()
 	for _, e := range c.entries {
 		e.route.Close()
+		e.policyRoute.Close()
 	}
 	c.mu.Lock()
 	hosts := c.hosts
--- a/internal/proof/disrupter/disrupter.go
+++ b/internal/proof/disrupter/disrupter.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"sort"
 	"sync"
@@ -82,7 +83,14 @@
 	logf("first job accepted")
 	i := &faultInjector{cluster: c, clients: cs, mix: settings.Mix, random: newRandom(2), counts: map[string]int{}, stopping: map[*launcher.Process]bool{}, logf: logf, steps: make(chan func(), 1024)}
 	var work sync.WaitGroup
-	work.Go(func() { cs.loop(ctx, newRandom(3), newRandom(5), stop) })
+	if settings.Mix == MixPolicies {
+		pc := &policyClients{clients: cs, random: newRandom(3)}
+		work.Go(func() { pc.loop(ctx, stop) })
+		w := &standWatcher{cluster: c, disturbance: &i.disturbance, logf: logf, spells: map[string]*spell{}}
+		background.Go(func() { w.loop(end) })
+	} else {
+		work.Go(func() { cs.loop(ctx, newRandom(3), newRandom(5), stop) })
+	}
 	work.Go(func() { i.run(ctx, stop) })
 	p := &poller{clients: cs, random: newRandom(4)}
 	work.Go(func() { p.loop(ctx, stop) })
@@ -100,10 +108,10 @@
 // awaitReady submits a job until it is accepted and reports whether it was
 // accepted within startTimeout.
 func (cs *clients) awaitReady(ctx context.Context) bool {
-	job := &submittedJob{id: fmt.Sprintf("%016x", 1), work: randomWork(rand.New(rand.NewPCG(1, 1)), time.Second)} //nolint:gosec // A job needs no secrets.
+	job := newJob(1, randomWork(rand.New(rand.NewPCG(1, 1)), time.Second)) //nolint:gosec // A job needs no secrets.
 	cs.cluster.ledger.Expect(job.id, job.work)
 	for until := time.Now().Add(startTimeout); time.Now().Before(until) && ctx.Err() == nil; time.Sleep(retryDelay) {
-		if status, _ := cs.call(ctx, 0, "POST", job.id, mainKey, job.body()); status == 200 {
+		if status, _ := cs.call(ctx, 0, http.MethodPost, job, job.key, job.body()); status == 200 {
 			job.accepted = true
 			cs.jobs = append(cs.jobs, job)
 
--- a/internal/proof/disrupter/fault.go
+++ b/internal/proof/disrupter/fault.go
@@ -113,7 +113,9 @@
 	// addedHosts counts the endpoints added in place of drained ones.
 	addedHosts int
 	counts     map[string]int
-	logf       func(format string, args ...any)
+	// disturbance tells whether a fault is under way.
+	disturbance disturbance
+	logf        func(format string, args ...any)
 	// steps receives the functions that end a fault when its duration is over, and
 	// those that inject the next fault of a series.
 	steps  chan func()
@@ -146,6 +148,7 @@
 		duration := minFaultDuration + time.Duration(i.random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		i.logf("%s, duration %s if it takes one", chosen.name, duration.Round(time.Millisecond))
 		i.counts[chosen.name]++
+		i.disturbance.touch()
 		chosen.apply(i, duration)
 	}
 }
@@ -153,7 +156,13 @@
 // callAfter calls a function that ends a fault, or that injects the next one of a
 // series, after a delay and on the goroutine of run.
 func (i *faultInjector) callAfter(delay time.Duration, step func()) {
-	i.timers = append(i.timers, time.AfterFunc(delay, func() { i.steps <- step }))
+	i.disturbance.begin()
+	i.timers = append(i.timers, time.AfterFunc(delay, func() {
+		i.steps <- func() {
+			step()
+			i.disturbance.end()
+		}
+	}))
 }
 
 // undoAll undoes all faults and restarts processes that do not run.
@@ -173,6 +182,7 @@
 	i.cluster.store.SetFaults(storer.Faults{})
 	for _, e := range i.cluster.entries {
 		_ = e.route.Set(relayer.Settings{})
+		_ = e.policyRoute.Set(relayer.Settings{})
 		process := e.currentProcess()
 		process.Resume()
 		if i.stopping[process] {
@@ -188,6 +198,7 @@
 	for _, h := range i.cluster.hosts {
 		_ = h.route.Set(relayer.Settings{})
 	}
+	i.disturbance.clear()
 	i.logf("healed")
 }
 
@@ -327,7 +338,7 @@
 // formatCounts lists the counts of the injected faults by name.
 func formatCounts(counts map[string]int) string {
 	text := ""
-	for _, f := range slices.Concat(MixAll.faults(), manyEnds) {
+	for _, f := range slices.Concat(MixAll.faults(), manyEnds, policyFaults) {
 		if counts[f.name] > 0 {
 			text += fmt.Sprintf("  %-40s %d\n", f.name, counts[f.name])
 		}
--- a/internal/proof/disrupter/poller.go
+++ b/internal/proof/disrupter/poller.go
@@ -37,48 +37,48 @@
 			return
 		case <-ticker.C:
 		}
-		id, number := p.randomJob(), p.random.IntN(len(p.clients.cluster.entries))
-		if id == "" {
+		job, number := p.randomJob(), p.random.IntN(len(p.clients.cluster.entries))
+		if job == nil {
 			continue
 		}
 		p.pending.Add(1)
-		go p.run(ctx, number, id)
+		go p.run(ctx, number, job)
 	}
 }
 
 // run asks an entry instance for the state of a job.
-func (p *poller) run(ctx context.Context, number int, id string) {
+func (p *poller) run(ctx context.Context, number int, job *submittedJob) {
 	defer p.pending.Done()
-	p.clients.askState(ctx, number, id)
+	p.clients.askState(ctx, number, job)
 }
 
-// randomJob returns the id of a random job of the latest pollWindow accepted ones,
-// or an empty id if there is none.
-func (p *poller) randomJob() string {
+// randomJob returns a random job of the latest pollWindow accepted ones, or nil if
+// there is none.
+func (p *poller) randomJob() *submittedJob {
 	p.clients.mu.Lock()
 	defer p.clients.mu.Unlock()
-	ids := p.clients.acceptedIDs
-	if len(ids) == 0 {
-		return ""
+	jobs := p.clients.acceptedJobs
+	if len(jobs) == 0 {
+		return nil
 	}
-	ids = ids[max(0, len(ids)-pollWindow):]
+	jobs = jobs[max(0, len(jobs)-pollWindow):]
 
-	return ids[p.random.IntN(len(ids))]
+	return jobs[p.random.IntN(len(jobs))]
 }
 
 // askState asks an entry instance for the state of a job, and records and returns
 // the state with the status of the answer. The state is empty if the answer shows
 // none.
-func (cs *clients) askState(ctx context.Context, number int, id string) (state string, status int) {
+func (cs *clients) askState(ctx context.Context, number int, job *submittedJob) (state string, status int) {
 	askedAt := time.Now()
-	status, data := cs.call(ctx, number, http.MethodGet, id, mainKey, nil)
+	status, data := cs.call(ctx, number, http.MethodGet, job, job.key, nil)
 	switch status {
 	case http.StatusOK:
 		var answer struct {
 			State string `json:"state"`
 		}
 		if err := json.Unmarshal(data, &answer); err != nil {
-			cs.cluster.ledger.RecordViolation("state cannot be read", id+": "+string(data))
+			cs.cluster.ledger.RecordViolation("state cannot be read", job.id+": "+string(data))
 
 			return "", 0
 		}
@@ -88,7 +88,7 @@
 	default:
 		return "", status
 	}
-	cs.cluster.ledger.RecordShown(id, state, askedAt)
+	cs.cluster.ledger.RecordShown(job.id, state, askedAt)
 
 	return state, status
 }
--- a/internal/proof/disrupter/series.go
+++ b/internal/proof/disrupter/series.go
@@ -30,6 +30,9 @@
 	MixMalformed Mix = "malformed"
 	// MixManyEnds pauses the owner while more runs end on each endpoint than it lists at a time.
 	MixManyEnds Mix = "many-ends"
+	// MixPolicies leaves calm spells between faults of the cell and of the placement
+	// policies, and submits jobs to queues with policies.
+	MixPolicies Mix = "policies"
 	// MixAll injects all faults and series.
 	MixAll Mix = "all"
 )
@@ -37,7 +40,7 @@
 // UnmarshalText implements encoding.TextUnmarshaler and refuses unknown mixes.
 func (m *Mix) UnmarshalText(text []byte) error {
 	switch mix := Mix(text); mix {
-	case MixSingle, MixStruckTwice, MixStoreCut, MixMalformed, MixManyEnds, MixAll:
+	case MixSingle, MixStruckTwice, MixStoreCut, MixMalformed, MixManyEnds, MixPolicies, MixAll:
 		*m = mix
 
 		return nil
@@ -104,6 +107,8 @@
 		return malformed
 	case MixManyEnds:
 		return manyEnds
+	case MixPolicies:
+		return slices.Concat(calmFaults(), policyFaults)
 	case MixAll:
 		return slices.Concat(faults, struckTwice, storeCut, malformed)
 	case MixSingle:
@@ -120,6 +125,9 @@
 	if m == MixManyEnds {
 		return burstInterval
 	}
+	if m == MixPolicies {
+		return minCalmInterval + randomDuration(random, maxCalmInterval-minCalmInterval)
+	}
 	if m.onlySeries() {
 		return minSeriesInterval + randomDuration(random, maxSeriesInterval-minSeriesInterval)
 	}
--- a/internal/proof/disrupter/series_test.go
+++ b/internal/proof/disrupter/series_test.go
@@ -15,6 +15,7 @@
 		{"store-cut", len(storeCut), true},
 		{"malformed", len(malformed), true},
 		{"many-ends", len(manyEnds), true},
+		{"policies", len(calmFaultNames) + len(policyFaults), true},
 		{"all", len(faults) + len(struckTwice) + len(storeCut) + len(malformed), true},
 		{"none", 0, false},
 	} {
--- a/internal/standin/executor/endpoint.go
+++ b/internal/standin/executor/endpoint.go
@@ -84,6 +84,8 @@
 	mu        sync.Mutex
 	endpoints []*Endpoint
 	done      chan struct{}
+	// began is the start of the clock of the tickets.
+	began time.Time
 }
 
 // checkInterval is the interval of the checks for expired leases and completed
@@ -94,7 +96,7 @@
 // from the present, and a gang whose members have not all started within
 // gangWait ends. Run must be called for tasks to end.
 func NewHost(ledger *Ledger, leaseMax, gangWait time.Duration) *Host {
-	return &Host{ledger: ledger, leaseMax: leaseMax, gangWait: gangWait, done: make(chan struct{})}
+	return &Host{ledger: ledger, leaseMax: leaseMax, gangWait: gangWait, began: time.Now(), done: make(chan struct{})}
 }
 
 // Add adds an endpoint to the host.
@@ -241,7 +243,7 @@
 	}
 	for _, peer := range e.host.endpoints {
 		for _, member := range peer.running {
-			if jobID(member.task) == jobID(r.task) && member.number == r.number {
+			if stepID(member.task) == stepID(r.task) && member.number == r.number {
 				member.allMembersRunning = false
 				peer.finish(member, others)
 			}
@@ -260,7 +262,7 @@
 	var members []*run
 	for _, e := range h.endpoints {
 		for _, member := range e.running {
-			if jobID(member.task) == jobID(r.task) && member.number == r.number {
+			if stepID(member.task) == stepID(r.task) && member.number == r.number {
 				members = append(members, member)
 			}
 		}
--- a/internal/standin/executor/ledger.go
+++ b/internal/standin/executor/ledger.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"strings"
 	"sync"
 	"time"
@@ -12,8 +13,8 @@
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
-// Work describes the tasks of the only step of a submitted job. The disrupter's
-// report prints it with the names of its fields.
+// Work describes the tasks of a submitted job. Its steps are equal and follow one
+// another. The disrupter's report prints it with the names of its fields.
 type Work struct {
 	Account string
 	Spec    string
@@ -26,11 +27,25 @@
 	// Attempts is the number of failures after which a task is not started again,
 	// and Fails the number of runs of each task that fail.
 	Attempts, Fails int
+	// Steps is the number of steps; 0 counts as 1. Count is that of the tasks of each step.
+	Steps int
+	// PerEndpoint bounds the tasks of a step that run on one endpoint at a time; 0 means no bound.
+	PerEndpoint int
+	// Policy is the placement policy of the job's queue.
+	Policy Policy
 }
 
+// steps returns the number of steps of the job.
+func (w *Work) steps() int { return max(w.Steps, 1) }
+
 // Job is a job as its caller knows it.
 type Job struct {
 	Work
+	// Accepted means that a caller was told so, and Cancelling that its cancellation
+	// was sent.
+	Accepted, Cancelling bool
+	// ended means that no task of the job waits any more.
+	ended bool
 	// Refused means that every attempt to submit the job was refused. Cancelled
 	// means that its cancellation was acknowledged at CancelledAt.
 	Refused     bool
@@ -138,23 +153,27 @@
 // checkCompleted is CheckCompleted for a caller that holds the lock.
 func (l *Ledger) checkCompleted(id string) {
 	l.checks["completed job is done"]++
-	if done := l.doneTasks(id); done < l.jobs[id].Count {
-		l.addViolation("completed job is not done", fmt.Sprintf("%s: %d of %d tasks", id, done, l.jobs[id].Count))
+	j := l.jobs[id]
+	done := 0
+	for step := range j.steps() {
+		done += l.doneTasksOf(id, j, step)
+	}
+	if count := j.Count * j.steps(); done < count {
+		l.addViolation("completed job is not done", fmt.Sprintf("%s: %d of %d tasks", id, done, count))
 	}
 }
 
-// doneTasks returns the number of tasks of a job that have ended successfully;
+// doneTasksOf returns the number of tasks of a step that have ended successfully;
 // one such task counts for the whole gang. The caller holds the lock.
-func (l *Ledger) doneTasks(id string) int {
-	job := l.jobs[id]
+func (l *Ledger) doneTasksOf(id string, j *Job, step int) int {
 	done := 0
-	for index := range job.Count {
-		if t := l.tasks[taskID(id, index)]; t != nil && t.done {
+	for index := range j.Count {
+		if t := l.tasks[taskID(id, step, index)]; t != nil && t.done {
 			done++
 		}
 	}
-	if job.Gang && done > 0 {
-		return job.Count
+	if j.Gang && done > 0 {
+		return j.Count
 	}
 
 	return done
@@ -162,8 +181,8 @@
 
 // hasStarted reports whether a task of a job has run; the caller holds the lock.
 func (l *Ledger) hasStarted(id string) bool {
-	for index := range l.jobs[id].Count {
-		if t := l.tasks[taskID(id, index)]; t != nil && t.runs > 0 {
+	for t := range l.startedTasks(id) {
+		if t.runs > 0 {
 			return true
 		}
 	}
@@ -171,6 +190,21 @@
 	return false
 }
 
+// startedTasks returns the tasks of a job that an endpoint was told to start; the
+// caller holds the lock.
+func (l *Ledger) startedTasks(id string) iter.Seq[*task] {
+	return func(yield func(*task) bool) {
+		j := l.jobs[id]
+		for step := range j.steps() {
+			for index := range j.Count {
+				if t := l.tasks[taskID(id, step, index)]; t != nil && !yield(t) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Violations returns the violations so far, each with its time.
 func (l *Ledger) Violations() []string {
 	l.mu.Lock()
@@ -210,8 +244,8 @@
 	l.checks[guarantee]++
 }
 
-// taskID returns the id of a task of a job that has one step and one occurrence.
-func taskID(job string, index int) string { return fmt.Sprintf("%s.0.0.%d", job, index) }
+// taskID returns the id of a task of a job that has one occurrence.
+func taskID(job string, step, index int) string { return fmt.Sprintf("%s.0.%d.%d", job, step, index) }
 
 // recordStart records and checks a start and returns the work of the task, or
 // false if no known job has the task with this spec.
@@ -245,6 +279,7 @@
 	t.resultsAtStart = len(t.results)
 	l.checkRestart(j, t, taskName)
 	l.checkShownStart(j, t, taskName)
+	l.checkOrder(job, j, taskName)
 	if limit, ok := l.limits[j.Account]; ok && l.used[j.Account].Millis > limit.Millis+limit.Millis/10+j.Need.Millis {
 		l.addViolation("account over its limit", fmt.Sprintf("%s uses %s of %s", j.Account, l.used[j.Account], limit))
 	}
@@ -252,6 +287,20 @@
 	return j.Work, true
 }
 
+// checkOrder checks that the step before that of a task that starts is done; the
+// caller holds the lock.
+func (l *Ledger) checkOrder(job string, j *Job, taskName string) {
+	var step, index int
+	if _, err := fmt.Sscanf(taskName, job+".0.%d.%d", &step, &index); err != nil || step >= j.steps() || index >= j.Count {
+		l.addViolation("start that nobody asked for", taskName)
+
+		return
+	}
+	if step > 0 && l.doneTasksOf(job, j, step-1) < j.Count {
+		l.addViolation("task starts before the step before it is done", taskName)
+	}
+}
+
 // checkRestart checks the last start of a task against the ends before it that
 // the owner has acknowledged by now. It is called at the start and at each later
 // acknowledgement; the caller holds the lock.
@@ -308,12 +357,5 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	failed := 0
-	for _, result := range l.tasks[taskName].results {
-		if result.outcome == endFailed {
-			failed++
-		}
-	}
-
-	return failed < l.jobs[job].Fails
+	return l.tasks[taskName].failures() < l.jobs[job].Fails
 }
--- a/internal/standin/executor/server.go
+++ b/internal/standin/executor/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -22,6 +23,7 @@
 	Token        int64  `json:"fencing-token"`
 	Acknowledged int64  `json:"ack-cursor"`
 	Wait         int64  `json:"wait-ms"`
+	Ticket       string `json:"ticket"`
 }
 
 // reply is the body of a response of the endpoint.
@@ -94,6 +96,9 @@
 		return http.StatusOK, ""
 	}
 	e.host.expireLeases()
+	if o.Run > e.lastFinishedRun[o.Task] && !e.mayStart(o) {
+		return http.StatusConflict, reasonTicket
+	}
 	e.renewLease(o.LeaseEnd)
 	if o.Run <= e.lastFinishedRun[o.Task] {
 		return http.StatusConflict, "old"
@@ -108,18 +113,35 @@
 	}
 	r.duration, r.need, r.gang = work.Length, work.Need, work.Gang
 	e.running[o.Task] = r
+	e.checkLoad(o.Task, work.PerEndpoint)
+	if work.Gang {
+		e.host.startGangWork(r, work.Count)
+	}
+
+	return http.StatusOK, ""
+}
+
+// checkLoad checks the endpoint after the start of a task against its capacity and
+// the limit of the task's step; the caller holds the lock.
+func (e *Endpoint) checkLoad(started string, limit int) {
 	var used modeler.Resources
+	ofStep := 0
 	for _, other := range e.running {
 		used = used.Add(other.need)
+		if stepID(other.task) == stepID(started) {
+			ofStep++
+		}
 	}
 	if !used.Fits(e.Capacity) {
-		e.host.ledger.RecordViolation("endpoint over its capacity", e.ID+" by "+o.Task)
+		e.host.ledger.RecordViolation("endpoint over its capacity", e.ID+" by "+started)
 	}
-	if work.Gang {
-		e.host.startGangWork(r, work.Count)
+	if limit <= 0 {
+		return
+	}
+	e.host.ledger.CountCheck("limit of a step on an endpoint")
+	if ofStep > limit {
+		e.host.ledger.RecordViolation("step over its limit on an endpoint", fmt.Sprintf("%s runs %d of at most %d by %s", e.ID, ofStep, limit, started))
 	}
-
-	return http.StatusOK, ""
 }
 
 // stop stops a run; the caller holds the lock.
--- a/internal/standin/executor/shown.go
+++ b/internal/standin/executor/shown.go
@@ -44,10 +44,8 @@
 // caller holds the lock.
 func (l *Ledger) showFinal(id string, j *Job, state string) {
 	j.ShownFinal, j.ShownAt = state, time.Now()
-	for index := range j.Count {
-		if t := l.tasks[taskID(id, index)]; t != nil {
-			t.addHistory("shown " + state)
-		}
+	for t := range l.startedTasks(id) {
+		t.addHistory("shown " + state)
 	}
 	if state == stateCompleted {
 		l.checkCompleted(id)
--- a/internal/standin/executor/shown_test.go
+++ b/internal/standin/executor/shown_test.go
@@ -18,8 +18,8 @@
 func newShownLedger(outcome string) *Ledger {
 	l := NewLedger(map[string]modeler.Resources{}, time.Second)
 	l.Expect(jobName, Work{Spec: specText, Count: 1, Attempts: 1})
-	l.recordStart(jobName, taskID(jobName, 0), specText, "run 1")
-	l.recordEnd(jobName, taskID(jobName, 0), "run 1", outcome)
+	l.recordStart(jobName, taskID(jobName, 0, 0), specText, "run 1")
+	l.recordEnd(jobName, taskID(jobName, 0, 0), "run 1", outcome)
 
 	return l
 }
@@ -59,11 +59,11 @@
 		}, "completed job is not done"},
 		{"starts after completed", endDone, func(l *Ledger) {
 			l.RecordShown(jobName, stateCompleted, before)
-			l.recordStart(jobName, taskID(jobName, 0), specText, "run 2")
+			l.recordStart(jobName, taskID(jobName, 0, 0), specText, "run 2")
 		}, "task starts after its job was shown as completed"},
 		{"starts after failed", endFailed, func(l *Ledger) {
 			l.RecordShown(jobName, stateFailed, before)
-			l.recordStart(jobName, taskID(jobName, 0), specText, "run 2")
+			l.recordStart(jobName, taskID(jobName, 0, 0), specText, "run 2")
 		}, "task starts after its job was shown as failed"},
 	} {
 		l := newShownLedger(c.outcome)
