--- a/cmd/standin/disrupt.go
+++ b/cmd/standin/disrupt.go
@@ -21,7 +21,7 @@
 	Entries   int           `arg:"--entries" default:"5" help:"entry instances"`
 	Endpoints int           `arg:"--endpoints" default:"9" help:"endpoints"`
 	Rate      int           `arg:"--rate" default:"20" help:"jobs a second"`
-	Mix       disrupter.Mix `arg:"--mix" default:"single" help:"faults: single, struck-twice, store-cut, malformed, many-ends or all"`
+	Mix       disrupter.Mix `arg:"--mix" default:"single" help:"faults: single, struck-twice, store-cut, malformed, many-ends, policies or all"`
 	Known     bool          `arg:"--known" help:"play the runs that once broke a promise instead"`
 }
 
--- a/internal/proof/disrupter/disrupter_test.go
+++ b/internal/proof/disrupter/disrupter_test.go
@@ -12,14 +12,24 @@
 // TestPromisesHoldUnderFaults runs entry instances as real processes for a
 // short time. It guards against faults that only occur between processes, such as
 // overlapping takeovers, lost connections and restarts.
-func TestPromisesHoldUnderFaults(t *testing.T) { runMix(t, MixSingle, 8*time.Second) }
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	runMix(t, Settings{Duration: 8 * time.Second, Endpoints: 6, Mix: MixSingle})
+}
 
 // TestMalformedEntriesEndNoProcess guards against entries of another writer in the endpoint
 // list that end the processes which read it, or make them stop following it.
-func TestMalformedEntriesEndNoProcess(t *testing.T) { runMix(t, MixMalformed, 6*time.Second) }
+func TestMalformedEntriesEndNoProcess(t *testing.T) {
+	runMix(t, Settings{Duration: 6 * time.Second, Endpoints: 6, Mix: MixMalformed})
+}
+
+// TestNoJobStandsBesideRoom guards against jobs with placement policies, limits for each endpoint or gangs that have
+// nothing running although there is room on endpoints that their policies admit.
+func TestNoJobStandsBesideRoom(t *testing.T) {
+	runMix(t, Settings{Duration: 10 * time.Second, Endpoints: 24, Mix: MixPolicies})
+}
 
-// runMix builds the program and runs it for the duration under a mix of faults.
-func runMix(t *testing.T, mix Mix, duration time.Duration) {
+// runMix builds the program and runs it with a few instances.
+func runMix(t *testing.T, settings Settings) {
 	t.Helper()
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "entry")
@@ -28,7 +38,8 @@
 		t.Fatalf("build: %v\n%s", err, output)
 	}
 	var output bytes.Buffer
-	settings := Settings{Seed: 1, Duration: duration, Binary: binary, Dir: dir, Entries: 4, Endpoints: 6, Rate: 15, Mix: mix, Output: &output}
+	settings.Seed, settings.Entries, settings.Rate = 1, 4, 15
+	settings.Binary, settings.Dir, settings.Output = binary, dir, &output
 	if err := Run(context.Background(), settings); err != nil {
 		t.Errorf("%v\n%s", err, output.String())
 	}
