--- a/internal/standin/executor/policy_test.go
+++ b/internal/standin/executor/policy_test.go
@@ -119,7 +119,7 @@
 	policy := testPolicy
 	policy.Admitted = 0.25
 	h := newPolicyHost(Work{Count: 1, Policy: policy}, maxAskedEndpoints)
-	var ids []string
+	ids := make([]string, 0, len(h.endpoints))
 	for _, e := range h.endpoints {
 		ids = append(ids, e.ID)
 	}
--- a/internal/standin/executor/standing_test.go
+++ b/internal/standin/executor/standing_test.go
@@ -25,13 +25,13 @@
 		{"not accepted", Work{Count: 2}, func(h *Host) { h.ledger.jobs[jobName].Accepted = false }, false},
 		{"is being cancelled", Work{Count: 2}, func(h *Host) { h.ledger.RecordCancelling(jobName) }, false},
 		{"shown as failed", Work{Count: 2}, func(h *Host) { h.ledger.RecordShown(jobName, stateFailed, time.Now()) }, false},
-		{"all done", Work{Count: 1}, func(h *Host) { runTask(t, h, 0, 0, endDone) }, false},
+		{"all done", Work{Count: 1}, func(h *Host) { runTask(t, h, endDone) }, false},
 		{"failed too often", Work{Count: 2}, func(h *Host) {
 			h.ledger.jobs[jobName].Attempts = 1
-			runTask(t, h, 0, 0, endFailed)
+			runTask(t, h, endFailed)
 		}, false},
-		{"second step waits", Work{Count: 1, Steps: 2}, func(h *Host) { runTask(t, h, 0, 0, endDone) }, true},
-		{"ended tasks do not count for the limit", Work{Count: 2, PerEndpoint: 1}, func(h *Host) { runTask(t, h, 0, 0, endDone) }, true},
+		{"second step waits", Work{Count: 1, Steps: 2}, func(h *Host) { runTask(t, h, endDone) }, true},
+		{"ended tasks do not count for the limit", Work{Count: 2, PerEndpoint: 1}, func(h *Host) { runTask(t, h, endDone) }, true},
 		{"no label", Work{Count: 1, Requires: "other"}, nil, false},
 		{"room for the task once", Work{Count: 2}, func(h *Host) { h.endpoints[0].Capacity.Millis, h.endpoints[1].Capacity.Millis = 1, 0 }, false},
 		{"gang fits once", Work{Count: 5, Gang: true}, nil, false},
@@ -48,14 +48,14 @@
 	}
 }
 
-// runTask starts a task on the first endpoint and ends it.
-func runTask(t *testing.T, h *Host, step, index int, outcome string) {
+// runTask starts the first task of the job on the first endpoint and ends it.
+func runTask(t *testing.T, h *Host, outcome string) {
 	t.Helper()
 	e := h.endpoints[0]
-	startTask(t, e, step, index, "")
+	startTask(t, e, 0, 0, "")
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	e.finish(e.running[taskID(jobName, step, index)], outcome)
+	e.finish(e.running[taskID(jobName, 0, 0)], outcome)
 }
 
 // TestStandingShares guards against a job that is excused by the load of its account or of the service when that is
