--- a/internal/proof/disrupter/disrupter.go
+++ b/internal/proof/disrupter/disrupter.go
@@ -44,12 +44,27 @@
 // ErrViolations is returned by Run if a guarantee was violated.
 var ErrViolations = errors.New("promises broken")
 
+// lockedWriter lets several goroutines write to a writer.
+type lockedWriter struct {
+	mu     sync.Mutex
+	writer io.Writer
+}
+
+// Write implements io.Writer.
+func (l *lockedWriter) Write(data []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.writer.Write(data)
+}
+
 // Run runs a cluster under faults and checks its guarantees. It returns an error
 // that wraps ErrViolations if one was violated.
 func Run(ctx context.Context, settings Settings) error {
 	if err := os.MkdirAll(settings.Dir, 0o750); err != nil {
 		return errors.Wrap(err, "directory of the run")
 	}
+	settings.Output = &lockedWriter{writer: settings.Output}
 	// Every user of random numbers has a separate source, so that the faults of a
 	// seed do not depend on timing.
 	newRandom := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(settings.Seed, stream)) } //nolint:gosec // Faults need no secrets.
--- a/internal/proof/disrupter/standing.go
+++ b/internal/proof/disrupter/standing.go
@@ -69,9 +69,18 @@
 
 // spell is a time during which a job stands.
 type spell struct {
-	since    time.Time
-	starts   int
-	reported bool
+	since time.Time
+	// lightSince is since when, in addition, little of the account's limit and of the service is in use; it is zero
+	// while more is.
+	lightSince time.Time
+	starts     int
+	// reported and noted mean that the violation was recorded, and that the log says so for a busy service.
+	reported, noted bool
+}
+
+// light reports whether so little is in use that the job should have something running.
+func light(s *executor.Stand) bool {
+	return s.AccountShare < maxLoadShare && s.ServiceShare < maxLoadShare
 }
 
 // standWatcher records a violation for each accepted job that stands beside room for standBound.
@@ -81,6 +90,8 @@
 	logf        func(format string, args ...any)
 	// spells holds the jobs that stand now.
 	spells map[string]*spell
+	// longest and longestLight are the longest spells, of any and of those under a light load.
+	longest, longestLight time.Duration
 }
 
 // loop checks the jobs at standInterval until stop is closed.
@@ -90,6 +101,8 @@
 	for {
 		select {
 		case <-stop:
+			w.logf("longest time for which a job stood beside room: %s, with less than half in use %s", w.longest, w.longestLight)
+
 			return
 		case now := <-ticker.C:
 			if w.disturbance.calmFor(now) < calmBound {
@@ -98,39 +111,62 @@
 				continue
 			}
 			w.cluster.ledger.CountCheck(guaranteeStands)
-			for _, text := range w.check(w.cluster.executors.Standing(w.cluster.usable()), now) {
+			violations, notes := w.check(w.cluster.executors.Standing(w.cluster.usable()), now)
+			for _, text := range violations {
 				w.cluster.ledger.RecordViolation(guaranteeStands, text)
 				w.logf("%s %s", guaranteeStands, text)
 			}
+			for _, text := range notes {
+				w.logf("job stands in a busy service %s", text)
+			}
 		}
 	}
 }
 
-// check follows the jobs that stand now and returns the violations. A job with a run since the last check has not
-// stood, however short the run was.
-func (w *standWatcher) check(stands []executor.Stand, now time.Time) (violations []string) {
+// check follows the jobs that stand now. It returns the violations, and notes on jobs that stand while more than
+// maxLoadShare is in use. A job with a run since the last check has not stood, however short the run was.
+func (w *standWatcher) check(stands []executor.Stand, now time.Time) (violations, notes []string) {
 	previous := w.spells
-	w.spells = map[string]*spell{}
-	var found []executor.Stand
-	for _, s := range stands {
-		if s.AccountShare >= maxLoadShare || s.ServiceShare >= maxLoadShare {
-			continue
-		}
-		known := previous[s.Job]
-		if known == nil || known.starts != s.Starts {
-			known = &spell{since: now, starts: s.Starts}
-		}
-		w.spells[s.Job] = known
+	w.spells = make(map[string]*spell, len(stands))
+	long := 0
+	for i := range stands {
+		known := w.follow(previous[stands[i].Job], &stands[i], now)
+		w.spells[stands[i].Job] = known
 		if now.Sub(known.since) >= standBound {
-			found = append(found, s)
+			long++
 		}
 	}
-	for _, s := range found {
-		if known := w.spells[s.Job]; !known.reported {
+	for i := range stands {
+		s := &stands[i]
+		known := w.spells[s.Job]
+		text := fmt.Sprintf("%s; %d jobs stand, %d as long", s, len(stands), long)
+		switch {
+		case !known.lightSince.IsZero() && now.Sub(known.lightSince) >= standBound && !known.reported:
 			known.reported = true
-			violations = append(violations, fmt.Sprintf("%s; %d jobs stand, %d as long", s.String(), len(w.spells), len(found)))
+			violations = append(violations, text)
+		case now.Sub(known.since) >= standBound && !known.noted && !light(s):
+			known.noted = true
+			notes = append(notes, text)
 		}
 	}
 
-	return violations
+	return violations, notes
+}
+
+// follow returns the spell of a job that stands now; known is its spell at the last check, or nil.
+func (w *standWatcher) follow(known *spell, s *executor.Stand, now time.Time) *spell {
+	if known == nil || known.starts != s.Starts {
+		known = &spell{since: now, starts: s.Starts}
+	}
+	switch {
+	case !light(s):
+		known.lightSince = time.Time{}
+	case known.lightSince.IsZero():
+		known.lightSince = now
+	default:
+		w.longestLight = max(w.longestLight, now.Sub(known.lightSince))
+	}
+	w.longest = max(w.longest, now.Sub(known.since))
+
+	return known
 }
--- a/internal/proof/disrupter/standing_test.go
+++ b/internal/proof/disrupter/standing_test.go
@@ -31,7 +31,8 @@
 		w := &standWatcher{spells: map[string]*spell{}}
 		var got int
 		for n, now := 0, time.Now(); n < 100; n, now = n+1, now.Add(standInterval) {
-			got += len(w.check(c.stand(n), now))
+			violations, _ := w.check(c.stand(n), now)
+			got += len(violations)
 		}
 		if got != c.want {
 			t.Errorf("%s: %d violations, want %d", c.name, got, c.want)
@@ -39,6 +40,28 @@
 	}
 }
 
+// TestStandWatcher_BusyService guards against a job that counts the time in a busy service as time under a light load,
+// and against one that stands in a busy service without a note.
+func TestStandWatcher_BusyService(t *testing.T) {
+	w := &standWatcher{spells: map[string]*spell{}}
+	noted, now := 0, time.Now()
+	for n := range 50 {
+		stand := executor.Stand{Job: "j"}
+		if n < 40 {
+			stand.ServiceShare = maxLoadShare
+		}
+		violations, notes := w.check([]executor.Stand{stand}, now)
+		if len(violations) > 0 {
+			t.Errorf("violation %s after the load has become light", time.Duration(n-40)*standInterval)
+		}
+		noted += len(notes)
+		now = now.Add(standInterval)
+	}
+	if noted != 1 {
+		t.Errorf("%d notes, want 1", noted)
+	}
+}
+
 // TestDisturbance guards against checks that begin while a fault is under way or has just ended.
 func TestDisturbance(t *testing.T) {
 	var d disturbance
