--- a/internal/proof/disrupter/disrupter.go
+++ b/internal/proof/disrupter/disrupter.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"sort"
 	"sync"
@@ -43,12 +44,27 @@
 // ErrViolations is returned by Run if a guarantee was violated.
 var ErrViolations = errors.New("promises broken")
 
+// lockedWriter lets several goroutines write to a writer.
+type lockedWriter struct {
+	mu     sync.Mutex
+	writer io.Writer
+}
+
+// Write implements io.Writer.
+func (l *lockedWriter) Write(data []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.writer.Write(data)
+}
+
 // Run runs a cluster under faults and checks its guarantees. It returns an error
 // that wraps ErrViolations if one was violated.
 func Run(ctx context.Context, settings Settings) error {
 	if err := os.MkdirAll(settings.Dir, 0o750); err != nil {
 		return errors.Wrap(err, "directory of the run")
 	}
+	settings.Output = &lockedWriter{writer: settings.Output}
 	// Every user of random numbers has a separate source, so that the faults of a
 	// seed do not depend on timing.
 	newRandom := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(settings.Seed, stream)) } //nolint:gosec // Faults need no secrets.
@@ -82,7 +98,14 @@
 	logf("first job accepted")
 	i := &faultInjector{cluster: c, clients: cs, mix: settings.Mix, random: newRandom(2), counts: map[string]int{}, stopping: map[*launcher.Process]bool{}, logf: logf, steps: make(chan func(), 1024)}
 	var work sync.WaitGroup
-	work.Go(func() { cs.loop(ctx, newRandom(3), newRandom(5), stop) })
+	if settings.Mix == MixPolicies {
+		pc := &policyClients{clients: cs, random: newRandom(3)}
+		work.Go(func() { pc.loop(ctx, stop) })
+		w := &standWatcher{cluster: c, disturbance: &i.disturbance, logf: logf, spells: map[string]*spell{}}
+		background.Go(func() { w.loop(end) })
+	} else {
+		work.Go(func() { cs.loop(ctx, newRandom(3), newRandom(5), stop) })
+	}
 	work.Go(func() { i.run(ctx, stop) })
 	p := &poller{clients: cs, random: newRandom(4)}
 	work.Go(func() { p.loop(ctx, stop) })
@@ -100,10 +123,10 @@
 // awaitReady submits a job until it is accepted and reports whether it was
 // accepted within startTimeout.
 func (cs *clients) awaitReady(ctx context.Context) bool {
-	job := &submittedJob{id: fmt.Sprintf("%016x", 1), work: randomWork(rand.New(rand.NewPCG(1, 1)), time.Second)} //nolint:gosec // A job needs no secrets.
+	job := newJob(1, randomWork(rand.New(rand.NewPCG(1, 1)), time.Second)) //nolint:gosec // A job needs no secrets.
 	cs.cluster.ledger.Expect(job.id, job.work)
 	for until := time.Now().Add(startTimeout); time.Now().Before(until) && ctx.Err() == nil; time.Sleep(retryDelay) {
-		if status, _ := cs.call(ctx, 0, "POST", job.id, mainKey, job.body()); status == 200 {
+		if status, _ := cs.call(ctx, 0, http.MethodPost, job, job.key, job.body()); status == 200 {
 			job.accepted = true
 			cs.jobs = append(cs.jobs, job)
 
