Renew a step's ticket on the endpoint that has room

What callers saw: an accepted job with waiting tasks has nothing running beside an endpoint that its policy admits and that has room, and goes on only when something else changes there.

Cause: when a ticket had expired on an endpoint with room, the step asked about its first candidates in the order of free processors, whatever else was full there, as many as its tasks were likely to need. The endpoint with room was not among them if enough others had more free processors but no free memory, slots or accelerators. The answer renewed the tickets of the others, the endpoint with room was asked about no more, and the next turn did the same.

Evidence: 48 endpoints, 47 with hardly any free memory and most processors free, one with half of its processors and room for one task of the step. The policy (5 ms + 1 ms an endpoint, valid for 0.5 s) admits all.

The question names the endpoints first where the step found room and an expired ticket, and then the others. The number of endpoints in a question is unchanged.

--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -299,9 +299,9 @@
 		return
 	}
 	candidates := ps.candidatesWithRoom(s)
-	ready, ticketExpired := ps.withTickets(s, candidates)
+	ready, expired := ps.withTickets(s, candidates)
 	if unplaced, limited := ps.startTasks(s, ready); unplaced > 0 && !limited && !askBlocked {
-		ps.askForRoom(s, candidates, unplaced, ticketExpired)
+		ps.askForRoom(s, candidates, unplaced, expired)
 	}
 }
 
@@ -338,22 +338,39 @@
 }
 
 // askForRoom asks the policy for the tickets that a step with unplaced tasks lacks.
-// candidates are the endpoints that had room for a task.
-func (ps *pass) askForRoom(s *step, candidates []*endpoint, unplaced int, ticketExpired bool) {
+// candidates are the endpoints that had room for a task, and expired those of them where
+// only the ticket is no longer valid.
+func (ps *pass) askForRoom(s *step, candidates []*endpoint, unplaced int, expired []*endpoint) {
 	p := ps.planner
 	if unasked := s.admission.filterUnasked(candidates); len(unasked) > 0 && len(s.admission.answers) > 0 {
 		p.ask(s, p.endpointsToAsk(s, unasked, unplaced), ps.now)
 
 		return
 	}
-	if ticketExpired || len(s.admission.answers) == 0 {
-		p.ask(s, p.endpointsToAsk(s, ps.candidates(s), unplaced), ps.now)
+	if len(expired) > 0 || len(s.admission.answers) == 0 {
+		p.ask(s, p.endpointsToAsk(s, ps.candidatesAfter(s, expired), unplaced), ps.now)
 
 		return
 	}
 	ps.prefetchTickets(s)
 }
 
+// candidatesAfter returns the endpoints in first and then other candidates of s, as many
+// as one question may name.
+func (ps *pass) candidatesAfter(s *step, first []*endpoint) []*endpoint {
+	candidates := first
+	for _, e := range ps.candidates(s) {
+		if len(candidates) >= maxAskedEndpoints {
+			break
+		}
+		if !slices.Contains(first, e) {
+			candidates = append(candidates, e)
+		}
+	}
+
+	return candidates
+}
+
 // prefetchTickets asks the policy for tickets for a step that waits for room,
 // so that the step can start as soon as there is room. It does so only for the
 // first steps of the order, up to prefetchShare, and only for urgent ones.
@@ -384,11 +401,11 @@
 	return holder == nil || holder == s || s.job.Queue.Priority < holder.job.Queue.Priority
 }
 
-// withTickets returns the candidates to which a start may be sent now. expired reports
-// whether one was left out only because its ticket is no longer valid.
-func (ps *pass) withTickets(s *step, candidates []*endpoint) (ready []*endpoint, expired bool) {
+// withTickets returns the candidates to which a start may be sent now, and those that
+// are left out only because their tickets are no longer valid.
+func (ps *pass) withTickets(s *step, candidates []*endpoint) (ready, expired []*endpoint) {
 	if s.job.Queue.Policy == nil {
-		return candidates, false
+		return candidates, nil
 	}
 	for _, e := range candidates {
 		answer := s.admission.answer(e)
@@ -397,7 +414,7 @@
 		case answer.validFor(e, ps.now):
 			ready = append(ready, e)
 		case s.belowEndpointLimit(e) && availableTo(e, s):
-			expired = true
+			expired = append(expired, e)
 		}
 	}
 
