--- a/internal/cell/planner/standing.go
+++ b/internal/cell/planner/standing.go
@@ -162,7 +162,7 @@
 		"reason", string(ps.standReason(s, view)), "for", ps.now.Sub(s.job.standsSince), "account", s.job.Account, "queue", s.job.Queue.Name,
 		"step", s.index, "waiting", s.pendingCount, "gang", s.def.Gang, "urgency", s.urgency, "last turn", ps.sinceOrNever(s.turnAt),
 		"eligible", view.eligible, "admitted", view.admitted, "with room", view.withRoom, "places", view.places, "reserved", view.reserved, "at limit", view.atLimit,
-		"tickets", view.tickets, "asked", ps.sinceOrNever(a.askedAt), "answered", ps.sinceOrNever(a.answeredAt), "outstanding", a.outstanding,
+		"with ticket", view.ticketPlaces, "asked", ps.sinceOrNever(a.askedAt), "answered", ps.sinceOrNever(a.answeredAt), "outstanding", a.outstanding,
 		"others", others,
 	}
 	if r := s.unsettledRun(); r != nil {
@@ -188,8 +188,8 @@
 	// withRoom have room for a task, places is the number of tasks that fit there, reserved have
 	// room and are reserved for gangs, and atLimit have room and as many tasks of the step as it may have there.
 	withRoom, places, reserved, atLimit int
-	// tickets counts the endpoints with room for which a ticket is valid.
-	tickets int
+	// ticketPlaces is the number of places on endpoints for which a ticket is valid.
+	ticketPlaces int
 }
 
 func (ps *pass) viewFor(s *step) endpointView {
@@ -223,7 +223,7 @@
 		view.withRoom++
 		view.places += places
 		if answer := s.admission.answer(e); s.job.Queue.Policy == nil || answer.validFor(e, ps.now) {
-			view.tickets++
+			view.ticketPlaces += places
 		}
 	}
 
@@ -259,9 +259,9 @@
 		return standPerEndpoint
 	case view.places < wanted:
 		return standNoRoom
-	case view.tickets == 0 && s.admission.askBlocked(ps.now):
+	case view.ticketPlaces < wanted && s.admission.askBlocked(ps.now):
 		return standQuestionOut
-	case view.tickets == 0:
+	case view.ticketPlaces < wanted:
 		return standTickets
 	case s.turnAt != ps.now:
 		return standNoTurn
--- a/internal/cell/planner/standing_test.go
+++ b/internal/cell/planner/standing_test.go
@@ -178,3 +178,22 @@
 		t.Errorf("%d of %d jobs were named in %d s", len(noted), want, seconds)
 	}
 }
+
+// TestGangWithTicketsForAPartSaysSo guards against a note which says that a gang is held
+// back although the tickets for some of its members have expired.
+func TestGangWithTicketsForAPartSaysSo(t *testing.T) {
+	c := newCell(t, 2)
+	step := definer.Step{Count: 8, Gang: true, Need: modeler.Resources{Millis: 4000}, Estimate: time.Second}
+	job := c.job("a", step)
+	job.Queue.Policy = &definer.Policy{Decide: 50 * time.Millisecond, Each: time.Millisecond, Validity: time.Minute}
+	c.accept(job)
+	c.plan()
+	c.answerAll(func(string) bool { return true })
+	s := c.planner.jobs["a"].occurrences[0].steps[0]
+	s.admission.expireTicket(c.planner.endpoints["e001"])
+	ps := &pass{planner: c.planner, now: c.now, takeoverSettled: true}
+	ps.findUsable()
+	if got := ps.standReason(s, ps.viewFor(s)); got != standTickets {
+		t.Errorf("reason %q, want %q", got, standTickets)
+	}
+}
