Leave half of the questions about gangs to other queues

Change: in the order of the steps, no queue gets more than half of the questions while others want some. The pause of reservations doubles without the early cap, so that a gang behind more than 17 in front has its turn, too.

--- a/internal/cell/planner/gang_ask.go
+++ b/internal/cell/planner/gang_ask.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
@@ -147,13 +148,25 @@
 	ps.askInTurn(&ps.explorations, ps.limit(exploring))
 }
 
-// askInTurn asks for gangs until the questions of limit gangs are out. A queue of which
-// none is out may always ask one, so that the gangs of a policy that does not answer
-// keep no other queue waiting. A gang that finds nothing to ask uses up no question, and
-// a round looks at twice the limit at most.
+// askInTurn asks for gangs until the questions of limit gangs are out, by turns for the
+// first in the order of the steps and for the one that has waited longest. A queue of
+// which none is out may always ask one, so that the gangs of a policy that does not
+// answer keep no other queue waiting. A gang that finds nothing to ask uses up no
+// question, and a round looks at twice the limit at most.
 func (ps *pass) askInTurn(q *gangQuestions, limit int) {
 	for range 2 * limit {
-		next := q.next(ps.planner.gangQuestionsAsked%2 == 0, q.out < limit)
+		var next int
+		switch {
+		case q.out >= limit:
+			next = q.firstBelow(1)
+		case ps.planner.gangQuestionsAsked%2 == 0:
+			// No queue gets more than half of the questions while others want some.
+			if next = q.firstBelow((limit + 1) / 2); next < 0 {
+				next = q.firstBelow(limit)
+			}
+		default:
+			next = q.longestWaiting()
+		}
 		if next < 0 {
 			return
 		}
@@ -166,28 +179,27 @@
 	}
 }
 
-// next returns the index of the gang to ask next, or -1: by turns the first in the order
-// of the steps, and, of the queue with the fewest questions out, the one that has waited
-// longest since its last question or its acceptance. Without a free question it is one of
-// a queue that has none out.
-func (q *gangQuestions) next(inOrder, free bool) int {
-	best := -1
+// firstBelow returns the index of the first waiting gang, in the order of the steps, of a
+// queue that has fewer questions out than the limit, or -1.
+func (q *gangQuestions) firstBelow(limit int) int {
+	return slices.IndexFunc(q.waiting, func(g askingGang) bool { return g.step != nil && *g.queueOut < limit })
+}
+
+// longestWaiting returns the index of the waiting gang that comes before all others, or
+// -1.
+func (q *gangQuestions) longestWaiting() int {
+	longest := -1
 	for i, gang := range q.waiting {
-		switch {
-		case gang.step == nil || !free && *gang.queueOut > 0:
-		case best < 0 || !inOrder && gang.before(q.waiting[best]):
-			best = i
-		}
-		if inOrder && best >= 0 {
-			return best
+		if gang.step != nil && (longest < 0 || gang.before(q.waiting[longest])) {
+			longest = i
 		}
 	}
 
-	return best
+	return longest
 }
 
 // before reports whether the gang's queue has fewer questions out than that of another
-// gang, or has as many and has waited longer.
+// gang, or has as many and the gang has waited longer.
 func (g askingGang) before(o askingGang) bool {
 	if *g.queueOut != *o.queueOut {
 		return *g.queueOut < *o.queueOut
--- a/internal/cell/planner/gang_wait_test.go
+++ b/internal/cell/planner/gang_wait_test.go
@@ -23,6 +23,10 @@
 	nextFree  definer.Instant
 	questions []pendingQuestion
 	asks      int
+	// askedAt is when the policy was first asked about a job.
+	askedAt map[string]time.Duration
+	// target is that of the queue of the gangs; the order of the gangs changes when it is missed.
+	target    time.Duration
 	startedAt map[string]time.Duration
 }
 
@@ -39,7 +43,7 @@
 	c.planAndRun()
 
 	return &gangCell{
-		testCell: c, began: c.now, startedAt: map[string]time.Duration{},
+		testCell: c, began: c.now, startedAt: map[string]time.Duration{}, askedAt: map[string]time.Duration{}, target: time.Second,
 		admits: func(string, int) bool { return true }, silent: func(string) bool { return false },
 	}
 }
@@ -49,7 +53,7 @@
 	step := simpleStep(4)
 	step.Gang, step.Estimate = true, 4*time.Second
 	job := g.job(id, step)
-	job.Queue.Policy = gangPolicy
+	job.Queue.Policy, job.Queue.Target = gangPolicy, g.target
 
 	return job
 }
@@ -87,6 +91,9 @@
 // ask hands a question to the policy.
 func (g *gangCell) ask(ask AskPolicyCmd) {
 	g.asks++
+	if _, known := g.askedAt[ask.Job]; !known {
+		g.askedAt[ask.Job] = g.now.Sub(g.began)
+	}
 	at := g.now
 	if g.perSecond > 0 {
 		g.nextFree = max(g.nextFree, g.now).Add(time.Second / time.Duration(g.perSecond))
@@ -206,7 +213,7 @@
 	g.runUntil(4 * time.Second)
 	g.free(0, 3)
 	g.runUntil(10 * time.Second)
-	g.requireStarts(3, 6500*time.Millisecond)
+	g.requireStarts(3, 5*time.Second)
 }
 
 // TestAllGangsAskFirst guards against gangs that never ask their policy on a cell that
@@ -214,16 +221,10 @@
 func TestAllGangsAskFirst(t *testing.T) {
 	g := newGangCell(t, 12)
 	g.perSecond = 10
-	asked := map[string]bool{}
-	g.admits = func(job string, _ int) bool {
-		asked[job] = true
-
-		return true
-	}
 	g.acceptGangs("a", 60)
 	g.runUntil(20 * time.Second)
-	if len(asked) != 60 {
-		t.Errorf("%d of 60 gangs have been asked about", len(asked))
+	if asked := len(g.askedAt); asked != 60 {
+		t.Errorf("%d of 60 gangs have been asked about", asked)
 	}
 }
 
@@ -235,10 +236,10 @@
 	g.acceptGangs("a", 40)
 	g.runUntil(12 * time.Second)
 	before := g.asks
-	g.free(4, 5)
+	g.free(4, 7)
 	g.runUntil(12*time.Second + 300*time.Millisecond)
-	if asks := g.asks - before; asks != 2 {
-		t.Errorf("%d questions for the room of two gangs, want 2", asks)
+	if asks := g.asks - before; asks != 4 {
+		t.Errorf("%d questions for the room of four gangs, want 4", asks)
 	}
 }
 
@@ -261,3 +262,78 @@
 	g.runUntil(20 * time.Second)
 	g.requireStarts(1, 15500*time.Millisecond)
 }
+
+// TestUnansweredGangsLeaveTurns guards against gangs without an answer that ask again and
+// again, and keep a gang of the same queue behind them from its first question.
+func TestUnansweredGangsLeaveTurns(t *testing.T) {
+	g := newGangCell(t, 12)
+	g.target = time.Hour
+	g.silent = func(job string) bool { return job[0] == 'a' }
+	g.acceptGangs("a", 8)
+	g.runUntil(time.Second)
+	g.acceptGangs("b", 1)
+	g.free(4, 4)
+	g.runUntil(20 * time.Second)
+	g.requireStarts(1, 14*time.Second)
+}
+
+// TestUnansweredQueueLeavesQuestions guards against the gangs of a silent policy that use
+// up the questions of those of another queue.
+func TestUnansweredQueueLeavesQuestions(t *testing.T) {
+	const count = 60
+	g := newGangCell(t, 48)
+	g.target = time.Hour
+	g.silent = func(job string) bool { return job[0] == 'a' }
+	for n := range 200 {
+		job := g.gang(fmt.Sprintf("a%03d", n))
+		job.Queue.Name = "silent"
+		g.accept(job)
+	}
+	g.runUntil(time.Second)
+	g.acceptGangs("b", count)
+	g.runUntil(40 * time.Second)
+	var last time.Duration
+	for n := range count {
+		last = max(last, g.askedAt[fmt.Sprintf("b%02d", n)])
+	}
+	if last == 0 || last > 22*time.Second {
+		t.Errorf("the last of %d gangs asked at %v, want it by 22 s", count, last)
+	}
+}
+
+// TestUrgentGangAsksSoon guards against a gang that is more urgent than the others and
+// asks after all that were accepted before it.
+func TestUrgentGangAsksSoon(t *testing.T) {
+	g := newGangCell(t, 12)
+	g.target = time.Hour
+	g.acceptGangs("a", 40)
+	g.runUntil(100 * time.Millisecond)
+	g.target = time.Minute
+	g.acceptGangs("b", 1)
+	g.runUntil(5 * time.Second)
+	if at, asked := g.askedAt["b00"]; !asked || at > time.Second {
+		t.Errorf("the urgent gang asked: %v, at %v; want it within a second", asked, at)
+	}
+}
+
+// TestQuestionsAboutGangsAreBounded guards against as many questions to slow policies as
+// there are gangs, and against free questions that are kept for gangs which have one out.
+func TestQuestionsAboutGangsAreBounded(t *testing.T) {
+	g := newGangCell(t, 12)
+	g.silent = func(string) bool { return true }
+	g.acceptGangs("a", 1)
+	g.runUntil(100 * time.Millisecond)
+	for n := range 120 {
+		job := g.gang(fmt.Sprintf("b%03d", n))
+		job.Queue.Name = fmt.Sprintf("queue%d", n%2)
+		g.accept(job)
+	}
+	g.runUntil(120 * time.Millisecond)
+	if limit := 1 + 12/4; g.asks != limit {
+		t.Errorf("%d questions out after a round, want %d", g.asks, limit)
+	}
+	g.runUntil(500 * time.Millisecond)
+	if limit := 1 + 12/4; g.asks != limit {
+		t.Errorf("%d questions out, want %d", g.asks, limit)
+	}
+}
--- a/internal/cell/planner/reservation.go
+++ b/internal/cell/planner/reservation.go
@@ -14,7 +14,7 @@
 	// it does so again after the first time. The pause doubles each time, up to
 	// maxReservationDoublings times, so that the gangs behind have their turn.
 	maxReservation          = 20 * time.Second
-	maxReservationDoublings = 4
+	maxReservationDoublings = 10
 	// maxTicketReservation is how long a gang reserves room while it asks for tickets.
 	maxTicketReservation = 2 * time.Second
 	// ticketReservationPause is how long the gangs of a queue reserve no room while they
--- a/internal/cell/planner/reservation_test.go
+++ b/internal/cell/planner/reservation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -47,8 +48,9 @@
 // leave out those behind them.
 func TestReservationsTakeTurns(t *testing.T) {
 	g := newGangCell(t, 12)
+	g.target = time.Hour
 	for n := range 4 {
-		g.acceptWide(fmt.Sprintf("%02d", n), 12)
+		g.acceptWide(fmt.Sprintf("%02d", n), 6)
 	}
 	held := map[string]bool{}
 	for end := time.Second; end < 4*time.Minute; end += time.Second {
@@ -116,3 +118,45 @@
 	g.runUntil(12 * time.Second)
 	g.requireStarts(1, 10500*time.Millisecond)
 }
+
+// TestGangWithoutReservationKeepsNoPlace guards against gangs that find no endpoints to
+// reserve and keep those behind them from it.
+func TestGangWithoutReservationKeepsNoPlace(t *testing.T) {
+	g := newGangCell(t, 12)
+	g.free(0, 0)
+	serving := simpleStep(1)
+	serving.LongRunning, serving.Requires = true, "r1-0"
+	g.accept(g.job("serving", serving))
+	g.runUntil(time.Second)
+	if len(g.running["e000"]) != 1 {
+		t.Fatal("the long-running task runs on the first endpoint in this test")
+	}
+	for n := range 3 {
+		job := g.gang(fmt.Sprintf("a%02d", n))
+		job.Steps[0].Count, job.Steps[0].Need.Millis, job.Steps[0].Requires = 2, 16000, "r1-0"
+		job.Queue.Policy = nil
+		g.accept(job)
+	}
+	g.acceptWide("b", 2)
+	g.runUntil(1500 * time.Millisecond)
+	for end := 1500 * time.Millisecond; end < 2500*time.Millisecond; end += 20 * time.Millisecond {
+		g.runUntil(end)
+		if !slices.ContainsFunc(g.planner.ordered, func(e *endpoint) bool { return e.reservedFor != nil && e.reservedFor.job.ID == "b" }) {
+			t.Fatalf("the gang that may use all endpoints has reserved none at %v", end)
+		}
+	}
+}
+
+// TestGangTooLargeReservesNothing guards against a gang that keeps its reservation after
+// an endpoint that it needs has gone.
+func TestGangTooLargeReservesNothing(t *testing.T) {
+	g := newGangCell(t, 5)
+	g.acceptWide("a", 5)
+	g.runUntil(time.Second)
+	delete(g.born, "e004")
+	g.runUntil(4 * time.Second)
+	g.freeOne(0, 0)
+	g.acceptSmall("b00")
+	g.runUntil(5 * time.Second)
+	g.requireStarts(1, 4500*time.Millisecond)
+}
