Match answers of the policy with questions by number

The planner counted questions without an answer, from zero at each ask. The end of a question that had been lost was taken for that of a newer one: the step asked again while the newer one was out, or might not ask for 150 ms after it had been answered.

Questions have a number. The end of one that counts as lost changes nothing about newer ones; its tickets count.

TestLateFailureDoesNotUnblock and TestLateFailureDoesNotBlock failed on the code before. Ignoring the number fails both, ignoring the late answer fails TestLateAnswerBringsTickets. A takeover has its own planner: answers to questions of the former owner go to that one only.

--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -135,8 +135,7 @@
 }
 
 func (m advisedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
-	c := m.command
-	l.planner.PolicyAnswered(c.Job, c.Occurrence, c.Step, c.Endpoints, m.advice.Tickets, m.advice.Answered, now)
+	l.planner.PolicyAnswered(&m.command, planner.PolicyAnswer{Answered: m.advice.Answered, Tickets: m.advice.Tickets}, now)
 }
 
 // renewal schedules the lease renewals of an endpoint.
--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -42,8 +42,9 @@
 	validUntil definer.Instant
 	// retryAt is when the pause after an unanswered question ends, while others are outstanding, or 0.
 	retryAt definer.Instant
-	// outstanding counts the questions without an answer.
-	outstanding int
+	// outstanding counts the last questions, which were asked together, without an answer. firstNumber is the number
+	// of the first of them: earlier ones count as lost.
+	outstanding, firstNumber int
 	// askBlockedUntil is when the outstanding questions count as lost, or when the
 	// pause after an unanswered one ends. It is 0 after the last answer.
 	askBlockedUntil definer.Instant
@@ -143,7 +144,7 @@
 	}
 	questions := (len(endpoints) + maxAskedEndpoints - 1) / maxAskedEndpoints
 	size := (len(endpoints) + questions - 1) / questions
-	s.admission.outstanding = 0
+	s.admission.outstanding, s.admission.firstNumber = 0, p.questions+1
 	for question := range slices.Chunk(endpoints, size) {
 		s.admission.outstanding++
 		cost := policy.Decide + time.Duration(len(question))*policy.Each
@@ -153,17 +154,21 @@
 		for i, e := range question {
 			ids[i] = e.ID
 		}
+		p.questions++
 		p.emit(AskPolicyCmd{
-			Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.index, Endpoints: ids, DecisionTime: cost,
+			Number: p.questions, Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.index, Endpoints: ids, DecisionTime: cost,
 			Priority: s.job.Queue.Priority, Deadline: deadline,
 		})
 	}
 }
 
 // answered records that a question was answered, or not, and unblocks asking after the
-// last one.
-func (a *admission) answered(ok bool, now definer.Instant) {
-	a.outstanding = max(a.outstanding-1, 0)
+// last one. The end of a question that was lost before is not that of a newer one.
+func (a *admission) answered(number int, ok bool, now definer.Instant) {
+	if number < a.firstNumber || a.outstanding == 0 {
+		return
+	}
+	a.outstanding--
 	if !ok {
 		a.retryAt = now.Add(askRetryPause)
 	}
@@ -172,43 +177,43 @@
 	}
 }
 
-// PolicyAnswered processes the answer of a placement policy about endpoints. The
-// validity of a ticket begins with the policy's decision; ticketMargin covers
-// the time until the answer arrives. answered is false when the question failed.
-func (p *Planner) PolicyAnswered(id string, occurrence, index int, endpoints []string, tickets []definer.Ticket, answered bool, now definer.Instant) {
-	j := p.jobs[id]
+// PolicyAnswered processes the answer of a placement policy to a question. The tickets
+// of a late answer count as well.
+func (p *Planner) PolicyAnswered(question *AskPolicyCmd, answer PolicyAnswer, now definer.Instant) {
+	j := p.jobs[question.Job]
 	if j == nil {
 		return
 	}
-	o := j.occurrence(occurrence)
+	o := j.occurrence(question.Occurrence)
 	if o == nil {
 		return
 	}
-	s := o.steps[index]
+	s := o.steps[question.Step]
 	if s.tasksLeft == 0 || j.state.Final() {
 		return
 	}
-	s.admission.answered(answered, now)
-	if !answered {
+	s.admission.answered(question.Number, answer.Answered, now)
+	if !answer.Answered {
 		return
 	}
-	values := make(map[string]string, len(tickets))
-	for _, t := range tickets {
+	values := make(map[string]string, len(answer.Tickets))
+	for _, t := range answer.Tickets {
 		values[t.Endpoint] = t.Value
 	}
-	for _, endpointID := range endpoints {
+	expires := now.Add(j.Queue.Policy.Validity)
+	for _, endpointID := range question.Endpoints {
 		e := p.endpoints[endpointID]
 		if e == nil {
 			continue
 		}
 		value, admitted := values[endpointID]
-		s.admission.record(e, policyAnswer{admitted: admitted, value: value, life: e.life, expires: now.Add(j.Queue.Policy.Validity)})
+		s.admission.record(e, policyAnswer{admitted: admitted, value: value, life: e.life, expires: expires})
 	}
-	if len(tickets) > 0 {
-		s.admission.validUntil = now.Add(j.Queue.Policy.Validity)
+	if len(answer.Tickets) > 0 {
+		s.admission.validUntil = expires
 	}
 	q := p.stats(j.Queue.Name)
-	q.admissionRate += admissionGain * (float64(len(tickets))/float64(max(len(endpoints), 1)) - q.admissionRate)
+	q.admissionRate += admissionGain * (float64(len(answer.Tickets))/float64(max(len(question.Endpoints), 1)) - q.admissionRate)
 	q.admissionRate = max(q.admissionRate, 0.05)
 }
 
--- a/internal/cell/planner/advice_test.go
+++ b/internal/cell/planner/advice_test.go
@@ -44,7 +44,7 @@
 			}
 		}
 		ask := question.ask
-		c.planner.PolicyAnswered(ask.Job, ask.Occurrence, ask.Step, ask.Endpoints, tickets, true, c.now)
+		c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Decided: c.now}, c.now)
 	}
 	s.pending = waiting
 }
@@ -103,15 +103,38 @@
 	}
 }
 
-// TestLostQuestionIsAskedAgain guards against a step that waits for an answer after its
-// question has ended, or asks again while the question is still out.
-func TestLostQuestionIsAskedAgain(t *testing.T) {
-	c := newCell(t, 12)
+// askFirst accepts a job of one task on a queue with a policy and returns the first question.
+func (c *testCell) askFirst() AskPolicyCmd {
 	job := c.job("0000000000000001", definer.Step{Count: 1, Need: modeler.Resources{Millis: 1000}, Estimate: time.Second})
 	job.Queue.Policy = &definer.Policy{Decide: 100 * time.Millisecond, Each: time.Millisecond, Validity: time.Second}
 	c.planner.Accept(job, c.now, c.wall)
 	c.plan()
-	first := c.takeAsked()[0]
+
+	return c.takeAsked()[0]
+}
+
+// askAfterLost lets a question get lost and returns the next one.
+func (c *testCell) askAfterLost(lost AskPolicyCmd) AskPolicyCmd {
+	c.advance(lost.Deadline.Sub(c.now))
+	c.plan()
+
+	return c.takeAsked()[0]
+}
+
+// admitAll answers a question: the policy admitted all endpoints at a time.
+func (c *testCell) admitAll(ask AskPolicyCmd, decided definer.Instant) {
+	var tickets []definer.Ticket
+	for _, id := range ask.Endpoints {
+		tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "ticket"})
+	}
+	c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Decided: decided}, c.now)
+}
+
+// TestLostQuestionIsAskedAgain guards against a step that waits for an answer after its
+// question has ended, or asks again while the question is still out.
+func TestLostQuestionIsAskedAgain(t *testing.T) {
+	c := newCell(t, 12)
+	first := c.askFirst()
 	for len(c.asked) == 0 {
 		c.advance(10 * time.Millisecond)
 		c.plan()
@@ -123,3 +146,43 @@
 		t.Errorf("asked again %v before the end of the question", first.Deadline.Sub(c.now))
 	}
 }
+
+// TestLateFailureDoesNotUnblock guards against a step with several questions out at a
+// time: the end of a lost question was taken for that of the one that replaced it.
+func TestLateFailureDoesNotUnblock(t *testing.T) {
+	c := newCell(t, 12)
+	first := c.askFirst()
+	c.askAfterLost(first)
+	c.planner.PolicyAnswered(&first, PolicyAnswer{}, c.now)
+	c.advance(askRetryPause)
+	c.plan()
+	if len(c.asked) > 0 {
+		t.Error("asked again while a question is out")
+	}
+}
+
+// TestLateFailureDoesNotBlock guards against a step that may not ask because a question
+// that was lost earlier has failed as well.
+func TestLateFailureDoesNotBlock(t *testing.T) {
+	c := newCell(t, 12)
+	first := c.askFirst()
+	second := c.askAfterLost(first)
+	c.admitAll(second, c.now)
+	c.planner.PolicyAnswered(&first, PolicyAnswer{}, c.now)
+	if s := c.planner.jobs[first.Job].occurrence(first.Occurrence).steps[first.Step]; s.admission.askBlockedUntil > c.now {
+		t.Error("the step may not ask although its last question was answered")
+	}
+}
+
+// TestLateAnswerBringsTickets guards against tickets that are lost because the answer
+// came late.
+func TestLateAnswerBringsTickets(t *testing.T) {
+	c := newCell(t, 12)
+	first := c.askFirst()
+	c.askAfterLost(first)
+	c.admitAll(first, c.now)
+	c.plan()
+	if len(c.started) == 0 {
+		t.Error("not started with the tickets of a late answer")
+	}
+}
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -109,7 +109,9 @@
 	// now is the time of the last processed message.
 	now      definer.Instant
 	commands []Command
-	notes    []Note
+	// questions counts the questions to placement policies.
+	questions int
+	notes     []Note
 }
 
 // account holds the usage and the limits of a client account.
@@ -152,6 +154,8 @@
 
 // AskPolicyCmd asks the placement policy of a queue about endpoints.
 type AskPolicyCmd struct {
+	// Number identifies the question among those of the planner; numbers increase.
+	Number           int
 	Job              string
 	Occurrence, Step int
 	Endpoints        []string
@@ -163,6 +167,15 @@
 	Deadline definer.Instant
 }
 
+// PolicyAnswer is the answer to a question.
+type PolicyAnswer struct {
+	// Answered is false when the question failed; the other fields are then empty.
+	Answered bool
+	Tickets  []definer.Ticket
+	// Decided is a time at or before the policy's decision, with which the validity of the tickets begins.
+	Decided definer.Instant
+}
+
 // InventoryCmd requests the inventory of an endpoint immediately.
 type InventoryCmd struct{ Endpoint string }
 
