Count the validity of tickets from the arrival of the answer

The validity of tickets began when the owner's loop came to the answer, so an owner with a long queue of messages sent starts with expired tickets, each of which costs a call and, for a gang, the whole start.

It now begins when the answer arrives from the policy; ticketMargin covers the way. Tickets of a delayed answer do not replace newer ones.

The instances' messages are unchanged: one with another number of fields is not decoded, so no time of the decision can be added. The comment that allowed new fields is corrected and a test keeps the encoding of both messages.

--- a/internal/cell/elector/ask.go
+++ b/internal/cell/elector/ask.go
@@ -12,9 +12,10 @@
 
 // Ask implements leader.PolicyClient: it assigns the question to the instance with
 // the lowest question load, since the policy answers each instance's questions one
-// at a time. It returns within the question's timeout. A question that gets its turn
-// too late for all attempts is not asked at all.
-func (e *Elector) Ask(ctx context.Context, question *forwarder.Question, decisionTime time.Duration) *forwarder.Advice {
+// at a time. It returns within the question's timeout, with the time at which the
+// answer arrived. A question that gets its turn too late for all attempts is not
+// asked at all.
+func (e *Elector) Ask(ctx context.Context, question *forwarder.Question, decisionTime time.Duration) (*forwarder.Advice, definer.Instant) {
 	deadline := definer.Now().Add(question.Timeout)
 	limiter := &e.shortQuestions
 	if decisionTime >= longDecisionTime {
@@ -23,7 +24,7 @@
 	acquireCtx, cancel := context.WithTimeout(ctx, question.Timeout-askAttempts*attemptTime(decisionTime))
 	defer cancel()
 	if !limiter.acquire(acquireCtx, asker{question.Job, question.Occurrence, question.Step}, question.Priority, decisionTime) {
-		return &forwarder.Advice{}
+		return &forwarder.Advice{}, 0
 	}
 	defer limiter.release(decisionTime)
 
@@ -32,7 +33,7 @@
 
 // attempt asks up to askAttempts instances, one after the other, until one answers. Each
 // leaves time for those after it.
-func (e *Elector) attempt(ctx context.Context, question *forwarder.Question, decisionTime time.Duration, deadline definer.Instant) *forwarder.Advice {
+func (e *Elector) attempt(ctx context.Context, question *forwarder.Question, decisionTime time.Duration, deadline definer.Instant) (*forwarder.Advice, definer.Instant) {
 	var asked []netip.AddrPort
 	for left := min(askAttempts, e.countLive()) - 1; left >= 0; left-- {
 		address := e.assignQuestion(decisionTime, asked)
@@ -41,12 +42,12 @@
 		advice := e.askAt(ctx, address, question, timeout)
 		e.releaseQuestion(address, decisionTime)
 		if advice.Answered || ctx.Err() != nil {
-			return advice
+			return advice, definer.Now()
 		}
 		e.logger.Warn("question not answered", "job", question.Job, "instance", address.String())
 	}
 
-	return &forwarder.Advice{}
+	return &forwarder.Advice{}, 0
 }
 
 // attemptTime is the time that is reserved for an attempt: that of the decision, of the
--- a/internal/cell/elector/ask_test.go
+++ b/internal/cell/elector/ask_test.go
@@ -68,7 +68,7 @@
 	e.addPeer(askingElector(t, "y", false))
 	question := newQuestion("job")
 	began := definer.Now()
-	advice := e.Ask(context.Background(), question, testDecision)
+	advice, _ := e.Ask(context.Background(), question, testDecision)
 	if took := definer.Since(began); !advice.Answered || took > question.Timeout {
 		t.Errorf("answered %t after %v, want an answer within %v", advice.Answered, took, question.Timeout)
 	}
@@ -81,7 +81,7 @@
 	e.addPeer(askingElector(t, "y", true))
 	question := newQuestion("job")
 	began := definer.Now()
-	advice := e.Ask(context.Background(), question, testDecision)
+	advice, _ := e.Ask(context.Background(), question, testDecision)
 	if took := definer.Since(began); advice.Answered || took > question.Timeout+callSlack {
 		t.Errorf("answered %t after %v, want the end of the question within %v", advice.Answered, took, question.Timeout)
 	}
@@ -94,7 +94,7 @@
 	e.shortQuestions.used = time.Hour
 	question := newQuestion("job")
 	began := definer.Now()
-	advice := e.Ask(context.Background(), question, testDecision)
+	advice, _ := e.Ask(context.Background(), question, testDecision)
 	if took := definer.Since(began); advice.Answered || took > question.Timeout-attemptTime(testDecision) {
 		t.Errorf("answered %t after %v, want the end of the question while there is time for an attempt", advice.Answered, took)
 	}
--- a/internal/cell/forwarder/forwarder.go
+++ b/internal/cell/forwarder/forwarder.go
@@ -138,7 +138,8 @@
 )
 
 // codec encodes messages as MessagePack. Structs are encoded as arrays of their
-// fields, so new fields must be added at the end.
+// fields, and one with another number of fields is not decoded: a new field keeps
+// instances of both versions from calling each other.
 type codec struct{}
 
 func (codec) Marshal(v any) ([]byte, error) {
--- a/internal/cell/forwarder/forwarder_test.go
+++ b/internal/cell/forwarder/forwarder_test.go
@@ -5,9 +5,12 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 )
 
 // panickingServer panics in Submit and answers Query.
@@ -42,3 +45,30 @@
 		t.Errorf("next call: reply %+v, error %v", reply, err)
 	}
 }
+
+// TestQuestionsBetweenVersions guards against questions to the policy that get lost while
+// instances of two versions run: their messages must keep the encoding shown here.
+func TestQuestionsBetweenVersions(t *testing.T) {
+	type question struct {
+		Job              string
+		Occurrence, Step int
+		Endpoints        []string
+		Priority         int
+		Timeout          time.Duration
+	}
+	type advice struct {
+		Answered bool
+		Tickets  []definer.Ticket
+	}
+	for _, c := range []struct{ sent, received any }{
+		{&question{}, &Question{}}, {&Question{}, &question{}}, {&advice{}, &Advice{}}, {&Advice{}, &advice{}},
+	} {
+		data, err := codec{}.Marshal(c.sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := (codec{}).Unmarshal(data, c.received); err != nil {
+			t.Errorf("%T from %T: %v", c.received, c.sent, err)
+		}
+	}
+}
--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -124,18 +124,20 @@
 		Job: c.command.Job, Occurrence: c.command.Occurrence, Step: c.command.Step, Endpoints: c.command.Endpoints,
 		Priority: c.command.Priority, Timeout: c.command.Deadline.Sub(began),
 	}
-	advice := c.leader.policy.Ask(ctx, question, c.command.DecisionTime)
+	advice, decided := c.leader.policy.Ask(ctx, question, c.command.DecisionTime)
 	c.leader.metrics.Observe("advice", definer.Since(began))
-	c.leader.post(advisedMsg{command: c.command, advice: advice})
+	c.leader.post(advisedMsg{command: c.command, advice: advice, decided: decided})
 }
 
 type advisedMsg struct {
 	command planner.AskPolicyCmd
 	advice  *forwarder.Advice
+	decided definer.Instant
 }
 
 func (m advisedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
-	l.planner.PolicyAnswered(&m.command, planner.PolicyAnswer{Answered: m.advice.Answered, Tickets: m.advice.Tickets}, now)
+	answer := planner.PolicyAnswer{Answered: m.advice.Answered, Tickets: m.advice.Tickets, Decided: m.decided}
+	l.planner.PolicyAnswered(&m.command, answer, now)
 }
 
 // renewal schedules the lease renewals of an endpoint.
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -32,7 +32,8 @@
 
 // PolicyClient asks a placement policy through one of the instances.
 type PolicyClient interface {
-	Ask(ctx context.Context, question *forwarder.Question, decisionTime time.Duration) *forwarder.Advice
+	// Ask also returns when the answer arrived, which is shortly after the policy's decision.
+	Ask(ctx context.Context, question *forwarder.Question, decisionTime time.Duration) (*forwarder.Advice, definer.Instant)
 }
 
 // Leader is the owner of a cell. It assigns tasks to endpoints and stores their progress.
--- /dev/null
+++ b/internal/cell/leader/question_test.go
@@ -0,0 +1,87 @@
+package leader
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/journaler"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/planner"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// testValidity is the validity of the tickets of askingOwner.
+const testValidity = time.Second
+
+// askingOwner returns an owner with an endpoint and a job of one task, and the question
+// that it asks about the job.
+func askingOwner(t *testing.T, now definer.Instant) (*Leader, planner.AskPolicyCmd) {
+	t.Helper()
+	l := owner(1, journaler.NewState(), now)
+	l.planner.UpdateListing(listing("e"), now)
+	l.planner.EndpointsStored([]definer.Listing{listing("e")}, nil)
+	l.planner.Report("e", now, now, definer.Report{Clock: 1, Born: 1})
+	l.planner.Accept(definer.Job{
+		ID: "job", Account: "account",
+		Queue: definer.Queue{Name: "queue", Service: "service", Policy: &definer.Policy{Validity: testValidity}},
+		Steps: []definer.Step{{Count: 1, Need: modeler.Resources{Millis: 1000}}},
+	}, now, time.Now())
+	l.planner.Plan(now)
+	for _, command := range l.planner.Commands() {
+		if ask, ok := command.(planner.AskPolicyCmd); ok {
+			return l, ask
+		}
+	}
+	t.Fatal("no question")
+
+	return nil, planner.AskPolicyCmd{}
+}
+
+// TestQueuedAnswerExpiresAfterDecision guards against starts with expired tickets whose
+// answer waited in the owner's queue of messages.
+func TestQueuedAnswerExpiresAfterDecision(t *testing.T) {
+	now := definer.Now()
+	for _, c := range []struct {
+		age    time.Duration
+		starts int
+	}{{0, 1}, {testValidity, 0}} {
+		l, ask := askingOwner(t, now)
+		advice := &forwarder.Advice{Answered: true, Tickets: []definer.Ticket{{Endpoint: "e", Value: "ticket"}}}
+		advisedMsg{command: ask, advice: advice, decided: now.Add(-c.age)}.apply(context.Background(), l, now)
+		l.planner.Plan(now)
+		starts := 0
+		for _, command := range l.planner.Commands() {
+			if _, ok := command.(planner.StartCmd); ok {
+				starts++
+			}
+		}
+		if starts != c.starts {
+			t.Errorf("%d starts with tickets of %v ago, want %d", starts, c.age, c.starts)
+		}
+	}
+}
+
+// timeoutClient is a policy client that records the timeout of a question.
+type timeoutClient struct{ timeout time.Duration }
+
+func (c *timeoutClient) Ask(_ context.Context, question *forwarder.Question, _ time.Duration) (*forwarder.Advice, definer.Instant) {
+	c.timeout = question.Timeout
+
+	return &forwarder.Advice{}, 0
+}
+
+// TestQuestionEndsAtDeadline guards against a question that is out for longer than the
+// planner waits for it because the call began late.
+func TestQuestionEndsAtDeadline(t *testing.T) {
+	now := definer.Now().Add(-time.Second)
+	l, ask := askingOwner(t, now)
+	client := &timeoutClient{}
+	l.policy = client
+	call := &askCall{leader: l, command: ask}
+	call.run(context.Background())
+	if limit := planner.QuestionTime(ask.DecisionTime) - time.Second; client.timeout > limit {
+		t.Errorf("the question has %v left, want at most %v", client.timeout, limit)
+	}
+}
--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -93,6 +93,10 @@
 		answer.listed = true
 		a.admitted = append(a.admitted, e)
 	}
+	if previous.admitted && answer.admitted && previous.life == answer.life && answer.expires < previous.expires {
+		// The answer was delayed, and a newer one has arrived.
+		return
+	}
 	*previous = answer
 }
 
@@ -178,7 +182,7 @@
 }
 
 // PolicyAnswered processes the answer of a placement policy to a question. The tickets
-// of a late answer count as well.
+// of a late answer count as well; their validity begins with the policy's decision.
 func (p *Planner) PolicyAnswered(question *AskPolicyCmd, answer PolicyAnswer, now definer.Instant) {
 	j := p.jobs[question.Job]
 	if j == nil {
@@ -200,7 +204,7 @@
 	for _, t := range answer.Tickets {
 		values[t.Endpoint] = t.Value
 	}
-	expires := now.Add(j.Queue.Policy.Validity)
+	expires := answer.Decided.Add(j.Queue.Policy.Validity)
 	for _, endpointID := range question.Endpoints {
 		e := p.endpoints[endpointID]
 		if e == nil {
@@ -210,7 +214,7 @@
 		s.admission.record(e, policyAnswer{admitted: admitted, value: value, life: e.life, expires: expires})
 	}
 	if len(answer.Tickets) > 0 {
-		s.admission.validUntil = expires
+		s.admission.validUntil = max(s.admission.validUntil, expires)
 	}
 	q := p.stats(j.Queue.Name)
 	q.admissionRate += admissionGain * (float64(len(answer.Tickets))/float64(max(len(question.Endpoints), 1)) - q.admissionRate)
--- a/internal/cell/planner/advice_test.go
+++ b/internal/cell/planner/advice_test.go
@@ -103,10 +103,13 @@
 	}
 }
 
+// testValidity is the validity of the tickets of askFirst.
+const testValidity = time.Second
+
 // askFirst accepts a job of one task on a queue with a policy and returns the first question.
 func (c *testCell) askFirst() AskPolicyCmd {
 	job := c.job("0000000000000001", definer.Step{Count: 1, Need: modeler.Resources{Millis: 1000}, Estimate: time.Second})
-	job.Queue.Policy = &definer.Policy{Decide: 100 * time.Millisecond, Each: time.Millisecond, Validity: time.Second}
+	job.Queue.Policy = &definer.Policy{Decide: 100 * time.Millisecond, Each: time.Millisecond, Validity: testValidity}
 	c.planner.Accept(job, c.now, c.wall)
 	c.plan()
 
@@ -123,7 +126,7 @@
 
 // admitAll answers a question: the policy admitted all endpoints at a time.
 func (c *testCell) admitAll(ask AskPolicyCmd, decided definer.Instant) {
-	var tickets []definer.Ticket
+	tickets := make([]definer.Ticket, 0, len(ask.Endpoints))
 	for _, id := range ask.Endpoints {
 		tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "ticket"})
 	}
@@ -186,3 +189,32 @@
 		t.Error("not started with the tickets of a late answer")
 	}
 }
+
+// TestTicketsExpireAfterDecision guards against starts that endpoints refuse because the
+// validity of a ticket was counted from the arrival of the answer.
+func TestTicketsExpireAfterDecision(t *testing.T) {
+	c := newCell(t, 12)
+	first := c.askFirst()
+	c.admitAll(first, c.now.Add(-testValidity))
+	c.plan()
+	if len(c.started) > 0 {
+		t.Error("started with an expired ticket")
+	}
+	if len(c.asked) == 0 {
+		t.Error("no question for new tickets")
+	}
+}
+
+// TestLateAnswerKeepsNewerTickets guards against newer tickets that are replaced by those
+// of an answer that was delayed.
+func TestLateAnswerKeepsNewerTickets(t *testing.T) {
+	c := newCell(t, 12)
+	first := c.askFirst()
+	second := c.askAfterLost(first)
+	c.admitAll(second, c.now)
+	c.admitAll(first, c.now.Add(-testValidity))
+	c.plan()
+	if len(c.started) == 0 {
+		t.Error("not started with the newer tickets")
+	}
+}
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -172,7 +172,8 @@
 	// Answered is false when the question failed; the other fields are then empty.
 	Answered bool
 	Tickets  []definer.Ticket
-	// Decided is a time at or before the policy's decision, with which the validity of the tickets begins.
+	// Decided is when the answer arrived from the policy. The validity of the tickets begins with the decision;
+	// ticketMargin covers the time in between.
 	Decided definer.Instant
 }
 
