Assign long questions beyond their instances before these are overloaded

Long questions were first assigned to six tenths of the live instances, rounded down, whatever was waiting there: with two or three live instances all went to one, where the last waited for longer than its attempt, beside idle instances.

The share is rounded, leaves one instance to short questions if there are two, and is exceeded when a question would wait there for 0.75 s. With n live instances no question is put behind more than 0.92 s + C / n of decision time, C being the time of the longest question; short ones usually find an instance without long ones.

TestQuestionsWaitLittleAtInstance failed on the code before with 2, 3 and 7 instances: long questions of 0.4 s waited for up to 1.2, 2.0 and 1.2 s. No limit of the wait fails it; no share, and a share of all, fail TestFewLongQuestionsLeaveInstances.

--- a/internal/cell/elector/ask.go
+++ b/internal/cell/elector/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -92,16 +93,34 @@
 
 // assignQuestion chooses the live instance with the lowest load for a question and
 // adds the decision time to its load. It leaves out those that were asked already, as
-// far as there are others. The first attempt of a long question only considers a share
-// of the instances.
+// far as there are others. The first attempt of a long question considers a share of
+// the instances, to leave the others to short ones, unless it would have to wait for
+// longer than an attempt allows for.
 func (e *Elector) assignQuestion(decisionTime time.Duration, asked []netip.AddrPort) netip.AddrPort {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	addresses := e.live().addresses
+	best := e.leastLoaded(addresses, asked)
 	if decisionTime >= longDecisionTime && len(asked) == 0 {
-		addresses = addresses[:max(1, int(float64(len(addresses))*longInstanceShare))]
+		if first := e.leastLoaded(addresses[:longInstances(len(addresses))], nil); e.questionLoad[first] < attemptSlack {
+			best = first
+		}
 	}
-	best, bestLoad := addresses[0], time.Duration(1<<62)
+	e.questionLoad[best] += decisionTime
+
+	return best
+}
+
+// longInstances returns to how many live instances long questions are assigned first. It
+// leaves one to short ones if there are two.
+func longInstances(live int) int {
+	return max(1, min(live-1, int(math.Round(float64(live)*longInstanceShare))))
+}
+
+// leastLoaded returns the address with the lowest question load beside those that were
+// asked, or the first one if there is no other. The caller holds mu.
+func (e *Elector) leastLoaded(addresses, asked []netip.AddrPort) netip.AddrPort {
+	best, bestLoad := addresses[0], time.Duration(math.MaxInt64)
 	for _, address := range addresses {
 		if slices.Contains(asked, address) {
 			continue
@@ -114,7 +133,6 @@
 			best, bestLoad = address, load
 		}
 	}
-	e.questionLoad[best] += decisionTime
 
 	return best
 }
--- a/internal/cell/elector/ask_test.go
+++ b/internal/cell/elector/ask_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -99,3 +100,54 @@
 		t.Errorf("answered %t after %v, want the end of the question while there is time for an attempt", advice.Answered, took)
 	}
 }
+
+// withPeers returns an elector with a number of live instances, itself included, that
+// cannot be called.
+func withPeers(instances int) *Elector {
+	e := newElector(Settings{Name: "x0", Address: netip.MustParseAddrPort("10.0.0.1:7420")}, nil)
+	for n := 1; n < instances; n++ {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), 7420)
+		e.addPeer(newElector(Settings{Name: "x" + strconv.Itoa(n), Address: address}, nil))
+	}
+
+	return e
+}
+
+// TestQuestionsWaitLittleAtInstance guards against questions that wait for one instance
+// while others are idle, with any number of live instances.
+func TestQuestionsWaitLittleAtInstance(t *testing.T) {
+	const long, short = 400 * time.Millisecond, 100 * time.Millisecond
+	for _, instances := range []int{1, 2, 3, 7} {
+		e := withPeers(instances)
+		assign := func(cost time.Duration) time.Duration {
+			return e.questionLoad[e.assignQuestion(cost, nil)] - cost
+		}
+		limit := 2*shortBudget + longBudget + localBias + long/time.Duration(instances)
+		for e.longQuestions.used < e.longQuestions.budget() {
+			e.longQuestions.used += long
+			if wait := assign(long); wait > limit {
+				t.Errorf("%d instances: a long question waits for %v, want at most %v", instances, wait, limit)
+			}
+		}
+		for e.shortQuestions.used < e.shortQuestions.budget() {
+			e.shortQuestions.used += short
+			if wait := assign(short); wait > limit {
+				t.Errorf("%d instances: a short question waits for %v, want at most %v", instances, wait, limit)
+			}
+		}
+	}
+}
+
+// TestFewLongQuestionsLeaveInstances guards against short questions that wait behind long
+// ones while there are instances for both.
+func TestFewLongQuestionsLeaveInstances(t *testing.T) {
+	for _, instances := range []int{2, 3, 7} {
+		e := withPeers(instances)
+		for range instances {
+			e.assignQuestion(longDecisionTime, nil)
+		}
+		if wait := e.questionLoad[e.assignQuestion(testDecision, nil)] - testDecision; wait > 0 {
+			t.Errorf("%d instances: a short question waits for %v", instances, wait)
+		}
+	}
+}
