Try the instances in turn when the policy answers few of them

An instance whose question the policy refused, or did not answer, without a failure of the call between instances had no penalty, the owner's own instance included, so that the next question went there again.

Each failure now counts, and of several instances with the same load one that answers is preferred, then the one whose last failure is the oldest. With n live instances, two attempts a question reach a sole answering one within n / 2 questions, rounded up. An answer clears the mark, so a restart under the same name has none after its first answer.

TestQuestionReachesSoleAnsweredInstance failed on the code before, as its penalty had run out after each try. Undoing the order, the loss of the bias, the penalty or the clearing each fail a test.

--- a/internal/cell/elector/ask.go
+++ b/internal/cell/elector/ask.go
@@ -42,9 +42,13 @@
 		timeout := deadline.Sub(definer.Now()) - time.Duration(left)*attemptTime(decisionTime)
 		advice := e.askAt(ctx, address, question, timeout)
 		e.releaseQuestion(address, decisionTime)
+		if advice.Answered {
+			e.recordAnswered(address)
+		}
 		if advice.Answered || ctx.Err() != nil {
 			return advice, definer.Now()
 		}
+		e.recordUnanswered(address)
 		e.logger.Warn("question not answered", "job", question.Job, "instance", address.String())
 	}
 
@@ -76,17 +80,28 @@
 	}
 	advice, err := forwarder.Call[forwarder.Question, forwarder.Advice](callCtx, e.pool, address, "Advise", question)
 	if err != nil {
-		e.mu.Lock()
-		e.questionLoad[address] += unansweredPenalty
-		e.mu.Unlock()
-		time.AfterFunc(unansweredPenalty, func() { e.releaseQuestion(address, unansweredPenalty) })
-
 		return &forwarder.Advice{}
 	}
 
 	return advice
 }
 
+// recordUnanswered adds a penalty to the load of an instance that failed to answer a question.
+func (e *Elector) recordUnanswered(address netip.AddrPort) {
+	e.mu.Lock()
+	e.questionLoad[address] += unansweredPenalty
+	e.unanswered[address] = definer.Now()
+	e.mu.Unlock()
+	time.AfterFunc(unansweredPenalty, func() { e.releaseQuestion(address, unansweredPenalty) })
+}
+
+// recordAnswered records that an instance answered a question.
+func (e *Elector) recordAnswered(address netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.unanswered, address)
+}
+
 // unansweredPenalty is the load added to an instance that failed to answer a
 // question, and for how long it is added.
 const unansweredPenalty = 2 * time.Second
@@ -118,7 +133,9 @@
 }
 
 // leastLoaded returns the address with the lowest question load beside those that were
-// asked, or the first one if there is no other. The caller holds mu.
+// asked, or the first one if there is no other. Of several with the same load it prefers
+// those that answer, and otherwise the one whose last failure is the oldest, so that all
+// are tried in turn. The caller holds mu.
 func (e *Elector) leastLoaded(addresses, asked []netip.AddrPort) netip.AddrPort {
 	best, bestLoad := addresses[0], time.Duration(math.MaxInt64)
 	for _, address := range addresses {
@@ -126,10 +143,11 @@
 			continue
 		}
 		load := e.questionLoad[address]
-		if address == e.settings.Address {
+		failedAt := e.unanswered[address]
+		if address == e.settings.Address && failedAt == 0 {
 			load -= localBias
 		}
-		if load < bestLoad {
+		if load < bestLoad || load == bestLoad && failedAt < e.unanswered[best] {
 			best, bestLoad = address, load
 		}
 	}
--- a/internal/cell/elector/ask_test.go
+++ b/internal/cell/elector/ask_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"strconv"
@@ -151,3 +152,61 @@
 		}
 	}
 }
+
+// TestQuestionReachesSoleAnsweredInstance guards against a question that is assigned to the
+// same instances each time while the policy answers another one only.
+func TestQuestionReachesSoleAnsweredInstance(t *testing.T) {
+	const instances = 7
+	e := withPeers(instances)
+	last := e.live().addresses[instances-1]
+	for try := range instances {
+		first := e.assignQuestion(testDecision, nil)
+		e.releaseQuestion(first, testDecision)
+		if first == last {
+			return
+		}
+		e.recordUnanswered(first)
+		e.releaseQuestion(first, unansweredPenalty)
+		if try == instances-1 {
+			t.Errorf("not assigned to one of %d instances in as many tries", instances)
+		}
+	}
+}
+
+// refusingAdviser is a policy that refuses questions.
+type refusingAdviser struct{}
+
+func (refusingAdviser) Advise(context.Context, string, int, int, []string) ([]definer.Ticket, error) {
+	return nil, errors.New("refused")
+}
+
+// TestRefusedInstanceIsPenalized guards against an instance that is preferred although
+// the policy refuses its questions at once.
+func TestRefusedInstanceIsPenalized(t *testing.T) {
+	e := askingElector(t, "x", false)
+	e.adviser = refusingAdviser{}
+	y := askingElector(t, "y", false)
+	y.adviser = refusingAdviser{}
+	e.addPeer(y)
+	e.Ask(context.Background(), newQuestion("job"), testDecision)
+	for _, address := range []netip.AddrPort{e.settings.Address, y.settings.Address} {
+		if e.questionLoad[address] < unansweredPenalty {
+			t.Errorf("instance %v has no penalty", address)
+		}
+	}
+}
+
+// TestInstanceThatAnswersAgainIsPreferred guards against failures that are remembered after
+// an answer.
+func TestInstanceThatAnswersAgainIsPreferred(t *testing.T) {
+	e := withPeers(3)
+	addresses := e.live().addresses
+	for _, address := range addresses {
+		e.recordUnanswered(address)
+		e.releaseQuestion(address, unansweredPenalty)
+	}
+	e.recordAnswered(addresses[2])
+	if got := e.assignQuestion(testDecision, nil); got != addresses[2] {
+		t.Errorf("assigned to %v, want %v", got, addresses[2])
+	}
+}
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -104,6 +104,8 @@
 	wake chan struct{}
 	// questionLoad is the total decision time of the outstanding questions per instance.
 	questionLoad map[netip.AddrPort]time.Duration
+	// unanswered is when each instance last failed to answer a question, if it has answered none since.
+	unanswered map[netip.AddrPort]definer.Instant
 	// lastHeartbeat is when each instance last sent a heartbeat to this one.
 	lastHeartbeat map[netip.AddrPort]definer.Instant
 	// liveNow is the last result of live, or nil.
@@ -119,7 +121,7 @@
 		settings: settings, store: store, endpoints: endpoints, decoder: decoder, pool: forwarder.NewPool(),
 		adviser: adviser, courier: courier.New(endpoints), logger: logger, metrics: metrics, storeAge: storeAge, storeLatency: storeLatency,
 		changed: make(chan struct{}), peers: map[string]Instance{}, wake: make(chan struct{}, 1),
-		questionLoad: map[netip.AddrPort]time.Duration{}, lastHeartbeat: map[netip.AddrPort]definer.Instant{}, done: make(chan struct{}),
+		questionLoad: map[netip.AddrPort]time.Duration{}, unanswered: map[netip.AddrPort]definer.Instant{}, lastHeartbeat: map[netip.AddrPort]definer.Instant{}, done: make(chan struct{}),
 	}
 	e.shortQuestions.budget = func() time.Duration { return time.Duration(e.countLive()) * shortBudget }
 	e.longQuestions.budget = func() time.Duration {
