Keep a policy that does not answer from holding the budget of others

The questions of a queue whose policy did not answer held the whole budget, each for its total time, and asked again at once, so that the steps of other queues got no tickets meanwhile.

A queue whose last question got no answer has one question out at a time, beside the budget, until one is answered. Other queues wait for the first such questions at most, that is one total time, and the policy gets one question at a time. A question that gets its turn just as its wait ends is asked, since the time for its attempts is reserved, and does not lose its place.

The queue's name does not travel between instances: the encoding is unchanged. A new owner learns of a silent policy with its first questions.

TestSilentQueueHoldsNoBudget is new with the mechanism. Two questions at a time, charging them, never clearing the mark, ignoring it, not recording the outcome, and not passing the queue each fail a test.

--- a/internal/cell/elector/ask.go
+++ b/internal/cell/elector/ask.go
@@ -18,18 +18,26 @@
 // asked at all.
 func (e *Elector) Ask(ctx context.Context, question *forwarder.Question, decisionTime time.Duration) (*forwarder.Advice, definer.Instant) {
 	deadline := definer.Now().Add(question.Timeout)
-	limiter := &e.shortQuestions
+	limiter := e.shortQuestions
 	if decisionTime >= longDecisionTime {
-		limiter = &e.longQuestions
+		limiter = e.longQuestions
 	}
 	acquireCtx, cancel := context.WithTimeout(ctx, question.Timeout-askAttempts*attemptTime(decisionTime))
 	defer cancel()
-	if !limiter.acquire(acquireCtx, asker{question.Job, question.Occurrence, question.Step}, question.Priority, decisionTime) {
+	from := asker{question.Queue, question.Job, question.Occurrence, question.Step}
+	granted := limiter.acquire(acquireCtx, from, question.Priority, decisionTime)
+	if granted == nil {
+		e.metrics.Count("questions without turn")
+
 		return &forwarder.Advice{}, 0
 	}
-	defer limiter.release(decisionTime)
+	defer limiter.release(granted)
+	advice, arrived := e.attempt(ctx, question, decisionTime, deadline)
+	if ctx.Err() == nil {
+		limiter.recordOutcome(granted, advice.Answered)
+	}
 
-	return e.attempt(ctx, question, decisionTime, deadline)
+	return advice, arrived
 }
 
 // attempt asks up to askAttempts instances, one after the other, until one answers. Each
--- a/internal/cell/elector/ask_test.go
+++ b/internal/cell/elector/ask_test.go
@@ -58,22 +58,28 @@
 	e.lastHeartbeat[peer.settings.Address] = definer.Now().Add(time.Hour)
 }
 
-// newQuestion returns a question of a job with the total time of its decision.
-func newQuestion(job string) *forwarder.Question {
-	return &forwarder.Question{Job: job, Endpoints: []string{"e"}, Timeout: planner.QuestionTime(testDecision)}
+// newQuestion returns a question with the total time of its decision.
+func newQuestion() *forwarder.Question {
+	return &forwarder.Question{Queue: "queue", Job: "job", Endpoints: []string{"e"}, Timeout: planner.QuestionTime(testDecision)}
 }
 
 // TestSilentInstanceLeavesTimeForAnother guards against a question that is lost because
 // the first instance to which it is assigned gets no answer of the policy.
 func TestSilentInstanceLeavesTimeForAnother(t *testing.T) {
 	e := askingElector(t, "x", true)
-	e.addPeer(askingElector(t, "y", false))
-	question := newQuestion("job")
+	y := askingElector(t, "y", false)
+	e.addPeer(y)
+	e.unanswered[y.settings.Address] = 1
+	e.shortQuestions.silent["queue"] = true
+	question := newQuestion()
 	began := definer.Now()
 	advice, _ := e.Ask(context.Background(), question, testDecision)
 	if took := definer.Since(began); !advice.Answered || took > question.Timeout {
 		t.Errorf("answered %t after %v, want an answer within %v", advice.Answered, took, question.Timeout)
 	}
+	if e.unanswered[y.settings.Address] != 0 || e.unanswered[e.settings.Address] == 0 || e.shortQuestions.silent["queue"] {
+		t.Errorf("failures %v, silent queues %v after an answer of one instance", e.unanswered, e.shortQuestions.silent)
+	}
 }
 
 // TestSilentPolicyEndsQuestion guards against questions that are out for longer than
@@ -81,12 +87,15 @@
 func TestSilentPolicyEndsQuestion(t *testing.T) {
 	e := askingElector(t, "x", true)
 	e.addPeer(askingElector(t, "y", true))
-	question := newQuestion("job")
+	question := newQuestion()
 	began := definer.Now()
 	advice, _ := e.Ask(context.Background(), question, testDecision)
 	if took := definer.Since(began); advice.Answered || took > question.Timeout+callSlack {
 		t.Errorf("answered %t after %v, want the end of the question within %v", advice.Answered, took, question.Timeout)
 	}
+	if !e.shortQuestions.silent["queue"] {
+		t.Error("the queue does not count as silent")
+	}
 }
 
 // TestQuestionWithoutTurnIsNotAsked guards against a question that gets its turn so late
@@ -94,7 +103,7 @@
 func TestQuestionWithoutTurnIsNotAsked(t *testing.T) {
 	e := askingElector(t, "x", false)
 	e.shortQuestions.used = time.Hour
-	question := newQuestion("job")
+	question := newQuestion()
 	began := definer.Now()
 	advice, _ := e.Ask(context.Background(), question, testDecision)
 	if took := definer.Since(began); advice.Answered || took > question.Timeout-attemptTime(testDecision) {
@@ -188,7 +197,7 @@
 	y := askingElector(t, "y", false)
 	y.adviser = refusingAdviser{}
 	e.addPeer(y)
-	e.Ask(context.Background(), newQuestion("job"), testDecision)
+	e.Ask(context.Background(), newQuestion(), testDecision)
 	for _, address := range []netip.AddrPort{e.settings.Address, y.settings.Address} {
 		if e.questionLoad[address] < unansweredPenalty {
 			t.Errorf("instance %v has no penalty", address)
--- a/internal/cell/elector/budget.go
+++ b/internal/cell/elector/budget.go
@@ -24,9 +24,9 @@
 	placeTime = 30 * time.Second
 )
 
-// asker identifies the step that asks.
+// asker identifies the step that asks, and the queue of its job.
 type asker struct {
-	job              string
+	queue, job       string
 	occurrence, step int
 }
 
@@ -38,6 +38,10 @@
 // every longestWaitPeriod-th grant goes to the one that has waited longest, so that N
 // older waiters delay an operation by at most longestWaitPeriod * (N + 1) grants,
 // whatever their priorities.
+//
+// A queue of jobs whose last operation failed has one under way at a time, beside the
+// budget, until one succeeds: a policy that does not answer neither holds the budget nor
+// gets more than one question.
 type budgetLimiter struct {
 	// budget returns the limit of the total cost.
 	budget func() time.Duration
@@ -51,20 +55,28 @@
 	// did not try again were last removed.
 	places        map[asker]place
 	placesChecked definer.Instant
+	// out counts the operations under way per queue of jobs, and silent holds the queues whose last operation failed.
+	out    map[string]int
+	silent map[string]bool
 }
 
 // waiter is an operation that waits for its share of the budget.
 type waiter struct {
 	asker    asker
 	priority int
-	cost     time.Duration
-	since    definer.Instant
-	granted  chan struct{}
+	// cost is the part of the budget that the operation needs, and charged the part that it got.
+	cost, charged time.Duration
+	since         definer.Instant
+	granted       chan struct{}
 }
 
-// acquire waits for a share of the budget, and reports false if ctx ends first. The wait
+func newBudgetLimiter(budget func() time.Duration) *budgetLimiter {
+	return &budgetLimiter{budget: budget, places: map[asker]place{}, out: map[string]int{}, silent: map[string]bool{}}
+}
+
+// acquire waits for a share of the budget, and returns nil if ctx ends first. The wait
 // of earlier tries of the same asker counts.
-func (b *budgetLimiter) acquire(ctx context.Context, from asker, priority int, cost time.Duration) bool {
+func (b *budgetLimiter) acquire(ctx context.Context, from asker, priority int, cost time.Duration) *waiter {
 	w := &waiter{asker: from, priority: priority, cost: cost, since: definer.Now(), granted: make(chan struct{}, 1)}
 	budget := b.budget()
 	b.mu.Lock()
@@ -76,27 +88,20 @@
 	b.mu.Unlock()
 	select {
 	case <-w.granted:
-		return true
-	default:
-	}
-	select {
-	case <-w.granted:
-		return true
+		return w
 	case <-ctx.Done():
 	}
 	b.mu.Lock()
-	if i := slices.Index(b.queue, w); i >= 0 {
-		b.queue = slices.Delete(b.queue, i, i+1)
-		b.keepPlace(from, w.since, definer.Now())
-		b.mu.Unlock()
-
-		return false
+	defer b.mu.Unlock()
+	i := slices.Index(b.queue, w)
+	if i < 0 {
+		// Granted just as ctx ended.
+		return w
 	}
-	b.mu.Unlock()
-	// The cost was granted just as ctx ended: release it for the next waiter.
-	b.release(cost)
+	b.queue = slices.Delete(b.queue, i, i+1)
+	b.keepPlace(from, w.since, definer.Now())
 
-	return false
+	return nil
 }
 
 // before reports whether w comes before o in the order of the queue.
@@ -107,9 +112,6 @@
 // keepPlace records that an asker gave up now, and removes the places of those that did
 // so placeTime ago and have not tried again. The caller holds mu.
 func (b *budgetLimiter) keepPlace(from asker, since, now definer.Instant) {
-	if b.places == nil {
-		b.places = map[asker]place{}
-	}
 	b.places[from] = place{since: since, left: now}
 	if now.Sub(b.placesChecked) < placeTime {
 		return
@@ -126,12 +128,26 @@
 	return b.used
 }
 
+// recordOutcome records whether an operation succeeded.
+func (b *budgetLimiter) recordOutcome(w *waiter, succeeded bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if succeeded {
+		delete(b.silent, w.asker.queue)
+	} else {
+		b.silent[w.asker.queue] = true
+	}
+}
+
 // release returns the cost of an operation to the budget.
-func (b *budgetLimiter) release(cost time.Duration) {
+func (b *budgetLimiter) release(w *waiter) {
 	budget := b.budget()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.used -= cost
+	b.used -= w.charged
+	if b.out[w.asker.queue]--; b.out[w.asker.queue] <= 0 {
+		delete(b.out, w.asker.queue)
+	}
 	b.grant(budget)
 }
 
@@ -139,28 +155,45 @@
 // since an expensive one would otherwise keep the others waiting beside a free part.
 // The caller holds mu.
 func (b *budgetLimiter) grant(budget time.Duration) {
-	for len(b.queue) > 0 && b.used < budget {
-		at := b.next()
+	for at := b.next(budget); at >= 0; at = b.next(budget) {
 		next := b.queue[at]
 		b.queue = slices.Delete(b.queue, at, at+1)
-		b.used += next.cost
+		if !b.silent[next.asker.queue] {
+			next.charged = next.cost
+		}
+		b.used += next.charged
+		b.out[next.asker.queue]++
 		b.grants++
 		delete(b.places, next.asker)
 		next.granted <- struct{}{}
 	}
 }
 
-// next returns the index of the waiter to serve next. The caller holds mu.
-func (b *budgetLimiter) next() int {
-	if (b.grants+1)%longestWaitPeriod != 0 {
-		return 0
+// next returns the index of the waiter to serve next, or -1. The caller holds mu.
+func (b *budgetLimiter) next(budget time.Duration) int {
+	if b.used >= budget && len(b.silent) == 0 {
+		return -1
 	}
-	longest := 0
+	byWait := (b.grants+1)%longestWaitPeriod == 0
+	best := -1
 	for i, w := range b.queue {
-		if w.since < b.queue[longest].since {
-			longest = i
+		switch {
+		case !b.admits(w, budget):
+		case !byWait:
+			return i
+		case best < 0 || w.since < b.queue[best].since:
+			best = i
 		}
 	}
 
-	return longest
+	return best
+}
+
+// admits reports whether an operation may begin now. The caller holds mu.
+func (b *budgetLimiter) admits(w *waiter, budget time.Duration) bool {
+	if b.silent[w.asker.queue] {
+		return b.out[w.asker.queue] == 0
+	}
+
+	return b.used < budget
 }
--- a/internal/cell/elector/budget_test.go
+++ b/internal/cell/elector/budget_test.go
@@ -17,7 +17,7 @@
 
 // newLimiter returns a limiter with a budget.
 func newLimiter(budget time.Duration) *budgetLimiter {
-	return &budgetLimiter{budget: func() time.Duration { return budget }}
+	return newBudgetLimiter(func() time.Duration { return budget })
 }
 
 // waiting returns the number of operations that wait.
@@ -82,7 +82,7 @@
 		if limit := longestWaitPeriod * (urgent + lessUrgent); grants == limit {
 			t.Fatalf("less urgent operations still wait after %d grants", limit)
 		}
-		b.release(testCost)
+		b.release(&waiter{charged: testCost})
 		b.wait(ctx, t, 0)
 	}
 }
@@ -97,7 +97,7 @@
 		b.wait(ctx, t, leastUrgent)
 	}
 	b.wait(ctx, t, 0)
-	b.release(testCost)
+	b.release(&waiter{charged: testCost})
 	if b.waitingAt(0) > 0 {
 		t.Error("the urgent operation is not served first")
 	}
@@ -110,15 +110,15 @@
 	defer cancel()
 	b := newLimiter(2 * testCost)
 	b.acquire(ctx, asker{}, 0, testCost)
-	if !b.acquire(ctx, asker{}, 0, 2*testCost) {
+	if b.acquire(ctx, asker{}, 0, 2*testCost) == nil {
 		t.Fatal("an operation waits although half of the budget is free")
 	}
 	b.wait(ctx, t, 0)
-	b.release(testCost)
+	b.release(&waiter{charged: testCost})
 	if b.waiting() == 0 {
 		t.Error("an operation is served although the whole budget is in use")
 	}
-	b.release(2 * testCost)
+	b.release(&waiter{charged: 2 * testCost})
 	if b.waiting() > 0 {
 		t.Error("an operation waits although the budget is free")
 	}
@@ -132,18 +132,18 @@
 	first := asker{job: "first"}
 	short, cancel := context.WithTimeout(context.Background(), time.Millisecond)
 	defer cancel()
-	if b.acquire(short, first, leastUrgent, testCost) {
+	if b.acquire(short, first, leastUrgent, testCost) != nil {
 		t.Fatal("granted beyond the budget")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	b.wait(ctx, t, leastUrgent)
-	granted := make(chan bool, 1)
+	granted := make(chan *waiter, 1)
 	go func() { granted <- b.acquire(ctx, first, leastUrgent, testCost) }()
 	for b.waiting() < 2 {
 		time.Sleep(time.Millisecond)
 	}
-	b.release(testCost)
+	b.release(&waiter{charged: testCost})
 	select {
 	case <-granted:
 	case <-time.After(time.Second):
@@ -164,3 +164,45 @@
 		t.Errorf("%d places are kept, want 1", len(b.places))
 	}
 }
+
+// TestSilentQueueHoldsNoBudget guards against a policy that does not answer the questions
+// of a queue and keeps those of other queues waiting.
+func TestSilentQueueHoldsNoBudget(t *testing.T) {
+	const questions = 5
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	b := newLimiter(2 * testCost)
+	ask := func(queue string) *waiter {
+		short, cancel := context.WithTimeout(ctx, 10*time.Millisecond)
+		defer cancel()
+
+		return b.acquire(short, asker{queue: queue}, 0, testCost)
+	}
+	first := ask("silent")
+	b.recordOutcome(first, false)
+	b.release(first)
+	probe := ask("silent")
+	for range questions {
+		if ask("silent") != nil {
+			t.Fatal("a silent queue has two operations under way")
+		}
+	}
+	for range 2 {
+		if ask("other") == nil {
+			t.Error("another queue waits beside a silent one")
+		}
+	}
+	b.release(probe)
+	probe = ask("silent")
+	if probe == nil {
+		t.Fatal("a silent queue has no operation under way")
+	}
+	b.recordOutcome(probe, true)
+	b.release(probe)
+	if b.used != 2*testCost {
+		t.Errorf("%v are in use, want those of the other queue", b.used)
+	}
+	if ask("silent") != nil {
+		t.Error("a queue that succeeded again is served beside the budget")
+	}
+}
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -69,7 +69,7 @@
 	adviser   definer.Adviser
 	courier   *courier.Courier
 	// shortQuestions and longQuestions limit the outstanding policy questions when this instance is the owner.
-	shortQuestions, longQuestions budgetLimiter
+	shortQuestions, longQuestions *budgetLimiter
 	logger                        hclog.Logger
 	metrics                       *recorder.Metrics
 	// storeAge returns the time since the last answer of the store, and storeLatency the latency of its calls.
@@ -123,12 +123,12 @@
 		changed: make(chan struct{}), peers: map[string]Instance{}, wake: make(chan struct{}, 1),
 		questionLoad: map[netip.AddrPort]time.Duration{}, unanswered: map[netip.AddrPort]definer.Instant{}, lastHeartbeat: map[netip.AddrPort]definer.Instant{}, done: make(chan struct{}),
 	}
-	e.shortQuestions.budget = func() time.Duration { return time.Duration(e.countLive()) * shortBudget }
-	e.longQuestions.budget = func() time.Duration {
+	e.shortQuestions = newBudgetLimiter(func() time.Duration { return time.Duration(e.countLive()) * shortBudget })
+	e.longQuestions = newBudgetLimiter(func() time.Duration {
 		live := time.Duration(e.countLive())
 
 		return live*longBudget + max(live*shortBudget-e.shortQuestions.inUse(), 0)
-	}
+	})
 
 	return e
 }
--- a/internal/cell/forwarder/forwarder.go
+++ b/internal/cell/forwarder/forwarder.go
@@ -75,6 +75,8 @@
 	Endpoints        []string
 	Priority         int
 	Timeout          time.Duration
+	// Queue is the queue of the job; only the sender uses it.
+	Queue string `msgpack:"-"`
 }
 
 // Advice is the answer to a question.
--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -122,7 +122,7 @@
 	began := definer.Now()
 	question := &forwarder.Question{
 		Job: c.command.Job, Occurrence: c.command.Occurrence, Step: c.command.Step, Endpoints: c.command.Endpoints,
-		Priority: c.command.Priority, Timeout: c.command.Deadline.Sub(began),
+		Queue: c.command.Queue, Priority: c.command.Priority, Timeout: c.command.Deadline.Sub(began),
 	}
 	advice, decided := c.leader.policy.Ask(ctx, question, c.command.DecisionTime)
 	c.leader.metrics.Observe("advice", definer.Since(began))
--- a/internal/cell/leader/question_test.go
+++ b/internal/cell/leader/question_test.go
@@ -63,11 +63,11 @@
 	}
 }
 
-// timeoutClient is a policy client that records the timeout of a question.
-type timeoutClient struct{ timeout time.Duration }
+// recordingClient is a policy client that records a question.
+type recordingClient struct{ question *forwarder.Question }
 
-func (c *timeoutClient) Ask(_ context.Context, question *forwarder.Question, _ time.Duration) (*forwarder.Advice, definer.Instant) {
-	c.timeout = question.Timeout
+func (c *recordingClient) Ask(_ context.Context, question *forwarder.Question, _ time.Duration) (*forwarder.Advice, definer.Instant) {
+	c.question = question
 
 	return &forwarder.Advice{}, 0
 }
@@ -77,11 +77,14 @@
 func TestQuestionEndsAtDeadline(t *testing.T) {
 	now := definer.Now().Add(-time.Second)
 	l, ask := askingOwner(t, now)
-	client := &timeoutClient{}
+	client := &recordingClient{}
 	l.policy = client
 	call := &askCall{leader: l, command: ask}
 	call.run(context.Background())
-	if limit := planner.QuestionTime(ask.DecisionTime) - time.Second; client.timeout > limit {
-		t.Errorf("the question has %v left, want at most %v", client.timeout, limit)
+	if limit := planner.QuestionTime(ask.DecisionTime) - time.Second; client.question.Timeout > limit {
+		t.Errorf("the question has %v left, want at most %v", client.question.Timeout, limit)
+	}
+	if client.question.Queue != "queue" {
+		t.Errorf("the question is of queue %q", client.question.Queue)
 	}
 }
--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -161,7 +161,7 @@
 		p.questions++
 		p.emit(AskPolicyCmd{
 			Number: p.questions, Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.index, Endpoints: ids, DecisionTime: cost,
-			Priority: s.job.Queue.Priority, Deadline: deadline,
+			Queue: s.job.Queue.Name, Priority: s.job.Queue.Priority, Deadline: deadline,
 		})
 	}
 }
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -161,7 +161,8 @@
 	Endpoints        []string
 	// DecisionTime is the expected duration of the decision.
 	DecisionTime time.Duration
-	// Priority is the priority of the queue.
+	// Queue is the name of the queue, and Priority its priority.
+	Queue    string
 	Priority int
 	// Deadline is when the question counts as lost; nobody works on it after that.
 	Deadline definer.Instant
