--- a/internal/cell/elector/ask.go
+++ b/internal/cell/elector/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -12,27 +13,36 @@
 
 // Ask implements leader.PolicyClient: it assigns the question to the instance with
 // the lowest question load, since the policy answers each instance's questions one
-// at a time. It returns within the question's timeout. A question that gets its turn
-// too late for all attempts is not asked at all.
-func (e *Elector) Ask(ctx context.Context, question *forwarder.Question, decisionTime time.Duration) *forwarder.Advice {
+// at a time. It returns within the question's timeout, with the time at which the
+// answer arrived. A question that gets its turn too late for all attempts is not
+// asked at all.
+func (e *Elector) Ask(ctx context.Context, question *forwarder.Question, decisionTime time.Duration) (*forwarder.Advice, definer.Instant) {
 	deadline := definer.Now().Add(question.Timeout)
-	limiter := &e.shortQuestions
+	limiter := e.shortQuestions
 	if decisionTime >= longDecisionTime {
-		limiter = &e.longQuestions
+		limiter = e.longQuestions
 	}
 	acquireCtx, cancel := context.WithTimeout(ctx, question.Timeout-askAttempts*attemptTime(decisionTime))
 	defer cancel()
-	if !limiter.acquire(acquireCtx, asker{question.Job, question.Occurrence, question.Step}, question.Priority, decisionTime) {
-		return &forwarder.Advice{}
+	from := asker{question.Queue, question.Job, question.Occurrence, question.Step}
+	granted := limiter.acquire(acquireCtx, from, question.Priority, decisionTime)
+	if granted == nil {
+		e.metrics.Count("questions without turn")
+
+		return &forwarder.Advice{}, 0
+	}
+	defer limiter.release(granted)
+	advice, arrived := e.attempt(ctx, question, decisionTime, deadline)
+	if ctx.Err() == nil {
+		limiter.recordOutcome(granted, advice.Answered)
 	}
-	defer limiter.release(decisionTime)
 
-	return e.attempt(ctx, question, decisionTime, deadline)
+	return advice, arrived
 }
 
 // attempt asks up to askAttempts instances, one after the other, until one answers. Each
 // leaves time for those after it.
-func (e *Elector) attempt(ctx context.Context, question *forwarder.Question, decisionTime time.Duration, deadline definer.Instant) *forwarder.Advice {
+func (e *Elector) attempt(ctx context.Context, question *forwarder.Question, decisionTime time.Duration, deadline definer.Instant) (*forwarder.Advice, definer.Instant) {
 	var asked []netip.AddrPort
 	for left := min(askAttempts, e.countLive()) - 1; left >= 0; left-- {
 		address := e.assignQuestion(decisionTime, asked)
@@ -40,13 +50,17 @@
 		timeout := deadline.Sub(definer.Now()) - time.Duration(left)*attemptTime(decisionTime)
 		advice := e.askAt(ctx, address, question, timeout)
 		e.releaseQuestion(address, decisionTime)
+		if advice.Answered {
+			e.recordAnswered(address)
+		}
 		if advice.Answered || ctx.Err() != nil {
-			return advice
+			return advice, definer.Now()
 		}
+		e.recordUnanswered(address)
 		e.logger.Warn("question not answered", "job", question.Job, "instance", address.String())
 	}
 
-	return &forwarder.Advice{}
+	return &forwarder.Advice{}, 0
 }
 
 // attemptTime is the time that is reserved for an attempt: that of the decision, of the
@@ -74,46 +88,77 @@
 	}
 	advice, err := forwarder.Call[forwarder.Question, forwarder.Advice](callCtx, e.pool, address, "Advise", question)
 	if err != nil {
-		e.mu.Lock()
-		e.questionLoad[address] += unansweredPenalty
-		e.mu.Unlock()
-		time.AfterFunc(unansweredPenalty, func() { e.releaseQuestion(address, unansweredPenalty) })
-
 		return &forwarder.Advice{}
 	}
 
 	return advice
 }
 
+// recordUnanswered adds a penalty to the load of an instance that failed to answer a question.
+func (e *Elector) recordUnanswered(address netip.AddrPort) {
+	e.mu.Lock()
+	e.questionLoad[address] += unansweredPenalty
+	e.unanswered[address] = definer.Now()
+	e.mu.Unlock()
+	time.AfterFunc(unansweredPenalty, func() { e.releaseQuestion(address, unansweredPenalty) })
+}
+
+// recordAnswered records that an instance answered a question.
+func (e *Elector) recordAnswered(address netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.unanswered, address)
+}
+
 // unansweredPenalty is the load added to an instance that failed to answer a
 // question, and for how long it is added.
 const unansweredPenalty = 2 * time.Second
 
 // assignQuestion chooses the live instance with the lowest load for a question and
 // adds the decision time to its load. It leaves out those that were asked already, as
-// far as there are others. The first attempt of a long question only considers a share
-// of the instances.
+// far as there are others. The first attempt of a long question considers a share of
+// the instances, to leave the others to short ones, unless it would have to wait for
+// longer than an attempt allows for.
 func (e *Elector) assignQuestion(decisionTime time.Duration, asked []netip.AddrPort) netip.AddrPort {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	addresses := e.live().addresses
+	best := e.leastLoaded(addresses, asked)
 	if decisionTime >= longDecisionTime && len(asked) == 0 {
-		addresses = addresses[:max(1, int(float64(len(addresses))*longInstanceShare))]
+		if first := e.leastLoaded(addresses[:longInstances(len(addresses))], nil); e.questionLoad[first] < attemptSlack {
+			best = first
+		}
 	}
-	best, bestLoad := addresses[0], time.Duration(1<<62)
+	e.questionLoad[best] += decisionTime
+
+	return best
+}
+
+// longInstances returns to how many live instances long questions are assigned first. It
+// leaves one to short ones if there are two.
+func longInstances(live int) int {
+	return max(1, min(live-1, int(math.Round(float64(live)*longInstanceShare))))
+}
+
+// leastLoaded returns the address with the lowest question load beside those that were
+// asked, or the first one if there is no other. Of several with the same load it prefers
+// those that answer, and otherwise the one whose last failure is the oldest, so that all
+// are tried in turn. The caller holds mu.
+func (e *Elector) leastLoaded(addresses, asked []netip.AddrPort) netip.AddrPort {
+	best, bestLoad := addresses[0], time.Duration(math.MaxInt64)
 	for _, address := range addresses {
 		if slices.Contains(asked, address) {
 			continue
 		}
 		load := e.questionLoad[address]
-		if address == e.settings.Address {
+		failedAt := e.unanswered[address]
+		if address == e.settings.Address && failedAt == 0 {
 			load -= localBias
 		}
-		if load < bestLoad {
+		if load < bestLoad || load == bestLoad && failedAt < e.unanswered[best] {
 			best, bestLoad = address, load
 		}
 	}
-	e.questionLoad[best] += decisionTime
 
 	return best
 }
--- a/internal/cell/elector/ask_test.go
+++ b/internal/cell/elector/ask_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -56,22 +58,28 @@
 	e.lastHeartbeat[peer.settings.Address] = definer.Now().Add(time.Hour)
 }
 
-// newQuestion returns a question of a job with the total time of its decision.
-func newQuestion(job string) *forwarder.Question {
-	return &forwarder.Question{Job: job, Endpoints: []string{"e"}, Timeout: planner.QuestionTime(testDecision)}
+// newQuestion returns a question with the total time of its decision.
+func newQuestion() *forwarder.Question {
+	return &forwarder.Question{Queue: "queue", Job: "job", Endpoints: []string{"e"}, Timeout: planner.QuestionTime(testDecision)}
 }
 
 // TestSilentInstanceLeavesTimeForAnother guards against a question that is lost because
 // the first instance to which it is assigned gets no answer of the policy.
 func TestSilentInstanceLeavesTimeForAnother(t *testing.T) {
 	e := askingElector(t, "x", true)
-	e.addPeer(askingElector(t, "y", false))
-	question := newQuestion("job")
+	y := askingElector(t, "y", false)
+	e.addPeer(y)
+	e.unanswered[y.settings.Address] = 1
+	e.shortQuestions.silent["queue"] = true
+	question := newQuestion()
 	began := definer.Now()
-	advice := e.Ask(context.Background(), question, testDecision)
+	advice, _ := e.Ask(context.Background(), question, testDecision)
 	if took := definer.Since(began); !advice.Answered || took > question.Timeout {
 		t.Errorf("answered %t after %v, want an answer within %v", advice.Answered, took, question.Timeout)
 	}
+	if e.unanswered[y.settings.Address] != 0 || e.unanswered[e.settings.Address] == 0 || e.shortQuestions.silent["queue"] {
+		t.Errorf("failures %v, silent queues %v after an answer of one instance", e.unanswered, e.shortQuestions.silent)
+	}
 }
 
 // TestSilentPolicyEndsQuestion guards against questions that are out for longer than
@@ -79,12 +87,15 @@
 func TestSilentPolicyEndsQuestion(t *testing.T) {
 	e := askingElector(t, "x", true)
 	e.addPeer(askingElector(t, "y", true))
-	question := newQuestion("job")
+	question := newQuestion()
 	began := definer.Now()
-	advice := e.Ask(context.Background(), question, testDecision)
+	advice, _ := e.Ask(context.Background(), question, testDecision)
 	if took := definer.Since(began); advice.Answered || took > question.Timeout+callSlack {
 		t.Errorf("answered %t after %v, want the end of the question within %v", advice.Answered, took, question.Timeout)
 	}
+	if !e.shortQuestions.silent["queue"] {
+		t.Error("the queue does not count as silent")
+	}
 }
 
 // TestQuestionWithoutTurnIsNotAsked guards against a question that gets its turn so late
@@ -92,10 +103,119 @@
 func TestQuestionWithoutTurnIsNotAsked(t *testing.T) {
 	e := askingElector(t, "x", false)
 	e.shortQuestions.used = time.Hour
-	question := newQuestion("job")
+	question := newQuestion()
 	began := definer.Now()
-	advice := e.Ask(context.Background(), question, testDecision)
+	advice, _ := e.Ask(context.Background(), question, testDecision)
 	if took := definer.Since(began); advice.Answered || took > question.Timeout-attemptTime(testDecision) {
 		t.Errorf("answered %t after %v, want the end of the question while there is time for an attempt", advice.Answered, took)
 	}
 }
+
+// withPeers returns an elector with a number of live instances, itself included, that
+// cannot be called.
+func withPeers(instances int) *Elector {
+	e := newElector(Settings{Name: "x0", Address: netip.MustParseAddrPort("10.0.0.1:7420")}, nil)
+	for n := 1; n < instances; n++ {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), 7420)
+		e.addPeer(newElector(Settings{Name: "x" + strconv.Itoa(n), Address: address}, nil))
+	}
+
+	return e
+}
+
+// TestQuestionsWaitLittleAtInstance guards against questions that wait for one instance
+// while others are idle, with any number of live instances.
+func TestQuestionsWaitLittleAtInstance(t *testing.T) {
+	const long, short = 400 * time.Millisecond, 100 * time.Millisecond
+	for _, instances := range []int{1, 2, 3, 7} {
+		e := withPeers(instances)
+		assign := func(cost time.Duration) time.Duration {
+			return e.questionLoad[e.assignQuestion(cost, nil)] - cost
+		}
+		limit := 2*shortBudget + longBudget + localBias + long/time.Duration(instances)
+		for e.longQuestions.used < e.longQuestions.budget() {
+			e.longQuestions.used += long
+			if wait := assign(long); wait > limit {
+				t.Errorf("%d instances: a long question waits for %v, want at most %v", instances, wait, limit)
+			}
+		}
+		for e.shortQuestions.used < e.shortQuestions.budget() {
+			e.shortQuestions.used += short
+			if wait := assign(short); wait > limit {
+				t.Errorf("%d instances: a short question waits for %v, want at most %v", instances, wait, limit)
+			}
+		}
+	}
+}
+
+// TestFewLongQuestionsLeaveInstances guards against short questions that wait behind long
+// ones while there are instances for both.
+func TestFewLongQuestionsLeaveInstances(t *testing.T) {
+	for _, instances := range []int{2, 3, 7} {
+		e := withPeers(instances)
+		for range instances {
+			e.assignQuestion(longDecisionTime, nil)
+		}
+		if wait := e.questionLoad[e.assignQuestion(testDecision, nil)] - testDecision; wait > 0 {
+			t.Errorf("%d instances: a short question waits for %v", instances, wait)
+		}
+	}
+}
+
+// TestQuestionReachesSoleAnsweredInstance guards against a question that is assigned to the
+// same instances each time while the policy answers another one only.
+func TestQuestionReachesSoleAnsweredInstance(t *testing.T) {
+	const instances = 7
+	e := withPeers(instances)
+	last := e.live().addresses[instances-1]
+	for try := range instances {
+		first := e.assignQuestion(testDecision, nil)
+		e.releaseQuestion(first, testDecision)
+		if first == last {
+			return
+		}
+		e.recordUnanswered(first)
+		e.releaseQuestion(first, unansweredPenalty)
+		if try == instances-1 {
+			t.Errorf("not assigned to one of %d instances in as many tries", instances)
+		}
+	}
+}
+
+// refusingAdviser is a policy that refuses questions.
+type refusingAdviser struct{}
+
+func (refusingAdviser) Advise(context.Context, string, int, int, []string) ([]definer.Ticket, error) {
+	return nil, errors.New("refused")
+}
+
+// TestRefusedInstanceIsPenalized guards against an instance that is preferred although
+// the policy refuses its questions at once.
+func TestRefusedInstanceIsPenalized(t *testing.T) {
+	e := askingElector(t, "x", false)
+	e.adviser = refusingAdviser{}
+	y := askingElector(t, "y", false)
+	y.adviser = refusingAdviser{}
+	e.addPeer(y)
+	e.Ask(context.Background(), newQuestion(), testDecision)
+	for _, address := range []netip.AddrPort{e.settings.Address, y.settings.Address} {
+		if e.questionLoad[address] < unansweredPenalty {
+			t.Errorf("instance %v has no penalty", address)
+		}
+	}
+}
+
+// TestInstanceThatAnswersAgainIsPreferred guards against failures that are remembered after
+// an answer.
+func TestInstanceThatAnswersAgainIsPreferred(t *testing.T) {
+	e := withPeers(3)
+	addresses := e.live().addresses
+	for _, address := range addresses {
+		e.recordUnanswered(address)
+		e.releaseQuestion(address, unansweredPenalty)
+	}
+	e.recordAnswered(addresses[2])
+	if got := e.assignQuestion(testDecision, nil); got != addresses[2] {
+		t.Errorf("assigned to %v, want %v", got, addresses[2])
+	}
+}
--- a/internal/cell/forwarder/forwarder.go
+++ b/internal/cell/forwarder/forwarder.go
@@ -75,6 +75,8 @@
 	Endpoints        []string
 	Priority         int
 	Timeout          time.Duration
+	// Queue is the queue of the job; only the sender uses it.
+	Queue string `msgpack:"-"`
 }
 
 // Advice is the answer to a question.
@@ -138,7 +140,8 @@
 )
 
 // codec encodes messages as MessagePack. Structs are encoded as arrays of their
-// fields, so new fields must be added at the end.
+// fields, and one with another number of fields is not decoded: a new field keeps
+// instances of both versions from calling each other.
 type codec struct{}
 
 func (codec) Marshal(v any) ([]byte, error) {
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -111,7 +111,9 @@
 	// now is the time of the last processed message.
 	now      definer.Instant
 	commands []Command
-	notes    []Note
+	// questions counts the questions to placement policies.
+	questions int
+	notes     []Note
 }
 
 // account holds the usage and the limits of a client account.
@@ -156,17 +158,30 @@
 
 // AskPolicyCmd asks the placement policy of a queue about endpoints.
 type AskPolicyCmd struct {
+	// Number identifies the question among those of the planner; numbers increase.
+	Number           int
 	Job              string
 	Occurrence, Step int
 	Endpoints        []string
 	// DecisionTime is the expected duration of the decision.
 	DecisionTime time.Duration
-	// Priority is the priority of the queue.
+	// Queue is the name of the queue, and Priority its priority.
+	Queue    string
 	Priority int
 	// Deadline is when the question counts as lost; nobody works on it after that.
 	Deadline definer.Instant
 }
 
+// PolicyAnswer is the answer to a question.
+type PolicyAnswer struct {
+	// Answered is false when the question failed; the other fields are then empty.
+	Answered bool
+	Tickets  []definer.Ticket
+	// Decided is when the answer arrived from the policy. The validity of the tickets begins with the decision;
+	// ticketMargin covers the time in between.
+	Decided definer.Instant
+}
+
 // InventoryCmd requests the inventory of an endpoint immediately.
 type InventoryCmd struct{ Endpoint string }
 
--- a/internal/cell/planner/turn_test.go
+++ b/internal/cell/planner/turn_test.go
@@ -131,7 +131,7 @@
 				tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "t"})
 			}
 		}
-		w.planner.PolicyAnswered(ask.Job, ask.Occurrence, ask.Step, ask.Endpoints, tickets, true, w.now)
+		w.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Decided: w.now}, w.now)
 		w.answeredAt[ask.Job] = w.now
 	}
 	w.answers = waiting
