Alternate the turns of gangs that ask for each purpose by itself

Callers saw gangs that stand beside room. The turns by order and by wait alternated over renewals and explorations together, so that a round with one question of each always renewed in the order of the steps: a gang behind another of its queue that renews without starting never asked. TestRenewalsReachEveryGang failed before.

--- a/internal/cell/planner/gang_ask.go
+++ b/internal/cell/planner/gang_ask.go
@@ -153,7 +153,7 @@
 // a round looks at twice the limit at most.
 func (ps *pass) askInTurn(q *gangQuestions, limit int) {
 	for range 2 * limit {
-		next := q.next(ps.planner.gangQuestionsAsked%2 == 0, q.out < limit)
+		next := q.next(ps.planner.gangQuestionsAsked[q.purpose]%2 == 0, q.out < limit)
 		if next < 0 {
 			return
 		}
@@ -212,7 +212,7 @@
 
 		return false
 	}
-	p.gangQuestionsAsked++
+	p.gangQuestionsAsked[purpose]++
 	s.wait.question = purpose
 	p.ask(s, endpoints, ps.now)
 
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -81,8 +81,10 @@
 	withoutDetails int
 	// backlog is the last result of measureBacklog.
 	backlog backlog
-	// rounds counts the rounds of placement, and gangQuestionsAsked the questions about gangs that take turns.
-	rounds, gangQuestionsAsked int
+	// rounds counts the rounds of placement.
+	rounds int
+	// gangQuestionsAsked counts the questions about gangs, by purpose, that take turns.
+	gangQuestionsAsked [gangQuestionRenew + 1]int
 	// ownedAt is when the last successful append was made; the instance owned the cell then.
 	ownedAt definer.Instant
 	// tableEnd is the offset after the last record of the state table, as far as the owner knows.
