Release the reservation of a gang at its account's limit without a turn

Callers saw jobs that stand beside room which a gang has reserved. A gang that is too late to be useful and may start none of its tasks for its account's limit gets no turn (cannotAct), so placeGang, which releases its reservation, never ran, and the round restored it for up to maxReservation.

--- a/internal/cell/planner/reservation.go
+++ b/internal/cell/planner/reservation.go
@@ -30,7 +30,8 @@
 
 // restoreReservations renews the reservations that the first waiting gangs had
 // in the last round. The gangs beyond reservingGangShare lose theirs, because
-// they would keep endpoints idle, and so do those that have had one for maxReservation.
+// they would keep endpoints idle, and so do those whose account may not run them, which
+// may have no turn in this round, and those that have had one for maxReservation.
 func (ps *pass) restoreReservations(steps []*step) {
 	holders := 0
 	for _, s := range steps {
@@ -39,6 +40,11 @@
 
 			continue
 		}
+		if !ps.withinLimit(s) {
+			s.dropReservation()
+
+			continue
+		}
 		if s.wait.holdsSince == 0 {
 			s.wait.holdsSince = ps.now
 		}
@@ -60,6 +66,13 @@
 	}
 }
 
+// withinLimit reports whether the account of a gang may run all of its waiting tasks.
+func (ps *pass) withinLimit(s *step) bool {
+	account := ps.planner.account(s.job.Account)
+
+	return account.withinLimit(s.def.Need.Scale(int64(s.pendingCount)), ps.unconfirmed[account])
+}
+
 // endReservation ends the reservation of a gang that has not started within
 // maxReservation, and begins the pause until its next one.
 func (s *step) endReservation(now definer.Instant) {
