Say that tickets have expired when a gang has too few

The log said "tasks are held back" of a gang with valid tickets for a part of its tasks. TestStandingGangWithoutAllTicketsSaysSo failed before.

--- a/internal/cell/planner/standing.go
+++ b/internal/cell/planner/standing.go
@@ -188,8 +188,8 @@
 	// withRoom have room for a task, places is the number of tasks that fit there, reserved have
 	// room and are reserved for gangs, and atLimit have room and as many tasks of the step as it may have there.
 	withRoom, places, reserved, atLimit int
-	// tickets counts the endpoints with room for which a ticket is valid.
-	tickets int
+	// tickets counts the endpoints with room for which a ticket is valid, and ticketPlaces the tasks that fit there.
+	tickets, ticketPlaces int
 }
 
 func (ps *pass) viewFor(s *step) endpointView {
@@ -224,6 +224,7 @@
 		view.places += places
 		if answer := s.admission.answer(e); s.job.Queue.Policy == nil || answer.validFor(e, ps.now) {
 			view.tickets++
+			view.ticketPlaces += places
 		}
 	}
 
@@ -259,9 +260,9 @@
 		return standPerEndpoint
 	case view.places < wanted:
 		return standNoRoom
-	case view.tickets == 0 && s.admission.askBlocked(ps.now):
+	case view.ticketPlaces < wanted && s.admission.askBlocked(ps.now):
 		return standQuestionOut
-	case view.tickets == 0:
+	case view.ticketPlaces < wanted:
 		return standTickets
 	case s.turnAt != ps.now:
 		return standNoTurn
