--- a/internal/cell/planner/gang_ask.go
+++ b/internal/cell/planner/gang_ask.go
@@ -159,7 +159,7 @@
 		switch {
 		case q.out >= limit:
 			next = q.firstBelow(1)
-		case ps.planner.gangQuestionsAsked%2 == 0:
+		case ps.planner.gangQuestionsAsked[q.purpose]%2 == 0:
 			// No queue gets more than half of the questions while others want some.
 			if next = q.firstBelow((limit + 1) / 2); next < 0 {
 				next = q.firstBelow(limit)
@@ -224,7 +224,7 @@
 
 		return false
 	}
-	p.gangQuestionsAsked++
+	p.gangQuestionsAsked[purpose]++
 	s.wait.question = purpose
 	p.ask(s, endpoints, ps.now)
 
