Count the reservations of gangs that are out of turn

Cause: gangs that are too late to be useful take turns, and a round counted only the reservations of those that had theirs. The gangs of each turn reserved the share again beside those that had been restored.

Evidence: TestReservationsOutOfTurnCount failed without the change: more than one gang held endpoints on a cell of 12 endpoints, where one may.

--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -92,7 +92,9 @@
 	for _, s := range steps[:urgent] {
 		ps.place(s)
 	}
-	for _, s := range ps.inTurn(steps[urgent:]) {
+	turn := ps.inTurn(steps[urgent:])
+	ps.reservingGangs += countReservations(steps[urgent:]) - countReservations(turn)
+	for _, s := range turn {
 		ps.place(s)
 	}
 	ps.askForGangs()
--- a/internal/cell/planner/reservation.go
+++ b/internal/cell/planner/reservation.go
@@ -60,6 +60,18 @@
 	}
 }
 
+// countReservations returns how many of the steps have reserved endpoints.
+func countReservations(steps []*step) int {
+	count := 0
+	for _, s := range steps {
+		if len(s.reserved) > 0 {
+			count++
+		}
+	}
+
+	return count
+}
+
 // endReservation ends the reservation of a gang that has not started within
 // maxReservation, and begins the pause until its next one.
 func (s *step) endReservation(now definer.Instant) {
--- a/internal/cell/planner/reservation_test.go
+++ b/internal/cell/planner/reservation_test.go
@@ -160,3 +160,25 @@
 	g.runUntil(5 * time.Second)
 	g.requireStarts(1, 4500*time.Millisecond)
 }
+
+// TestReservationsOutOfTurnCount guards against more reservations than the share allows
+// while work that is too late takes turns.
+func TestReservationsOutOfTurnCount(t *testing.T) {
+	g := newGangCell(t, 12)
+	for n := range 20 {
+		g.acceptWide(fmt.Sprintf("%02d", n), 2)
+	}
+	g.runUntil(25 * time.Second)
+	for end := 25 * time.Second; end < 27*time.Second; end += 20 * time.Millisecond {
+		g.runUntil(end)
+		held := map[*step]bool{}
+		for _, e := range g.planner.ordered {
+			if e.reservedFor != nil {
+				held[e.reservedFor] = true
+			}
+		}
+		if len(held) > 1 {
+			t.Fatalf("%d gangs have reserved endpoints at %v, want 1", len(held), end)
+		}
+	}
+}
