--- a/internal/cell/planner/turn.go
+++ b/internal/cell/planner/turn.go
@@ -30,6 +30,8 @@
 	}
 	slices.SortStableFunc(holders, compareHolders)
 	slices.SortStableFunc(others, func(a, b *step) int { return cmp.Compare(a.queuedSince, b.queuedSince) })
+	// The steps that have no turn keep their reservations.
+	ps.reservingGangs += countReservations(deferrable...)
 	ps.placeFirst(holders)
 	ps.placeFirst(others)
 }
@@ -60,6 +62,7 @@
 			continue
 		}
 		s.queuedSince = ps.now
+		ps.reservingGangs -= countReservations(s)
 		ps.place(s)
 		turns--
 	}
