Reserve endpoints for gangs only in a busy service

A reservation keeps a busy service from never leaving a gang its room. Below half of the service's capacity in use it now yields to other work, which still prefers other endpoints. In a busy service it holds as before.

--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -67,6 +67,8 @@
 	// reserved are the endpoints that have been reserved for the waiting gang since reservedSince.
 	reserved      []*endpoint
 	reservedSince definer.Instant
+	// yields means that other steps may use the reserved endpoints in this round.
+	yields bool
 	// preempted means that runs on the reserved endpoints have been preempted for the gang.
 	preempted bool
 	// remainingPath is the estimated time from the start of the step to the end of its
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -120,6 +120,8 @@
 	// tickets.
 	explorations, renewals gangQuestions
 	claimed                map[*endpoint]modeler.Resources
+	// busy holds the services of which at least busyShare is in use.
+	busy map[string]bool
 	// scratch is the reused buffer for lists of candidates.
 	scratch []*endpoint
 	// unplaceable holds, for each group of steps, the needs that no endpoint has room for in this round.
@@ -131,6 +133,7 @@
 func (ps *pass) findUsable() {
 	p := ps.planner
 	ps.usable = make([]*endpoint, 0, len(p.ordered))
+	ps.findBusyServices()
 	for _, e := range p.ordered {
 		e.reservedFor = nil
 		switch {
@@ -407,12 +410,12 @@
 	return s.def.PerEndpoint == 0 || s.placed[e] < s.def.PerEndpoint
 }
 
-// availableTo reports whether s may use e: e is not reserved, is reserved for
-// s, or is reserved for a gang of a less urgent queue.
+// availableTo reports whether s may use e: e is not reserved, is reserved for s, for a
+// gang of a less urgent queue, or for one whose service has much room.
 func availableTo(e *endpoint, s *step) bool {
 	holder := e.reservedFor
 
-	return holder == nil || holder == s || s.job.Queue.Priority < holder.job.Queue.Priority
+	return holder == nil || holder == s || holder.yields || s.job.Queue.Priority < holder.job.Queue.Priority
 }
 
 // withTickets returns the candidates to which a start may be sent now, and those that
--- a/internal/cell/planner/reservation.go
+++ b/internal/cell/planner/reservation.go
@@ -25,6 +25,32 @@
 	reservationRetryPause = 250 * time.Millisecond
 )
 
+// busyShare is the share of a service's capacity in use from which a reservation keeps
+// other work away. Below it, work would stand beside room that the gang can't use either.
+const busyShare = 0.5
+
+// findBusyServices records the services whose reservations hold in this round.
+func (ps *pass) findBusyServices() {
+	type usage struct{ used, capacity modeler.Resources }
+	services := map[string]usage{}
+	for _, e := range ps.planner.ordered {
+		if e.listed {
+			u := services[e.Service]
+			services[e.Service] = usage{u.used.Add(e.used), u.capacity.Add(e.Capacity)}
+		}
+	}
+	ps.busy = make(map[string]bool, len(services))
+	for name, u := range services {
+		ps.busy[name] = u.used.DominantShare(u.capacity) >= busyShare
+	}
+}
+
+// reserve reserves e for the gang in this round.
+func (ps *pass) reserve(e *endpoint, s *step) {
+	e.reservedFor = s
+	s.yields = !ps.busy[s.job.Queue.Service]
+}
+
 // dropReservation releases the endpoints that are reserved for the gang.
 func (s *step) dropReservation() { s.reserved, s.reservedSince, s.preempted = nil, 0, false }
 
@@ -60,7 +86,7 @@
 		}
 		for _, e := range s.reserved {
 			if e.reservedFor == nil {
-				e.reservedFor = s
+				ps.reserve(e, s)
 			}
 		}
 	}
@@ -104,7 +130,7 @@
 	}
 	for _, e := range assigned {
 		if !slices.Contains(s.reserved, e) {
-			e.reservedFor = s
+			ps.reserve(e, s)
 			s.reserved = append(s.reserved, e)
 		}
 	}
@@ -153,7 +179,7 @@
 	}
 	ps.reservingGangs++
 	for _, e := range s.reserved {
-		e.reservedFor = s
+		ps.reserve(e, s)
 	}
 	if !s.preempted && ps.now.Sub(s.reservedSince) > preemptDelay {
 		s.preempted = true
