Let gangs ask about endpoints that have room now

Whether a gang asked about further endpoints was decided by the size of those to which it was admitted, as if they were empty.

A gang without room now asks about endpoints with room that it has not asked about, if it is likely to be admitted to enough of them, after two seconds if it may be. Answers don't change, so each endpoint is asked about once for a gang, and the number of such questions that are out stays bounded.

--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -50,8 +50,7 @@
 	}
 	s.gangRun, s.gangSince = number, ps.now
 	s.dropReservation()
-	s.wait.loseRoom()
-	s.wait.reservations = 0
+	s.wait.begin()
 	for i, t := range pending {
 		ps.start(t, assigned[i], number)
 	}
@@ -60,11 +59,10 @@
 // deferGang handles a gang that cannot start: it lacks either tickets or room.
 func (ps *pass) deferGang(s *step, candidates []*endpoint, count int) {
 	hasRoom := totalRoom(s, count, candidates, nil) >= count
-	switch {
-	case !hasRoom:
-		s.wait.loseRoom()
-	case s.wait.roomSince == 0:
-		s.wait.roomSince = ps.now
+	if hasRoom {
+		s.wait.gainRoom(ps.now)
+	} else {
+		s.wait.loseRoom(ps.now)
 	}
 	switch {
 	case ps.askBlocked(s) && len(s.reserved) > 0 && (!hasRoom || ps.mayReserveForTickets(s)):
@@ -73,10 +71,38 @@
 	case hasRoom:
 		ps.renewTickets(s, candidates, count)
 	default:
+		ps.exploreRoom(s, candidates, count)
 		ps.waitForRoom(s, candidates, count)
 	}
 }
 
+// exploreRoom lets a gang without room ask about endpoints that have some now. Those to
+// which it is admitted would hold it when they are empty, but may stay full. It asks if it
+// is likely to be admitted to enough of them or, after fullPatience, if it may be.
+func (ps *pass) exploreRoom(s *step, admitted []*endpoint, count int) {
+	if s.job.Queue.Policy == nil || ps.askBlocked(s) || ps.now < s.wait.pausedUntil {
+		return
+	}
+	var unasked []*endpoint
+	room := 0
+	for _, e := range s.admission.filterUnasked(ps.candidates(s)) {
+		if free := roomFor(s, e, nil); free > 0 && len(unasked) < maxAskedEndpoints {
+			unasked = append(unasked, e)
+			room += free
+		}
+	}
+	rate := ps.planner.stats(s.job.Queue.Name).admissionRate
+	if ps.now.Sub(s.wait.fullSince) > fullPatience {
+		rate = 1
+	}
+	if len(unasked) == 0 || float64(totalRoom(s, count, admitted, nil))+rate*float64(room) < float64(count) {
+		s.wait.pausedUntil = ps.now.Add(nothingToAskPause)
+
+		return
+	}
+	ps.explorations.add(askingGang{step: s, endpoints: unasked})
+}
+
 // renewTickets claims the room of a gang whose tickets have expired and asks for new
 // ones. The gang leaves room that others have claimed to them, for claimPatience at most,
 // and keeps what it has reserved meanwhile.
--- a/internal/cell/planner/gang_ask.go
+++ b/internal/cell/planner/gang_ask.go
@@ -18,6 +18,9 @@
 	// crowdedExploringGangShare is exploringGangShare in a round in which as many gangs
 	// wait for room as may: the policies then answer those that have room sooner.
 	crowdedExploringGangShare = 1.0 / 12
+	// fullPatience is how long a gang without room only asks about endpoints if it expects
+	// to be admitted to enough of them.
+	fullPatience = 2 * time.Second
 	// claimPatience is how long a gang leaves the room that it could use to others which
 	// ask for tickets for it.
 	claimPatience = time.Second
@@ -48,6 +51,8 @@
 	// roomSince is since when the gang has had room on endpoints to which it is admitted,
 	// but no tickets, or 0.
 	roomSince definer.Instant
+	// fullSince is since when it has had no room there, or 0.
+	fullSince definer.Instant
 	// ticketsSince is since when the gang reserves that room while it asks for tickets, or 0.
 	ticketsSince definer.Instant
 	// holdsSince is since when endpoints have been reserved for the gang, or 0.
@@ -60,8 +65,24 @@
 	pausedUntil definer.Instant
 }
 
-// loseRoom notes that a gang has no room, or no use for it any more.
-func (w *gangWait) loseRoom() { w.roomSince, w.ticketsSince = 0, 0 }
+// loseRoom notes that a gang has no room.
+func (w *gangWait) loseRoom(now definer.Instant) {
+	w.roomSince, w.ticketsSince = 0, 0
+	if w.fullSince == 0 {
+		w.fullSince = now
+	}
+}
+
+// gainRoom notes that a gang has room on endpoints to which it is admitted.
+func (w *gangWait) gainRoom(now definer.Instant) {
+	w.fullSince = 0
+	if w.roomSince == 0 {
+		w.roomSince = now
+	}
+}
+
+// begin notes that a gang has started.
+func (w *gangWait) begin() { w.roomSince, w.ticketsSince, w.fullSince, w.reservations = 0, 0, 0, 0 }
 
 // gangQuestions holds the questions of one purpose about gangs.
 type gangQuestions struct {
