Renew a step's ticket on the endpoint that has room

What callers saw: an accepted job with waiting tasks has nothing running beside an endpoint that its policy admits and that has room, and goes on only when something else changes there.

Cause: when a ticket had expired on an endpoint with room, the step asked about its first candidates in the order of free processors, whatever else was full there, as many as its tasks were likely to need. The endpoint with room was not among them if enough others had more free processors but no free memory, slots or accelerators. The answer renewed the tickets of the others, the endpoint with room was asked about no more, and the next turn did the same.

Evidence: 48 endpoints, 47 with hardly any free memory and most processors free, one with half of its processors and room for one task of the step. The policy (5 ms + 1 ms an endpoint, valid for 0.5 s) admits all.

The question names the endpoints first where the step found room and an expired ticket, and then the others. The number of endpoints in a question is unchanged.

--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -347,13 +347,46 @@
 		return
 	}
 	if ticketExpired || len(s.admission.answers) == 0 {
-		p.ask(s, p.endpointsToAsk(s, ps.candidates(s), unplaced), ps.now)
+		p.ask(s, p.endpointsToAsk(s, ps.candidatesAfter(s, ps.withExpiredTickets(s, candidates)), unplaced), ps.now)
 
 		return
 	}
 	ps.prefetchTickets(s)
 }
 
+// withExpiredTickets returns the endpoints on which a task of s may start once its ticket
+// is renewed, as many as one question may name.
+func (ps *pass) withExpiredTickets(s *step, candidates []*endpoint) []*endpoint {
+	var expired []*endpoint
+	for _, e := range candidates {
+		if len(expired) == maxAskedEndpoints {
+			break
+		}
+		answer := s.admission.answer(e)
+		if answer != nil && answer.admitted && !answer.validFor(e, ps.now) && s.belowEndpointLimit(e) && availableTo(e, s) {
+			expired = append(expired, e)
+		}
+	}
+
+	return expired
+}
+
+// candidatesAfter returns the endpoints in first and then other candidates of s, as many
+// as one question may name.
+func (ps *pass) candidatesAfter(s *step, first []*endpoint) []*endpoint {
+	candidates := first
+	for _, e := range ps.candidates(s) {
+		if len(candidates) >= maxAskedEndpoints {
+			break
+		}
+		if !slices.Contains(first, e) {
+			candidates = append(candidates, e)
+		}
+	}
+
+	return candidates
+}
+
 // prefetchTickets asks the policy for tickets for a step that waits for room,
 // so that the step can start as soon as there is room. It does so only for the
 // first steps of the order, up to prefetchShare, and only for urgent ones.
