Test that deferrable work uses free room, however much of it waits

On a full cell with deferrable steps, one run after the other ends, and the time until the next start is bounded by a third of the three seconds after which callers take a job for lost. On the untouched code this fails with 200 steps and rounds 60 ms apart, and with 2,000: hundreds of questions for each start, most tickets expired before the next turn.

--- a/internal/cell/planner/turn_test.go
+++ b/internal/cell/planner/turn_test.go
@@ -51,16 +51,21 @@
 		acceptedAt: map[string]definer.Instant{}, answeredAt: map[string]definer.Instant{},
 	}
 	w.limitRate()
+	w.acceptJobs(jobs)
+
+	return w
+}
+
+// acceptJobs accepts jobs with the numbers from 0.
+func (w *standingWork) acceptJobs(jobs int) {
 	for n := range jobs {
 		w.accept(n)
 	}
-
-	return w
 }
 
 // accept accepts the n-th job.
 func (w *standingWork) accept(n int) {
-	job := w.job(fmt.Sprintf("%016x", n+1), definer.Step{Count: 1, Need: modeler.Resources{Millis: 4000}, Estimate: time.Second})
+	job := w.job(fmt.Sprintf("%016x", n+1), definer.Step{Count: 1, Need: modeler.Resources{Millis: 4000}, Estimate: 5 * w.runTime})
 	policy := w.policy
 	job.Queue.Policy = &policy
 	w.planner.Accept(job, w.now, w.wall)
@@ -177,6 +182,44 @@
 	}
 }
 
+// TestFreeRoomIsUsedWhateverWaits guards against room that stays free on a full cell
+// although many deferrable steps wait that their policy admits to it.
+func TestFreeRoomIsUsedWhateverWaits(t *testing.T) {
+	const places, ends = 48, 30
+	// Callers take a job for lost that stands beside room for three times as long.
+	const bound = time.Second
+	for _, interval := range []time.Duration{10 * time.Millisecond, 60 * time.Millisecond} {
+		for _, jobs := range []int{50, 200, 2000} {
+			t.Run(fmt.Sprintf("%d-jobs-%v", jobs, interval), func(t *testing.T) {
+				w := newStandingWork(t, 0, interval)
+				w.runTime = time.Hour
+				w.planner.Accept(w.job("long", definer.Step{Count: places, Need: modeler.Resources{Millis: 4000}, Estimate: w.runTime}), w.now, w.wall)
+				w.step()
+				if len(w.runs) != places {
+					t.Fatalf("%d tasks started on an idle cell, want %d", len(w.runs), places)
+				}
+				w.acceptJobs(jobs)
+				var longest time.Duration
+				for n := range ends {
+					for range 10 {
+						w.step()
+					}
+					before, began := w.starts, w.now
+					w.runs[n*7%len(w.runs)].end = w.now
+					for w.starts == before && w.now.Sub(began) <= bound {
+						w.step()
+					}
+					longest = max(longest, w.now.Sub(began))
+				}
+				t.Logf("%d questions, free room used after %v", w.questions, longest)
+				if longest > bound {
+					t.Errorf("room stayed free for more than %v", bound)
+				}
+			})
+		}
+	}
+}
+
 // TestDeferrableStepIsNotLeftOut guards against a step that never has its turn, because
 // others, which can't start, come and go at the pace of the rounds.
 func TestDeferrableStepIsNotLeftOut(t *testing.T) {
