Let all waiting steps request tickets in turn

What callers saw: an urgent job has nothing running for as long as its policy and the cell stay busy, while room on endpoints that the policy admits becomes free again and again and goes to less urgent work.

Cause: of the steps that wait for room, only the first of the order request tickets before there is room, up to prefetchShare, and they renew them for as long as they wait. A step behind them asks when it sees room. Its answer comes after work without a policy, or with tickets, has taken the room, and its tickets expire before the next room becomes free. If the steps in front can use none of that room, their order never changes.

The steps beyond the share ask one after the other, the one whose last turn was longest ago first, at most one question in twice its decision time, so that they take up half of one instance at the most: a full cell with 200 waiting steps keeps the questions within the time of one of seven instances. M left-out steps all have asked within M such intervals; a policy that doesn't answer delays the others by no more, as the pace doesn't wait for answers.

--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -71,7 +71,8 @@
 	// urgency and overShare are computed anew in each round of placement.
 	urgency   int
 	overShare bool
-	// queuedSince is when the step last had its turn among the deferrable ones, or became one of them.
+	// queuedSince is when the step last had its turn among the deferrable ones or those that request tickets in
+	// turn, or became one of them.
 	queuedSince definer.Instant
 }
 
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -22,9 +22,6 @@
 	// exploringGangShare bounds the gangs that may wait for the first answer of their
 	// placement policy, as a share of the usable endpoints.
 	exploringGangShare = 1.0 / 4
-	// prefetchShare bounds the waiting steps that request tickets before there is room,
-	// as a share of the usable endpoints.
-	prefetchShare = 1.0 / 8
 )
 
 // maxActivityGap is the time between two calls of CheckSuspension above which the
@@ -90,6 +87,7 @@
 	for _, s := range steps[:urgent] {
 		ps.place(s)
 	}
+	ps.prefetchInTurn()
 	ps.placeInTurn(steps[urgent:])
 }
 
@@ -112,6 +110,8 @@
 	waitingGangs   int
 	exploringGangs int
 	prefetched     int
+	// leftOut holds the steps that prefetchShare keeps from requesting tickets.
+	leftOut []*step
 	// scratch is the reused buffer for lists of candidates.
 	scratch []*endpoint
 	// unplaceable holds, for each group of steps, the needs that no endpoint has room for in this round.
@@ -387,23 +387,6 @@
 	return candidates
 }
 
-// prefetchTickets asks the policy for tickets for a step that waits for room,
-// so that the step can start as soon as there is room. It does so only for the
-// first steps of the order, up to prefetchShare, and only for urgent ones.
-func (ps *pass) prefetchTickets(s *step) {
-	if s.job.Queue.Policy == nil || s.urgency > urgencyLate || ps.prefetched >= ps.limit(prefetchShare) {
-		return
-	}
-	ps.prefetched++
-	if s.admission.askBlockedUntil != 0 && ps.now < s.admission.askBlockedUntil {
-		return
-	}
-	if ps.now.Add(ticketMargin) < s.admission.validUntil {
-		return
-	}
-	ps.planner.ask(s, ps.planner.endpointsToAsk(s, ps.candidates(s), s.def.Count), ps.now)
-}
-
 // belowEndpointLimit reports whether the step may run one more task on e.
 func (s *step) belowEndpointLimit(e *endpoint) bool {
 	return s.def.PerEndpoint == 0 || s.placed[e] < s.def.PerEndpoint
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -83,6 +83,8 @@
 	backlog backlog
 	// rounds counts the rounds of placement.
 	rounds int
+	// nextPrefetch is when the next step beyond prefetchShare may request tickets.
+	nextPrefetch definer.Instant
 	// ownedAt is when the last successful append was made; the instance owned the cell then.
 	ownedAt definer.Instant
 	// tableEnd is the offset after the last record of the state table, as far as the owner knows.
--- a/internal/cell/planner/turn_test.go
+++ b/internal/cell/planner/turn_test.go
@@ -72,6 +72,17 @@
 	w.acceptedAt[job.ID] = w.now
 }
 
+// fill starts tasks that take as long as others on all of the idle cell.
+func (w *standingWork) fill() {
+	w.Helper()
+	const places = 48
+	w.planner.Accept(w.job("long", definer.Step{Count: places, Need: modeler.Resources{Millis: 4000}, Estimate: w.runTime}), w.now, w.wall)
+	w.step()
+	if len(w.runs) != places {
+		w.Fatalf("%d tasks started on an idle cell, want %d", len(w.runs), places)
+	}
+}
+
 // step advances the time by one round of placement.
 func (w *standingWork) step() {
 	w.advance(w.interval)
@@ -185,7 +196,7 @@
 // TestFreeRoomIsUsedWhateverWaits guards against room that stays free on a full cell
 // although many deferrable steps wait that their policy admits to it.
 func TestFreeRoomIsUsedWhateverWaits(t *testing.T) {
-	const places, ends = 48, 30
+	const ends = 30
 	// Callers take a job for lost that stands beside room for three times as long.
 	const bound = time.Second
 	for _, interval := range []time.Duration{10 * time.Millisecond, 60 * time.Millisecond} {
@@ -193,11 +204,7 @@
 			t.Run(fmt.Sprintf("%d-jobs-%v", jobs, interval), func(t *testing.T) {
 				w := newStandingWork(t, 0, interval)
 				w.runTime = time.Hour
-				w.planner.Accept(w.job("long", definer.Step{Count: places, Need: modeler.Resources{Millis: 4000}, Estimate: w.runTime}), w.now, w.wall)
-				w.step()
-				if len(w.runs) != places {
-					t.Fatalf("%d tasks started on an idle cell, want %d", len(w.runs), places)
-				}
+				w.fill()
 				w.acceptJobs(jobs)
 				var longest time.Duration
 				for n := range ends {
