--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -79,7 +79,8 @@
 	overShare bool
 	// turnAt is when a round of placement last considered the step.
 	turnAt definer.Instant
-	// queuedSince is when the step last had its turn among the deferrable ones, or became one of them.
+	// queuedSince is when the step last had its turn among the deferrable ones or those that request tickets in
+	// turn, or became one of them.
 	queuedSince definer.Instant
 }
 
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -20,9 +20,6 @@
 	// reservedPenalty lowers the score of reserved endpoints, so that more urgent work
 	// uses them only when no other endpoint fits.
 	reservedPenalty = 4.0
-	// prefetchShare bounds the waiting steps that request tickets before there is room,
-	// as a share of the usable endpoints.
-	prefetchShare = 1.0 / 8
 )
 
 // maxActivityGap is the time between two calls of CheckSuspension above which the
@@ -94,6 +91,7 @@
 	for _, s := range steps[:urgent] {
 		ps.place(s)
 	}
+	ps.prefetchInTurn()
 	ps.placeInTurn(steps[urgent:])
 	ps.askForGangs()
 	p.noteStanding(ps, now)
@@ -122,6 +120,8 @@
 	claimed                map[*endpoint]modeler.Resources
 	// busy holds the services of which at least busyShare is in use.
 	busy map[string]bool
+	// leftOut holds the steps that prefetchShare keeps from requesting tickets.
+	leftOut []*step
 	// scratch is the reused buffer for lists of candidates.
 	scratch []*endpoint
 	// unplaceable holds, for each group of steps, the needs that no endpoint has room for in this round.
@@ -355,23 +355,39 @@
 }
 
 // askForRoom asks the policy for the tickets that a step with unplaced tasks lacks.
-// candidates are the endpoints that had room for a task, and expired those of them where
-// only the ticket is no longer valid.
-func (ps *pass) askForRoom(s *step, candidates []*endpoint, unplaced int, expired []*endpoint) {
+// candidates are the endpoints that had room for a task.
+func (ps *pass) askForRoom(s *step, candidates []*endpoint, unplaced int, ticketExpired bool) {
 	p := ps.planner
 	if unasked := s.admission.filterUnasked(candidates); len(unasked) > 0 && len(s.admission.answers) > 0 {
 		p.ask(s, p.endpointsToAsk(s, unasked, unplaced), ps.now)
 
 		return
 	}
-	if len(expired) > 0 || len(s.admission.answers) == 0 {
-		p.ask(s, p.endpointsToAsk(s, ps.candidatesAfter(s, expired), unplaced), ps.now)
+	if ticketExpired || len(s.admission.answers) == 0 {
+		p.ask(s, p.endpointsToAsk(s, ps.candidatesAfter(s, ps.withExpiredTickets(s, candidates)), unplaced), ps.now)
 
 		return
 	}
 	ps.prefetchTickets(s)
 }
 
+// withExpiredTickets returns the endpoints on which a task of s may start once its ticket
+// is renewed, as many as one question may name.
+func (ps *pass) withExpiredTickets(s *step, candidates []*endpoint) []*endpoint {
+	var expired []*endpoint
+	for _, e := range candidates {
+		if len(expired) == maxAskedEndpoints {
+			break
+		}
+		answer := s.admission.answer(e)
+		if answer != nil && answer.admitted && !answer.validFor(e, ps.now) && s.belowEndpointLimit(e) && availableTo(e, s) {
+			expired = append(expired, e)
+		}
+	}
+
+	return expired
+}
+
 // candidatesAfter returns the endpoints in first and then other candidates of s, as many
 // as one question may name.
 func (ps *pass) candidatesAfter(s *step, first []*endpoint) []*endpoint {
@@ -388,23 +404,6 @@
 	return candidates
 }
 
-// prefetchTickets asks the policy for tickets for a step that waits for room,
-// so that the step can start as soon as there is room. It does so only for the
-// first steps of the order, up to prefetchShare, and only for urgent ones.
-func (ps *pass) prefetchTickets(s *step) {
-	if s.job.Queue.Policy == nil || s.urgency > urgencyLate || ps.prefetched >= ps.limit(prefetchShare) {
-		return
-	}
-	ps.prefetched++
-	if s.admission.askBlockedUntil != 0 && ps.now < s.admission.askBlockedUntil {
-		return
-	}
-	if ps.now.Add(ticketMargin) < s.admission.validUntil {
-		return
-	}
-	ps.planner.ask(s, ps.planner.endpointsToAsk(s, ps.candidates(s), s.def.Count), ps.now)
-}
-
 // belowEndpointLimit reports whether the step may run one more task on e.
 func (s *step) belowEndpointLimit(e *endpoint) bool {
 	return s.def.PerEndpoint == 0 || s.placed[e] < s.def.PerEndpoint
@@ -418,11 +417,11 @@
 	return holder == nil || holder == s || holder.yields || s.job.Queue.Priority < holder.job.Queue.Priority
 }
 
-// withTickets returns the candidates to which a start may be sent now, and those that
-// are left out only because their tickets are no longer valid.
-func (ps *pass) withTickets(s *step, candidates []*endpoint) (ready, expired []*endpoint) {
+// withTickets returns the candidates to which a start may be sent now. expired reports
+// whether one was left out only because its ticket is no longer valid.
+func (ps *pass) withTickets(s *step, candidates []*endpoint) (ready []*endpoint, expired bool) {
 	if s.job.Queue.Policy == nil {
-		return candidates, nil
+		return candidates, false
 	}
 	for _, e := range candidates {
 		answer := s.admission.answer(e)
@@ -431,7 +430,7 @@
 		case answer.validFor(e, ps.now):
 			ready = append(ready, e)
 		case s.belowEndpointLimit(e) && availableTo(e, s):
-			expired = append(expired, e)
+			expired = true
 		}
 	}
 
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -85,6 +85,8 @@
 	rounds int
 	// gangQuestionsAsked counts the questions about gangs, by purpose, that take turns.
 	gangQuestionsAsked [gangQuestionRenew + 1]int
+	// nextPrefetch is when the next step beyond prefetchShare may request tickets.
+	nextPrefetch definer.Instant
 	// ownedAt is when the last successful append was made; the instance owned the cell then.
 	ownedAt definer.Instant
 	// tableEnd is the offset after the last record of the state table, as far as the owner knows.
