Test that the questions of a former owner end with it

A guard, not a fault: the calls of an owner that ends stop at the instances, give their budget back and do not mark a queue as silent.

--- a/internal/cell/elector/ask_test.go
+++ b/internal/cell/elector/ask_test.go
@@ -219,3 +219,39 @@
 		t.Errorf("assigned to %v, want %v", got, addresses[2])
 	}
 }
+
+// TestQuestionsEndWithOwner guards against questions of a former owner that hold the budget
+// of the next one, or that instances keep working on.
+func TestQuestionsEndWithOwner(t *testing.T) {
+	e := askingElector(t, "x", true)
+	y := askingElector(t, "y", true)
+	ended := make(chan struct{})
+	y.adviser = &endingAdviser{ended: ended}
+	e.addPeer(y)
+	e.questionLoad[e.settings.Address] = time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), callSlack)
+	defer cancel()
+	began := definer.Now()
+	e.Ask(ctx, newQuestion(), testDecision)
+	if took := definer.Since(began); took > 2*callSlack {
+		t.Errorf("the question ended %v after it was asked, want %v", took, callSlack)
+	}
+	if used := e.shortQuestions.inUse(); used != 0 || e.shortQuestions.silent["queue"] {
+		t.Errorf("%v of the budget are in use, silent queues %v", used, e.shortQuestions.silent)
+	}
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("an instance works on the question of a former owner")
+	}
+}
+
+// endingAdviser is a silent policy that closes ended when its question ends.
+type endingAdviser struct{ ended chan struct{} }
+
+func (a *endingAdviser) Advise(ctx context.Context, _ string, _, _ int, _ []string) ([]definer.Ticket, error) {
+	<-ctx.Done()
+	close(a.ended)
+
+	return nil, ctx.Err()
+}
