Give an attempt the time of the questions at its instance

A silent first instance kept a question for the decision time + 1.75 s before another was tried, and an attempt at a loaded instance that began late had less than the questions before it there need, so that a good answer was thrown away and asked for again.

The first attempt has the time of the questions at its instance and 1 s, and each attempt has 1 s in addition to the decision.

With a silent first instance of two, a question of 10 ms was answered after 1.76 s before and within 1.01 s to 2.01 s now, the bound of the test. No limit of the first attempt, and one without the load of the instance, each fail a test.

--- a/internal/cell/elector/ask.go
+++ b/internal/cell/elector/ask.go
@@ -41,13 +41,16 @@
 }
 
 // attempt asks up to askAttempts instances, one after the other, until one answers. Each
-// leaves time for those after it.
+// has the time of the questions at its instance and leaves time for the attempts after it.
 func (e *Elector) attempt(ctx context.Context, question *forwarder.Question, decisionTime time.Duration, deadline definer.Instant) (*forwarder.Advice, definer.Instant) {
 	var asked []netip.AddrPort
 	for left := min(askAttempts, e.countLive()) - 1; left >= 0; left-- {
 		address := e.assignQuestion(decisionTime, asked)
 		asked = append(asked, address)
 		timeout := deadline.Sub(definer.Now()) - time.Duration(left)*attemptTime(decisionTime)
+		if left > 0 {
+			timeout = min(timeout, attemptTime(e.loadAt(address)))
+		}
 		advice := e.askAt(ctx, address, question, timeout)
 		e.releaseQuestion(address, decisionTime)
 		if advice.Answered {
@@ -63,6 +66,14 @@
 	return &forwarder.Advice{}, 0
 }
 
+// loadAt returns the total decision time of the questions that an instance has.
+func (e *Elector) loadAt(address netip.AddrPort) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.questionLoad[address]
+}
+
 // attemptTime is the time that is reserved for an attempt: that of the decision, of the
 // questions before it at the instance, and of the calls.
 func attemptTime(decisionTime time.Duration) time.Duration { return decisionTime + attemptSlack }
@@ -71,7 +82,7 @@
 	// askAttempts is how many times a question is assigned to an instance.
 	askAttempts = 2
 	// attemptSlack is the time of an attempt in addition to the decision time.
-	attemptSlack = 750 * time.Millisecond
+	attemptSlack = time.Second
 	// localBias is subtracted from the load of this instance, whose questions need no call to a peer.
 	localBias = 20 * time.Millisecond
 	// longDecisionTime is the decision time from which a question counts as long, and longInstanceShare is the share
--- a/internal/cell/elector/ask_test.go
+++ b/internal/cell/elector/ask_test.go
@@ -74,9 +74,13 @@
 	question := newQuestion()
 	began := definer.Now()
 	advice, _ := e.Ask(context.Background(), question, testDecision)
-	if took := definer.Since(began); !advice.Answered || took > question.Timeout {
+	took := definer.Since(began)
+	if !advice.Answered || took > question.Timeout {
 		t.Errorf("answered %t after %v, want an answer within %v", advice.Answered, took, question.Timeout)
 	}
+	if limit := 2*attemptTime(testDecision) - testDecision; took > limit {
+		t.Errorf("answered after %v, want the next attempt after the time of one", took)
+	}
 	if e.unanswered[y.settings.Address] != 0 || e.unanswered[e.settings.Address] == 0 || e.shortQuestions.silent["queue"] {
 		t.Errorf("failures %v, silent queues %v after an answer of one instance", e.unanswered, e.shortQuestions.silent)
 	}
@@ -255,3 +259,29 @@
 
 	return nil, ctx.Err()
 }
+
+// busyAdviser is a policy that answers once it has decided the questions before.
+type busyAdviser struct{ before time.Duration }
+
+func (a busyAdviser) Advise(ctx context.Context, _ string, _, _ int, _ []string) ([]definer.Ticket, error) {
+	select {
+	case <-time.After(a.before):
+		return nil, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// TestBusyInstanceHasTime guards against a question that is taken away from an instance
+// which has others to decide before.
+func TestBusyInstanceHasTime(t *testing.T) {
+	const before = 500 * time.Millisecond
+	e := askingElector(t, "x", false)
+	e.adviser = busyAdviser{attemptTime(testDecision) + before/2}
+	y := askingElector(t, "y", false)
+	e.addPeer(y)
+	e.questionLoad[e.settings.Address], e.questionLoad[y.settings.Address] = before, before
+	if advice, _ := e.Ask(context.Background(), newQuestion(), testDecision); !advice.Answered || len(e.unanswered) > 0 {
+		t.Errorf("answered %t, failures %v, want an answer of the first instance", advice.Answered, e.unanswered)
+	}
+}
