--- a/internal/cell/elector/ask.go
+++ b/internal/cell/elector/ask.go
@@ -82,7 +82,7 @@
 	// askAttempts is how many times a question is assigned to an instance.
 	askAttempts = 2
 	// attemptSlack is the time of an attempt in addition to the decision time.
-	attemptSlack = time.Second
+	attemptSlack = 750 * time.Millisecond
 	// localBias is subtracted from the load of this instance, whose questions need no call to a peer.
 	localBias = 20 * time.Millisecond
 	// longDecisionTime is the decision time from which a question counts as long, and longInstanceShare is the share
