--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -22,7 +22,7 @@
 	// askRetryPause is the pause after a question that was not answered.
 	askRetryPause = 150 * time.Millisecond
 	// questionSlack is the time, in addition to twice the decision time, after which a question counts as lost.
-	questionSlack = 3 * time.Second
+	questionSlack = 2500 * time.Millisecond
 )
 
 // QuestionTime returns the total time of a question with the decision time: the wait
