Use room in quarantine for a long-running step at its limit elsewhere

A long-running step with a limit of one task for each endpoint filled the only usable endpoint; its second task stood for 24.1 s beside two endpoints in quarantine with room, because the first endpoint counted as if it were empty. Tasks of such a step don't end, so an endpoint at its limit can't hold another one.

TestTaskAtEndpointLimitUsesQuarantinedEndpoint failed before. TestQuarantineHoldsWhileOthersMayRun still holds: an endpoint that is full of other work counts as before.

--- a/internal/cell/planner/avoid.go
+++ b/internal/cell/planner/avoid.go
@@ -95,21 +95,21 @@
 	return ps.all
 }
 
-// needsQuarantined reports whether the usable endpoints can't hold the tasks of s, and
-// endpoints in quarantine might.
+// needsQuarantined reports whether the usable endpoints won't have room for the tasks of s,
+// and endpoints in quarantine might.
 func (ps *pass) needsQuarantined(s *step) bool {
 	return len(ps.quarantined) > 0 && !s.fitsOn(ps.usable)
 }
 
-// fitsOn reports whether the endpoints can hold one task of s, or all of a gang, when
-// they are empty.
+// fitsOn reports whether the endpoints can hold one more task of s, or all of a gang, when
+// they are empty. The tasks of a long-running step don't end.
 func (s *step) fitsOn(endpoints []*endpoint) bool {
 	count := 1
 	if s.def.Gang {
 		count = s.tasksLeft
 	}
 	for _, e := range endpoints {
-		if !s.eligible(e) {
+		if !s.eligible(e) || s.def.LongRunning && !s.belowEndpointLimit(e) {
 			continue
 		}
 		if count -= tasksFitting(s, e.Capacity, s.def.PerEndpoint); count <= 0 {
