Let a step use up a turn only if it starts or asks

With rounds 60 ms apart the first question of the last of 800 jobs came after 12 s.

A turn is now used up by a start or a question. A round looks at a sixteenth of the other steps as well, so all have been looked at within 16 rounds, whatever their number. A round that comes later than 10 ms after the last one has more turns, up to six times as many.

TestStepsThatTheirPolicyRefusesTakeNoTurns and TestFirstQuestionOfDeferrableStep failed before.

--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -75,7 +75,12 @@
 	p.recordMajority(now)
 	p.noteTakeover(now)
 	p.rounds++
-	ps := &pass{planner: p, now: now, takeoverSettled: p.takeoverSettled(), unconfirmed: p.unconfirmedUsage(), unplaceable: map[group][]modeler.Resources{}}
+	if p.lastRound == 0 {
+		p.lastRound = now
+	}
+	sinceLastRound := now.Sub(p.lastRound)
+	p.lastRound = now
+	ps := &pass{planner: p, now: now, sinceLastRound: sinceLastRound, takeoverSettled: p.takeoverSettled(), unconfirmed: p.unconfirmedUsage(), unplaceable: map[group][]modeler.Resources{}}
 	ps.findUsable()
 	fair := p.fairUse()
 	steps := make([]*step, 0, len(p.readySteps))
@@ -101,6 +106,7 @@
 type pass struct {
 	planner         *Planner
 	now             definer.Instant
+	sinceLastRound  time.Duration
 	takeoverSettled bool
 	// unconfirmed bounds what each account may have running on endpoints that have not answered.
 	unconfirmed map[*account]modeler.Resources
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -83,6 +83,8 @@
 	backlog backlog
 	// rounds counts the rounds of placement.
 	rounds int
+	// lastRound is when the last round of placement began.
+	lastRound definer.Instant
 	// gangQuestionsAsked counts the questions about gangs, by purpose, that take turns.
 	gangQuestionsAsked [gangQuestionRenew + 1]int
 	// nextPrefetch is when the next step beyond prefetchShare may request tickets.
--- a/internal/cell/planner/turn.go
+++ b/internal/cell/planner/turn.go
@@ -3,14 +3,23 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 )
 
-// deferrableShare bounds the steps in a round that are too late to be useful or exceed the rate of their account,
-// as a share of the usable endpoints, so that their number does not lengthen the rounds. It bounds those with
-// valid tickets and the others separately.
-const deferrableShare = 1.0 / 4
+const (
+	// deferrableShare bounds the steps that start or ask in a round although they are too late to be useful or
+	// exceed the rate of their account, as a share of the usable endpoints, so that their number does not lengthen
+	// the rounds. It bounds those with valid tickets and the others separately.
+	deferrableShare = 1.0 / 4
+	// turnInterval is the time between rounds for which deferrableShare holds. Rounds further apart have more turns,
+	// up to maxTurnIntervals times as many, so that steps wait no longer on a slow machine.
+	turnInterval     = 10 * time.Millisecond
+	maxTurnIntervals = 6
+	// rotationRounds is the number of rounds in which all steps are looked at that neither start nor ask.
+	rotationRounds = 16
+)
 
 // placeInTurn places the deferrable steps that have their turn in this round. Steps with
 // valid tickets do not wait for the turns of the others, because their tickets would
@@ -50,24 +59,39 @@
 	}
 }
 
-// placeFirst places the first of the steps, up to deferrableShare. Steps that can do
-// nothing in this round keep their place and do not count.
+// placeFirst places the first of the steps until turns of them have started or asked. A
+// step that did neither may wait for good, so it uses up no turn; rotationRounds bounds
+// how many of these a round looks at. Steps that can do nothing in this round keep their place.
 func (ps *pass) placeFirst(steps []*step) {
-	turns := ps.limit(deferrableShare)
+	p := ps.planner
+	turns := ps.turns()
+	looks := turns + len(steps)/rotationRounds
 	for _, s := range steps {
-		if turns == 0 {
+		if turns == 0 || looks == 0 {
 			return
 		}
 		if ps.cannotAct(s) {
 			continue
 		}
+		looks--
 		s.queuedSince = ps.now
 		ps.reservingGangs -= countReservations(s)
+		commands := len(p.commands)
 		ps.place(s)
-		turns--
+		if len(p.commands) > commands {
+			turns--
+		}
 	}
 }
 
+// turns returns the number of turns in this round: deferrableShare of the usable endpoints
+// for each turnInterval since the last round.
+func (ps *pass) turns() int {
+	intervals := min(max(int(ps.sinceLastRound/turnInterval), 1), maxTurnIntervals)
+
+	return intervals * ps.limit(deferrableShare)
+}
+
 // cannotAct reports whether s can neither start nor ask in this round, as far as that is
 // known without a search for room.
 func (ps *pass) cannotAct(s *step) bool {
@@ -77,10 +101,10 @@
 		return false
 	case s.job.inherited && !ps.takeoverSettled:
 		return true
-	case !account.withinLimit(s.def.Need, ps.unconfirmed[account]):
-		return true
 	case s.def.Gang:
 		return false
+	case !account.withinLimit(s.def.Need, ps.unconfirmed[account]):
+		return true
 	case s.admission.askBlocked(ps.now) && !s.holdsTickets(ps.now):
 		return true
 	default:
