--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -122,7 +122,7 @@
 	need := s.need()
 	var admitted []*endpoint
 	for _, e := range s.admission.admitted {
-		if ps.isUsable(s, e) && need.Fits(e.Capacity) && s.admission.admits(e) && s.eligible(e) {
+		if ps.isUsable(s, e) && need.Fits(e.Capacity) && s.admission.admits(e) && s.suits(e) {
 			admitted = append(admitted, e)
 		}
 	}
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -298,8 +298,13 @@
 
 // eligible reports whether e may run tasks of s, not considering resources.
 func (s *step) eligible(e *endpoint) bool {
-	return e.Service == s.job.Queue.Service && (s.def.Requires == "" || e.Label(s.def.Requires)) &&
-		(s.job.Queue.Policy == nil || !s.admission.refuses(e)) && !s.interferes(e)
+	return s.suits(e) && (s.job.Queue.Policy == nil || !s.admission.refuses(e))
+}
+
+// suits reports whether e may run tasks of s, considering neither resources nor the
+// placement policy.
+func (s *step) suits(e *endpoint) bool {
+	return e.Service == s.job.Queue.Service && (s.def.Requires == "" || e.Label(s.def.Requires)) && !s.interferes(e)
 }
 
 // interferes reports whether a task of s must not share e with the runs there.
