Let gangs that find nothing to ask use up their turn

Cause: the turn between the first gang in order and the one that has waited longest changed only with a question, and a round looked at twice the limit. 1,000 gangs whose label no endpoint has were looked at again and again in front of all others on a small cell.

Change: each look uses up a turn, and a round takes up to 500 whatever the cell.

Evidence: TestGangsThatCannotAskHoldNoQuestions with 1,000 gangs in place of 40: a gang started at 4.84 s and three not within 5 s before, all by 3 s now.

--- a/internal/cell/planner/gang_ask.go
+++ b/internal/cell/planner/gang_ask.go
@@ -26,6 +26,10 @@
 	nothingToAskPause = 250 * time.Millisecond
 )
 
+// maxGangLooks bounds the gangs of which a round looks for endpoints to ask about, for
+// each purpose.
+const maxGangLooks = 500
+
 // gangQuestion is the purpose of a question about a gang.
 type gangQuestion int
 
@@ -152,14 +156,14 @@
 // first in the order of the steps and for the one that has waited longest. A queue of
 // which none is out may always ask one, so that the gangs of a policy that does not
 // answer keep no other queue waiting. A gang that finds nothing to ask uses up no
-// question, and a round looks at twice the limit at most.
+// question.
 func (ps *pass) askInTurn(q *gangQuestions, limit int) {
-	for range 2 * limit {
+	for range maxGangLooks {
 		var next int
 		switch {
 		case q.out >= limit:
 			next = q.firstBelow(1)
-		case ps.planner.gangQuestionsAsked%2 == 0:
+		case ps.planner.gangTurns%2 == 0:
 			// No queue gets more than half of the questions while others want some.
 			if next = q.firstBelow((limit + 1) / 2); next < 0 {
 				next = q.firstBelow(limit)
@@ -170,6 +174,7 @@
 		if next < 0 {
 			return
 		}
+		ps.planner.gangTurns++
 		gang := q.waiting[next]
 		q.waiting[next].step = nil
 		if ps.askForGang(gang, q.purpose) {
@@ -224,7 +229,6 @@
 
 		return false
 	}
-	p.gangQuestionsAsked++
 	s.wait.question = purpose
 	p.ask(s, endpoints, ps.now)
 
--- a/internal/cell/planner/gang_wait_test.go
+++ b/internal/cell/planner/gang_wait_test.go
@@ -187,8 +187,8 @@
 			g := newGangCell(t, 12)
 			g.planner.Configure(&definer.Configuration{Routes: testRoutes, Accounts: []definer.Account{{Name: "limited", Limit: modeler.Resources{Millis: 1000}}}})
 			g.silent = func(job string) bool { return name == "silent" && job[0] == 'a' }
-			for n := range 40 {
-				job := g.gang(fmt.Sprintf("a%02d", n))
+			for n := range 1000 {
+				job := g.gang(fmt.Sprintf("a%03d", n))
 				hold(&job)
 				g.accept(job)
 			}
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -81,8 +81,8 @@
 	withoutDetails int
 	// backlog is the last result of measureBacklog.
 	backlog backlog
-	// rounds counts the rounds of placement, and gangQuestionsAsked the questions about gangs that take turns.
-	rounds, gangQuestionsAsked int
+	// rounds counts the rounds of placement, and gangTurns the gangs that had their turn to ask their policy.
+	rounds, gangTurns int
 	// ownedAt is when the last successful append was made; the instance owned the cell then.
 	ownedAt definer.Instant
 	// tableEnd is the offset after the last record of the state table, as far as the owner knows.
