--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -291,12 +291,12 @@
 
 // eligible reports whether e may run tasks of s, not considering resources.
 func (s *step) eligible(e *endpoint) bool {
-	return s.matches(e) && (s.job.Queue.Policy == nil || !s.admission.refuses(e))
+	return s.suits(e) && (s.job.Queue.Policy == nil || !s.admission.refuses(e))
 }
 
-// matches reports whether e may run tasks of s, not considering resources and the
+// suits reports whether e may run tasks of s, considering neither resources nor the
 // placement policy.
-func (s *step) matches(e *endpoint) bool {
+func (s *step) suits(e *endpoint) bool {
 	return e.Service == s.job.Queue.Service && (s.def.Requires == "" || e.Label(s.def.Requires)) && !s.interferes(e)
 }
 
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -85,8 +85,8 @@
 	rounds int
 	// lastRound is when the last round of placement began.
 	lastRound definer.Instant
-	// gangQuestionsAsked counts the questions about gangs, by purpose, that take turns.
-	gangQuestionsAsked [gangQuestionRenew + 1]int
+	// gangTurns counts, by the purpose of the question, the gangs that had their turn to ask their policy.
+	gangTurns [gangQuestionRenew + 1]int
 	// nextPrefetch is when the next step beyond prefetchShare may request tickets.
 	nextPrefetch definer.Instant
 	// ownedAt is when the last successful append was made; the instance owned the cell then.
--- a/internal/cell/planner/standing.go
+++ b/internal/cell/planner/standing.go
@@ -196,7 +196,7 @@
 	var view endpointView
 	need := s.need()
 	for _, e := range ps.poolFor(s) {
-		if !need.Fits(e.Capacity) || !s.matches(e) {
+		if !need.Fits(e.Capacity) || !s.suits(e) {
 			continue
 		}
 		view.eligible++
