Bound the endpoints that gangs reserve, not only the gangs

"room is reserved for gangs" was the reason of most of the lines about jobs that stand.

One gang per 36 endpoints could reserve endpoints, whatever their number: 31 gangs of 10 to 20 endpoints each kept up to half of the site waiting. Now no more than one endpoint in eight is reserved for more than one gang; a sole one may have as many as it needs.

TestReservedEndpointsAreBounded: 10 of 48 before, want at most 7.

--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -67,7 +67,7 @@
 	switch {
 	case ps.askBlocked(s) && len(s.reserved) > 0 && (!hasRoom || ps.mayReserveForTickets(s)):
 		// The reserved endpoints stay reserved until the policy has answered about them.
-		ps.reservingGangs++
+		ps.held.add(s)
 	case hasRoom:
 		ps.renewTickets(s, candidates, count)
 	default:
@@ -113,7 +113,7 @@
 	}
 	assigned := ps.assignEndpoints(s, count, candidates, others)
 	if assigned == nil {
-		ps.reservingGangs += min(len(s.reserved), 1)
+		ps.held.add(s)
 
 		return
 	}
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -12,6 +12,8 @@
 const (
 	// reservingGangShare bounds the gangs that may reserve endpoints, as a share of the usable endpoints.
 	reservingGangShare = 1.0 / 36
+	// reservedShare bounds the endpoints that are reserved for more than one gang, as a share of the usable endpoints.
+	reservedShare = 1.0 / 8
 	// waitingGangShare bounds the gangs without room that ask about further endpoints or reserve some, as a share
 	// of the usable endpoints.
 	waitingGangShare = 1.0 / 12
@@ -115,11 +117,11 @@
 	// quarantined holds the endpoints that soleUsable reports, and all these and the usable ones, if a step needs
 	// them, in the order of usable.
 	quarantined, all []*endpoint
-	// reservingGangs counts the gangs with reservations, waitingGangs those that wait for room, and prefetched the
+	// held counts the reservations, waitingGangs the gangs that wait for room, and prefetched the
 	// steps that request tickets before there is room.
-	reservingGangs int
-	waitingGangs   int
-	prefetched     int
+	held         reservations
+	waitingGangs int
+	prefetched   int
 	// explorations and renewals are the questions about gangs, and claimed is the room for which gangs ask for
 	// tickets.
 	explorations, renewals gangQuestions
--- a/internal/cell/planner/reservation.go
+++ b/internal/cell/planner/reservation.go
@@ -55,11 +55,11 @@
 func (s *step) dropReservation() { s.reserved, s.reservedSince, s.preempted = nil, 0, false }
 
 // restoreReservations renews the reservations that the first waiting gangs had
-// in the last round. The gangs beyond reservingGangShare lose theirs, because
-// they would keep endpoints idle, and so do those whose account may not run them, which
+// in the last round. The gangs beyond reservingGangShare or reservedShare lose theirs,
+// because they would keep endpoints idle, and so do those whose account may not run them, which
 // may have no turn in this round, and those that have had one for maxReservation.
 func (ps *pass) restoreReservations(steps []*step) {
-	holders := 0
+	var held reservations
 	for _, s := range steps {
 		if len(s.reserved) == 0 {
 			s.wait.holdsSince = 0
@@ -79,11 +79,12 @@
 
 			continue
 		}
-		if holders++; holders > ps.limit(reservingGangShare) {
+		if !held.mayAdd(ps, len(s.reserved)) {
 			s.dropReservation()
 
 			continue
 		}
+		held.add(s)
 		for _, e := range s.reserved {
 			if e.reservedFor == nil {
 				ps.reserve(e, s)
@@ -99,16 +100,25 @@
 	return account.withinLimit(s.def.Need.Scale(int64(s.pendingCount)), ps.unconfirmed[account])
 }
 
-// countReservations returns how many of the steps have reserved endpoints.
-func countReservations(steps ...*step) int {
-	count := 0
-	for _, s := range steps {
-		if len(s.reserved) > 0 {
-			count++
-		}
-	}
+// reservations counts the gangs that reserve endpoints, and these endpoints.
+type reservations struct{ gangs, endpoints int }
+
+// add counts the reservation of a gang, if it has one.
+func (r *reservations) add(s *step) {
+	r.gangs += min(len(s.reserved), 1)
+	r.endpoints += len(s.reserved)
+}
 
-	return count
+// remove reverts add.
+func (r *reservations) remove(s *step) {
+	r.gangs -= min(len(s.reserved), 1)
+	r.endpoints -= len(s.reserved)
+}
+
+// mayAdd reports whether one more gang may reserve the number of endpoints. A sole gang
+// may reserve as many as it needs.
+func (r *reservations) mayAdd(ps *pass, endpoints int) bool {
+	return r.gangs == 0 || r.gangs < ps.limit(reservingGangShare) && r.endpoints+endpoints <= ps.limit(reservedShare)
 }
 
 // endReservation ends the reservation of a gang that has not started within
@@ -125,19 +135,30 @@
 func (ps *pass) reserveAssigned(s *step, assigned []*endpoint) {
 	since := s.reservedSince
 	s.dropReservation()
-	if s.job.excess || ps.reservingGangs >= ps.limit(reservingGangShare) || !ps.mayReserveForTickets(s) {
+	wanted := distinct(assigned)
+	if s.job.excess || !ps.held.mayAdd(ps, len(wanted)) || !ps.mayReserveForTickets(s) {
 		return
 	}
-	for _, e := range assigned {
-		if !slices.Contains(s.reserved, e) {
-			ps.reserve(e, s)
-			s.reserved = append(s.reserved, e)
-		}
+	s.reserved = wanted
+	for _, e := range wanted {
+		ps.reserve(e, s)
 	}
 	if s.reservedSince = since; since == 0 {
 		s.reservedSince = ps.now
 	}
-	ps.reservingGangs++
+	ps.held.add(s)
+}
+
+// distinct returns the endpoints, each once.
+func distinct(endpoints []*endpoint) []*endpoint {
+	var result []*endpoint
+	for _, e := range endpoints {
+		if !slices.Contains(result, e) {
+			result = append(result, e)
+		}
+	}
+
+	return result
 }
 
 // mayReserveForTickets reports whether a gang may reserve room while it asks for tickets:
@@ -163,7 +184,7 @@
 // endpoints stay reserved from round to round, so that they become free. After
 // preemptDelay it preempts less urgent runs there.
 func (ps *pass) reserveEndpoints(s *step, candidates []*endpoint, count int) {
-	if ps.reservingGangs >= ps.limit(reservingGangShare) || s.job.excess {
+	if s.job.excess || !ps.held.mayAdd(ps, 1) {
 		s.dropReservation()
 
 		return
@@ -177,7 +198,12 @@
 
 		return
 	}
-	ps.reservingGangs++
+	if !ps.held.mayAdd(ps, len(s.reserved)) {
+		s.dropReservation()
+
+		return
+	}
+	ps.held.add(s)
 	for _, e := range s.reserved {
 		ps.reserve(e, s)
 	}
--- a/internal/cell/planner/reservation_test.go
+++ b/internal/cell/planner/reservation_test.go
@@ -182,3 +182,23 @@
 		}
 	}
 }
+
+// TestReservedEndpointsAreBounded guards against wide gangs that together keep a large
+// part of a busy cell idle.
+func TestReservedEndpointsAreBounded(t *testing.T) {
+	const endpoints, gangs, wide = 48, 3, 5
+	g := newGangCell(t, endpoints)
+	for n := range gangs {
+		g.acceptWide(fmt.Sprint("a", n), wide)
+	}
+	g.runUntil(time.Second)
+	reserved := 0
+	for _, e := range g.planner.ordered {
+		if e.reservedFor != nil {
+			reserved++
+		}
+	}
+	if limit := 1 + endpoints/8; reserved < wide || reserved > limit {
+		t.Errorf("%d of %d endpoints are reserved, want %d to %d", reserved, endpoints, wide, limit)
+	}
+}
--- a/internal/cell/planner/turn.go
+++ b/internal/cell/planner/turn.go
@@ -40,7 +40,9 @@
 	slices.SortStableFunc(holders, compareHolders)
 	slices.SortStableFunc(others, func(a, b *step) int { return cmp.Compare(a.queuedSince, b.queuedSince) })
 	// The steps that have no turn keep their reservations.
-	ps.reservingGangs += countReservations(deferrable...)
+	for _, s := range deferrable {
+		ps.held.add(s)
+	}
 	ps.placeFirst(holders)
 	ps.placeFirst(others)
 }
@@ -75,7 +77,7 @@
 		}
 		looks--
 		s.queuedSince = ps.now
-		ps.reservingGangs -= countReservations(s)
+		ps.held.remove(s)
 		commands := len(p.commands)
 		ps.place(s)
 		if len(p.commands) > commands {
