--- a/internal/cell/planner/reservation_test.go
+++ b/internal/cell/planner/reservation_test.go
@@ -21,9 +21,9 @@
 // acceptSmall accepts a job of one task without a policy.
 func (g *gangCell) acceptSmall(id string) { g.accept(g.job(id, simpleStep(1))) }
 
-// freeOne ends one run on each of the endpoints from first to last.
-func (g *gangCell) freeOne(first, last int) {
-	for n := first; n <= last; n++ {
+// freeOne ends one run on each of the endpoints up to last.
+func (g *gangCell) freeOne(last int) {
+	for n := range last + 1 {
 		id := fmt.Sprintf("e%03d", n)
 		row := g.running[id][0]
 		g.endRun(id, row.Task, row.Run, definer.EndDone)
@@ -36,7 +36,7 @@
 	g := newGangCell(t, 3)
 	g.acceptWide("a", 2)
 	g.runUntil(time.Second)
-	g.freeOne(0, 2)
+	g.freeOne(2)
 	g.acceptSmall("b00")
 	g.acceptSmall("b01")
 	g.acceptSmall("b02")
@@ -94,7 +94,7 @@
 	g.acceptWide("a", 2)
 	g.runUntil(time.Second)
 	g.planner.Configure(&definer.Configuration{Routes: testRoutes, Accounts: []definer.Account{{Name: "account", Limit: modeler.Resources{Millis: 1000}}}})
-	g.freeOne(0, 1)
+	g.freeOne(1)
 	small := g.job("b00", simpleStep(1))
 	small.Account = "other"
 	g.accept(small)
@@ -155,7 +155,7 @@
 	g.runUntil(time.Second)
 	delete(g.born, "e004")
 	g.runUntil(4 * time.Second)
-	g.freeOne(0, 0)
+	g.freeOne(0)
 	g.acceptSmall("b00")
 	g.runUntil(5 * time.Second)
 	g.requireStarts(1, 4500*time.Millisecond)
--- a/internal/cell/planner/stands_test.go
+++ b/internal/cell/planner/stands_test.go
@@ -26,7 +26,7 @@
 		t.Fatal("the gang reserves endpoints in this test")
 	}
 	g.planner.Configure(&definer.Configuration{Routes: testRoutes, Accounts: []definer.Account{{Name: "account", Limit: modeler.Resources{Millis: 1000}}}})
-	g.freeOne(0, 1)
+	g.freeOne(1)
 	small := g.job("b00", simpleStep(1))
 	small.Account = "other"
 	g.accept(small)
@@ -41,7 +41,7 @@
 	g.acceptWide("a", 3)
 	g.runUntil(time.Second)
 	for range 3 {
-		g.freeOne(0, 2)
+		g.freeOne(2)
 	}
 	g.acceptSmall("b00")
 	g.runUntil(30 * time.Second)
@@ -68,11 +68,11 @@
 			filled := g.job("filled", filler)
 			filled.Queue.Policy = &definer.Policy{Decide: time.Millisecond, Each: time.Millisecond, Validity: 2 * time.Second}
 			g.accept(filled)
-			var ids []string
-			var tickets []definer.Ticket
-			for n := range 4 {
-				ids = append(ids, fmt.Sprintf("e%03d", n))
-				tickets = append(tickets, definer.Ticket{Endpoint: ids[n], Value: "t"})
+			ids := make([]string, 4)
+			tickets := make([]definer.Ticket, len(ids))
+			for n := range ids {
+				ids[n] = fmt.Sprintf("e%03d", n)
+				tickets[n] = definer.Ticket{Endpoint: ids[n], Value: "t"}
 			}
 			g.planner.PolicyAnswered(&AskPolicyCmd{Job: "filled", Endpoints: ids}, PolicyAnswer{Answered: true, Tickets: tickets, Decided: g.now}, g.now)
 			g.runUntil(10 * time.Second)
@@ -158,8 +158,8 @@
 // wait alternate over both.
 func TestRenewalsReachEveryGang(t *testing.T) {
 	c := newCell(t, 2)
-	var steps []*step
-	for n := range 4 {
+	steps := make([]*step, 0, 4)
+	for n := range cap(steps) {
 		step := simpleStep(2)
 		step.Gang = true
 		job := c.job(fmt.Sprint(n), step)
