Ask the policy first for work that can still be useful

Questions were served by the priority of their queue alone.

The priority of a question is that of its step in the order of placement: urgency first, then the queue. Every fourth turn still goes to the longest wait.

TestQuestionsOfExcessComeLast failed before.

--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -163,11 +163,21 @@
 		p.questions++
 		p.emit(AskPolicyCmd{
 			Number: p.questions, Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.index, Endpoints: ids, DecisionTime: cost,
-			Queue: s.job.Queue.Name, Priority: s.job.Queue.Priority, Deadline: deadline,
+			Queue: s.job.Queue.Name, Priority: s.questionPriority(), Deadline: deadline,
 		})
 	}
 }
 
+// urgencyPriorities is the number of priorities of the questions of one urgency.
+const urgencyPriorities = 1000
+
+// questionPriority returns the priority of the questions of s: like its place in the order
+// of the steps, it depends on the urgency first. Work beyond the rate of an account would
+// otherwise delay the answers for that of others.
+func (s *step) questionPriority() int {
+	return s.urgency*urgencyPriorities + min(s.job.Queue.Priority, urgencyPriorities-1)
+}
+
 // answered records that a question was answered, or not, and unblocks asking after the
 // last one. The end of a question that was lost before is not that of a newer one.
 func (a *admission) answered(number int, ok bool, now definer.Instant) {
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -171,7 +171,7 @@
 	Endpoints        []string
 	// DecisionTime is the expected duration of the decision.
 	DecisionTime time.Duration
-	// Queue is the name of the queue, and Priority its priority.
+	// Queue is the name of the queue. Questions with the lowest Priority are asked first.
 	Queue    string
 	Priority int
 	// Deadline is when the question counts as lost; nobody works on it after that.
