Take the timeouts of a busy policy neither for silence nor for lost questions

In a cell whose policy is busy, an attempt was given up after its decision, those before it and 0.75 s, and asked again elsewhere, while the policy still worked on it; and one such failure left its queue a single question at a time.

A queue counts as silent after 3 s without a success. TestBusyQueueKeepsItsBudget failed before.

--- a/internal/cell/elector/ask.go
+++ b/internal/cell/elector/ask.go
@@ -41,16 +41,13 @@
 }
 
 // attempt asks up to askAttempts instances, one after the other, until one answers. Each
-// has the time of the questions at its instance and leaves time for the attempts after it.
+// leaves time for the attempts after it.
 func (e *Elector) attempt(ctx context.Context, question *forwarder.Question, decisionTime time.Duration, deadline definer.Instant) (*forwarder.Advice, definer.Instant) {
 	var asked []netip.AddrPort
 	for left := min(askAttempts, e.countLive()) - 1; left >= 0; left-- {
 		address := e.assignQuestion(decisionTime, asked)
 		asked = append(asked, address)
 		timeout := deadline.Sub(definer.Now()) - time.Duration(left)*attemptTime(decisionTime)
-		if left > 0 {
-			timeout = min(timeout, attemptTime(e.loadAt(address)))
-		}
 		advice := e.askAt(ctx, address, question, timeout)
 		e.releaseQuestion(address, decisionTime)
 		if advice.Answered {
@@ -66,14 +63,6 @@
 	return &forwarder.Advice{}, 0
 }
 
-// loadAt returns the total decision time of the questions that an instance has.
-func (e *Elector) loadAt(address netip.AddrPort) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-
-	return e.questionLoad[address]
-}
-
 // attemptTime is the time that is reserved for an attempt: that of the decision, of the
 // questions before it at the instance, and of the calls.
 func attemptTime(decisionTime time.Duration) time.Duration { return decisionTime + attemptSlack }
--- a/internal/cell/elector/budget.go
+++ b/internal/cell/elector/budget.go
@@ -20,6 +20,9 @@
 	longBudget  = 500 * time.Millisecond
 	// longestWaitPeriod is the number of grants of which one goes to the operation that has waited longest.
 	longestWaitPeriod = 4
+	// silentTime is the time without a success after a failure from which a queue counts as silent. The questions of
+	// a busy policy fail now and then, because they wait for one another.
+	silentTime = 3 * time.Second
 	// placeTime is how long the place of a waiter that gave up is kept for its next try.
 	placeTime = 30 * time.Second
 )
@@ -39,9 +42,9 @@
 // older waiters delay an operation by at most longestWaitPeriod * (N + 1) grants,
 // whatever their priorities.
 //
-// A queue of jobs whose last operation failed has one under way at a time, beside the
-// budget, until one succeeds: a policy that does not answer neither holds the budget nor
-// gets more than one question.
+// A queue of jobs none of whose operations has succeeded for silentTime has one under way
+// at a time, beside the budget, until one succeeds: a policy that does not answer neither
+// holds the budget nor gets more than one question.
 type budgetLimiter struct {
 	// budget returns the limit of the total cost.
 	budget func() time.Duration
@@ -55,9 +58,10 @@
 	// did not try again were last removed.
 	places        map[asker]place
 	placesChecked definer.Instant
-	// out counts the operations under way per queue of jobs, and silent holds the queues whose last operation failed.
-	out    map[string]int
-	silent map[string]bool
+	// out counts the operations under way per queue of jobs, and failing holds when an operation of a queue first
+	// failed after the last success.
+	out     map[string]int
+	failing map[string]definer.Instant
 }
 
 // waiter is an operation that waits for its share of the budget.
@@ -71,7 +75,7 @@
 }
 
 func newBudgetLimiter(budget func() time.Duration) *budgetLimiter {
-	return &budgetLimiter{budget: budget, places: map[asker]place{}, out: map[string]int{}, silent: map[string]bool{}}
+	return &budgetLimiter{budget: budget, places: map[asker]place{}, out: map[string]int{}, failing: map[string]definer.Instant{}}
 }
 
 // acquire waits for a share of the budget, and returns nil if ctx ends first. The wait
@@ -133,12 +137,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if succeeded {
-		delete(b.silent, w.asker.queue)
-	} else {
-		b.silent[w.asker.queue] = true
+		delete(b.failing, w.asker.queue)
+	} else if _, failing := b.failing[w.asker.queue]; !failing {
+		b.failing[w.asker.queue] = definer.Now()
 	}
 }
 
+// isSilent reports whether a queue counts as one whose policy does not answer. The
+// caller holds mu.
+func (b *budgetLimiter) isSilent(queue string) bool {
+	since, failing := b.failing[queue]
+
+	return failing && definer.Since(since) >= silentTime
+}
+
 // release returns the cost of an operation to the budget.
 func (b *budgetLimiter) release(w *waiter) {
 	budget := b.budget()
@@ -158,7 +170,7 @@
 	for at := b.next(budget); at >= 0; at = b.next(budget) {
 		next := b.queue[at]
 		b.queue = slices.Delete(b.queue, at, at+1)
-		if !b.silent[next.asker.queue] {
+		if !b.isSilent(next.asker.queue) {
 			next.charged = next.cost
 		}
 		b.used += next.charged
@@ -171,7 +183,7 @@
 
 // next returns the index of the waiter to serve next, or -1. The caller holds mu.
 func (b *budgetLimiter) next(budget time.Duration) int {
-	if b.used >= budget && len(b.silent) == 0 {
+	if b.used >= budget && len(b.failing) == 0 {
 		return -1
 	}
 	byWait := (b.grants+1)%longestWaitPeriod == 0
@@ -191,7 +203,7 @@
 
 // admits reports whether an operation may begin now. The caller holds mu.
 func (b *budgetLimiter) admits(w *waiter, budget time.Duration) bool {
-	if b.silent[w.asker.queue] {
+	if b.isSilent(w.asker.queue) {
 		return b.out[w.asker.queue] == 0
 	}
 
--- a/internal/cell/elector/budget_test.go
+++ b/internal/cell/elector/budget_test.go
@@ -181,6 +181,7 @@
 	first := ask("silent")
 	b.recordOutcome(first, false)
 	b.release(first)
+	b.failing["silent"] = definer.Now().Add(-silentTime)
 	probe := ask("silent")
 	for range questions {
 		if ask("silent") != nil {
@@ -206,3 +207,21 @@
 		t.Error("a queue that succeeded again is served beside the budget")
 	}
 }
+
+// TestBusyQueueKeepsItsBudget guards against a queue that has one operation at a time
+// because some of them fail while others succeed.
+func TestBusyQueueKeepsItsBudget(t *testing.T) {
+	b := newLimiter(3 * testCost)
+	for _, succeeded := range []bool{true, false, false} {
+		w := b.acquire(context.Background(), asker{queue: "busy"}, 0, testCost)
+		b.recordOutcome(w, succeeded)
+		b.release(w)
+	}
+	for n := range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		if b.acquire(ctx, asker{queue: "busy", step: n}, 0, testCost) == nil {
+			t.Errorf("operation %d waits beside a free budget", n)
+		}
+		cancel()
+	}
+}
