Give more turns to rounds that come late only in small cells

Rounds that came late looked at up to six times as many deferrable steps, 1,656 instead of 276 there, which made the next one come later still.

Only cells with fewer than 24 turns in a round get more, up to 24. The tests of the turns hold as before.

--- a/internal/cell/planner/turn.go
+++ b/internal/cell/planner/turn.go
@@ -14,9 +14,10 @@
 	// the rounds. It bounds those with valid tickets and the others separately.
 	deferrableShare = 1.0 / 4
 	// turnInterval is the time between rounds for which deferrableShare holds. Rounds further apart have more turns,
-	// up to maxTurnIntervals times as many, so that steps wait no longer on a slow machine.
-	turnInterval     = 10 * time.Millisecond
-	maxTurnIntervals = 6
+	// up to maxScaledTurns, so that steps of a small cell wait no longer on a slow machine. More turns would make
+	// the rounds of a large cell longer, and thereby come further apart.
+	turnInterval   = 10 * time.Millisecond
+	maxScaledTurns = 24
 	// rotationRounds is the number of rounds in which all steps are looked at that neither start nor ask.
 	rotationRounds = 16
 )
@@ -67,7 +68,7 @@
 func (ps *pass) placeFirst(steps []*step) {
 	p := ps.planner
 	turns := ps.turns()
-	looks := turns + len(steps)/rotationRounds
+	looks := max(turns, len(steps)/rotationRounds)
 	for _, s := range steps {
 		if turns == 0 || looks == 0 {
 			return
@@ -86,12 +87,13 @@
 	}
 }
 
-// turns returns the number of turns in this round: deferrableShare of the usable endpoints
-// for each turnInterval since the last round.
+// turns returns the number of turns in this round: deferrableShare of the usable
+// endpoints, in a small cell for each turnInterval since the last round.
 func (ps *pass) turns() int {
-	intervals := min(max(int(ps.sinceLastRound/turnInterval), 1), maxTurnIntervals)
+	turns := ps.limit(deferrableShare)
+	intervals := max(int(ps.sinceLastRound/turnInterval), 1)
 
-	return intervals * ps.limit(deferrableShare)
+	return max(turns, min(intervals*turns, maxScaledTurns))
 }
 
 // cannotAct reports whether s can neither start nor ask in this round, as far as that is
