--- a/internal/cell/planner/turn_test.go
+++ b/internal/cell/planner/turn_test.go
@@ -402,3 +402,23 @@
 		})
 	}
 }
+
+// TestLateRoundsOfLargeCellHaveNoMoreTurns guards against rounds of a large cell that come
+// later and later, because each late round has more turns and takes longer.
+func TestLateRoundsOfLargeCellHaveNoMoreTurns(t *testing.T) {
+	const endpoints, jobs, interval = 200, 400, 60 * time.Millisecond
+	c := newCell(t, endpoints)
+	c.planner.Configure(&definer.Configuration{Routes: testRoutes, Accounts: []definer.Account{{Name: "account", Weight: 0.001}}})
+	for n := range jobs {
+		job := c.job(fmt.Sprintf("%016x", n+1), simpleStep(1))
+		job.Queue.Policy = &definer.Policy{Decide: 100 * time.Millisecond, Each: time.Millisecond, Validity: time.Second}
+		c.accept(job)
+	}
+	for round := range 3 {
+		c.plan()
+		if questions, limit := len(c.takeAsked()), 1+endpoints/4; questions > limit {
+			t.Errorf("%d questions in round %d, want at most %d", questions, round, limit)
+		}
+		c.now = c.now.Add(interval)
+	}
+}
