--- a/internal/cell/elector/ask.go
+++ b/internal/cell/elector/ask.go
@@ -63,8 +63,8 @@
 	return &forwarder.Advice{}, 0
 }
 
-// attemptTime is the time that is reserved for an attempt: that of the decision, of the
-// questions before it at the instance, and of the calls.
+// attemptTime is the time that is reserved for an attempt: that of the decision, and of
+// the calls and the questions before it at the instance.
 func attemptTime(decisionTime time.Duration) time.Duration { return decisionTime + attemptSlack }
 
 const (
--- a/internal/cell/leader/calls.go
+++ b/internal/cell/leader/calls.go
@@ -124,19 +124,19 @@
 		Job: c.command.Job, Occurrence: c.command.Occurrence, Step: c.command.Step, Endpoints: c.command.Endpoints,
 		Queue: c.command.Queue, Priority: c.command.Priority, Timeout: c.command.Deadline.Sub(began),
 	}
-	advice, decided := c.leader.policy.Ask(ctx, question, c.command.DecisionTime)
+	advice, arrived := c.leader.policy.Ask(ctx, question, c.command.DecisionTime)
 	c.leader.metrics.Observe("advice", definer.Since(began))
-	c.leader.post(advisedMsg{command: c.command, advice: advice, decided: decided})
+	c.leader.post(advisedMsg{command: c.command, advice: advice, arrived: arrived})
 }
 
 type advisedMsg struct {
 	command planner.AskPolicyCmd
 	advice  *forwarder.Advice
-	decided definer.Instant
+	arrived definer.Instant
 }
 
 func (m advisedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
-	answer := planner.PolicyAnswer{Answered: m.advice.Answered, Tickets: m.advice.Tickets, Decided: m.decided}
+	answer := planner.PolicyAnswer{Answered: m.advice.Answered, Tickets: m.advice.Tickets, Arrived: m.arrived}
 	l.planner.PolicyAnswered(&m.command, answer, now)
 }
 
--- a/internal/cell/leader/question_test.go
+++ b/internal/cell/leader/question_test.go
@@ -49,7 +49,7 @@
 	}{{0, 1}, {testValidity, 0}} {
 		l, ask := askingOwner(t, now)
 		advice := &forwarder.Advice{Answered: true, Tickets: []definer.Ticket{{Endpoint: "e", Value: "ticket"}}}
-		advisedMsg{command: ask, advice: advice, decided: now.Add(-c.age)}.apply(context.Background(), l, now)
+		advisedMsg{command: ask, advice: advice, arrived: now.Add(-c.age)}.apply(context.Background(), l, now)
 		l.planner.Plan(now)
 		starts := 0
 		for _, command := range l.planner.Commands() {
--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -141,7 +141,7 @@
 // valid at the same time; any other step asks about at most maxAskedEndpoints. It is a
 // no-op while asking is blocked.
 func (p *Planner) ask(s *step, endpoints []*endpoint, now definer.Instant) {
-	if len(endpoints) == 0 || s.admission.askBlockedUntil != 0 && now < s.admission.askBlockedUntil {
+	if len(endpoints) == 0 || s.admission.askBlocked(now) {
 		return
 	}
 	policy := s.job.Queue.Policy
@@ -168,6 +168,12 @@
 	}
 }
 
+// askBlocked reports whether a question is out, or the pause after an unanswered one has
+// not ended.
+func (a *admission) askBlocked(now definer.Instant) bool {
+	return a.askBlockedUntil != 0 && now < a.askBlockedUntil
+}
+
 // urgencyPriorities is the number of priorities of the questions of one urgency.
 const urgencyPriorities = 1000
 
@@ -194,7 +200,7 @@
 }
 
 // PolicyAnswered processes the answer of a placement policy to a question. The tickets
-// of a late answer count as well; their validity begins with the policy's decision.
+// of a late answer count as well; their validity counts from the arrival of the answer.
 func (p *Planner) PolicyAnswered(question *AskPolicyCmd, answer PolicyAnswer, now definer.Instant) {
 	j := p.jobs[question.Job]
 	if j == nil {
@@ -217,7 +223,7 @@
 	for _, t := range answer.Tickets {
 		values[t.Endpoint] = t.Value
 	}
-	expires := answer.Decided.Add(j.Queue.Policy.Validity)
+	expires := answer.Arrived.Add(j.Queue.Policy.Validity)
 	for _, endpointID := range question.Endpoints {
 		e := p.endpoints[endpointID]
 		if e == nil {
--- a/internal/cell/planner/advice_test.go
+++ b/internal/cell/planner/advice_test.go
@@ -44,7 +44,7 @@
 			}
 		}
 		ask := question.ask
-		c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Decided: c.now}, c.now)
+		c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Arrived: c.now}, c.now)
 	}
 	s.pending = waiting
 }
@@ -130,7 +130,7 @@
 	for _, id := range ask.Endpoints {
 		tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "ticket"})
 	}
-	c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Decided: decided}, c.now)
+	c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Arrived: decided}, c.now)
 }
 
 // TestLostQuestionIsAskedAgain guards against a step that waits for an answer after its
--- a/internal/cell/planner/avoid_test.go
+++ b/internal/cell/planner/avoid_test.go
@@ -71,7 +71,7 @@
 			c.accept(job)
 			c.plan()
 			for _, ask := range c.takeAsked() {
-				c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: []definer.Ticket{{Endpoint: "e000", Value: "t"}}, Decided: c.now}, c.now)
+				c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: []definer.Ticket{{Endpoint: "e000", Value: "t"}}, Arrived: c.now}, c.now)
 				c.plan()
 			}
 			for _, start := range c.started {
--- a/internal/cell/planner/bench_test.go
+++ b/internal/cell/planner/bench_test.go
@@ -144,5 +144,5 @@
 			tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "t"})
 		}
 	}
-	c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Decided: c.now}, c.now)
+	c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Arrived: c.now}, c.now)
 }
--- a/internal/cell/planner/cell_test.go
+++ b/internal/cell/planner/cell_test.go
@@ -111,7 +111,7 @@
 			for _, id := range ask.Endpoints {
 				tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "ticket"})
 			}
-			c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Decided: c.now}, c.now)
+			c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Arrived: c.now}, c.now)
 		}
 		c.plan()
 	}
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -65,7 +65,7 @@
 		s.wait.loseRoom(ps.now)
 	}
 	switch {
-	case ps.askBlocked(s) && len(s.reserved) > 0 && (!hasRoom || ps.mayReserveForTickets(s)):
+	case s.admission.askBlocked(ps.now) && len(s.reserved) > 0 && (!hasRoom || ps.mayReserveForTickets(s)):
 		// The reserved endpoints stay reserved until the policy has answered about them.
 		ps.held.add(s)
 	case hasRoom:
@@ -80,7 +80,7 @@
 // which it is admitted would hold it when they are empty, but may stay full. It asks if it
 // is likely to be admitted to enough of them or, after fullPatience, if it may be.
 func (ps *pass) exploreRoom(s *step, admitted []*endpoint, count int) {
-	if s.job.Queue.Policy == nil || ps.askBlocked(s) || ps.now < s.wait.pausedUntil {
+	if s.job.Queue.Policy == nil || s.admission.askBlocked(ps.now) || ps.now < s.wait.pausedUntil {
 		return
 	}
 	var unasked []*endpoint
@@ -132,7 +132,7 @@
 		return
 	}
 	ps.waitingGangs++
-	if s.job.Queue.Policy != nil && !ps.askBlocked(s) && taskCapacity(s, candidates) < admittedCapacityFactor*count {
+	if s.job.Queue.Policy != nil && !s.admission.askBlocked(ps.now) && taskCapacity(s, candidates) < admittedCapacityFactor*count {
 		s.wait.question = gangQuestionNone
 		p.ask(s, p.endpointsToAsk(s, s.admission.filterUnasked(ps.candidates(s)), count), ps.now)
 	}
--- a/internal/cell/planner/gang_ask.go
+++ b/internal/cell/planner/gang_ask.go
@@ -127,7 +127,7 @@
 func (ps *pass) countGangQuestions(steps []*step) {
 	ps.explorations.purpose, ps.renewals.purpose = gangQuestionExplore, gangQuestionRenew
 	for _, s := range steps {
-		if s.admission.outstanding == 0 || !ps.askBlocked(s) {
+		if s.admission.outstanding == 0 || !s.admission.askBlocked(ps.now) {
 			continue
 		}
 		for _, q := range [...]*gangQuestions{&ps.explorations, &ps.renewals} {
@@ -139,21 +139,16 @@
 	}
 }
 
-// askBlocked reports whether s may not ask its policy now.
-func (ps *pass) askBlocked(s *step) bool {
-	return s.admission.askBlockedUntil != 0 && ps.now < s.admission.askBlockedUntil
-}
-
 // explore lets a gang ask about endpoints without an answer at the end of the round.
 func (ps *pass) explore(s *step, count int) {
-	if s.job.Queue.Policy != nil && !ps.askBlocked(s) && ps.now >= s.wait.pausedUntil {
+	if s.job.Queue.Policy != nil && !s.admission.askBlocked(ps.now) && ps.now >= s.wait.pausedUntil {
 		ps.explorations.add(askingGang{step: s, count: count})
 	}
 }
 
 // renew lets a gang ask for tickets for the endpoints at the end of the round.
 func (ps *pass) renew(s *step, endpoints []*endpoint) {
-	if !ps.askBlocked(s) {
+	if !s.admission.askBlocked(ps.now) {
 		ps.renewals.add(askingGang{step: s, endpoints: endpoints})
 	}
 }
--- a/internal/cell/planner/gang_wait_test.go
+++ b/internal/cell/planner/gang_wait_test.go
@@ -121,7 +121,7 @@
 				tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "t"})
 			}
 		}
-		g.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Decided: g.now}, g.now)
+		g.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Arrived: g.now}, g.now)
 	}
 	g.questions = waiting
 }
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -183,9 +183,9 @@
 	// Answered is false when the question failed; the other fields are then empty.
 	Answered bool
 	Tickets  []definer.Ticket
-	// Decided is when the answer arrived from the policy. The validity of the tickets begins with the decision;
+	// Arrived is when the answer came from the policy. The validity of the tickets begins with the decision;
 	// ticketMargin covers the time in between.
-	Decided definer.Instant
+	Arrived definer.Instant
 }
 
 // InventoryCmd requests the inventory of an endpoint immediately.
--- a/internal/cell/planner/prefetch_test.go
+++ b/internal/cell/planner/prefetch_test.go
@@ -74,7 +74,7 @@
 					tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "t"})
 				}
 			}
-			c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Decided: c.now}, c.now)
+			c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Arrived: c.now}, c.now)
 		}
 		questions = remaining
 		if id := fmt.Sprintf("new-%v", c.now.Sub(began)); arrivals {
--- a/internal/cell/planner/standing_test.go
+++ b/internal/cell/planner/standing_test.go
@@ -45,7 +45,7 @@
 				tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "ticket"})
 			}
 		}
-		c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Decided: c.now}, c.now)
+		c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Arrived: c.now}, c.now)
 	}
 }
 
--- a/internal/cell/planner/stands_test.go
+++ b/internal/cell/planner/stands_test.go
@@ -74,7 +74,7 @@
 				ids[n] = fmt.Sprintf("e%03d", n)
 				tickets[n] = definer.Ticket{Endpoint: ids[n], Value: "t"}
 			}
-			g.planner.PolicyAnswered(&AskPolicyCmd{Job: "filled", Endpoints: ids}, PolicyAnswer{Answered: true, Tickets: tickets, Decided: g.now}, g.now)
+			g.planner.PolicyAnswered(&AskPolicyCmd{Job: "filled", Endpoints: ids}, PolicyAnswer{Answered: true, Tickets: tickets, Arrived: g.now}, g.now)
 			g.runUntil(10 * time.Second)
 			for _, id := range ids {
 				if len(g.running[id]) != 1 {
@@ -206,7 +206,7 @@
 	c.accept(job)
 	c.plan()
 	c.takeAsked()
-	c.planner.PolicyAnswered(&AskPolicyCmd{Job: "a", Endpoints: []string{"e000", "e001"}}, PolicyAnswer{Answered: true, Tickets: []definer.Ticket{{Endpoint: "e000", Value: "t"}, {Endpoint: "e001", Value: "t"}}, Decided: c.now}, c.now)
+	c.planner.PolicyAnswered(&AskPolicyCmd{Job: "a", Endpoints: []string{"e000", "e001"}}, PolicyAnswer{Answered: true, Tickets: []definer.Ticket{{Endpoint: "e000", Value: "t"}, {Endpoint: "e001", Value: "t"}}, Arrived: c.now}, c.now)
 	s := c.planner.jobs["a"].occurrences[0].steps[0]
 	s.admission.expireTicket(c.planner.endpoints["e001"])
 	if got := c.standFor(2 * time.Second); got != string(standTickets) && got != string(standQuestionOut) {
--- a/internal/cell/planner/turn.go
+++ b/internal/cell/planner/turn.go
@@ -18,7 +18,7 @@
 	// the rounds of a large cell longer, and thereby come further apart.
 	turnInterval   = 10 * time.Millisecond
 	maxScaledTurns = 24
-	// rotationRounds is the number of rounds in which all steps are looked at that neither start nor ask.
+	// rotationRounds is the number of rounds in which all steps are looked at if none of them starts or asks.
 	rotationRounds = 16
 )
 
@@ -63,8 +63,8 @@
 }
 
 // placeFirst places the first of the steps until turns of them have started or asked. A
-// step that did neither may wait for good, so it uses up no turn; rotationRounds bounds
-// how many of these a round looks at. Steps that can do nothing in this round keep their place.
+// step that did neither may wait for good, so it uses up no turn; such steps delay the
+// others by about rotationRounds. Steps that can do nothing in this round keep their place.
 func (ps *pass) placeFirst(steps []*step) {
 	p := ps.planner
 	turns := ps.turns()
@@ -125,9 +125,3 @@
 func (s *step) hasUntriedTickets() bool {
 	return s.queuedSince <= s.admission.validUntil.Add(-s.job.Queue.Policy.Validity)
 }
-
-// askBlocked reports whether a question is out, or the pause after an unanswered one has
-// not ended.
-func (a *admission) askBlocked(now definer.Instant) bool {
-	return a.askBlockedUntil != 0 && now < a.askBlockedUntil
-}
--- a/internal/cell/planner/turn_test.go
+++ b/internal/cell/planner/turn_test.go
@@ -142,7 +142,7 @@
 				tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "t"})
 			}
 		}
-		w.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Decided: w.now}, w.now)
+		w.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Arrived: w.now}, w.now)
 		w.answeredAt[ask.Job] = w.now
 	}
 	w.answers = waiting
