Note what a gang lacked while it waited, and the load of the cell

A round of placement now notes for each gang what it lacks; gang started and the histograms have the sum of each part. load, once a second, tells what holds the room.

--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -290,6 +290,9 @@
 	}
 	l.logger.Log(level, note.Event, args...)
 	l.metrics.Count(note.Event)
+	for _, latency := range note.Latencies {
+		l.metrics.Observe(latency.Name, latency.Time)
+	}
 }
 
 // execute starts a command of the planner; calls run in their own goroutines.
--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -153,6 +153,8 @@
 	s.admission.outstanding, s.admission.firstNumber, s.admission.askedAt = 0, p.questions+1, now
 	for question := range slices.Chunk(endpoints, size) {
 		s.admission.outstanding++
+		s.waited.questions++
+		s.waited.named += len(question)
 		cost := policy.Decide + time.Duration(len(question))*policy.Each
 		deadline := now.Add(QuestionTime(cost))
 		s.admission.askBlockedUntil = max(s.admission.askBlockedUntil, deadline)
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -20,11 +20,13 @@
 	policy := s.job.Queue.Policy
 	account := p.account(s.job.Account)
 	if !account.withinLimit(s.def.Need.Scale(int64(len(pending))), ps.unconfirmed[account]) {
+		ps.lacks(s, lackLimit)
 		s.dropReservation()
 
 		return
 	}
 	if policy != nil && len(s.admission.answers) == 0 {
+		ps.lacks(s, lackAnswer)
 		ps.explore(s, len(pending))
 
 		return
@@ -32,6 +34,7 @@
 	candidates := ps.admittedTo(s)
 	if taskCapacity(s, candidates) < len(pending) {
 		// The admitted endpoints are too small for the gang even when they are empty.
+		ps.lacks(s, lackAdmission)
 		s.dropReservation()
 		ps.explore(s, len(pending))
 
@@ -46,8 +49,11 @@
 	}
 	number := p.nextRun(pending...)
 	if !p.mayGive(number) {
+		ps.lacks(s, lackNumber)
+
 		return
 	}
+	ps.noteGangStart(s, number, assigned)
 	s.gangRun, s.gangSince = number, ps.now
 	s.dropReservation()
 	s.wait.begin()
@@ -59,10 +65,16 @@
 // deferGang handles a gang that cannot start: it lacks either tickets or room.
 func (ps *pass) deferGang(s *step, candidates []*endpoint, count int) {
 	hasRoom := totalRoom(s, count, candidates, nil) >= count
-	if hasRoom {
+	switch {
+	case hasRoom:
 		s.wait.gainRoom(ps.now)
-	} else {
+		ps.lacks(s, lackTickets)
+	case freeRoom(s, candidates) >= count:
 		s.wait.loseRoom(ps.now)
+		ps.lacks(s, lackReserved)
+	default:
+		s.wait.loseRoom(ps.now)
+		ps.lacks(s, lackRoom)
 	}
 	switch {
 	case s.admission.askBlocked(ps.now) && len(s.reserved) > 0 && (!hasRoom || ps.mayReserveForTickets(s)):
@@ -208,6 +220,17 @@
 	return total
 }
 
+// freeRoom returns the number of tasks of s that have room on the candidates, reserved
+// ones included.
+func freeRoom(s *step, candidates []*endpoint) int {
+	total := 0
+	for _, e := range candidates {
+		total += tasksFitting(s, e.free(), s.def.PerEndpoint)
+	}
+
+	return total
+}
+
 // assignEndpoints returns an endpoint for each of count tasks, or nil when there
 // is no room beside what is taken on them. A SameRack gang gets a single rack when one
 // has room for it.
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -64,6 +64,8 @@
 	gangSince definer.Instant
 	admission admission
 	wait      gangWait
+	// waited is for the log.
+	waited waitRecord
 	// reserved are the endpoints that have been reserved for the waiting gang since reservedSince.
 	reserved      []*endpoint
 	reservedSince definer.Instant
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -101,6 +101,7 @@
 	ps.prefetchInTurn()
 	ps.placeInTurn(steps[urgent:])
 	ps.askForGangs()
+	ps.noteLoad()
 	p.noteStanding(ps, now)
 }
 
@@ -178,6 +179,10 @@
 	p := ps.planner
 	s.turnAt = ps.now
 	if s.job.inherited && !ps.takeoverSettled {
+		if s.def.Gang {
+			ps.lacks(s, lackTakeover)
+		}
+
 		return
 	}
 	if s.pendingCount == 0 {
@@ -194,6 +199,8 @@
 		case s.gangRun != 0 && ps.takeoverSettled && ps.now.Sub(s.gangSince) > incompleteGangTimeout:
 			// A previous owner started only some members of the gang.
 			p.stopGang(s)
+		case s.gangRun == 0:
+			ps.lacks(s, lackRuns)
 		}
 
 		return
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -120,6 +120,8 @@
 	// questions counts the questions to placement policies.
 	questions int
 	notes     []Note
+	// roundsNoted is about the rounds since the last note about the load.
+	roundsNoted roundRecord
 }
 
 // account holds the usage and the limits of a client account.
@@ -203,6 +205,14 @@
 	Args  []any
 	// Warn means that the note may show a fault.
 	Warn bool
+	// Latencies are for the metrics.
+	Latencies []Latency
+}
+
+// Latency is a measured time, under the name of its histogram.
+type Latency struct {
+	Name string
+	Time time.Duration
 }
 
 // New returns an empty planner.
--- a/internal/cell/planner/standing.go
+++ b/internal/cell/planner/standing.go
@@ -165,6 +165,9 @@
 		"with ticket", view.ticketPlaces, "asked", ps.sinceOrNever(a.askedAt), "answered", ps.sinceOrNever(a.answeredAt), "outstanding", a.outstanding,
 		"others", others,
 	}
+	if s.def.Gang {
+		args = append(args, s.waited.args()...)
+	}
 	if r := s.unsettledRun(); r != nil {
 		args = append(args, "run on", r.endpoint.ID, "sent", ps.now.Sub(r.sentAt))
 	}
