--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -24,6 +24,7 @@
 	Soak     *soakCommand     `arg:"subcommand:soak" help:"run the decisions against fakes with random faults"`
 	Chaos    *chaosCommand    `arg:"subcommand:chaos" help:"run a cluster with faults and verify it"`
 	Measure  *measureCommand  `arg:"subcommand:measure" help:"measure the decisions against baselines"`
+	Simulate *simulateCommand `arg:"subcommand:simulate" help:"run the placement of a cell in virtual time and measure how long work waits"`
 	Takeover *takeoverCommand `arg:"subcommand:takeover" help:"measure takeovers after kills of owners"`
 	Disrupt  *disruptCommand  `arg:"subcommand:disrupt" help:"run a cell as real processes on stand-ins of the users' platform, with faults"`
 }
