Assign short questions to instances of their own first

The policy answers each instance one question at a time. Long questions went to the first six tenths of the instances if these were free; short ones went to the first free instance, which is one of these, and a long one was assigned behind them and could overtake them.

Short questions now go to the other instances and the owner, to all if these are busy or do not answer.

--- a/internal/cell/elector/ask.go
+++ b/internal/cell/elector/ask.go
@@ -122,16 +122,20 @@
 
 // assignQuestion chooses the live instance with the lowest load for a question and
 // adds the decision time to its load. It leaves out those that were asked already, as
-// far as there are others. The first attempt of a long question considers a share of
-// the instances, to leave the others to short ones, unless it would have to wait for
-// longer than an attempt allows for.
+// far as there are others. The first attempt considers the instances for questions of
+// its kind, so that short questions and long ones do not wait for each other, unless it
+// would wait there for too long or, if it is short, these do not answer.
 func (e *Elector) assignQuestion(decisionTime time.Duration, asked []netip.AddrPort) netip.AddrPort {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	addresses := e.live().addresses
-	best := e.leastLoaded(addresses, asked)
-	if decisionTime >= longDecisionTime && len(asked) == 0 {
-		if first := e.leastLoaded(addresses[:longInstances(len(addresses))], nil); e.questionLoad[first] < attemptSlack {
+	live := e.live()
+	best := e.leastLoaded(live.addresses, asked)
+	if len(asked) == 0 {
+		if decisionTime >= longDecisionTime {
+			if first := e.leastLoaded(live.long, nil); e.questionLoad[first] < attemptSlack {
+				best = first
+			}
+		} else if first := e.leastLoaded(live.short, nil); e.questionLoad[first] < longDecisionTime && e.unanswered[first] == 0 {
 			best = first
 		}
 	}
--- a/internal/cell/elector/ask_test.go
+++ b/internal/cell/elector/ask_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -163,6 +164,48 @@
 	}
 }
 
+// TestShortQuestionsStayBesideLongOnes guards against short questions that are assigned to
+// the instances that are free for long ones, and wait behind the next of these.
+func TestShortQuestionsStayBesideLongOnes(t *testing.T) {
+	for _, instances := range []int{2, 7, 33, 147} {
+		e := withPeers(instances)
+		long, short := longInstances(instances), max(instances/10, 1)
+		kinds := map[netip.AddrPort][2]int{}
+		for n := range max(long, short) {
+			if n < short {
+				address := e.assignQuestion(testDecision, nil)
+				kinds[address] = [2]int{kinds[address][0] + 1, kinds[address][1]}
+			}
+			if n < long {
+				address := e.assignQuestion(longDecisionTime, nil)
+				kinds[address] = [2]int{kinds[address][0], kinds[address][1] + 1}
+			}
+		}
+		for address, count := range kinds {
+			if count[0] > 0 && count[1] > 0 {
+				t.Errorf("%d instances: %v has %d short and %d long questions", instances, address, count[0], count[1])
+			}
+		}
+	}
+}
+
+// TestShortQuestionReachesInstancesForLongOnes guards against a short question that is only
+// assigned to instances which do not answer or have much to do, beside others.
+func TestShortQuestionReachesInstancesForLongOnes(t *testing.T) {
+	for name, hold := range map[string]func(e *Elector, address netip.AddrPort){
+		"silent": func(e *Elector, address netip.AddrPort) { e.unanswered[address] = definer.Now() },
+		"busy":   func(e *Elector, address netip.AddrPort) { e.questionLoad[address] = time.Second },
+	} {
+		e := withPeers(7)
+		for _, address := range e.live().short {
+			hold(e, address)
+		}
+		if got := e.assignQuestion(testDecision, nil); !slices.Contains(e.live().long, got) {
+			t.Errorf("%s: assigned to %v, want one of %v", name, got, e.live().long)
+		}
+	}
+}
+
 // TestQuestionReachesSoleAnsweredInstance guards against a question that is assigned to the
 // same instances each time while the policy answers another one only.
 func TestQuestionReachesSoleAnsweredInstance(t *testing.T) {
--- a/internal/cell/elector/live.go
+++ b/internal/cell/elector/live.go
@@ -29,6 +29,9 @@
 	madeAt definer.Instant
 	// addresses holds the addresses of the live instances, including this one, in ascending order.
 	addresses []netip.AddrPort
+	// long and short hold those to which long and short questions are assigned first. The owner, which
+	// reaches itself without a call, is one of those for short ones. They are the same if it is alone.
+	long, short []netip.AddrPort
 	// couriers holds the live peers in each zone with enough power to relay orders.
 	couriers map[string][]Instance
 }
@@ -55,11 +58,24 @@
 		}
 	}
 	slices.SortFunc(set.addresses, netip.AddrPort.Compare)
+	set.long, set.short = e.splitByKind(set.addresses)
 	e.liveNow = set
 
 	return set
 }
 
+// splitByKind returns the addresses of the instances for long questions and of those for
+// short ones.
+func (e *Elector) splitByKind(addresses []netip.AddrPort) (long, short []netip.AddrPort) {
+	if len(addresses) == 1 {
+		return addresses, addresses
+	}
+	others := slices.DeleteFunc(slices.Clone(addresses), func(a netip.AddrPort) bool { return a == e.settings.Address })
+	first := longInstances(len(addresses))
+
+	return others[:first], append(others[first:], e.settings.Address)
+}
+
 // slowPeriod returns the period of the heartbeats of instances with little power.
 func slowPeriod(instances int) time.Duration {
 	factor := min(max(float64(instances)/fullRateInstances, 1), maxPeriodFactor)
