Let questions of a queue that fails wait for those of others

A queue whose policy does not answer counts as silent after 3 s and held the budget until then, as its questions were older: a question of another queue was answered after 6.1 s. From its first failure on, a queue's questions come after those of the others, but every fourth grant still goes to the longest wait.

--- a/internal/cell/elector/budget.go
+++ b/internal/cell/elector/budget.go
@@ -40,7 +40,8 @@
 // of them may exceed. Waiters with the lowest priority number are served first, but
 // every longestWaitPeriod-th grant goes to the one that has waited longest, so that N
 // older waiters delay an operation by at most longestWaitPeriod * (N + 1) grants,
-// whatever their priorities.
+// whatever their priorities. The other grants go to queues of jobs of which none has
+// failed since the last success, if any of them wait.
 //
 // A queue of jobs none of whose operations has succeeded for silentTime has one under way
 // at a time, beside the budget, until one succeeds: a policy that does not answer neither
@@ -158,6 +159,14 @@
 	}
 }
 
+// isFailing reports whether an operation of a queue has failed since the last success.
+// The caller holds mu.
+func (b *budgetLimiter) isFailing(queue string) bool {
+	_, failing := b.failing[queue]
+
+	return failing
+}
+
 // isSilent reports whether a queue counts as one whose policy does not answer. The
 // caller holds mu.
 func (b *budgetLimiter) isSilent(queue string) bool {
@@ -206,9 +215,13 @@
 	for i, w := range b.queue {
 		switch {
 		case !b.admits(w, budget):
-		case !byWait:
+		case byWait:
+			if best < 0 || w.since < b.queue[best].since {
+				best = i
+			}
+		case !b.isFailing(w.asker.queue):
 			return i
-		case best < 0 || w.since < b.queue[best].since:
+		case best < 0:
 			best = i
 		}
 	}
--- a/internal/cell/elector/budget_test.go
+++ b/internal/cell/elector/budget_test.go
@@ -246,3 +246,44 @@
 		t.Errorf("the one that waits is of a silent queue: %v remains, want %v", left, want)
 	}
 }
+
+// TestFailingQueueComesAfterOthers guards against a queue whose policy does not answer and
+// whose urgent questions keep those of other queues waiting.
+func TestFailingQueueComesAfterOthers(t *testing.T) {
+	b := newLimiter(testCost)
+	first := b.acquire(context.Background(), asker{queue: "failing"}, 0, testCost)
+	b.recordOutcome(first, false)
+	order := make(chan string, 2)
+	for _, w := range []struct {
+		queue    string
+		priority int
+	}{{"failing", 0}, {"other", leastUrgent}} {
+		before := b.waiting()
+		a := &orderedAcquisition{limiter: b, queue: w.queue, priority: w.priority, order: order}
+		go a.run()
+		for b.waiting() == before {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	b.release(first)
+	if got := <-order; got != "other" {
+		t.Errorf("queue %q is served first, want the other one", got)
+	}
+	if got := <-order; got != "failing" {
+		t.Errorf("queue %q is served next, want the failing one", got)
+	}
+}
+
+// orderedAcquisition is an operation that tells when it is served, and ends.
+type orderedAcquisition struct {
+	limiter  *budgetLimiter
+	queue    string
+	priority int
+	order    chan string
+}
+
+func (a *orderedAcquisition) run() {
+	w := a.limiter.acquire(context.Background(), asker{queue: a.queue}, a.priority, testCost)
+	a.order <- a.queue
+	a.limiter.release(w)
+}
