--- a/internal/cell/planner/waiting.go
+++ b/internal/cell/planner/waiting.go
@@ -90,11 +90,10 @@
 func (ps *pass) noteGangStart(s *step, number int, endpoints []*endpoint) {
 	w := &s.waited
 	w.charge(ps.planner.rounds, ps.now)
-	args := []any{
+	note := Note{Event: "gang started", Job: s.job.ID, Args: append([]any{
 		"queue", s.job.Queue.Name, "step", s.index, "run", number, "tasks", len(endpoints), "endpoints", len(distinct(endpoints)),
 		"urgency", s.urgency, "waited", ps.now.Sub(w.since),
-	}
-	note := Note{Event: "gang started", Job: s.job.ID, Args: append(args, w.args()...)}
+	}, w.args()...)}
 	for lacked, spent := range w.spent {
 		if spent > 0 {
 			note.Latencies = append(note.Latencies, Latency{Name: "gang lacked " + lackNames[lacked], Time: spent})
--- a/internal/measure/simulator/result.go
+++ b/internal/measure/simulator/result.go
@@ -160,12 +160,16 @@
 
 // WriteTable writes the result as text.
 func (r *Result) WriteTable(out io.Writer) error {
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "class\tjobs\tearned\tin time\tlate\twait p50\tp80\tp95\tp99\tlacked (mean)\tin time by width")
+	rows := make([]string, 0, 1+len(r.Classes))
+	rows = append(rows, "class\tjobs\tearned\tin time\tlate\twait p50\tp80\tp95\tp99\tlacked (mean)\tin time by width")
 	for i := range r.Classes {
 		class := &r.Classes[i]
-		fmt.Fprintf(table, "%s\t%d\t%.3f\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", class.Name, class.Jobs, class.Earned, class.InTime, class.Late,
-			seconds(class.Wait(0.5)), seconds(class.Wait(0.8)), seconds(class.Wait(0.95)), seconds(class.Wait(0.99)), class.lackedText(), class.widthText())
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%.3f\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s", class.Name, class.Jobs, class.Earned, class.InTime, class.Late,
+			seconds(class.Wait(0.5)), seconds(class.Wait(0.8)), seconds(class.Wait(0.95)), seconds(class.Wait(0.99)), class.lackedText(), class.widthText()))
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if _, err := io.WriteString(table, strings.Join(rows, "\n")+"\n"); err != nil {
+		return errors.Wrap(err, "write results")
 	}
 	if err := table.Flush(); err != nil {
 		return errors.Wrap(err, "write results")
