--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: build test fuzz lint fmt tools demo soak chaos disrupt takeover measure bench generate zoneinfo
+.PHONY: build test fuzz lint fmt tools demo soak chaos disrupt takeover simulate measure bench generate zoneinfo
 
 build:
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -62,6 +62,9 @@
 chaos: build
 	./bin/standin chaos --binary ./bin/greengagewall --seed $(SEED) --duration $(DURATION)
 
+simulate:
+	$(GO) run ./cmd/standin simulate --seed $(SEED)
+
 measure:
 	$(GO) run ./cmd/standin measure --seed $(SEED)
 
