--- a/internal/cell/planner/gang_breadth.go
+++ b/internal/cell/planner/gang_breadth.go
@@ -11,13 +11,14 @@
 )
 
 const (
-	// askedRoomFactor and askedCapacityFactor are the room and the capacity of the
-	// endpoints that a gang asks about at least and is likely to be admitted to, as multiples of its
+	// askedRoomFactor and askedCapacityFactor are the room and the capacity of the endpoints
+	// that a gang asks about at least and is likely to be admitted to, as multiples of its
 	// size.
 	askedRoomFactor     = 2
 	askedCapacityFactor = admittedCapacityFactor
-	// usefulRoomFactor is the room from which further endpoints are no longer asked about.
-	// It is above askedRoomFactor because others use up room until the answer arrives.
+	// usefulRoomFactor is the room, as such a multiple, from which a gang asks about no
+	// further endpoints. It is above askedRoomFactor because others use up room until the
+	// answer arrives.
 	usefulRoomFactor = 16
 	// questionTimeShare is the share of the free question time that a gang may use to ask
 	// about more endpoints than the least. The others that ask at the same time need the rest.
--- a/internal/measure/simulator/simulator.go
+++ b/internal/measure/simulator/simulator.go
@@ -104,7 +104,8 @@
 // after calls f when d has passed.
 func (c *cell) after(d time.Duration, f func()) { c.events.add(c.now.Add(d), f) }
 
-// configure configures the accounts. Their shares differ by up to a factor of ten.
+// configure configures the accounts. Each may run a gang of half of the largest width,
+// however small its share is.
 func (c *cell) configure() {
 	config := &definer.Configuration{Version: 1}
 	for i := range c.options.Classes {
