Give quick policy questions instances of their own beside short ones

A policy answers the questions of an instance one at a time. Quick questions of urgent tasks (30 ms) shared their instances with those of batch work (250 ms) and waited behind them, and batch work asks again whenever tickets expire. Questions that are not long are now divided into two classes, each with instances in proportion to its demand; quick ones also use idle instances. Where only one class is asked for, nothing changes.

--- a/internal/cell/elector/ask.go
+++ b/internal/cell/elector/ask.go
@@ -18,8 +18,10 @@
 // asked at all.
 func (e *Elector) Ask(ctx context.Context, question *forwarder.Question, decisionTime time.Duration) (*forwarder.Advice, definer.Instant) {
 	deadline := definer.Now().Add(question.Timeout)
+	class := classOf(decisionTime)
+	e.recordDemand(class, decisionTime)
 	limiter := e.shortQuestions
-	if decisionTime >= longDecisionTime {
+	if class == classLong {
 		limiter = e.longQuestions
 	}
 	acquireCtx, cancel := context.WithTimeout(ctx, question.Timeout-askAttempts*attemptTime(decisionTime))
@@ -80,9 +82,7 @@
 	attemptSlack = 750 * time.Millisecond
 	// localBias is subtracted from the load of this instance, whose questions need no call to a peer.
 	localBias = 20 * time.Millisecond
-	// longDecisionTime is the decision time from which a question counts as long, and longInstanceShare is the share
-	// of the instances to which long questions are assigned first.
-	longDecisionTime  = 250 * time.Millisecond
+	// longInstanceShare is the share of the instances to which long questions are assigned first.
 	longInstanceShare = 0.6
 )
 
@@ -120,23 +120,27 @@
 // question, and for how long it is added.
 const unansweredPenalty = 2 * time.Second
 
+// recordDemand records a question for the division of the instances.
+func (e *Elector) recordDemand(class questionClass, decisionTime time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.demand.record(class, decisionTime, definer.Now())
+}
+
 // assignQuestion chooses the live instance with the lowest load for a question and
 // adds the decision time to its load. It leaves out those that were asked already, as
 // far as there are others. The first attempt considers the instances for questions of
-// its kind, so that short questions and long ones do not wait for each other, unless it
-// would wait there for too long or, if it is short, these do not answer.
+// its class, so that those of different classes do not wait for each other, unless
+// mustLeave reports that it goes elsewhere.
 func (e *Elector) assignQuestion(decisionTime time.Duration, asked []netip.AddrPort) netip.AddrPort {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	live := e.live()
 	best := e.leastLoaded(live.addresses, asked)
 	if len(asked) == 0 {
-		if decisionTime >= longDecisionTime {
-			if first := e.leastLoaded(live.long, nil); e.questionLoad[first] < attemptSlack {
-				best = first
-			}
-		} else if first := e.leastLoaded(live.short, nil); e.questionLoad[first] < longDecisionTime && e.unanswered[first] == 0 {
-			best = first
+		class := classOf(decisionTime)
+		if own := e.leastLoaded(live.byClass[class], nil); !e.mustLeave(class, own, best) {
+			best = own
 		}
 	}
 	e.questionLoad[best] += decisionTime
@@ -144,6 +148,22 @@
 	return best
 }
 
+// mustLeave reports whether a question leaves the instances of its class, of which own has
+// the lowest load, for the least loaded of all: it would wait too long, or, if it is not
+// long, these do not answer. A quick one also leaves for an instance without questions,
+// which it keeps from others for a moment only.
+func (e *Elector) mustLeave(class questionClass, own, best netip.AddrPort) bool {
+	load := e.questionLoad[own]
+	if class == classLong {
+		return load >= attemptSlack
+	}
+	if class == classQuick && load >= quickDecisionTime && e.questionLoad[best] == 0 {
+		return true
+	}
+
+	return load >= longDecisionTime || e.unanswered[own] != 0
+}
+
 // longInstances returns to how many live instances long questions are assigned first. It
 // leaves one to short ones if there are two.
 func longInstances(live int) int {
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -104,6 +104,8 @@
 	wake chan struct{}
 	// questionLoad is the total decision time of the outstanding questions per instance.
 	questionLoad map[netip.AddrPort]time.Duration
+	// demand is the decision time that the policy questions have needed lately.
+	demand demandMeter
 	// unanswered is when each instance last failed to answer a question, if it has answered none since.
 	unanswered map[netip.AddrPort]definer.Instant
 	// lastHeartbeat is when each instance last sent a heartbeat to this one.
--- a/internal/cell/elector/live.go
+++ b/internal/cell/elector/live.go
@@ -29,9 +29,12 @@
 	madeAt definer.Instant
 	// addresses holds the addresses of the live instances, including this one, in ascending order.
 	addresses []netip.AddrPort
-	// long and short hold those to which long and short questions are assigned first. The owner, which
-	// reaches itself without a call, is one of those for short ones. They are the same if it is alone.
+	// long and short hold those to which long questions and all others are assigned first. The owner, which
+	// reaches itself without a call, is one of those for the others. They are the same if it is alone.
 	long, short []netip.AddrPort
+	// byClass holds the instances to which the questions of each class are assigned first: long, and the division
+	// of short by the demand of quick questions and short ones.
+	byClass [classCount][]netip.AddrPort
 	// couriers holds the live peers in each zone with enough power to relay orders.
 	couriers map[string][]Instance
 }
@@ -59,6 +62,9 @@
 	}
 	slices.SortFunc(set.addresses, netip.AddrPort.Compare)
 	set.long, set.short = e.splitByKind(set.addresses)
+	set.byClass[classLong] = set.long
+	e.demand.decay(now)
+	set.byClass[classQuick], set.byClass[classShort] = e.demand.splitShort(set.short)
 	e.liveNow = set
 
 	return set
