Cordon evacuated zones in the planner

Operators need a zone to get no new work while they change it. The planner now holds the set of evacuated zones: nothing starts on their endpoints, gangs release reservations there, admission does not count their processors, and long-running tasks are moved. Other runs continue, and the endpoints count for the majority and keep their leases. While all endpoints are evacuated and work waits, jobs are refused, as the wait has no end in sight.

go test -race -count=1 ./internal/cell/planner: ok

--- a/internal/cell/planner/backlog.go
+++ b/internal/cell/planner/backlog.go
@@ -44,7 +44,7 @@
 func (p *Planner) estimatedWait(priority int, now definer.Instant) time.Duration {
 	work, processors := p.Backlog(priority, now)
 	if processors == 0 {
-		return 0
+		return p.waitForZones(work, now)
 	}
 
 	return time.Duration(work / processors * float64(time.Second))
@@ -59,13 +59,14 @@
 	measuredAt definer.Instant
 	// work is the estimated work of the pending tasks in core-seconds, by the priority of their queue.
 	work map[int]float64
-	// processors is the number of cores of all listed endpoints that are not draining and have ever answered.
+	// processors is the number of cores of all listed endpoints that are neither draining nor in an evacuated zone and
+	// have ever answered.
 	processors float64
 }
 
 // Backlog returns the estimated work in core-seconds of the pending tasks whose
 // queue has the given priority or a more urgent one, and the cores of all
-// listed endpoints that are not draining and have ever answered. Jobs beyond their
+// listed endpoints that are neither draining nor in an evacuated zone and have ever answered. Jobs beyond their
 // account's rate are left out.
 func (p *Planner) Backlog(priority int, now definer.Instant) (work, processors float64) {
 	if p.backlog.work == nil || now.Sub(p.backlog.measuredAt) >= backlogAge {
@@ -86,7 +87,7 @@
 		p.backlog.add(s)
 	}
 	for _, e := range p.ordered {
-		if e.listed && !e.Draining && !e.neverUsed() {
+		if e.listed && !e.Draining && !e.cordoned && !e.neverUsed() {
 			p.backlog.processors += float64(e.Capacity.Millis) / millisPerCore
 		}
 	}
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -36,6 +36,8 @@
 	// replaced means that another endpoint answers at its address, and missing that it counts as gone
 	// because it is neither listed nor answers.
 	replaced, missing bool
+	// cordoned means that the endpoint is in an evacuated zone.
+	cordoned bool
 	// departsAt is the earliest time at which a draining endpoint goes away, or 0.
 	departsAt definer.Instant
 	// life is the start time of the endpoint process that answered last, as in
@@ -223,7 +225,7 @@
 
 // reachable reports whether e would carry out a start, quarantine aside.
 func (e *endpoint) reachable(now definer.Instant, freshness time.Duration) bool {
-	return e.acceptedTerm && e.listed && e.entry == entryStored && e.addressStored && !e.Draining && e.unknownRuns == 0 &&
+	return e.acceptedTerm && e.listed && e.entry == entryStored && e.addressStored && !e.Draining && !e.cordoned && e.unknownRuns == 0 &&
 		now >= e.pausedUntil && now.Sub(e.lastAnswered) < freshness
 }
 
--- a/internal/cell/planner/listing.go
+++ b/internal/cell/planner/listing.go
@@ -110,6 +110,7 @@
 	p.noteAddressChange(e, &listing)
 	e.Listing = listing
 	e.listed = true
+	e.cordoned = p.isEvacuated(e.Zone)
 	e.updateDeparture(&listing, now)
 	if changed {
 		p.storeEndpoint(e)
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -58,6 +58,7 @@
 	}
 	p.expireLeases(now)
 	p.evacuate(now)
+	p.clearZones(now)
 
 	return p.expire(now)
 }
@@ -92,6 +93,7 @@
 		steps = append(steps, s)
 	}
 	slices.SortFunc(steps, (*step).compare)
+	ps.dropCordonedReservations(steps)
 	ps.restoreReservations(steps)
 	ps.countGangQuestions(steps)
 	urgent, _ := slices.BinarySearchFunc(steps, urgencyMissed, func(s *step, urgency int) int { return cmp.Compare(s.urgency, urgency) })
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -64,6 +64,8 @@
 	changes uint64
 	// changedEndpoints holds the ids of the endpoints whose records in the state table are out of date.
 	changedEndpoints map[string]struct{}
+	// zones holds the evacuated zones by name.
+	zones map[string]*evacuatedZone
 	// unusedListings holds, by id, the entries of the endpoint list whose services the cell does not use.
 	unusedListings map[string]unusedListing
 	// routedServices holds the services that routes of the configuration use, and jobsOfService the numbers of
--- a/internal/cell/planner/reservation.go
+++ b/internal/cell/planner/reservation.go
@@ -34,7 +34,7 @@
 	type usage struct{ used, capacity modeler.Resources }
 	services := map[string]usage{}
 	for _, e := range ps.planner.ordered {
-		if e.listed {
+		if e.listed && !e.cordoned {
 			u := services[e.Service]
 			services[e.Service] = usage{u.used.Add(e.used), u.capacity.Add(e.Capacity)}
 		}
--- a/internal/cell/planner/standing.go
+++ b/internal/cell/planner/standing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,6 +31,7 @@
 	standTakeover    standReason = "runs of the previous owner are not all known"
 	standRunNotOver  standReason = "earlier run may not be over"
 	standNoEndpoint  standReason = "no endpoint may run it"
+	standEvacuated   standReason = "endpoints are in evacuated zones"
 	standLimit       standReason = "limit of the account"
 	standNotAsked    standReason = "policy not asked"
 	standQuestionOut standReason = "policy has not answered"
@@ -168,6 +170,9 @@
 	if s.def.Gang {
 		args = append(args, s.waited.args()...)
 	}
+	if len(ps.planner.zones) > 0 {
+		args = append(args, "evacuated zones", slices.Sorted(maps.Keys(ps.planner.zones)))
+	}
 	if r := s.unsettledRun(); r != nil {
 		args = append(args, "run on", r.endpoint.ID, "sent", ps.now.Sub(r.sentAt))
 	}
@@ -245,6 +250,8 @@
 		return standTakeover
 	case s.unsettledRun() != nil:
 		return standRunNotOver
+	case ps.needsCordoned(s):
+		return standEvacuated
 	case view.eligible == 0:
 		return standNoEndpoint
 	case !account.withinLimit(s.def.Need.Scale(int64(wanted)), ps.unconfirmed[account]):
