Pass evacuated zones from the operators' table to the owner

Each instance follows the records evacuate/ZONE, whatever their value, and its elector passes the set to the owner. An owner reads the table itself before its first round, and again before the next one after it was suspended, so that it does not start tasks by a set that is out of date. The offset of the table orders the two sources. Without evacuate-ms no owner waits for a read.

--- a/internal/cell/definer/interfaces.go
+++ b/internal/cell/definer/interfaces.go
@@ -92,4 +92,7 @@
 	Endpoint(record Record) (Listing, error)
 	// Configuration decodes a record of the operators. It returns nil if the record holds no configuration.
 	Configuration(record Record) (*Configuration, error)
+	// Evacuation decodes a record of the operators that evacuates a zone. It returns the zone and whether the record
+	// evacuates it or withdraws the evacuation; the zone is empty if the record is about no zone.
+	Evacuation(record Record) (zone string, evacuated bool)
 }
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -36,6 +36,9 @@
 	// Power is the processor time available to the instance, in processors.
 	Power   float64
 	Planner planner.Settings
+	// Evacuation is the time from an evacuation of a zone until no task is started there; 0 means that zones are not
+	// evacuated.
+	Evacuation time.Duration
 }
 
 // Instance is an entry of the instances table, in which instances register.
@@ -76,6 +79,7 @@
 	storeAge     func() time.Duration
 	storeLatency func() time.Duration
 	config       atomic.Pointer[definer.Configuration]
+	evacuations  atomic.Pointer[definer.Evacuations]
 
 	mu sync.Mutex
 	// runCtx is the context of Run and of the owner on this instance.
@@ -147,6 +151,23 @@
 	}
 }
 
+// Evacuate stores the evacuated zones and passes them to the owner if it is this instance. It is called with sets that
+// follow one another.
+func (e *Elector) Evacuate(evacuations definer.Evacuations) {
+	e.evacuations.Store(&evacuations)
+	if lead := e.LocalLeader(); lead != nil {
+		lead.Evacuate(evacuations)
+	}
+}
+
+// passOnEvacuations passes the evacuated zones to an owner that has just become known as that of this instance, which
+// Evacuate may have missed.
+func (e *Elector) passOnEvacuations(lead *leader.Leader) {
+	if evacuations := e.evacuations.Load(); evacuations != nil {
+		lead.Evacuate(*evacuations)
+	}
+}
+
 // Owner returns the known owner and a channel that is closed when it changes.
 func (e *Elector) Owner() (Ownership, <-chan struct{}) {
 	e.mu.Lock()
--- a/internal/cell/elector/owner.go
+++ b/internal/cell/elector/owner.go
@@ -37,11 +37,12 @@
 	}
 	term := end + 1
 	client := courier.NewClient(e.endpoints, e.pool, e.courierFor, e.logger, e.metrics)
-	lead := leader.New(leader.Settings{Planner: e.settings.Planner, Claim: claim, Term: term, End: end + 1},
+	lead := leader.New(leader.Settings{Planner: e.settings.Planner, Claim: claim, Term: term, End: end + 1, Evacuation: e.settings.Evacuation},
 		e.store, client, e, e.decoder, e.config.Load(), e.logger.Named("owner"), e.metrics)
 	e.logger.Info("cell claimed", "term", term, "why", reason)
 	e.metrics.Count("claims")
 	e.endClaim(lead)
+	e.passOnEvacuations(lead)
 	owner := Ownership{Term: term, Address: e.settings.Address, Name: e.settings.Name, Life: e.settings.Life}
 	e.learn(owner, "claim")
 	e.mu.Lock()
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -28,6 +28,9 @@
 	Claim journaler.Claim
 	// Term is the fencing token; End is the offset after the claim in the state table.
 	Term, End int64
+	// Evacuation is the time from an evacuation of a zone until no task is started there; 0 means that zones are not
+	// evacuated.
+	Evacuation time.Duration
 }
 
 // PolicyClient asks a placement policy through one of the instances.
@@ -75,6 +78,7 @@
 	malformedEntries map[string]struct{}
 	// nextPlan is when the next placement round may begin.
 	nextPlan definer.Instant
+	zones    zones
 }
 
 // message is an event that loop applies.
@@ -175,6 +179,8 @@
 	defer l.goroutines.Wait()
 	defer cancel(context.Canceled)
 	began := definer.Now()
+	l.readZones(ctx)
+	defer l.metrics.SetGauges(evacuatedRunsGauge, nil)
 	state, err := l.load(ctx)
 	if err != nil {
 		return err
@@ -228,6 +234,7 @@
 		case <-ticker.C:
 			now := definer.Now()
 			l.journal.jobsToRemove = append(l.journal.jobsToRemove, l.planner.Tick(now, time.Now())...)
+			l.reportZones()
 			l.renewDue(ctx, now)
 			l.journal.refuseStale(l, now)
 			if l.planner.HasMajority(now) || !l.planner.HasEndpoints() {
@@ -259,7 +266,7 @@
 
 // planAndExecute runs a placement round if one is due and executes the planner's commands.
 func (l *Leader) planAndExecute(ctx context.Context, now definer.Instant) {
-	if !l.draining && now >= l.nextPlan {
+	if !l.draining && now >= l.nextPlan && l.knowsZones(ctx, now) {
 		l.planRound(now)
 	}
 	for _, note := range l.planner.Notes() {
--- a/internal/cell/receiver/fakes_test.go
+++ b/internal/cell/receiver/fakes_test.go
@@ -224,6 +224,8 @@
 	}, nil
 }
 
+func (fakeDecoder) Evacuation(definer.Record) (string, bool) { return "", false }
+
 func (fakeDecoder) Configuration(definer.Record) (*definer.Configuration, error) {
 	return testConfiguration, nil
 }
--- a/internal/cell/recorder/recorder.go
+++ b/internal/cell/recorder/recorder.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"sort"
 	"sync"
@@ -81,21 +82,35 @@
 // Done returns a channel that is closed when Run has written all lines and returned.
 func (w *Writer) Done() <-chan struct{} { return w.done }
 
-// Metrics holds counters and latency histograms.
+// Metrics holds counters, gauges and latency histograms.
 type Metrics struct {
 	counters   *expvar.Map
 	mu         sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram
+	// gauges holds the present values of each group.
+	gauges map[string]map[string]int64
 }
 
 // NewMetrics returns empty metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{counters: new(expvar.Map).Init(), histograms: map[string]*hdrhistogram.Histogram{}}
+	return &Metrics{counters: new(expvar.Map).Init(), histograms: map[string]*hdrhistogram.Histogram{}, gauges: map[string]map[string]int64{}}
 }
 
 // Count adds one to a counter.
 func (m *Metrics) Count(name string) { m.counters.Add(name, 1) }
 
+// SetGauges replaces the present values of a group; without values the group is left out.
+func (m *Metrics) SetGauges(group string, values map[string]int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(values) == 0 {
+		delete(m.gauges, group)
+
+		return
+	}
+	m.gauges[group] = values
+}
+
 // Observe adds a latency to a histogram.
 func (m *Metrics) Observe(name string, latency time.Duration) {
 	m.mu.Lock()
@@ -147,5 +162,5 @@
 		}
 	}
 
-	return map[string]any{"counters": counters, "microseconds": latencies}
+	return map[string]any{"counters": counters, "gauges": maps.Clone(m.gauges), "microseconds": latencies}
 }
--- a/internal/cell/watcher/watcher.go
+++ b/internal/cell/watcher/watcher.go
@@ -69,6 +69,9 @@
 // date, or 0 before the first load.
 func (w *Watcher) AsOf() definer.Instant { return definer.Instant(w.asOf.Load()) }
 
+// Offset returns the offset up to which the records of the table are applied. It may only be called by onSync.
+func (w *Watcher) Offset() int64 { return w.next }
+
 // Latency returns the duration of the last load of the table. It is a measure of the
 // latency of the store, because a load does not wait for new records.
 func (w *Watcher) Latency() time.Duration { return time.Duration(w.latency.Load()) }
