Evacuate zones in the soak and check that no task starts there

standin disrupt evacuates up to two of three zones, writes the records again with other values, takes the zones back, and kills or pauses the owner at some evacuations. A start in the zone later than 5 s after the acknowledgement is a violation; time for which the store refused all calls is added, 8 s at most.

--- a/cmd/standin/disrupt.go
+++ b/cmd/standin/disrupt.go
@@ -22,6 +22,7 @@
 	Endpoints int           `arg:"--endpoints" default:"9" help:"endpoints"`
 	Rate      int           `arg:"--rate" default:"20" help:"jobs a second"`
 	Mix       disrupter.Mix `arg:"--mix" default:"single" help:"faults: single, struck-twice, store-cut, malformed, many-ends, policies or all"`
+	Evacuate  bool          `arg:"--evacuate" default:"true" help:"evacuate zones and take them back beside the faults, not with the mix policies or --known"`
 	Known     bool          `arg:"--known" help:"play the runs that once broke a promise instead"`
 }
 
@@ -62,7 +63,8 @@
 		return runs
 	}
 	for n := range c.Seeds {
-		runs = append(runs, disrupter.Settings{Seed: c.Seed + uint64(n), Duration: c.Duration, Entries: c.Entries, Endpoints: c.Endpoints, Rate: c.Rate, Mix: c.Mix})
+		runs = append(runs, disrupter.Settings{Seed: c.Seed + uint64(n), Duration: c.Duration, Entries: c.Entries, Endpoints: c.Endpoints, Rate: c.Rate, Mix: c.Mix,
+			Evacuations: c.Evacuate && c.Mix != disrupter.MixPolicies})
 	}
 
 	return runs
--- a/internal/proof/disrupter/cluster.go
+++ b/internal/proof/disrupter/cluster.go
@@ -76,6 +76,7 @@
 	store     *storer.Store
 	ledger    *executor.Ledger
 	executors *executor.Host
+	zones     *zoneWatcher
 	launcher  *launcher.Launcher
 	entries   []*entry
 	servers   []*http.Server
@@ -101,6 +102,8 @@
 	c := &cluster{settings: settings, store: storer.New(random), launcher: launcher.New(settings.Dir)}
 	c.ledger = executor.NewLedger(settings.limits(), cancelBound)
 	c.executors = executor.NewHost(c.ledger, settings.Mix.lease(), gangWait)
+	c.zones = newZoneWatcher(c.ledger)
+	c.executors.SetOnStart(func(endpoint, task string) { c.zones.checkStart(endpoint, task, time.Now()) })
 	c.publishConfig(false)
 	for n := range settings.Endpoints {
 		if err := c.addHost(ctx, n); err != nil {
@@ -137,6 +140,7 @@
 func (c *cluster) addHost(ctx context.Context, number int) error {
 	zone := zoneOf(number)
 	endpoint := c.executors.Add(fmt.Sprintf("i-%03d", number), modeler.Resources{Millis: endpointMillis, Memory: endpointMemory})
+	c.zones.addEndpoint(endpoint.ID, zone)
 	address, err := c.listen(ctx, endpoint.Router())
 	if err != nil {
 		return err
@@ -166,9 +170,7 @@
 // isSole reports whether h is the endpoint with labelSole.
 func (h *host) isSole() bool { return h.label == labelSole && h.available() }
 
-func zoneOf(number int) string {
-	return []string{"costa-lima", "sierra-cusco", "selva-iquitos"}[number%3]
-}
+func zoneOf(number int) string { return zoneNames[number%len(zoneNames)] }
 
 // publishEndpoint writes the attributes that an endpoint reports to the list, or
 // removes the endpoint from the list.
@@ -243,6 +245,7 @@
 [bounds]
 hold-max-ms = %d
 revoke-ms = %d
+evacuate-ms = %d
 grace-s = %d
 [platform]
 address = %q
@@ -274,7 +277,7 @@
 	ip := netip.AddrFrom4([4]byte{127, byte(1 + pid>>8%100), byte(pid), byte(1 + number)})
 	e := &entry{name: name, ip: ip, route: route, policyRoute: policyRoute, file: filepath.Join(c.settings.Dir, name+".toml")}
 	text := fmt.Sprintf(settingsFormat, e.name, ip, zoneOf(number), policyRoute.Address(), peerPort, peerPort+1, ip, frontPort, ip, readyPort,
-		entryMemoryMB, c.settings.Mix.lease().Milliseconds(), revokeBound.Milliseconds(), int(gracePeriod.Seconds()), route.Address())
+		entryMemoryMB, c.settings.Mix.lease().Milliseconds(), revokeBound.Milliseconds(), evacuateBound.Milliseconds(), int(gracePeriod.Seconds()), route.Address())
 	if err := os.WriteFile(e.file, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
--- a/internal/proof/disrupter/disrupter.go
+++ b/internal/proof/disrupter/disrupter.go
@@ -29,6 +29,8 @@
 	Entries, Endpoints, Rate int
 	// Mix selects the faults.
 	Mix Mix
+	// Evacuations lets zones be evacuated and taken back beside the faults.
+	Evacuations bool
 	// Output receives the injected faults and the report.
 	Output io.Writer
 }
@@ -97,6 +99,9 @@
 	}
 	logf("first job accepted")
 	i := &faultInjector{cluster: c, clients: cs, mix: settings.Mix, random: newRandom(2), counts: map[string]int{}, stopping: map[*launcher.Process]bool{}, logf: logf, steps: make(chan func(), 1024)}
+	if settings.Evacuations {
+		i.evacuator = &evacuator{injector: i, random: newRandom(6)}
+	}
 	var work sync.WaitGroup
 	if settings.Mix == MixPolicies {
 		pc := &policyClients{clients: cs, random: newRandom(3)}
--- a/internal/proof/disrupter/fault.go
+++ b/internal/proof/disrupter/fault.go
@@ -108,6 +108,8 @@
 	clients *clients
 	mix     Mix
 	random  *rand.Rand
+	// evacuator evacuates zones beside the faults, or is nil.
+	evacuator *evacuator
 	// bursts are the clients of the jobs that a fault submits.
 	bursts sync.WaitGroup
 	// addedHosts counts the endpoints added in place of drained ones.
@@ -129,6 +131,9 @@
 	defer i.bursts.Wait()
 	defer i.undoAll()
 	catalogue := i.mix.faults()
+	if i.evacuator != nil {
+		i.evacuator.scheduleNext()
+	}
 	for {
 		timer := time.NewTimer(i.mix.interval(i.random))
 		for waiting := true; waiting; {
@@ -179,7 +184,11 @@
 			pending = false
 		}
 	}
+	if i.evacuator != nil {
+		i.evacuator.withdrawAll()
+	}
 	i.cluster.store.SetFaults(storer.Faults{})
+	i.cluster.zones.storeRefuses(false, time.Now())
 	for _, e := range i.cluster.entries {
 		_ = e.route.Set(relayer.Settings{})
 		_ = e.policyRoute.Set(relayer.Settings{})
@@ -283,8 +292,12 @@
 
 // setStoreFaults sets the faults of the store for a duration.
 func (i *faultInjector) setStoreFaults(faults storer.Faults, duration time.Duration) {
-	i.cluster.store.SetFaults(faults)
-	i.callAfter(duration, func() { i.cluster.store.SetFaults(storer.Faults{}) })
+	setFaults := func(faults storer.Faults) {
+		i.cluster.store.SetFaults(faults)
+		i.cluster.zones.storeRefuses(faults.Unavailable, time.Now())
+	}
+	setFaults(faults)
+	i.callAfter(duration, func() { setFaults(storer.Faults{}) })
 }
 
 // drainEndpoint drains and removes a random endpoint and adds another one.
@@ -343,6 +356,11 @@
 			text += fmt.Sprintf("  %-40s %d\n", f.name, counts[f.name])
 		}
 	}
+	for _, name := range evacuationFaults {
+		if counts[name] > 0 {
+			text += fmt.Sprintf("  %-40s %d\n", name, counts[name])
+		}
+	}
 
 	return text
 }
--- a/internal/standin/executor/endpoint.go
+++ b/internal/standin/executor/endpoint.go
@@ -84,6 +84,7 @@
 	mu        sync.Mutex
 	endpoints []*Endpoint
 	done      chan struct{}
+	onStart   func(endpoint, task string)
 	// began is the start of the clock of the tickets.
 	began time.Time
 }
@@ -99,6 +100,10 @@
 	return &Host{ledger: ledger, leaseMax: leaseMax, gangWait: gangWait, began: time.Now(), done: make(chan struct{})}
 }
 
+// SetOnStart sets a function that is called at each start of a run. It must not call the host. It is set before the
+// first endpoint is added.
+func (h *Host) SetOnStart(call func(endpoint, task string)) { h.onStart = call }
+
 // Add adds an endpoint to the host.
 func (h *Host) Add(id string, capacity modeler.Resources) *Endpoint {
 	h.mu.Lock()
--- a/internal/standin/executor/server.go
+++ b/internal/standin/executor/server.go
@@ -111,6 +111,9 @@
 	if !known {
 		return http.StatusBadRequest, ""
 	}
+	if e.host.onStart != nil {
+		e.host.onStart(e.ID, o.Task)
+	}
 	r.duration, r.need, r.gang = work.Length, work.Need, work.Gang
 	e.running[o.Task] = r
 	e.checkLoad(o.Task, work.PerEndpoint)
