Test that owners know evacuated zones at once, and what gangs reserve there

The tests fail without the owner's own read, its wait for it, the way from the elector to the owner, and the release of reservations during a question.

--- a/internal/cell/leader/zones_test.go
+++ b/internal/cell/leader/zones_test.go
@@ -99,13 +99,17 @@
 	l := zonedOwner(store, 5*time.Second)
 	l.Evacuate(definer.Evacuations{Offset: 1})
 	l.readZones(ctx)
-	if l.awaitZones(ctx, 300*time.Millisecond) {
+	l.handoverRequested = true // The store takes no appends.
+	if l.planAndExecute(ctx, definer.Now()); l.awaitZones(ctx, 300*time.Millisecond) || l.nextPlan != 0 {
 		t.Fatal("the owner begins rounds although it has not read the evacuated zones")
 	}
 	store.setCut(false)
 	if !l.awaitZones(ctx, 2*time.Second) {
 		t.Fatal("the owner begins no rounds although it has read the evacuated zones")
 	}
+	if l.planAndExecute(ctx, definer.Now()); l.nextPlan == 0 {
+		t.Fatal("no round after the evacuated zones were read")
+	}
 	l.Evacuate(definer.Evacuations{Offset: 2, Zones: []string{"a"}})
 	l.applyMessages(ctx)
 	if diff := cmp.Diff([]string{"a", "b"}, l.evacuated()); diff != "" {
--- a/internal/cell/planner/zone_test.go
+++ b/internal/cell/planner/zone_test.go
@@ -84,16 +84,18 @@
 }
 
 // TestEndpointListedInEvacuatedZone guards against work on an endpoint that appears in an
-// evacuated zone, or moves into one.
+// evacuated zone, or moves into one, and against an empty name that evacuates the endpoints
+// without a zone.
 func TestEndpointListedInEvacuatedZone(t *testing.T) {
 	c := newZonedCell(t, 3)
-	c.evacuate("a")
+	c.evacuate("", "a")
 	c.listEndpoint("e100")
 	c.listInZone("e100", "a")
+	c.listEndpoint("e101")
 	c.listInZone("e001", "a")
 	c.accept(c.job("a", simpleStep(24)))
 	c.plan()
-	if diff := cmp.Diff([]string{"c"}, c.zonesStarted()); diff != "" {
+	if diff := cmp.Diff([]string{"", "c"}, c.zonesStarted()); diff != "" {
 		t.Errorf("zones used (-want +got):\n%s", diff)
 	}
 }
@@ -161,6 +163,9 @@
 	if c.evacuate("a"); c.hasNote("zone evacuated", nil) {
 		t.Error("a repeated record counts as another evacuation")
 	}
+	if c.advance(time.Second); c.hasNote("last run in evacuated zone has ended", nil) {
+		t.Error("the end of the last run is noted again after a repeated record")
+	}
 	if c.evacuate(); !c.hasNote("zone in use again", "a") {
 		t.Error("no note says that the zone is in use again")
 	}
@@ -195,6 +200,50 @@
 	}
 }
 
+// TestGangWithQuestionReleasesEvacuatedEndpoints guards against a reservation that a gang keeps
+// in an evacuated zone until its policy has answered.
+func TestGangWithQuestionReleasesEvacuatedEndpoints(t *testing.T) {
+	c := newZonedCell(t, 3)
+	gang := simpleStep(4)
+	gang.Gang = true
+	job := c.job("gang", gang)
+	job.Queue.Policy = &definer.Policy{Decide: 100 * time.Millisecond, Validity: time.Second}
+	c.accept(job)
+	c.plan()
+	for _, ask := range c.takeAsked() {
+		var tickets []definer.Ticket
+		for _, id := range ask.Endpoints {
+			tickets = append(tickets, definer.Ticket{Endpoint: id, Value: "ticket"})
+		}
+		c.planner.PolicyAnswered(&ask, PolicyAnswer{Answered: true, Tickets: tickets, Arrived: c.now}, c.now)
+	}
+	c.advance(2 * time.Second)
+	c.plan()
+	for s := range c.planner.readySteps {
+		if len(s.reserved) != 1 || len(c.asked) != 1 || len(c.started) != 0 {
+			t.Fatalf("%d endpoints reserved, %d questions, %d starts, want 1, 1, 0", len(s.reserved), len(c.asked), len(c.started))
+		}
+		c.evacuate(s.reserved[0].Zone)
+		c.plan()
+		if slices.ContainsFunc(s.reserved, (*endpoint).isCordoned) {
+			t.Error("the gang keeps an endpoint in the evacuated zone reserved")
+		}
+	}
+}
+
+// TestEvacuatedCapacityIsNotFree guards against reservations that yield to other work because
+// the free endpoints of an evacuated zone count as free capacity of the service.
+func TestEvacuatedCapacityIsNotFree(t *testing.T) {
+	c := newZonedCell(t, 3)
+	c.evacuate("a", "b")
+	c.accept(c.job("filler", simpleStep(4)))
+	c.planAndRun()
+	ps := &pass{planner: c.planner, now: c.now}
+	if ps.findBusyServices(); !ps.busy["service"] {
+		t.Error("a service whose usable capacity is all in use does not count as busy")
+	}
+}
+
 // TestAdmissionWithoutEvacuatedZone guards against admission that counts the processors of
 // an evacuated zone, and against one without bound when all zones are evacuated.
 func TestAdmissionWithoutEvacuatedZone(t *testing.T) {
--- a/internal/cell/receiver/fakes_test.go
+++ b/internal/cell/receiver/fakes_test.go
@@ -123,6 +123,8 @@
 	ended   map[string][]definer.EndedTask
 	done    map[definer.TaskName]bool
 	starts  int
+	// startsOn counts the starts by endpoint.
+	startsOn map[string]int
 }
 
 type fakeRun struct {
@@ -135,7 +137,7 @@
 
 	return &fakeEndpoints{
 		TB: tb, runTime: runTime, terms: map[string]int64{}, running: map[string]map[definer.TaskName]fakeRun{},
-		ended: map[string][]definer.EndedTask{}, done: map[definer.TaskName]bool{},
+		ended: map[string][]definer.EndedTask{}, done: map[definer.TaskName]bool{}, startsOn: map[string]int{},
 	}
 }
 
@@ -176,6 +178,7 @@
 	}
 	f.running[target.ID][order.Task] = fakeRun{number: order.Run, until: time.Now().Add(f.runTime)}
 	f.starts++
+	f.startsOn[target.ID]++
 
 	return definer.VerdictDone, nil
 }
@@ -214,17 +217,28 @@
 	return report, definer.VerdictDone, nil
 }
 
-// fakeDecoder returns fixed endpoints and testConfiguration for any record.
+// fakeDecoder returns fixed endpoints, each in a zone of its own name, and testConfiguration for any record. A key of
+// evacuatedPrefix and a zone evacuates the zone.
 type fakeDecoder struct{}
 
 func (fakeDecoder) Endpoint(record definer.Record) (definer.Listing, error) {
 	return definer.Listing{
-		ID: record.Key, Service: "service", Address: netip.MustParseAddrPort("127.0.0.1:1"), Born: 1,
+		ID: record.Key, Zone: record.Key, Service: "service", Address: netip.MustParseAddrPort("127.0.0.1:1"), Born: 1,
 		Capacity: modeler.Resources{Millis: 16000, Memory: 64 << 30},
 	}, nil
 }
 
-func (fakeDecoder) Evacuation(definer.Record) (string, bool) { return "", false }
+// evacuatedPrefix begins the keys of evacuations.
+const evacuatedPrefix = "evacuate/"
+
+func (fakeDecoder) Evacuation(record definer.Record) (string, bool) {
+	zone, found := strings.CutPrefix(record.Key, evacuatedPrefix)
+	if !found {
+		return "", false
+	}
+
+	return zone, len(record.Value) > 0
+}
 
 func (fakeDecoder) Configuration(definer.Record) (*definer.Configuration, error) {
 	return testConfiguration, nil
@@ -270,7 +284,8 @@
 	age := func() time.Duration { return definer.Since(feed.AsOf()) }
 	n.elector = elector.New(elector.Settings{
 		Name: name, Address: address, Life: time.Now().UnixNano(),
-		Planner: planner.Settings{Lease: 2 * time.Second, Freshness: time.Second},
+		Planner:    planner.Settings{Lease: 2 * time.Second, Freshness: time.Second},
+		Evacuation: 5 * time.Second,
 	}, client, endpoints, noAdviser{}, fakeDecoder{}, age, feed.Latency, logger, metrics)
 	n.receiver = New(Settings{Revocation: 5 * time.Second}, n.elector, feed.AsOf, logger, metrics)
 	n.elector.Configure(testConfiguration)
