--- /dev/null
+++ b/internal/cell/estimator/speed.go
@@ -0,0 +1,122 @@
+package estimator
+
+import "math"
+
+const (
+	// initialSpeedVariance is the variance of the logarithm of the speed of an endpoint of which nothing is known.
+	initialSpeedVariance = 0.1
+	// speedDrift is the variance that a speed gains with each run, so that one that changes is learned again.
+	speedDrift = 0.0015
+	// speedPull is the share of the logarithm of a speed that is kept with each run. It holds the mean speed at 1:
+	// the runs only show the product of speed and work.
+	speedPull = 0.998
+	// maxSurprise is the distance from what was expected, in standard deviations, up to which a run counts.
+	maxSurprise = 2.0
+	// minSpeed and maxSpeed bound the speeds.
+	minSpeed, maxSpeed = 0.1, 5.0
+	// initialWithinStep is the variance of the logarithms of the ratios of one step before any was seen, minWithinStep
+	// the least, and withinStepGain the weight of a new run in the moving average.
+	initialWithinStep = 0.16
+	minWithinStep     = 0.001
+	withinStepGain    = 0.01
+	// maxSpeeds bounds the endpoints.
+	maxSpeeds = 32768
+)
+
+// speed is the estimated speed of an endpoint.
+type speed struct {
+	// log is its logarithm, and variance that of the estimate.
+	log, variance float64
+	// factor is the speed, and shard the part of the summary that the endpoint belongs to.
+	factor float64
+	shard  int
+}
+
+func newSpeed(endpoint string, factor, variance float64) *speed {
+	return &speed{log: math.Log(factor), variance: variance, factor: factor, shard: shardOfSpeed(endpoint)}
+}
+
+// Speed returns the speed of an endpoint; 1 is the mean.
+func (e *Estimator) Speed(endpoint string) float64 {
+	if s := e.speeds[endpoint]; s != nil {
+		return s.factor
+	}
+
+	return 1
+}
+
+// Forget drops what was learned of an endpoint.
+func (e *Estimator) Forget(endpoint string) {
+	if s := e.speeds[endpoint]; s != nil {
+		delete(e.speeds, endpoint)
+		e.shards.changed[s.shard] = true
+	}
+}
+
+// observeSpeed learns the speed of the endpoint of a run whose ratio has the logarithm raw.
+// The work of the run is predicted from its key and from the other runs of its step;
+// the more these differ among themselves, the less the run says about the endpoint.
+func (e *Estimator) observeSpeed(r *Run, raw float64) {
+	id := r.Endpoints[0]
+	s := e.speeds[id]
+	if s == nil {
+		if len(e.speeds) >= maxSpeeds {
+			return
+		}
+		s = newSpeed(id, 1, initialSpeedVariance)
+		e.speeds[id] = s
+	}
+	work, noise := e.expectedWork(r)
+	s.update(work-raw, noise)
+	e.shards.changed[s.shard] = true
+}
+
+// update corrects the speed by an observation of its logarithm with the variance noise.
+func (s *speed) update(observed, noise float64) {
+	s.log *= speedPull
+	s.variance += speedDrift
+	total := s.variance + noise
+	limit := maxSurprise * math.Sqrt(total)
+	gain := s.variance / total
+	s.log += gain * min(max(observed-s.log, -limit), limit)
+	s.variance *= 1 - gain
+	s.log = min(max(s.log, math.Log(minSpeed)), math.Log(maxSpeed))
+	s.factor = math.Exp(s.log)
+}
+
+// expectedWork returns the expected logarithm of the ratio of a run on an endpoint of speed 1,
+// and the variance of the run's around it.
+func (e *Estimator) expectedWork(r *Run) (mean, variance float64) {
+	prediction := e.Predict(r.Key)
+	mean = math.Log(prediction.Median)
+	between := max(prediction.Spread*prediction.Spread, minWithinStep)
+	within := e.withinStep(r.Key.Queue)
+	if r.Step == nil || r.Step.runs == 0 {
+		return mean, max(between, within)
+	}
+	ofKey, ofStep := 1/between, float64(r.Step.runs)/within
+
+	return (mean*ofKey + r.Step.mean*ofStep) / (ofKey + ofStep), 1/(ofKey+ofStep) + within
+}
+
+func (e *Estimator) withinStep(queue string) float64 {
+	if variance, known := e.withinSteps[queue]; known {
+		return variance
+	}
+
+	return initialWithinStep
+}
+
+// recordInStep adds a run whose ratio on an endpoint of speed 1 has the logarithm to those of its step.
+func (e *Estimator) recordInStep(r *Run, ratio float64) {
+	s := r.Step
+	if s.runs > 0 {
+		variance := e.withinStep(r.Key.Queue)
+		deviation := ratio - s.mean
+		// The mean of n runs has a variance of its own.
+		seen := min(deviation*deviation*float64(s.runs)/float64(s.runs+1), maxSurprise*maxSurprise*variance)
+		e.withinSteps[r.Key.Queue] = max(variance+withinStepGain*(seen-variance), minWithinStep)
+	}
+	s.runs++
+	s.mean += (ratio - s.mean) / float64(s.runs)
+}
