Use the learned speed of endpoints in placement

The mean speed of an endpoint followed the errors of the estimates: with one ratio for each queue, a run whose estimate was too short made its endpoint look slow. The speed is now the estimator's, which tells the work of a step from the speed of its endpoints. Runs whose end or beginning was not seen, or that stood still, count until they were last seen working.

Settings.Learn selects the uses; without any, all speeds are 1.

--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -76,7 +76,9 @@
 	quarantine                      time.Duration
 	// pausedUntil is when starts are allowed again after one that was not accepted.
 	pausedUntil definer.Instant
-	// speed is the mean ratio of expected to actual run times.
+	// reportedAt is when the last report arrived, and previousReport when the one before that did.
+	reportedAt, previousReport definer.Instant
+	// speed is the learned speed; 1 is the mean.
 	speed float64
 }
 
@@ -123,6 +125,11 @@
 	confirmed bool
 	// adopted means that an endpoint listed the run and the owner did not know it.
 	adopted bool
+	// resumed means that the run continues from a checkpoint.
+	resumed bool
+	// beganAt is when the run is known to have begun its work, or 0, and stoodSince since when it stood still
+	// when it was stopped for that, or 0.
+	beganAt, stoodSince definer.Instant
 	// life is that of the endpoint when the run was started or adopted.
 	life int64
 }
@@ -153,6 +160,7 @@
 // removeEndpoint removes an endpoint and frees its slot.
 func (p *Planner) removeEndpoint(e *endpoint) {
 	delete(p.endpoints, e.ID)
+	p.estimator.Forget(e.ID)
 	delete(p.changedEndpoints, e.ID)
 	delete(p.listingEnds, e)
 	delete(p.unacknowledged, e)
@@ -322,6 +330,7 @@
 	if r.task != nil && r.task.run == r {
 		r.task.writtenOff = max(r.task.writtenOff, r.number)
 	}
+	p.learnLost(r)
 	p.release(r)
 	p.requeue(r, r.checkpoint)
 }
--- a/internal/cell/planner/evacuate.go
+++ b/internal/cell/planner/evacuate.go
@@ -82,7 +82,7 @@
 		return time.Duration(float64(elapsed) * float64(completePercent-r.percent) / float64(r.percent))
 	}
 	s := r.task.step
-	expected := float64(s.def.Estimate) * p.stats(s.job.Queue.Name).durationRatio / max(r.endpoint.speed, 0.1)
+	expected := float64(s.def.Estimate) / max(r.endpoint.speed, 0.1)
 
 	return time.Duration(expected) - elapsed
 }
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/estimator"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
@@ -76,6 +77,9 @@
 	// remainingPath is the estimated time from the start of the step to the end of its
 	// occurrence, along the longest chain of dependent steps.
 	remainingPath time.Duration
+	// learned is about the finished runs of the step, and learnedRun the last run of the gang that was learned from.
+	learned    estimator.Step
+	learnedRun int
 	// urgency and overShare are computed anew in each round of placement.
 	urgency   int
 	overShare bool
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -440,7 +440,7 @@
 	p := ps.planner
 	s := t.step
 	r := &run{task: t, name: t.name(), number: number, endpoint: e, need: s.need(), account: p.account(s.job.Account),
-		sentAt: ps.now, progressedAt: ps.now, checkpoint: t.checkpoint}
+		sentAt: ps.now, progressedAt: ps.now, checkpoint: t.checkpoint, resumed: t.checkpoint != ""}
 	t.run, t.lastRun = r, number
 	e.addRun(r)
 	// A start order extends the lease of every run on the endpoint.
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/estimator"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
@@ -20,6 +21,8 @@
 	Lease time.Duration
 	// Freshness is the maximum age of an endpoint's last answered renewal for tasks to be started there.
 	Freshness time.Duration
+	// Learn selects what learned run times are used for.
+	Learn Learning
 }
 
 const (
@@ -54,6 +57,8 @@
 	freeSlots []int
 	accounts  map[string]*account
 	queues    map[string]*queueStats
+	// estimator learns from the runs that end.
+	estimator *estimator.Estimator
 	// readySteps holds the steps that have tasks to start.
 	readySteps map[*step]struct{}
 	// scheduled holds the jobs with occurrences that are not due yet.
@@ -143,8 +148,6 @@
 type queueStats struct {
 	// admissionRate is the share of the endpoints that the queue's policy admits.
 	admissionRate float64
-	// durationRatio is the mean ratio of run times to their estimates.
-	durationRatio float64
 	// ticketReservationsFrom is when gangs that ask for tickets may reserve room again.
 	ticketReservationsFrom definer.Instant
 }
@@ -223,7 +226,7 @@
 		endpoints: map[string]*endpoint{}, accounts: map[string]*account{}, queues: map[string]*queueStats{},
 		readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{},
 		unusedListings: map[string]unusedListing{}, jobsOfService: map[string]int{},
-		changedEndpoints: map[string]struct{}{}, unacknowledged: map[*endpoint]struct{}{}, listingEnds: map[*endpoint]struct{}{},
+		estimator: estimator.New(), changedEndpoints: map[string]struct{}{}, unacknowledged: map[*endpoint]struct{}{}, listingEnds: map[*endpoint]struct{}{},
 	}
 }
 
@@ -270,7 +273,7 @@
 func (p *Planner) stats(queue string) *queueStats {
 	q := p.queues[queue]
 	if q == nil {
-		q = &queueStats{admissionRate: initialAdmission, durationRatio: 1}
+		q = &queueStats{admissionRate: initialAdmission}
 		p.queues[queue] = q
 	}
 
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -13,9 +13,6 @@
 	completePercent = 100
 	// stallEstimateShare is the share of the estimate that replaces minStallTimeout for long tasks.
 	stallEstimateShare = 0.4
-	// durationGain and speedGain are the weights of a new run time in the moving averages.
-	durationGain = 0.05
-	speedGain    = 0.15
 )
 
 // Report processes an endpoint's inventory. sent is when the renewal was sent;
@@ -35,6 +32,7 @@
 		p.endpointRestarted(e, report.Born, now)
 	}
 	e.life = report.Born
+	e.previousReport, e.reportedAt = e.reportedAt, now
 	if e.entry == entryAbsent {
 		p.storeEndpoint(e)
 	}
@@ -157,6 +155,7 @@
 		"percent", r.percent, "for", now.Sub(r.progressedAt))
 	e.beginQuarantine(now)
 	t.avoidEndpoint(e, now)
+	r.stoodSince = r.progressedAt
 	p.stopRun(r)
 }
 
@@ -259,6 +258,9 @@
 	case definer.EndFailed:
 		p.runFailed(r, row, now)
 	case definer.EndStopped, definer.EndLapsed, definer.EndBroken, definer.EndAlone:
+		if row.End != definer.EndAlone {
+			p.learnCut(r, now)
+		}
 		if row.End == definer.EndAlone || row.End == definer.EndLapsed {
 			p.note("run ended", row.Task.Job, "how", string(row.End), "endpoint", e.ID, "step", row.Task.Step, "index", row.Task.Index, "run", row.Run)
 		}
@@ -277,12 +279,7 @@
 
 		return
 	}
-	if elapsed, estimate := now.Sub(r.sentAt), s.def.Estimate; estimate > 0 && r.confirmed {
-		ratio := min(max(elapsed.Seconds()/estimate.Seconds(), 0.1), 10)
-		q := p.stats(s.job.Queue.Name)
-		r.endpoint.speed += speedGain * (min(q.durationRatio/ratio, 3) - r.endpoint.speed)
-		q.durationRatio += durationGain * (ratio - q.durationRatio)
-	}
+	p.learnDone(r, now)
 	if !s.def.Gang {
 		if t.run != nil && t.run != r {
 			p.stopRun(t.run)
@@ -305,6 +302,7 @@
 	t := r.task
 	s := t.step
 	j := s.job
+	p.learnCut(r, now)
 	if r.endpoint.recordFailure(j.ID, now) {
 		p.note("endpoint in quarantine", "", "endpoint", r.endpoint.ID, "for", r.endpoint.quarantine)
 	}
@@ -436,7 +434,7 @@
 	switch verdict {
 	case definer.VerdictDone:
 		if r.phase == phaseSent {
-			r.phase, r.progressedAt = phaseRunning, now
+			r.phase, r.progressedAt, r.beganAt = phaseRunning, now, now
 		}
 		r.answeredAt, r.confirmed = now, true
 	case definer.VerdictUnknown:
