--- a/internal/measure/simulator/simulator.go
+++ b/internal/measure/simulator/simulator.go
@@ -31,6 +31,10 @@
 	LimitFactor float64
 	// Round is the time between two rounds of placement.
 	Round time.Duration
+	// Speeds are the speeds of the endpoints, in turn; empty means endpointSpeeds.
+	Speeds []float64
+	// Learn selects what the owner uses learned run times for.
+	Learn planner.Learning
 }
 
 const (
@@ -49,7 +53,7 @@
 var endpointCapacity = modeler.Resources{Millis: 16 * coreMillis, Memory: 64 << 30}
 
 // endpointSpeeds are the speeds of the endpoints, in turn.
-var endpointSpeeds = [...]float64{0.8, 1, 1.25}
+var endpointSpeeds = []float64{0.8, 1, 1.25}
 
 // settings are those of an owner on the users' platform.
 var settings = planner.Settings{Term: 1, Lease: 4500 * time.Millisecond, Freshness: 2500 * time.Millisecond}
@@ -73,6 +77,11 @@
 
 // Run simulates a cell.
 func Run(options Options) *Result {
+	settings := settings
+	settings.Learn = options.Learn
+	if len(options.Speeds) == 0 {
+		options.Speeds = endpointSpeeds
+	}
 	c := &cell{
 		options: options, arrivals: rand.New(rand.NewPCG(options.Seed, 1)), outcomes: rand.New(rand.NewPCG(options.Seed, 2)), planner: planner.New(settings), now: definer.Instant(time.Hour),
 		began: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), endpoints: map[string]*endpoint{}, jobs: map[string]*job{},
@@ -161,7 +170,7 @@
 		ID: fmt.Sprintf("e%05d", n), Service: service, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), 80),
 		Capacity: endpointCapacity, Born: 1,
 	}
-	e := &endpoint{cell: c, listing: listing, speed: endpointSpeeds[n%len(endpointSpeeds)], runs: map[runKey]*run{}, lastReport: c.now}
+	e := &endpoint{cell: c, listing: listing, speed: c.options.Speeds[n%len(c.options.Speeds)], runs: map[runKey]*run{}, lastReport: c.now}
 	c.endpoints[listing.ID] = e
 	c.order = append(c.order, e)
 	c.planner.UpdateListing(listing, c.now)
--- a/internal/measure/simulator/traffic.go
+++ b/internal/measure/simulator/traffic.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
@@ -27,8 +30,11 @@
 	// Steps is the number of steps, one after the other; Width is the number of tasks of
 	// each, Cores and Gigabytes the size of a task, and Seconds its work.
 	Steps, Width, Cores, Gigabytes, Seconds Spread
-	// EstimateError is the largest relative error of the estimated work.
-	EstimateError float64
+	// EstimateError is the largest relative error of the estimated work, and AccountBias the deviation of the factor
+	// by which all estimates of an account are wrong beside that.
+	EstimateError, AccountBias float64
+	// TailShare is the share of the runs that take TailFactor times as long as their work.
+	TailShare, TailFactor float64
 	// GangShare, CheckpointShare and FailureShare are the shares of the steps that are
 	// gangs or have checkpoints, and of the runs that fail.
 	GangShare, CheckpointShare, FailureShare float64
@@ -113,7 +119,7 @@
 	step := definer.Step{
 		Count: max(int(math.Round(c.draw(class.Width))), 1), Gang: c.arrivals.Float64() < class.GangShare, Checkpointing: c.arrivals.Float64() < class.CheckpointShare,
 		Need:     modeler.Resources{Millis: int64(c.draw(class.Cores) * coreMillis), Memory: int64(c.draw(class.Gigabytes) * (1 << 30))},
-		Estimate: time.Duration(float64(work) * (1 + class.EstimateError*(2*c.arrivals.Float64()-1))),
+		Estimate: time.Duration(float64(work) * (1 + class.EstimateError*(2*c.arrivals.Float64()-1)) * class.biasOf(j.Account)),
 	}
 	if n > 0 {
 		step.After = []int{n - 1}
@@ -122,6 +128,16 @@
 	j.work = append(j.work, work)
 }
 
+// biasOf returns the factor by which the estimates of an account are wrong.
+func (c *Class) biasOf(account string) float64 {
+	if c.AccountBias == 0 {
+		return 1
+	}
+	hash := xxhash.Sum64String(c.Name + "/" + account)
+
+	return math.Exp(c.AccountBias * rand.New(rand.NewPCG(hash, 0)).NormFloat64())
+}
+
 // stepOf returns the step of a task.
 func (c *cell) stepOf(task definer.TaskName) *definer.Step { return &c.jobs[task.Job].Steps[task.Step] }
 
@@ -141,6 +157,9 @@
 // drawEnd returns how a run ends and after what time.
 func (j *job) drawEnd(c *cell, task definer.TaskName, slowness float64) (definer.End, time.Duration) {
 	work := time.Duration(float64(j.work[task.Step]) * slowness)
+	if j.class.TailShare > 0 && c.outcomes.Float64() < j.class.TailShare {
+		work = time.Duration(float64(work) * j.class.TailFactor)
+	}
 	if c.outcomes.Float64() < j.class.FailureShare {
 		return definer.EndFailed, time.Duration(c.outcomes.Float64() * float64(work))
 	}
