Order waiting work and judge runs by learned run times

The urgency of a step follows from the predicted median of its remaining path, the time after which a run counts as standing still and the decisions about runs on endpoints that leave from the 0.9 quantile. Predictions are kept for each occurrence and made anew once a second, as rounds are frequent.

Speeds are relative to the mean of their service: estimates that are all too short made the only endpoint in use look slow instead.

--- a/internal/cell/estimator/estimator.go
+++ b/internal/cell/estimator/estimator.go
@@ -65,7 +65,7 @@
 	// minEvidence and minSteps are the weight of the samples and the number of steps from
 	// which a key predicts; with less, the next coarser key does.
 	minEvidence = 8.0
-	minSteps    = 4
+	minSteps    = 8
 	// maxKeys bounds the keys of all levels; those without a sample for the longest time are dropped.
 	maxKeys = 8192
 	// minRun is the shortest run that counts, and maxRun the longest.
@@ -81,6 +81,8 @@
 	// recent holds the distributions, the one with the latest sample first.
 	recent *list.List
 	speeds map[string]*speed
+	// means holds the mean logarithm of the speeds, by service.
+	means map[string]*meanSpeed
 	// withinSteps holds the variance of the logarithms of the ratios of runs of one step, by queue.
 	withinSteps map[string]float64
 	shards      shards
@@ -88,7 +90,7 @@
 
 // New returns an estimator that has learned nothing.
 func New() *Estimator {
-	return &Estimator{keys: map[levelKey]*list.Element{}, recent: list.New(), speeds: map[string]*speed{}, withinSteps: map[string]float64{}}
+	return &Estimator{keys: map[levelKey]*list.Element{}, recent: list.New(), speeds: map[string]*speed{}, means: map[string]*meanSpeed{}, withinSteps: map[string]float64{}}
 }
 
 // Run is a run that has ended, or whose end was not seen.
@@ -100,6 +102,8 @@
 	// Censored means that the run did not do all of its work: it was stopped, has failed or was lost, or
 	// it resumed from a checkpoint.
 	Censored bool
+	// Service is that of the endpoints.
+	Service string
 	// Endpoints are those of the run, more than one for a gang.
 	Endpoints []string
 	// Tasks is the number of tasks of the step that count by themselves; together they weigh its square root.
@@ -122,11 +126,11 @@
 	if r.Estimate <= 0 || r.Took < minRun || r.Took > maxRun {
 		return false
 	}
-	raw := r.Took.Seconds() / r.Estimate.Seconds()
+	raw := r.raw()
 	if raw > plausibleRatio || raw < 1/plausibleRatio {
 		return false
 	}
-	ratio := raw * e.slowest(r.Endpoints)
+	ratio := e.Ratio(&r)
 	if !r.Censored && len(r.Endpoints) == 1 {
 		e.observeSpeed(&r, math.Log(raw))
 	}
@@ -150,6 +154,12 @@
 	return true
 }
 
+// Ratio returns the work of a run as a multiple of its estimate.
+func (e *Estimator) Ratio(r *Run) float64 { return r.raw() * e.slowest(r.Endpoints) }
+
+// raw returns the time that the run took as a multiple of its estimate.
+func (r *Run) raw() float64 { return r.Took.Seconds() / r.Estimate.Seconds() }
+
 // slowest returns the lowest speed of the endpoints.
 func (e *Estimator) slowest(endpoints []string) float64 {
 	slowest := math.Inf(1)
--- a/internal/cell/estimator/speed.go
+++ b/internal/cell/estimator/speed.go
@@ -7,9 +7,8 @@
 	initialSpeedVariance = 0.1
 	// speedDrift is the variance that a speed gains with each run, so that one that changes is learned again.
 	speedDrift = 0.0015
-	// speedPull is the share of the logarithm of a speed that is kept with each run. It holds the mean speed at 1:
-	// the runs only show the product of speed and work.
-	speedPull = 0.998
+	// meanGain is the least weight of an endpoint that a run has shown in the moving average of the speeds of its service.
+	meanGain = 0.02
 	// maxSurprise is the distance from what was expected, in standard deviations, up to which a run counts.
 	maxSurprise = 2.0
 	// minSpeed and maxSpeed bound the speeds.
@@ -25,21 +24,44 @@
 
 // speed is the estimated speed of an endpoint.
 type speed struct {
-	// log is its logarithm, and variance that of the estimate.
+	// log is its logarithm, without that of the mean, and variance that of the estimate.
 	log, variance float64
-	// factor is the speed, and shard the part of the summary that the endpoint belongs to.
-	factor float64
-	shard  int
+	// mean is the moving average of log over the endpoints of the service. The runs only show the product of speed
+	// and work, so speeds are relative to it: estimates that are all wrong alike don't make endpoints look slow.
+	mean    *meanSpeed
+	service string
+	// shard is the part of the summary that the endpoint belongs to.
+	shard int
 }
 
-func newSpeed(endpoint string, factor, variance float64) *speed {
-	return &speed{log: math.Log(factor), variance: variance, factor: factor, shard: shardOfSpeed(endpoint)}
+func (e *Estimator) newSpeed(endpoint, service string, factor, variance float64) *speed {
+	mean := e.means[service]
+	if mean == nil {
+		mean = &meanSpeed{}
+		e.means[service] = mean
+	}
+
+	return &speed{log: math.Log(factor), variance: variance, mean: mean, service: service, shard: shardOfSpeed(endpoint)}
+}
+
+// meanSpeed is the moving average of the logarithms of the speeds of a service.
+type meanSpeed struct {
+	log  float64
+	runs float64
 }
 
+func (m *meanSpeed) add(log float64) {
+	m.runs++
+	m.log += max(meanGain, 1/m.runs) * (log - m.log)
+}
+
+// factor returns the speed.
+func (s *speed) factor() float64 { return math.Exp(s.log - s.mean.log) }
+
 // Speed returns the speed of an endpoint; 1 is the mean.
 func (e *Estimator) Speed(endpoint string) float64 {
 	if s := e.speeds[endpoint]; s != nil {
-		return s.factor
+		return s.factor()
 	}
 
 	return 1
@@ -63,7 +85,7 @@
 		if len(e.speeds) >= maxSpeeds {
 			return
 		}
-		s = newSpeed(id, 1, initialSpeedVariance)
+		s = e.newSpeed(id, r.Service, 1, initialSpeedVariance)
 		e.speeds[id] = s
 	}
 	work, noise := e.expectedWork(r)
@@ -73,15 +95,15 @@
 
 // update corrects the speed by an observation of its logarithm with the variance noise.
 func (s *speed) update(observed, noise float64) {
-	s.log *= speedPull
 	s.variance += speedDrift
 	total := s.variance + noise
 	limit := maxSurprise * math.Sqrt(total)
 	gain := s.variance / total
-	s.log += gain * min(max(observed-s.log, -limit), limit)
+	own := s.log - s.mean.log
+	own += gain * min(max(observed-own, -limit), limit)
 	s.variance *= 1 - gain
-	s.log = min(max(s.log, math.Log(minSpeed)), math.Log(maxSpeed))
-	s.factor = math.Exp(s.log)
+	s.log = s.mean.log + min(max(own, math.Log(minSpeed)), math.Log(maxSpeed))
+	s.mean.add(s.log)
 }
 
 // expectedWork returns the expected logarithm of the ratio of a run on an endpoint of speed 1,
--- a/internal/cell/estimator/summary.go
+++ b/internal/cell/estimator/summary.go
@@ -58,6 +58,7 @@
 type SpeedSummary struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The encoder looks for this field.
 	Endpoint string
+	Service  string
 	// Speed is in thousandths, and Variance in millionths.
 	Speed, Variance uint32
 }
@@ -104,7 +105,7 @@
 	if number >= shardCount {
 		for id, speed := range e.speeds {
 			if speed.shard == number {
-				s.Speeds = append(s.Speeds, SpeedSummary{Endpoint: id, Speed: uint32(speed.factor * speedScale), Variance: uint32(speed.variance * millionths)})
+				s.Speeds = append(s.Speeds, SpeedSummary{Endpoint: id, Service: speed.service, Speed: uint32(speed.factor() * speedScale), Variance: uint32(speed.variance * millionths)})
 			}
 		}
 		slices.SortFunc(s.Speeds, func(a, b SpeedSummary) int { return strings.Compare(a.Endpoint, b.Endpoint) })
@@ -153,7 +154,7 @@
 		if value < minSpeed || value > maxSpeed || variance <= 0 || variance > 1 || len(e.speeds) >= maxSpeeds {
 			continue
 		}
-		e.speeds[summary.Endpoint] = newSpeed(summary.Endpoint, value, variance)
+		e.speeds[summary.Endpoint] = e.newSpeed(summary.Endpoint, summary.Service, value, variance)
 	}
 
 	return true
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -301,6 +301,9 @@
 	for _, latency := range note.Latencies {
 		l.metrics.Observe(latency.Name, latency.Time)
 	}
+	for name, number := range note.Counts {
+		l.metrics.Add(name, number)
+	}
 }
 
 // execute starts a command of the planner; calls run in their own goroutines.
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/estimator"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
@@ -125,6 +126,8 @@
 	confirmed bool
 	// adopted means that an endpoint listed the run and the owner did not know it.
 	adopted bool
+	// predicted is the prediction for the run when it was started.
+	predicted estimator.Prediction
 	// resumed means that the run continues from a checkpoint.
 	resumed bool
 	// beganAt is when the run is known to have begun its work, or 0, and stoodSince since when it stood still
--- a/internal/cell/planner/evacuate.go
+++ b/internal/cell/planner/evacuate.go
@@ -73,16 +73,3 @@
 		return float64(remaining) > abandonFactor*float64(untilDeparture)+float64(expectedOverstay)
 	}
 }
-
-// remainingTime returns the estimated time that a run still needs, from its
-// progress or, early on, from the estimate of its step.
-func (p *Planner) remainingTime(r *run, now definer.Instant) time.Duration {
-	elapsed := now.Sub(r.sentAt)
-	if r.percent >= minProgressPercent {
-		return time.Duration(float64(elapsed) * float64(completePercent-r.percent) / float64(r.percent))
-	}
-	s := r.task.step
-	expected := float64(s.def.Estimate) / max(r.endpoint.speed, 0.1)
-
-	return time.Duration(expected) - elapsed
-}
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -45,6 +45,8 @@
 	number    int
 	steps     []*step
 	stepsLeft int
+	// predictedAt is when the predictions for the steps were made, or 0.
+	predictedAt definer.Instant
 }
 
 // step is one step of an occurrence.
@@ -77,8 +79,10 @@
 	// remainingPath is the estimated time from the start of the step to the end of its
 	// occurrence, along the longest chain of dependent steps.
 	remainingPath time.Duration
-	// learned is about the finished runs of the step, and learnedRun the last run of the gang that was learned from.
+	// learned is about the finished runs of the step, learnedRun the last run of the gang that was learned from, and
+	// predicted the prediction for its runs.
 	learned    estimator.Step
+	predicted  estimator.Prediction
 	learnedRun int
 	// urgency and overShare are computed anew in each round of placement.
 	urgency   int
--- a/internal/cell/planner/learn.go
+++ b/internal/cell/planner/learn.go
@@ -89,9 +89,14 @@
 		endpoints = append(endpoints, member.endpoint.ID)
 	}
 	observed := estimator.Run{
-		Key: s.learningKey(), Estimate: s.def.Estimate, Took: until.Sub(began), Censored: censored, Endpoints: endpoints, Tasks: tasks, Step: &s.learned,
+		Key: s.learningKey(), Service: s.job.Queue.Service, Estimate: s.def.Estimate, Took: until.Sub(began), Censored: censored, Endpoints: endpoints, Tasks: tasks, Step: &s.learned,
 	}
-	if p.estimator.Observe(observed) && !censored && len(members) == 1 {
+	ratio := p.estimator.Ratio(&observed)
+	if !p.estimator.Observe(observed) {
+		return
+	}
+	p.runTimes.of(s.job.Queue.Name).add(ratio, &r.predicted, censored)
+	if !censored && len(members) == 1 {
 		r.endpoint.speed = p.endpointSpeed(r.endpoint.ID)
 	}
 }
--- a/internal/cell/planner/order.go
+++ b/internal/cell/planner/order.go
@@ -53,9 +53,10 @@
 	reportingSlack = 150 * time.Millisecond
 )
 
-// urgencyAt returns the urgency of s at the given time.
-func (s *step) urgencyAt(now definer.Instant) int {
+// urgencyAt returns the urgency of s at the given time, by the predicted median of the remaining path.
+func (p *Planner) urgencyAt(s *step, now definer.Instant) int {
 	j := s.job
+	p.prediction(s, now)
 	end := now.Add(time.Duration(estimateMargin*float64(s.remainingPath)) + reportingSlack)
 	switch {
 	case j.excess:
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -58,6 +58,7 @@
 	}
 	p.expireLeases(now)
 	p.evacuate(now)
+	p.noteRunTimes(now)
 
 	return p.expire(now)
 }
@@ -88,7 +89,7 @@
 	steps := make([]*step, 0, len(p.readySteps))
 	for s := range p.readySteps {
 		s.overShare = p.account(s.job.Account).exceedsShare(fair)
-		s.urgency = s.urgencyAt(now)
+		s.urgency = p.urgencyAt(s, now)
 		steps = append(steps, s)
 	}
 	slices.SortFunc(steps, (*step).compare)
@@ -440,7 +441,7 @@
 	p := ps.planner
 	s := t.step
 	r := &run{task: t, name: t.name(), number: number, endpoint: e, need: s.need(), account: p.account(s.job.Account),
-		sentAt: ps.now, progressedAt: ps.now, checkpoint: t.checkpoint, resumed: t.checkpoint != ""}
+		sentAt: ps.now, progressedAt: ps.now, checkpoint: t.checkpoint, resumed: t.checkpoint != "", predicted: *p.prediction(s, ps.now)}
 	t.run, t.lastRun = r, number
 	e.addRun(r)
 	// A start order extends the lease of every run on the endpoint.
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -126,6 +126,8 @@
 	questions        int
 	freeQuestionTime time.Duration
 	notes            []Note
+	// runTimes is about the runs that ended since the last note about run times.
+	runTimes runTimesRecord
 	// roundsNoted is about the rounds since the last note about the load.
 	roundsNoted roundRecord
 }
@@ -209,8 +211,9 @@
 	Args  []any
 	// Warn means that the note may show a fault.
 	Warn bool
-	// Latencies are for the metrics.
+	// Latencies are for the metrics, and so are Counts, by the name of the counter.
 	Latencies []Latency
+	Counts    map[string]int64
 }
 
 // Latency is a measured time, under the name of its histogram.
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -11,7 +11,7 @@
 	minStallTimeout = 2500 * time.Millisecond
 	// completePercent is the progress of a task that has finished its work.
 	completePercent = 100
-	// stallEstimateShare is the share of the estimate that replaces minStallTimeout for long tasks.
+	// stallEstimateShare is the share of the likely longest run time that replaces minStallTimeout for long tasks.
 	stallEstimateShare = 0.4
 )
 
@@ -146,7 +146,7 @@
 		// A member that has finished its part, or whose gang is not complete yet, waits for the other members.
 		return
 	}
-	limit := max(minStallTimeout, time.Duration(stallEstimateShare*float64(t.step.def.Estimate)))
+	limit := max(minStallTimeout, time.Duration(stallEstimateShare*float64(p.likelyLongest(t.step, now))))
 	if now.Sub(r.progressedAt) < limit {
 		return
 	}
--- a/internal/cell/recorder/recorder.go
+++ b/internal/cell/recorder/recorder.go
@@ -96,6 +96,9 @@
 // Count adds one to a counter.
 func (m *Metrics) Count(name string) { m.counters.Add(name, 1) }
 
+// Add adds a number to a counter.
+func (m *Metrics) Add(name string, number int64) { m.counters.Add(name, number) }
+
 // Observe adds a latency to a histogram.
 func (m *Metrics) Observe(name string, latency time.Duration) {
 	m.mu.Lock()
--- a/internal/measure/simulator/result.go
+++ b/internal/measure/simulator/result.go
@@ -27,6 +27,8 @@
 	Lacked map[string]time.Duration
 	// Widths tells the share of the jobs in time by the width of their widest step.
 	Widths []WidthResult
+	// RunTimes compares the runs with what was predicted.
+	RunTimes planner.RunTimes
 }
 
 // WidthResult tells how the jobs up to a width fared.
@@ -79,11 +81,29 @@
 				c.jobs[note.Job].lacked[strings.TrimPrefix(name, "lacked ")] += spent
 			}
 		}
+	case planner.RunTimesNote:
+		if queues, ok := note.Args[1].(map[string]*planner.RunTimes); ok {
+			r.addRunTimes(queues)
+		}
 	case "load":
 		r.Loads = append(r.Loads, note)
 	}
 }
 
+// addRunTimes adds what a note tells about run times.
+func (r *Result) addRunTimes(queues map[string]*planner.RunTimes) {
+	for i := range r.Classes {
+		if times := queues[r.Classes[i].Name]; times != nil {
+			total := &r.Classes[i].RunTimes
+			total.Done += times.Done
+			total.Censored += times.Censored
+			total.Predicted += times.Predicted
+			total.WithinMedian += times.WithinMedian
+			total.WithinHigh += times.WithinHigh
+		}
+	}
+}
+
 // finish evaluates the jobs.
 func (c *cell) finish() {
 	for i := range c.result.Classes {
@@ -177,7 +197,29 @@
 	_, err := fmt.Fprintf(out, "questions %d, %s in all; starts refused for their ticket %d; runs stopped %d; starts over capacity %d\n",
 		r.Questions, seconds(r.QuestionTime), r.InvalidTickets, r.Stopped, r.OverCapacity)
 
-	return errors.Wrap(err, "write results")
+	if err != nil {
+		return errors.Wrap(err, "write results")
+	}
+
+	return r.writeRunTimes(out)
+}
+
+// writeRunTimes writes how many runs took no longer than predicted.
+func (r *Result) writeRunTimes(out io.Writer) error {
+	for i := range r.Classes {
+		class := &r.Classes[i]
+		times := &class.RunTimes
+		if times.Predicted == 0 {
+			continue
+		}
+		share := func(count int) float64 { return float64(count) / float64(times.Predicted) }
+		if _, err := fmt.Fprintf(out, "run times of %s: %d runs, %d of them predicted, %.3f within the median, %.3f within the 0.9 quantile; %d censored\n",
+			class.Name, times.Done, times.Predicted, share(times.WithinMedian), share(times.WithinHigh), times.Censored); err != nil {
+			return errors.Wrap(err, "write results")
+		}
+	}
+
+	return nil
 }
 
 func (r *ClassResult) lackedText() string {
