Store what was learned about run times for the next owner

The speeds of endpoints and the run times were lost with the owner. They are never the first record of a batch, by which a batch is recognised. The next owner starts from the parts that it finds.

--- a/internal/cell/estimator/speed.go
+++ b/internal/cell/estimator/speed.go
@@ -75,6 +75,15 @@
 	}
 }
 
+// Retain drops what was learned of the endpoints that are not to be kept.
+func (e *Estimator) Retain(keep func(endpoint string) bool) {
+	for id := range e.speeds {
+		if !keep(id) {
+			e.Forget(id)
+		}
+	}
+}
+
 // observeSpeed learns the speed of the endpoint of a run whose ratio has the logarithm raw.
 // The work of the run is predicted from its key and from the other runs of its step;
 // the more these differ among themselves, the less the run says about the endpoint.
--- a/internal/cell/journaler/journaler.go
+++ b/internal/cell/journaler/journaler.go
@@ -5,6 +5,9 @@
 package journaler
 
 import (
+	"maps"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -12,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/estimator"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/planner"
 	"gitlab.com/greengagewall/greengagewall/internal/codec/inspector"
 )
@@ -22,6 +26,7 @@
 	jobPrefix      = "j/"
 	progressPrefix = "p/"
 	endpointPrefix = "e/"
+	learnedPrefix  = "l/"
 )
 
 // Ranges returns keys that divide the state table into parts, which can be loaded at
@@ -51,6 +56,7 @@
 	Job      *definer.Job
 	Progress *planner.Snapshot
 	Endpoint *definer.Listing
+	Learned  *estimator.Shard
 	// The Removed fields hold the id of the job, progress or endpoint that the record removes.
 	RemovedJob, RemovedProgress, RemovedEndpoint string
 }
@@ -100,6 +106,20 @@
 // EncodeEndpointRemoval returns the record that removes an endpoint.
 func EncodeEndpointRemoval(id string) definer.Record { return definer.Record{Key: endpointPrefix + id} }
 
+// maxLearnedSize bounds the value of a record of learned run times, in bytes.
+const maxLearnedSize = 24 << 10
+
+// EncodeLearned returns the record of a part of the learned run times. A part that would be larger than
+// maxLearnedSize loses its last entries.
+func EncodeLearned(shard *estimator.Shard) definer.Record {
+	value := encode(shard)
+	for kept := *shard; len(value) > maxLearnedSize; value = encode(kept) {
+		kept.Keys, kept.Speeds = kept.Keys[:len(kept.Keys)/2], kept.Speeds[:len(kept.Speeds)/2]
+	}
+
+	return definer.Record{Key: learnedPrefix + strconv.Itoa(shard.Number), Value: value}
+}
+
 // decode decodes a value. The tables are shared with other writers, so its form is
 // checked first.
 func decode(data []byte, v any) error {
@@ -140,6 +160,13 @@
 		listing := &definer.Listing{}
 
 		return Entry{Endpoint: listing}, errors.Wrap(decode(record.Value, listing), "decode endpoint")
+	case learnedPrefix:
+		if removed {
+			return Entry{}, nil
+		}
+		shard := &estimator.Shard{}
+
+		return Entry{Learned: shard}, errors.Wrap(decode(record.Value, shard), "decode learned run times")
 	default:
 		return Entry{}, errors.Errorf("unknown record %q", record.Key)
 	}
@@ -151,11 +178,13 @@
 	Jobs      map[string]*definer.Job
 	Progress  map[string]*planner.Snapshot
 	Endpoints map[string]*definer.Listing
+	// Learned holds the parts of the learned run times, by their number.
+	Learned map[int]*estimator.Shard
 }
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{Jobs: map[string]*definer.Job{}, Progress: map[string]*planner.Snapshot{}, Endpoints: map[string]*definer.Listing{}}
+	return &State{Jobs: map[string]*definer.Job{}, Progress: map[string]*planner.Snapshot{}, Endpoints: map[string]*definer.Listing{}, Learned: map[int]*estimator.Shard{}}
 }
 
 // Apply applies a record to the state. It returns the error of Decode.
@@ -173,6 +202,8 @@
 		s.Progress[entry.Progress.ID] = entry.Progress
 	case entry.Endpoint != nil:
 		s.Endpoints[entry.Endpoint.ID] = entry.Endpoint
+	case entry.Learned != nil:
+		s.Learned[entry.Learned.Number] = entry.Learned
 	case entry.RemovedJob != "":
 		delete(s.Jobs, entry.RemovedJob)
 	case entry.RemovedProgress != "":
@@ -186,9 +217,13 @@
 
 // Restore loads the state into a planner.
 func (s *State) Restore(p *planner.Planner, now definer.Instant, wall time.Time) {
+	for _, number := range slices.Sorted(maps.Keys(s.Learned)) {
+		p.RestoreLearned(s.Learned[number])
+	}
 	for id, listing := range s.Endpoints {
 		p.RestoreEndpoint(id, *listing)
 	}
+	p.ForgetUnknownEndpoints()
 	for id, job := range s.Jobs {
 		if snapshot := s.Progress[id]; snapshot == nil {
 			p.Restore(*job, planner.Progress{}, now, wall)
--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/estimator"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/journaler"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/planner"
@@ -31,6 +32,10 @@
 	// maxBatchSize is the size in bytes from which no more jobs are added to a batch; it is well below the
 	// store's limit for one call.
 	maxBatchSize = 512 << 10
+	// learnedInterval is the time between two batches with learned run times, and maxLearnedBatch bounds
+	// these in bytes.
+	learnedInterval = 10 * time.Second
+	maxLearnedBatch = 32 << 10
 	// storeRetryAfter is the retry delay given to callers whose submission was refused because of the store.
 	storeRetryAfter = time.Second
 )
@@ -73,6 +78,8 @@
 	// lastAppend is when the last append was started.
 	lastAppend definer.Instant
 	heartbeats int64
+	// lastLearned is when learned run times were last part of a batch.
+	lastLearned definer.Instant
 }
 
 func newJournal() journal {
@@ -159,10 +166,35 @@
 		claim.Term, claim.Beat = l.settings.Term, j.heartbeats
 		add(journaler.EncodeClaim(claim))
 	}
+	// They come last: a batch is recognised by its first record, and those of two owners could be equal.
+	if now.Sub(j.lastLearned) >= learnedInterval {
+		j.lastLearned = now
+		add(learnedRecords(l.planner.NextLearned, l.planner.LearnedLeft)...)
+	}
 
 	return b
 }
 
+// learnedRecords returns the records of the parts of the learned run times that next returns, up to maxLearnedBatch.
+// The part that exceeds it goes to left.
+func learnedRecords(next func() (estimator.Shard, bool), left func(estimator.Shard)) []definer.Record {
+	var records []definer.Record
+	size := 0
+	for {
+		shard, changed := next()
+		if !changed {
+			return records
+		}
+		record := journaler.EncodeLearned(&shard)
+		if size += len(record.Key) + len(record.Value); size > maxLearnedBatch {
+			left(shard)
+
+			return records
+		}
+		records = append(records, record)
+	}
+}
+
 // run appends the batch and posts the outcome.
 func (b *batch) run(ctx context.Context) {
 	reply, err := Append(ctx, b.leader.store, b.offset, b.records)
--- a/internal/cell/planner/learn.go
+++ b/internal/cell/planner/learn.go
@@ -23,8 +23,8 @@
 // learns reports whether run times are learned.
 func (p *Planner) learns() bool { return p.settings.Learn != Learning{} }
 
-// endpointSpeed returns the speed of an endpoint for placement; 1 is the mean.
-func (p *Planner) endpointSpeed(id string) float64 {
+// EndpointSpeed returns the speed of an endpoint for placement; 1 is the mean.
+func (p *Planner) EndpointSpeed(id string) float64 {
 	if !p.settings.Learn.Speed {
 		return 1
 	}
@@ -97,7 +97,7 @@
 	}
 	p.runTimes.of(s.job.Queue.Name).add(ratio, &r.predicted, censored)
 	if !censored && len(members) == 1 {
-		r.endpoint.speed = p.endpointSpeed(r.endpoint.ID)
+		r.endpoint.speed = p.EndpointSpeed(r.endpoint.ID)
 	}
 }
 
@@ -125,6 +125,24 @@
 	return members
 }
 
+// NextLearned returns a part of the summary of what was learned that is out of date in the state table, and
+// false if there is none.
+func (p *Planner) NextLearned() (estimator.Shard, bool) { return p.estimator.NextShard() }
+
+// LearnedLeft records that the part of the summary that NextLearned returned last was not stored.
+func (p *Planner) LearnedLeft(shard estimator.Shard) { p.estimator.Skip(shard) }
+
+// RestoreLearned adds a part of the summary that a previous owner has stored. It is called before the
+// endpoints are restored. A part of a version that is not known is ignored.
+func (p *Planner) RestoreLearned(shard *estimator.Shard) {
+	if p.learns() && !p.estimator.Restore(*shard) {
+		p.note("learned run times ignored", "", "part", shard.Number, "version", shard.Version)
+	}
+}
+
+// ForgetUnknownEndpoints drops the restored speeds of endpoints that the planner does not know.
+func (p *Planner) ForgetUnknownEndpoints() { p.estimator.Retain(p.HasEndpoint) }
+
 // learnLost learns from the run of an endpoint that no longer runs it and will not report it: it was
 // seen last in the last report before the one that is being processed.
 func (p *Planner) learnLost(r *run) {
@@ -134,3 +152,6 @@
 	}
 	p.learnCut(r, until)
 }
+
+// Learned returns how many keys and endpoints something is known of.
+func (p *Planner) Learned() (keys, endpoints int) { return p.estimator.Learned() }
