--- a/internal/cell/planner/order.go
+++ b/internal/cell/planner/order.go
@@ -47,7 +47,7 @@
 const (
 	// lateFactor is the multiple of its objective after which a job is too late to be useful.
 	lateFactor = 3
-	// estimateMargin allows for estimates that are too short, and reportingSlack for
+	// estimateMargin allows for estimates as given that are too short, and reportingSlack for
 	// the time until the caller learns of the end.
 	estimateMargin = 1.1
 	reportingSlack = 150 * time.Millisecond
@@ -56,8 +56,11 @@
 // urgencyAt returns the urgency of s at the given time, by the predicted median of the remaining path.
 func (p *Planner) urgencyAt(s *step, now definer.Instant) int {
 	j := s.job
-	p.prediction(s, now)
-	end := now.Add(time.Duration(estimateMargin*float64(s.remainingPath)) + reportingSlack)
+	margin := estimateMargin
+	if p.prediction(s, now).Learned && p.settings.Learn.Order {
+		margin = 1
+	}
+	end := now.Add(time.Duration(margin*float64(s.remainingPath)) + reportingSlack)
 	switch {
 	case j.excess:
 		return urgencyExcess
