Hold the mean speed of a service at 1

Speeds were relative to a moving mean that the speeds themselves followed, so that both drifted without bounds, and estimates that are all wrong alike went partly into the speeds: in a cell in which one endpoint took four times its estimates, the speed stayed at 0.82 and the learned ratio at 3.25.

--- a/internal/cell/estimator/estimator.go
+++ b/internal/cell/estimator/estimator.go
@@ -137,7 +137,7 @@
 	if !r.Censored && r.Step != nil {
 		e.recordInStep(&r, math.Log(ratio))
 	}
-	weight := 1 / math.Sqrt(float64(max(r.Tasks, 1)))
+	weight := e.certainty(r.Endpoints) / math.Sqrt(float64(max(r.Tasks, 1)))
 	first := r.Step == nil || !r.Step.seen
 	if r.Step != nil {
 		r.Step.seen = true
--- a/internal/cell/estimator/speed.go
+++ b/internal/cell/estimator/speed.go
@@ -5,10 +5,14 @@
 const (
 	// initialSpeedVariance is the variance of the logarithm of the speed of an endpoint of which nothing is known.
 	initialSpeedVariance = 0.1
+	// knownSpeedVariance is the variance of a speed with which a run counts half for the run times.
+	knownSpeedVariance = 0.02
 	// speedDrift is the variance that a speed gains with each run, so that one that changes is learned again.
 	speedDrift = 0.0015
 	// meanGain is the least weight of an endpoint that a run has shown in the moving average of the speeds of its service.
 	meanGain = 0.02
+	// meanPull is the share of that average which is taken from a speed with each run.
+	meanPull = 0.1
 	// maxSurprise is the distance from what was expected, in standard deviations, up to which a run counts.
 	maxSurprise = 2.0
 	// minSpeed and maxSpeed bound the speeds.
@@ -24,10 +28,10 @@
 
 // speed is the estimated speed of an endpoint.
 type speed struct {
-	// log is its logarithm, without that of the mean, and variance that of the estimate.
+	// log is its logarithm, and variance that of the estimate.
 	log, variance float64
-	// mean is the moving average of log over the endpoints of the service. The runs only show the product of speed
-	// and work, so speeds are relative to it: estimates that are all wrong alike don't make endpoints look slow.
+	// mean is the moving average of log over the endpoints of the service, which is kept at 0. The runs only show the
+	// product of speed and work: estimates that are all wrong alike must not make all endpoints look slow.
 	mean    *meanSpeed
 	service string
 	// shard is the part of the summary that the endpoint belongs to.
@@ -56,7 +60,7 @@
 }
 
 // factor returns the speed.
-func (s *speed) factor() float64 { return math.Exp(s.log - s.mean.log) }
+func (s *speed) factor() float64 { return math.Exp(s.log) }
 
 // Speed returns the speed of an endpoint; 1 is the mean.
 func (e *Estimator) Speed(endpoint string) float64 {
@@ -75,6 +79,24 @@
 	}
 }
 
+// certainty returns the weight of a run on the endpoints: the less is known of their speeds, the less the run
+// says about its work.
+func (e *Estimator) certainty(endpoints []string) float64 {
+	if len(endpoints) == 0 {
+		return 1
+	}
+	total := 0.0
+	for _, id := range endpoints {
+		if s := e.speeds[id]; s != nil {
+			total += s.variance
+		} else {
+			total += initialSpeedVariance
+		}
+	}
+
+	return 1 / (1 + total/float64(len(endpoints))/knownSpeedVariance)
+}
+
 // Retain drops what was learned of the endpoints that are not to be kept.
 func (e *Estimator) Retain(keep func(endpoint string) bool) {
 	for id := range e.speeds {
@@ -108,10 +130,9 @@
 	total := s.variance + noise
 	limit := maxSurprise * math.Sqrt(total)
 	gain := s.variance / total
-	own := s.log - s.mean.log
-	own += gain * min(max(observed-own, -limit), limit)
+	s.log += gain*min(max(observed-s.log, -limit), limit) - meanPull*s.mean.log
 	s.variance *= 1 - gain
-	s.log = s.mean.log + min(max(own, math.Log(minSpeed)), math.Log(maxSpeed))
+	s.log = min(max(s.log, math.Log(minSpeed)), math.Log(maxSpeed))
 	s.mean.add(s.log)
 }
 
--- a/internal/cell/planner/learn_test.go
+++ b/internal/cell/planner/learn_test.go
@@ -108,7 +108,7 @@
 // because their estimates are too short.
 func TestRemainingTimeIsLearned(t *testing.T) {
 	c := newLearningCell(t, 3, 1)
-	for range 12 {
+	for range 60 {
 		c.runJob(3, 500*time.Millisecond, 4)
 	}
 	c.planner.Accept(c.job("late", learnedStep(1, 500*time.Millisecond)), c.now, c.wall)
@@ -184,7 +184,7 @@
 // as given.
 func TestWithoutLearning(t *testing.T) {
 	c := newLearningCell(t, 6, 0.5, 1)
-	c.planner.settings.Learn = LearnAll
+	c.planner.settings.Learn = Learning{}
 	for range 12 {
 		c.runJob(18, 500*time.Millisecond, 2)
 	}
