--- a/cmd/standin/simulate.go
+++ b/cmd/standin/simulate.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"os"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gitlab.com/greengagewall/greengagewall/internal/measure/simulator"
 )
 
@@ -17,12 +21,40 @@
 	Limit     float64       `arg:"--limit" default:"1.9" help:"limit of each account as a multiple of its share of the work; 0 means no limits"`
 	Duration  time.Duration `arg:"--duration" default:"35s" help:"virtual time for which work arrives"`
 	Round     time.Duration `arg:"--round" default:"15ms" help:"virtual time between two rounds of placement"`
+	Speeds    speeds        `arg:"--speeds" default:"0.8,1,1.25" help:"speeds of the endpoints, in turn"`
+}
+
+// speeds is a comma-separated list of speeds.
+type speeds []float64
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *speeds) UnmarshalText(text []byte) error {
+	*s = nil
+	for _, field := range strings.Split(string(text), ",") {
+		speed, err := strconv.ParseFloat(field, 64)
+		if err != nil || speed <= 0 {
+			return errors.Errorf("speed %q is not a positive number", field)
+		}
+		*s = append(*s, speed)
+	}
+
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s speeds) MarshalText() ([]byte, error) {
+	fields := make([]string, len(s))
+	for i, speed := range s {
+		fields[i] = strconv.FormatFloat(speed, 'g', -1, 64)
+	}
+
+	return []byte(strings.Join(fields, ",")), nil
 }
 
 func (c *simulateCommand) run(context.Context) error {
 	result := simulator.Run(simulator.Options{
 		Seed: c.Seed, Endpoints: c.Endpoints, Instances: c.Instances, Classes: simulator.Mix(c.Endpoints, c.Load), Duration: c.Duration,
-		DrainTime: 14 * time.Second, Accounts: c.Accounts, LimitFactor: c.Limit, Round: c.Round,
+		DrainTime: 14 * time.Second, Accounts: c.Accounts, LimitFactor: c.Limit, Round: c.Round, Speeds: c.Speeds,
 	})
 
 	return result.WriteTable(os.Stdout)
--- a/internal/measure/simulator/simulator.go
+++ b/internal/measure/simulator/simulator.go
@@ -31,6 +31,8 @@
 	LimitFactor float64
 	// Round is the time between two rounds of placement.
 	Round time.Duration
+	// Speeds are the speeds of the endpoints, in turn; nil means defaultSpeeds.
+	Speeds []float64
 }
 
 const (
@@ -48,8 +50,8 @@
 // endpointCapacity is the capacity of each endpoint.
 var endpointCapacity = modeler.Resources{Millis: 16 * coreMillis, Memory: 64 << 30}
 
-// endpointSpeeds are the speeds of the endpoints, in turn.
-var endpointSpeeds = [...]float64{0.8, 1, 1.25}
+// defaultSpeeds are the speeds of the endpoints, in turn, unless the options name others.
+var defaultSpeeds = []float64{0.8, 1, 1.25}
 
 // settings are those of an owner on the users' platform.
 var settings = planner.Settings{Term: 1, Lease: 4500 * time.Millisecond, Freshness: 2500 * time.Millisecond}
@@ -161,7 +163,11 @@
 		ID: fmt.Sprintf("e%05d", n), Service: service, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), 80),
 		Capacity: endpointCapacity, Born: 1,
 	}
-	e := &endpoint{cell: c, listing: listing, speed: endpointSpeeds[n%len(endpointSpeeds)], runs: map[runKey]*run{}, lastReport: c.now}
+	speeds := c.options.Speeds
+	if len(speeds) == 0 {
+		speeds = defaultSpeeds
+	}
+	e := &endpoint{cell: c, listing: listing, speed: speeds[n%len(speeds)], runs: map[runKey]*run{}, lastReport: c.now}
 	c.endpoints[listing.ID] = e
 	c.order = append(c.order, e)
 	c.planner.UpdateListing(listing, c.now)
