Show the speeds of the endpoints on which the simulated classes run

The table of standin simulate has a column with the mean speed of the endpoints of the starts of each class, so that a preference of the placement is seen apart from what it earns.

--- a/internal/measure/simulator/endpoint.go
+++ b/internal/measure/simulator/endpoint.go
@@ -107,6 +107,7 @@
 		c.result.OverCapacity++
 	}
 	j := c.jobs[order.Task.Job]
+	c.result.started(j.class.Name, e.speed)
 	if !step.Gang {
 		how, work := j.drawEnd(c, order.Task, 1/e.speed)
 		c.after(work, func() { e.end(r, how) })
--- a/internal/measure/simulator/result.go
+++ b/internal/measure/simulator/result.go
@@ -25,6 +25,9 @@
 	Waits []time.Duration
 	// Lacked is the mean time that the gangs of a job waited, by what they lacked.
 	Lacked map[string]time.Duration
+	// Starts counts the starts of tasks, and Speed is the mean speed of their endpoints.
+	Starts int
+	Speed  float64
 	// Widths tells the share of the jobs in time by the width of their widest step.
 	Widths []WidthResult
 }
@@ -84,6 +87,16 @@
 	}
 }
 
+// started counts a start of a task of a class on an endpoint.
+func (r *Result) started(class string, speed float64) {
+	for i := range r.Classes {
+		if c := &r.Classes[i]; c.Name == class {
+			c.Starts++
+			c.Speed += (speed - c.Speed) / float64(c.Starts)
+		}
+	}
+}
+
 // finish evaluates the jobs.
 func (c *cell) finish() {
 	for i := range c.result.Classes {
@@ -161,10 +174,10 @@
 // WriteTable writes the result as text.
 func (r *Result) WriteTable(out io.Writer) error {
 	rows := make([]string, 0, 1+len(r.Classes))
-	rows = append(rows, "class\tjobs\tearned\tin time\tlate\twait p50\tp80\tp95\tp99\tlacked (mean)\tin time by width")
+	rows = append(rows, "class\tjobs\tearned\tin time\tlate\tspeed\twait p50\tp80\tp95\tp99\tlacked (mean)\tin time by width")
 	for i := range r.Classes {
 		class := &r.Classes[i]
-		rows = append(rows, fmt.Sprintf("%s\t%d\t%.3f\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s", class.Name, class.Jobs, class.Earned, class.InTime, class.Late,
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%.3f\t%d\t%d\t%.2f\t%s\t%s\t%s\t%s\t%s\t%s", class.Name, class.Jobs, class.Earned, class.InTime, class.Late, class.Speed,
 			seconds(class.Wait(0.5)), seconds(class.Wait(0.8)), seconds(class.Wait(0.95)), seconds(class.Wait(0.99)), class.lackedText(), class.widthText()))
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
