--- a/cmd/standin/simulate.go
+++ b/cmd/standin/simulate.go
@@ -20,6 +20,7 @@
 	Accounts  int           `arg:"--accounts" default:"60" help:"number of client accounts"`
 	Limit     float64       `arg:"--limit" default:"1.9" help:"limit of each account as a multiple of its share of the work; 0 means no limits"`
 	Duration  time.Duration `arg:"--duration" default:"35s" help:"virtual time for which work arrives"`
+	Drain     time.Duration `arg:"--drain" default:"14s" help:"virtual time after that; jobs that are not done by then count as lost"`
 	Round     time.Duration `arg:"--round" default:"15ms" help:"virtual time between two rounds of placement"`
 	Speeds    speeds        `arg:"--speeds" default:"0.8,1,1.25" help:"speeds of the endpoints, in turn"`
 }
@@ -54,7 +55,7 @@
 func (c *simulateCommand) run(context.Context) error {
 	result := simulator.Run(simulator.Options{
 		Seed: c.Seed, Endpoints: c.Endpoints, Instances: c.Instances, Classes: simulator.Mix(c.Endpoints, c.Load), Duration: c.Duration,
-		DrainTime: 14 * time.Second, Accounts: c.Accounts, LimitFactor: c.Limit, Round: c.Round, Speeds: c.Speeds,
+		DrainTime: c.Drain, Accounts: c.Accounts, LimitFactor: c.Limit, Round: c.Round, Speeds: c.Speeds,
 	})
 
 	return result.WriteTable(os.Stdout)
