Place work by the speed of endpoints and its slack

Urgent work with little slack ran on slow endpoints while work with much slack took the fast ones: the score added the learned speed for all work alike. Where the speeds of a service differ by a fifth, the score now weighs the risk that the job misses its objective at an endpoint's speed against a price for fast endpoints. A gang is assigned to endpoints of like speed, rated by the slowest, and questions name endpoints that suit first.

--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -270,5 +270,5 @@
 		want = max(want, int(policy.Decide/policy.Each))
 	}
 
-	return candidates[:min(want, len(candidates))]
+	return p.suitedFirst(s, candidates, want)[:min(want, len(candidates))]
 }
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -76,8 +76,8 @@
 	quarantine                      time.Duration
 	// pausedUntil is when starts are allowed again after one that was not accepted.
 	pausedUntil definer.Instant
-	// speed is the mean ratio of expected to actual run times.
-	speed float64
+	// speed is the mean ratio of expected to actual run times, and countedSpeed its value in the last round.
+	speed, countedSpeed float64
 }
 
 // runKey identifies a run on an endpoint.
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -240,19 +240,21 @@
 	}
 	fit := func(e *endpoint) int { return roomFor(s, e, taken) }
 	if s.def.SameRack {
-		if assigned := assignInOneRack(s, count, candidates, fit); assigned != nil {
+		if assigned := ps.assignInOneRack(s, count, candidates, fit); assigned != nil {
 			return assigned
 		}
 	}
 
-	return assignByScore(s, count, candidates, fit)
+	return ps.assignByScore(s, count, candidates, fit)
 }
 
-// assignByScore fills the endpoints with the highest scores first.
-func assignByScore(s *step, count int, candidates []*endpoint, fit func(*endpoint) int) []*endpoint {
+// assignByScore fills the endpoints with the highest scores first. Where endpoints differ in
+// speed, it uses such of like speed.
+func (ps *pass) assignByScore(s *step, count int, candidates []*endpoint, fit func(*endpoint) int) []*endpoint {
 	need := s.need()
-	ordered := append([]*endpoint(nil), candidates...)
-	sort.SliceStable(ordered, func(a, b int) bool { return s.score(ordered[a], need) > s.score(ordered[b], need) })
+	wish := ps.planner.preferenceOf(s)
+	ordered := append([]*endpoint(nil), wish.likeSpeeds(s, count, candidates, fit)...)
+	sort.SliceStable(ordered, func(a, b int) bool { return s.score(ordered[a], need, wish) > s.score(ordered[b], need, wish) })
 	var assigned []*endpoint
 	for _, e := range ordered {
 		for range min(fit(e), count-len(assigned)) {
@@ -268,7 +270,7 @@
 
 // assignInOneRack assigns all tasks to the first rack, by name, that has room
 // for them. It returns nil when there is none.
-func assignInOneRack(s *step, count int, candidates []*endpoint, fit func(*endpoint) int) []*endpoint {
+func (ps *pass) assignInOneRack(s *step, count int, candidates []*endpoint, fit func(*endpoint) int) []*endpoint {
 	racks := map[string][]*endpoint{}
 	var names []string
 	for _, e := range candidates {
@@ -280,7 +282,7 @@
 	}
 	sort.Strings(names)
 	for _, name := range names {
-		if assigned := assignByScore(s, count, racks[name], fit); assigned != nil {
+		if assigned := ps.assignByScore(s, count, racks[name], fit); assigned != nil {
 			return assigned
 		}
 	}
--- a/internal/cell/planner/gang_breadth.go
+++ b/internal/cell/planner/gang_breadth.go
@@ -35,8 +35,8 @@
 // have time, they are more: the answer takes a while, and a gang that then finds too little
 // room waits for another one.
 func (p *Planner) gangEndpointsToAsk(s *step, candidates []*endpoint, count int) []*endpoint {
-	candidates = shuffleWithRoom(s, candidates)
 	rate := p.stats(s.job.Queue.Name).admissionRate
+	candidates = p.likeSpeedsFirst(s, shuffleWithRoom(s, candidates), int(askedRoomFactor*float64(count)/rate))
 	spare := time.Duration(questionTimeShare * float64(p.freeQuestionTime))
 	room, capacity, least := 0, 0, 0
 	for i, e := range candidates {
--- a/internal/cell/planner/listing.go
+++ b/internal/cell/planner/listing.go
@@ -93,7 +93,7 @@
 func (p *Planner) updateEndpoint(listing definer.Listing, now definer.Instant) {
 	e := p.endpoints[listing.ID]
 	if e == nil {
-		e = p.addEndpoint(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1})
+		e = p.addEndpoint(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1, countedSpeed: 1})
 	}
 	p.keepEndpoint(e)
 	if e.life != 0 && listing.Born > e.life {
--- a/internal/cell/planner/ownership.go
+++ b/internal/cell/planner/ownership.go
@@ -36,7 +36,7 @@
 		return
 	}
 	listing.ID = id
-	p.addEndpoint(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1, entry: entryStored, addressStored: true, inherited: true})
+	p.addEndpoint(&endpoint{Listing: listing, runs: map[runKey]*run{}, speed: 1, countedSpeed: 1, entry: entryStored, addressStored: true, inherited: true})
 	p.inheritedEndpoints++
 }
 
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -156,6 +156,7 @@
 		e.round, e.room = p.rounds, e.free()
 	}
 	sortByRoom(ps.usable)
+	ps.measureSpeeds()
 }
 
 // sortByRoom sorts endpoints by their free processors at the beginning of the round,
@@ -346,6 +347,7 @@
 		return s.pendingCount, !account.withinLimit(s.def.Need, ps.unconfirmed[account])
 	}
 	pending := p.withoutExpired(s.pending())
+	wish := p.preferenceOf(s)
 	waiting := 0
 	for i, t := range pending {
 		if !account.withinLimit(s.def.Need, ps.unconfirmed[account]) {
@@ -355,7 +357,7 @@
 		if !p.mayGive(number) {
 			continue
 		}
-		best, waits := ps.chooseEndpoint(s, t, ready)
+		best, waits := ps.chooseEndpoint(s, t, ready, wish)
 		switch {
 		case waits:
 			waiting++
@@ -383,11 +385,12 @@
 }
 
 // chooseEndpoint returns the endpoint with the highest score for a task, or nil when
-// none fits. The endpoint on which the task's last run failed comes last; waits means
-// that it is the only one with room, and that the task waits for another one.
-func (ps *pass) chooseEndpoint(s *step, t *task, ready []*endpoint) (best *endpoint, waits bool) {
+// none fits. The endpoint on which the task's last run failed comes last, and so do those on
+// which the task would fall behind; waits means that these are the only ones with room, and
+// that the task waits for another one.
+func (ps *pass) chooseEndpoint(s *step, t *task, ready []*endpoint, wish preference) (best *endpoint, waits bool) {
 	need := s.need()
-	var failed *endpoint
+	var failed, behind *endpoint
 	bestScore := 0.0
 	for _, e := range ready {
 		if !need.Fits(e.free()) || !s.belowEndpointLimit(e) || !availableTo(e, s) {
@@ -398,17 +401,32 @@
 
 			continue
 		}
-		score := s.score(e, need)
+		if wish.fallsBehind(e) {
+			if behind == nil || e.speed > behind.speed {
+				behind = e
+			}
+
+			continue
+		}
+		score := s.score(e, need, wish)
 		if holder := e.reservedFor; holder != nil && holder != s {
-			score -= reservedPenalty
+			score -= reservedPenalty + wish.span()
 		}
 		if best == nil || score > bestScore {
 			best, bestScore = e, score
 		}
 	}
 	switch {
-	case best != nil || failed == nil:
+	case best != nil:
 		return best, false
+	case behind != nil:
+		if ps.waitsForSpeed(s, wish) {
+			return nil, true
+		}
+
+		return behind, false
+	case failed == nil:
+		return nil, false
 	case ps.mustAvoid(t, failed):
 		return nil, true
 	default:
@@ -416,17 +434,6 @@
 	}
 }
 
-// score rates an endpoint for a task of s. Proximity to the data weighs most,
-// then speed, then tight packing; recent failures lower the score.
-func (s *step) score(e *endpoint, need modeler.Resources) float64 {
-	score := e.speed + packingWeight*need.Add(e.used).DominantShare(e.Capacity) - failureWeight*float64(e.consecutiveFailures)
-	if s.def.DataRack != "" && !e.Label(s.def.DataRack) {
-		score -= remoteDataPenalty
-	}
-
-	return score
-}
-
 const (
 	// packingWeight, failureWeight and remoteDataPenalty weigh packing, failures and
 	// distance from the data against speed.
@@ -443,6 +450,7 @@
 		sentAt: ps.now, progressedAt: ps.now, checkpoint: t.checkpoint}
 	t.run, t.lastRun = r, number
 	e.addRun(r)
+	p.recordStart(s, e)
 	// A start order extends the lease of every run on the endpoint.
 	e.lastSent = ps.now
 	if !s.job.begun {
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -81,6 +81,8 @@
 	withoutDetails int
 	// backlog is the last result of measureBacklog.
 	backlog backlog
+	// paces holds the speeds of the endpoints by service.
+	paces map[string]*pace
 	// rounds counts the rounds of placement.
 	rounds int
 	// lastRound is when the last round of placement began.
@@ -221,7 +223,7 @@
 	return &Planner{
 		settings: settings, tableEnd: settings.Term, config: &definer.Configuration{}, jobs: map[string]*job{},
 		endpoints: map[string]*endpoint{}, accounts: map[string]*account{}, queues: map[string]*queueStats{},
-		readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{},
+		paces: map[string]*pace{}, readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{},
 		unusedListings: map[string]unusedListing{}, jobsOfService: map[string]int{},
 		changedEndpoints: map[string]struct{}{}, unacknowledged: map[*endpoint]struct{}{}, listingEnds: map[*endpoint]struct{}{},
 	}
