Learn the run times of a queue apart from the speeds where it runs

Placement by speed starts the tasks of a queue on endpoints of like speed. Where the speeds do not differ, nothing changes.

--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -281,7 +281,7 @@
 		ratio := min(max(elapsed.Seconds()/estimate.Seconds(), 0.1), 10)
 		q := p.stats(s.job.Queue.Name)
 		r.endpoint.speed += speedGain * (min(q.durationRatio/ratio, 3) - r.endpoint.speed)
-		q.durationRatio += durationGain * (ratio - q.durationRatio)
+		q.durationRatio += durationGain * (ratio*p.relativeSpeed(r.endpoint) - q.durationRatio)
 	}
 	if !s.def.Gang {
 		if t.run != nil && t.run != r {
