--- a/internal/cell/planner/speed.go
+++ b/internal/cell/planner/speed.go
@@ -273,20 +273,22 @@
 }
 
 // suitedFirst returns candidates for a question about count endpoints: half of them
-// are those with the preferred speeds, the others as they come, so that a step may use other
-// endpoints without a second question.
+// are those with about the preferred speed, the others as they come, so that a step may use
+// other endpoints without a second question.
 func (p *Planner) suitedFirst(s *step, candidates []*endpoint, count int) []*endpoint {
 	wish := p.preferenceOf(s)
 	if wish.pace == nil || count >= len(candidates) {
 		return candidates
 	}
-	best := -speedWeight * (1 + speedPrice)
+	best := candidates[0]
 	for _, e := range candidates {
-		best = max(best, wish.score(e))
+		if wish.score(e) > wish.score(best) {
+			best = e
+		}
 	}
 	suited, others := make([]*endpoint, 0, len(candidates)), make([]*endpoint, 0, len(candidates))
 	for _, e := range candidates {
-		if len(suited) < count/2 && wish.score(e) >= best-packingWeight {
+		if len(suited) < count/2 && e.speed < minSpeedRatio*best.speed && best.speed < minSpeedRatio*e.speed {
 			suited = append(suited, e)
 		} else {
 			others = append(others, e)
