Measure rounds of placement where endpoints differ in speed

BenchmarkPlanSpeeds plays the rounds of BenchmarkPlanChurn with a third each of the speeds 0.6, 1.0 and 1.6, since the preference by slack is computed only there.

--- a/internal/cell/planner/bench_test.go
+++ b/internal/cell/planner/bench_test.go
@@ -69,58 +69,72 @@
 // BenchmarkPlanChurn measures a round of placement on a full cell in which, as in a
 // cell under load, tasks end all the time and others wait for their room.
 func BenchmarkPlanChurn(b *testing.B) {
-	const endsPerRound = 15
 	for _, size := range []struct{ endpoints, jobs int }{{350, 400}, {1100, 300}, {1100, 1000}, {1100, 2000}} {
-		b.Run(fmt.Sprintf("%d-endpoints-%d-jobs", size.endpoints, size.jobs), func(b *testing.B) {
-			c := newCell(b, size.endpoints)
-			policy := &definer.Policy{Decide: 46 * time.Millisecond, Each: time.Millisecond, Validity: 1500 * time.Millisecond}
-			accepted := 0
-			var running []StartCmd
-			round := func() {
-				for len(c.planner.readySteps) < size.jobs {
-					job := c.job(fmt.Sprintf("%016x", accepted), mixedStep(accepted))
-					job.Queue.Policy = policy
-					c.planner.Accept(job, c.now, c.wall)
-					accepted++
-				}
-				c.now = c.now.Add(10 * time.Millisecond)
-				for _, e := range c.planner.endpoints {
-					e.lastAnswered = c.now
-				}
-				c.planner.Plan(c.now)
-				for _, command := range c.planner.Commands() {
-					switch command := command.(type) {
-					case AskPolicyCmd:
-						c.admitSome(command, accepted)
-					case StartCmd:
-						running = append(running, command)
-					}
-				}
-				c.planner.Notes()
-			}
-			end := func() {
-				ended := min(endsPerRound, len(running)/2)
-				for _, start := range running[:ended] {
-					e := c.planner.endpoints[start.Target.ID]
-					if r := e.runs[runKey{start.Order.Task, start.Order.Run}]; r != nil {
-						c.planner.runEnded(e, definer.EndedTask{Task: start.Order.Task, Run: start.Order.Run, End: definer.EndDone}, c.now)
-					}
-				}
-				running = running[ended:]
+		b.Run(fmt.Sprintf("%d-endpoints-%d-jobs", size.endpoints, size.jobs), func(b *testing.B) { benchmarkChurn(b, size.endpoints, size.jobs, false) })
+	}
+}
+
+// BenchmarkPlanSpeeds measures the same rounds where the endpoints differ in speed.
+func BenchmarkPlanSpeeds(b *testing.B) {
+	for _, size := range []struct{ endpoints, jobs int }{{350, 400}, {1100, 2000}} {
+		b.Run(fmt.Sprintf("%d-endpoints-%d-jobs", size.endpoints, size.jobs), func(b *testing.B) { benchmarkChurn(b, size.endpoints, size.jobs, true) })
+	}
+}
+
+func benchmarkChurn(b *testing.B, endpoints, jobs int, differ bool) {
+	b.Helper()
+	const endsPerRound = 15
+	c := newCell(b, endpoints)
+	policy := &definer.Policy{Decide: 46 * time.Millisecond, Each: time.Millisecond, Validity: 1500 * time.Millisecond}
+	accepted := 0
+	var running []StartCmd
+	round := func() {
+		for len(c.planner.readySteps) < jobs {
+			job := c.job(fmt.Sprintf("%016x", accepted), mixedStep(accepted))
+			job.Queue.Policy = policy
+			c.planner.Accept(job, c.now, c.wall)
+			accepted++
+		}
+		c.now = c.now.Add(10 * time.Millisecond)
+		for n, e := range c.planner.ordered {
+			e.lastAnswered = c.now
+			if differ {
+				of := c.planner.paceOf(e.Service)
+				e.speed, of.varied, of.top = thirds(n), true, fastSpeed
 			}
-			for range 300 {
-				round()
-				end()
+		}
+		c.planner.Plan(c.now)
+		for _, command := range c.planner.Commands() {
+			switch command := command.(type) {
+			case AskPolicyCmd:
+				c.admitSome(command, accepted)
+			case StartCmd:
+				running = append(running, command)
 			}
-			b.ReportAllocs()
-			b.ResetTimer()
-			for range b.N {
-				round()
-				b.StopTimer()
-				end()
-				b.StartTimer()
+		}
+		c.planner.Notes()
+	}
+	end := func() {
+		ended := min(endsPerRound, len(running)/2)
+		for _, start := range running[:ended] {
+			e := c.planner.endpoints[start.Target.ID]
+			if r := e.runs[runKey{start.Order.Task, start.Order.Run}]; r != nil {
+				c.planner.runEnded(e, definer.EndedTask{Task: start.Order.Task, Run: start.Order.Run, End: definer.EndDone}, c.now)
 			}
-		})
+		}
+		running = running[ended:]
+	}
+	for range 300 {
+		round()
+		end()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		round()
+		b.StopTimer()
+		end()
+		b.StartTimer()
 	}
 }
 
