--- a/cmd/standin/simulate.go
+++ b/cmd/standin/simulate.go
@@ -42,16 +42,6 @@
 	return nil
 }
 
-// MarshalText implements encoding.TextMarshaler.
-func (s speeds) MarshalText() ([]byte, error) {
-	fields := make([]string, len(s))
-	for i, speed := range s {
-		fields[i] = strconv.FormatFloat(speed, 'g', -1, 64)
-	}
-
-	return []byte(strings.Join(fields, ",")), nil
-}
-
 func (c *simulateCommand) run(context.Context) error {
 	result := simulator.Run(simulator.Options{
 		Seed: c.Seed, Endpoints: c.Endpoints, Instances: c.Instances, Classes: simulator.Mix(c.Endpoints, c.Load), Duration: c.Duration,
