--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -81,8 +81,8 @@
 	pausedUntil definer.Instant
 	// reportedAt is when the last report arrived, and previousReport when the one before that did.
 	reportedAt, previousReport definer.Instant
-	// speed is the learned speed; 1 is the mean.
-	speed float64
+	// speed is the learned speed, of which 1 is the mean, and countedSpeed its value in the last round.
+	speed, countedSpeed float64
 }
 
 // runKey identifies a run on an endpoint.
