Let the simulator refuse jobs, and simulate accounts above their rate

Simulated jobs were accepted without being admitted, and no account had a rate, so that the simulator could not show what admission does. The table has the refused jobs and the goodput in core-seconds by class.

--- a/cmd/standin/simulate.go
+++ b/cmd/standin/simulate.go
@@ -16,6 +16,9 @@
 	Accounts  int           `arg:"--accounts" default:"60" help:"number of client accounts"`
 	Limit     float64       `arg:"--limit" default:"1.9" help:"limit of each account as a multiple of its share of the work; 0 means no limits"`
 	Duration  time.Duration `arg:"--duration" default:"35s" help:"virtual time for which work arrives"`
+	Rate      float64       `arg:"--rate" default:"0" help:"rate of each account as a multiple of its share of the jobs; 0 means rates that none exceeds"`
+	Hot       float64       `arg:"--hot" default:"1" help:"multiple of their share of small jobs that hot accounts send from 8 s to 16 s"`
+	HotCount  int           `arg:"--hot-accounts" default:"1" help:"number of hot accounts, the largest first"`
 	Round     time.Duration `arg:"--round" default:"15ms" help:"virtual time between two rounds of placement"`
 }
 
@@ -23,6 +26,7 @@
 	result := simulator.Run(simulator.Options{
 		Seed: c.Seed, Endpoints: c.Endpoints, Instances: c.Instances, Classes: simulator.Mix(c.Endpoints, c.Load), Duration: c.Duration,
 		DrainTime: 14 * time.Second, Accounts: c.Accounts, LimitFactor: c.Limit, Round: c.Round,
+		RateFactor: c.Rate, Hot: min(c.HotCount, c.Accounts), HotFactor: c.Hot, HotClass: simulator.SmallClass, HotFrom: 8 * time.Second, HotUntil: 16 * time.Second,
 	})
 
 	return result.WriteTable(os.Stdout)
--- a/internal/measure/simulator/mix.go
+++ b/internal/measure/simulator/mix.go
@@ -6,6 +6,9 @@
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 )
 
+// SmallClass is the index of the small jobs among the classes of Mix.
+const SmallClass = 2
+
 // Mix returns classes of unlike work that need about the given share of the cores of the
 // endpoints on average: wide gangs with a slow policy that admits few endpoints, elastic
 // batches that are less urgent, and many small jobs that are more urgent.
--- a/internal/measure/simulator/result.go
+++ b/internal/measure/simulator/result.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -18,6 +19,13 @@
 	Name string
 	// Jobs counts the jobs; InTime those that met their objective, and Late those that took up to lateFactor times as long.
 	Jobs, InTime, Late int
+	// Refused counts those that were not admitted. Hot, HotRefused and HotUseful count the jobs of the bursts of hot
+	// accounts, those of them that were not admitted, and those that were in time or late; the other counts leave
+	// them out.
+	Refused, Hot, HotRefused, HotUseful int
+	// Done is the core-seconds of the work of the jobs in time, and of lateWorth of that of late ones, those of
+	// bursts included.
+	Done float64
 	// Earned is the share of the worth of the jobs that was earned: a job is worth 0.3 and 0.7 of its work against the
 	// mean, at most maxWorth, and lateWorth of that if it is late.
 	Earned float64
@@ -41,6 +49,8 @@
 	// InvalidTickets counts the starts that were refused for their ticket, Stopped the runs that were stopped, and
 	// OverCapacity the starts beyond the capacity of their endpoint.
 	InvalidTickets, Stopped, OverCapacity int
+	// Refusals counts the jobs that were not admitted by the reason.
+	Refusals map[string]int
 	// Loads holds the notes about the load.
 	Loads []planner.Note
 	waits map[string]time.Duration
@@ -55,7 +65,7 @@
 var widths = [...]int{10, 20, 40, 60, 100, 1000}
 
 func newResult(classes []Class) *Result {
-	r := &Result{waits: map[string]time.Duration{}}
+	r := &Result{waits: map[string]time.Duration{}, Refusals: map[string]int{}}
 	for i := range classes {
 		r.Classes = append(r.Classes, ClassResult{Name: classes[i].Name, Lacked: map[string]time.Duration{}})
 	}
@@ -95,7 +105,11 @@
 	var jobs []*job
 	mean := 0.0
 	for _, j := range c.jobs {
-		if j.class.Name == r.Name {
+		if j.class.Name != r.Name {
+			continue
+		}
+		r.addGoodput(j)
+		if !j.hot {
 			jobs = append(jobs, j)
 			mean += j.weight()
 		}
@@ -108,9 +122,7 @@
 	for _, j := range jobs {
 		worth := min(0.3+0.7*j.weight()/mean, maxWorth)
 		owed += worth
-		took := j.doneAt.Sub(j.submitted)
-		inTime := j.doneAt != 0 && took <= j.objective()
-		late := j.doneAt != 0 && !inTime && took <= lateFactor*j.objective()
+		inTime, late := j.outcome()
 		r.Jobs++
 		width := r.widthOf(j)
 		width.Jobs++
@@ -123,6 +135,9 @@
 			r.Late++
 			earned += lateWorth * worth
 		}
+		if j.refused {
+			r.Refused++
+		}
 		if wait, started := c.result.waits[j.ID]; started {
 			r.Waits = append(r.Waits, wait)
 		}
@@ -139,6 +154,36 @@
 	slices.Sort(r.Waits)
 }
 
+// addGoodput adds the work of a job that was in time or late, and counts it if it is one of
+// a burst.
+func (r *ClassResult) addGoodput(j *job) {
+	inTime, late := j.outcome()
+	switch {
+	case inTime:
+		r.Done += j.weight()
+	case late:
+		r.Done += lateWorth * j.weight()
+	}
+	if !j.hot {
+		return
+	}
+	r.Hot++
+	switch {
+	case j.refused:
+		r.HotRefused++
+	case inTime || late:
+		r.HotUseful++
+	}
+}
+
+// outcome reports whether a job met its objective, or took up to lateFactor times as long.
+func (j *job) outcome() (inTime, late bool) {
+	took := j.doneAt.Sub(j.submitted)
+	inTime = j.doneAt != 0 && took <= j.objective()
+
+	return inTime, j.doneAt != 0 && !inTime && took <= lateFactor*j.objective()
+}
+
 func (r *ClassResult) widthOf(j *job) *WidthResult {
 	widest := 0
 	for _, step := range j.Steps {
@@ -161,10 +206,10 @@
 // WriteTable writes the result as text.
 func (r *Result) WriteTable(out io.Writer) error {
 	rows := make([]string, 0, 1+len(r.Classes))
-	rows = append(rows, "class\tjobs\tearned\tin time\tlate\twait p50\tp80\tp95\tp99\tlacked (mean)\tin time by width")
+	rows = append(rows, "class\tjobs\tearned\tin time\tlate\trefused\tgoodput\twait p50\tp80\tp95\tp99\tlacked (mean)\tin time by width")
 	for i := range r.Classes {
 		class := &r.Classes[i]
-		rows = append(rows, fmt.Sprintf("%s\t%d\t%.3f\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s", class.Name, class.Jobs, class.Earned, class.InTime, class.Late,
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%.3f\t%d\t%d\t%d\t%.0f\t%s\t%s\t%s\t%s\t%s\t%s", class.Name, class.Jobs, class.Earned, class.InTime, class.Late, class.Refused, class.Done,
 			seconds(class.Wait(0.5)), seconds(class.Wait(0.8)), seconds(class.Wait(0.95)), seconds(class.Wait(0.99)), class.lackedText(), class.widthText()))
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
@@ -174,12 +219,35 @@
 	if err := table.Flush(); err != nil {
 		return errors.Wrap(err, "write results")
 	}
+	if err := r.writeRefusals(out); err != nil {
+		return err
+	}
 	_, err := fmt.Fprintf(out, "questions %d, %s in all; starts refused for their ticket %d; runs stopped %d; starts over capacity %d\n",
 		r.Questions, seconds(r.QuestionTime), r.InvalidTickets, r.Stopped, r.OverCapacity)
 
 	return errors.Wrap(err, "write results")
 }
 
+// writeRefusals writes what became of the jobs of hot accounts, and why jobs were refused.
+func (r *Result) writeRefusals(out io.Writer) error {
+	for i := range r.Classes {
+		class := &r.Classes[i]
+		if class.Hot == 0 {
+			continue
+		}
+		if _, err := fmt.Fprintf(out, "%s of hot accounts: %d jobs, %d refused, %d in time or late\n", class.Name, class.Hot, class.HotRefused, class.HotUseful); err != nil {
+			return errors.Wrap(err, "write results")
+		}
+	}
+	for _, reason := range slices.Sorted(maps.Keys(r.Refusals)) {
+		if _, err := fmt.Fprintf(out, "refused, %s: %d\n", reason, r.Refusals[reason]); err != nil {
+			return errors.Wrap(err, "write results")
+		}
+	}
+
+	return nil
+}
+
 func (r *ClassResult) lackedText() string {
 	names := make([]string, 0, len(r.Lacked))
 	for name := range r.Lacked {
--- a/internal/measure/simulator/simulator.go
+++ b/internal/measure/simulator/simulator.go
@@ -29,6 +29,15 @@
 	// of the work that arrives; 0 means no limits.
 	Accounts    int
 	LimitFactor float64
+	// RateFactor is the rate of each account as a multiple of its share of the jobs that arrive on average; 0 means
+	// rates that none exceeds.
+	RateFactor float64
+	// Hot accounts, the largest first, send HotFactor times their share of the jobs of class HotClass from HotFrom
+	// to HotUntil, beside what the others send. They send nothing beyond their share if HotFactor is at most 1.
+	Hot               int
+	HotFactor         float64
+	HotClass          int
+	HotFrom, HotUntil time.Duration
 	// Round is the time between two rounds of placement.
 	Round time.Duration
 }
@@ -60,15 +69,17 @@
 	// arrivals draws the work that arrives, and outcomes all else, so that two versions of the
 	// planner get the same work.
 	arrivals, outcomes *rand.Rand
-	planner            *planner.Planner
-	now                definer.Instant
-	began              time.Time
-	events             eventQueue
-	endpoints          map[string]*endpoint
-	order              []*endpoint
-	policies           policyService
-	jobs               map[string]*job
-	result             *Result
+	// excess draws the work that hot accounts send beyond their share, so that the other work stays the same.
+	excess    *rand.Rand
+	planner   *planner.Planner
+	now       definer.Instant
+	began     time.Time
+	events    eventQueue
+	endpoints map[string]*endpoint
+	order     []*endpoint
+	policies  policyService
+	jobs      map[string]*job
+	result    *Result
 }
 
 // Run simulates a cell.
@@ -78,6 +89,7 @@
 		began: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), endpoints: map[string]*endpoint{}, jobs: map[string]*job{},
 		result: newResult(options.Classes),
 	}
+	c.excess = rand.New(rand.NewPCG(options.Seed, 3))
 	c.policies = newPolicyService(c, options.Instances)
 	c.configure()
 	for n := range options.Endpoints {
@@ -86,6 +98,9 @@
 	for i := range options.Classes {
 		c.submitNext(&options.Classes[i])
 	}
+	for n := range options.Hot {
+		c.submitNextExcess(n)
+	}
 	c.round()
 	c.events.run(c, c.now.Add(options.Duration+options.DrainTime))
 	c.finish()
@@ -118,7 +133,7 @@
 		widest = max(widest, class.Width.Max*class.Cores.Mean)
 	}
 	for n := range c.options.Accounts {
-		account := definer.Account{Name: accountName(n), Weight: 1000}
+		account := definer.Account{Name: accountName(n), Weight: c.accountRate(n)}
 		if c.options.LimitFactor > 0 {
 			cores := max(c.options.LimitFactor*offered*c.accountShare(n), widest/2)
 			account.Limit = modeler.Resources{Millis: int64(cores * coreMillis)}
@@ -143,6 +158,20 @@
 	return accountWeight(n) / total
 }
 
+// accountRate returns the jobs per second that the account may send.
+func (c *cell) accountRate(n int) float64 {
+	const unlimited = 1000
+	if c.options.RateFactor <= 0 {
+		return unlimited
+	}
+	total := 0.0
+	for i := range c.options.Classes {
+		total += c.options.Classes[i].PerSecond
+	}
+
+	return c.options.RateFactor * total * c.accountShare(n)
+}
+
 // drawAccount draws an account by its share.
 func (c *cell) drawAccount() string {
 	draw := c.arrivals.Float64()
--- a/internal/measure/simulator/traffic.go
+++ b/internal/measure/simulator/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
@@ -67,15 +68,17 @@
 	work []time.Duration
 	// gangs holds the gang runs by step and number.
 	gangs map[runKey]*gangRun
+	// hot means that a hot account sent the job among those of its burst, and refused that it was not admitted.
+	hot, refused bool
 	// doneAt is when the owner completed the job, or 0.
 	doneAt definer.Instant
 	// lacked is how long gangs of the job waited, by what they lacked.
 	lacked map[string]time.Duration
 }
 
-func (c *cell) draw(s Spread) float64 {
+func draw(random *rand.Rand, s Spread) float64 {
 	variance := math.Log(1 + s.Deviation*s.Deviation)
-	value := s.Mean * math.Exp(c.arrivals.NormFloat64()*math.Sqrt(variance)-variance/2)
+	value := s.Mean * math.Exp(random.NormFloat64()*math.Sqrt(variance)-variance/2)
 	if s.Max > 0 {
 		value = min(value, s.Max)
 	}
@@ -91,29 +94,70 @@
 	gap := time.Duration(c.arrivals.ExpFloat64() / class.rate(c.elapsed()) * float64(time.Second))
 	c.after(gap, func() {
 		if c.elapsed() <= c.options.Duration {
-			c.submit(class)
+			c.submit(class, c.drawAccount(), c.arrivals)
 			c.submitNext(class)
 		}
 	})
 }
 
-func (c *cell) submit(class *Class) {
-	j := &job{class: class, submitted: c.now, gangs: map[runKey]*gangRun{}, lacked: map[string]time.Duration{}}
-	j.Job = definer.Job{ID: fmt.Sprintf("%s-%05d", class.Name, len(c.jobs)), Account: c.drawAccount(), Spec: "spec", Accepted: c.wall(), Queue: class.queue()}
-	for n := range max(int(math.Round(c.draw(class.Steps))), 1) {
-		j.addStep(c, n)
+// submitNextExcess submits the next job that a hot account sends beyond its share after a
+// random time.
+func (c *cell) submitNextExcess(account int) {
+	o := &c.options
+	class := &o.Classes[o.HotClass]
+	rate := (o.HotFactor - 1) * class.PerSecond * c.accountShare(account)
+	if rate <= 0 {
+		return
+	}
+	at := max(c.elapsed(), o.HotFrom) + time.Duration(c.excess.ExpFloat64()/rate*float64(time.Second))
+	if at > min(o.HotUntil, o.Duration) {
+		return
+	}
+	c.after(at-c.elapsed(), func() {
+		c.submit(class, accountName(account), c.excess)
+		c.submitNextExcess(account)
+	})
+}
+
+// isHot reports whether a job of the class that the account submits now is one of a burst.
+func (c *cell) isHot(class *Class, account string) bool {
+	o := &c.options
+	if o.HotFactor <= 1 || class != &o.Classes[o.HotClass] || c.elapsed() < o.HotFrom || c.elapsed() > o.HotUntil {
+		return false
+	}
+	for n := range o.Hot {
+		if account == accountName(n) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// submit submits a job that is drawn from the given source.
+func (c *cell) submit(class *Class, account string, random *rand.Rand) {
+	j := &job{class: class, hot: c.isHot(class, account), submitted: c.now, gangs: map[runKey]*gangRun{}, lacked: map[string]time.Duration{}}
+	j.Job = definer.Job{ID: fmt.Sprintf("%s-%05d", class.Name, len(c.jobs)), Account: account, Spec: "spec", Accepted: c.wall(), Queue: class.queue()}
+	for n := range max(int(math.Round(draw(random, class.Steps))), 1) {
+		j.addStep(random, n)
 	}
 	c.jobs[j.ID] = j
+	if refusal := c.planner.Admit(&j.Job, c.now); refusal != nil {
+		j.refused = true
+		c.result.Refusals[refusal.Reason]++
+
+		return
+	}
 	c.planner.Accept(j.Job, c.now, c.wall())
 }
 
-func (j *job) addStep(c *cell, n int) {
+func (j *job) addStep(random *rand.Rand, n int) {
 	class := j.class
-	work := time.Duration(c.draw(class.Seconds) * float64(time.Second))
+	work := time.Duration(draw(random, class.Seconds) * float64(time.Second))
 	step := definer.Step{
-		Count: max(int(math.Round(c.draw(class.Width))), 1), Gang: c.arrivals.Float64() < class.GangShare, Checkpointing: c.arrivals.Float64() < class.CheckpointShare,
-		Need:     modeler.Resources{Millis: int64(c.draw(class.Cores) * coreMillis), Memory: int64(c.draw(class.Gigabytes) * (1 << 30))},
-		Estimate: time.Duration(float64(work) * (1 + class.EstimateError*(2*c.arrivals.Float64()-1))),
+		Count: max(int(math.Round(draw(random, class.Width))), 1), Gang: random.Float64() < class.GangShare, Checkpointing: random.Float64() < class.CheckpointShare,
+		Need:     modeler.Resources{Millis: int64(draw(random, class.Cores) * coreMillis), Memory: int64(draw(random, class.Gigabytes) * (1 << 30))},
+		Estimate: time.Duration(float64(work) * (1 + class.EstimateError*(2*random.Float64()-1))),
 	}
 	if n > 0 {
 		step.After = []int{n - 1}
