Refuse work above a rate while other work waits, and work that would be useless

Jobs above their account's rate were accepted while the pending work over all processors was below 0.3 s. That value ignores running work, limits and policies, so a burst of short jobs was accepted while gangs waited, and took their room; the token was taken only when the job was stored.

The owner now decides by the larger of the wait that in-rate jobs have seen lately (delay.go) and an estimate from the work without room, counts jobs that are being stored, and refuses jobs that would be done after three times their objective, by the work of the cell and the limit of the account. Work that exceeds a rate or has become useless runs on a twentieth of the capacity beside useful work that waits, or on what that work can't use (yield.go).

--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -310,6 +310,7 @@
 		}
 		l.logger.Warn("submission refused", "job", s.job.ID, "reason", "store does not answer", "store age", l.StoreAge().String())
 		delete(j.submissionsByID, s.job.ID)
+		l.planner.Withdraw(&s.job)
 		s.answer(&forwarder.Reply{Outcome: forwarder.OutcomeRefused, RetryAfter: storeRetryAfter})
 	}
 	j.submissions = kept
--- a/internal/cell/leader/requests.go
+++ b/internal/cell/leader/requests.go
@@ -109,8 +109,9 @@
 		return
 	}
 	if refusal := l.planner.Admit(&m.job, now); refusal != nil {
-		l.logger.Info("submission refused", "job", m.job.ID, "account", m.job.Account, "queue", m.job.Queue.Name, "reason", refusal.Reason, "retry", refusal.RetryAfter.String())
+		l.logger.Info("submission refused", "job", m.job.ID, "account", m.job.Account, "queue", m.job.Queue.Name, "reason", refusal.Reason, "wait", refusal.Delay.String(), "retry", refusal.RetryAfter.String())
 		l.metrics.Count("refused: " + refusal.Reason)
+		l.metrics.Observe("refused for a wait of", refusal.Delay)
 		m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeRefused, RetryAfter: refusal.RetryAfter}
 
 		return
--- /dev/null
+++ b/internal/cell/planner/delay.go
@@ -0,0 +1,136 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+)
+
+const (
+	// delayWindow is how long the wait of a job counts after its first start.
+	delayWindow = 3 * time.Second
+	// maxDelaySamples bounds the waits that are kept for a queue.
+	maxDelaySamples = 256
+)
+
+// jobDelay is the time for which a job has waited for its first start while neither its
+// account's limit nor a takeover kept it from starting.
+type jobDelay struct {
+	waited   time.Duration
+	lookedAt definer.Instant
+	held     bool
+}
+
+// look adds the time since the last look, unless the job was held then. held is whether it
+// is held from now on. A job that an earlier owner accepted has waited since the first look.
+func (d *jobDelay) look(j *job, held bool, now definer.Instant) {
+	switch {
+	case d.lookedAt != 0 && !d.held:
+		d.waited += now.Sub(d.lookedAt)
+	case d.lookedAt == 0 && !j.inherited && !held:
+		d.waited = now.Sub(j.accepted)
+	}
+	d.lookedAt, d.held = now, held
+}
+
+// delaySample is the wait of a job, less one decision of its policy, at its first start.
+type delaySample struct {
+	at   definer.Instant
+	wait time.Duration
+}
+
+// queueDelay holds the waits until the first start that jobs of a queue within the rate of
+// their account have seen lately.
+type queueDelay struct {
+	service string
+	// started holds the waits of the jobs that have started, the latest last.
+	started []delaySample
+	// waiting holds the waits so far of those that have waited for more than excessBacklog and may still be useful.
+	waiting []time.Duration
+}
+
+// add records the wait of a job that starts.
+func (d *queueDelay) add(sample delaySample) {
+	if len(d.started) >= maxDelaySamples {
+		d.started = slices.Delete(d.started, 0, len(d.started)-maxDelaySamples+1)
+	}
+	d.started = append(d.started, sample)
+}
+
+// typical returns the median of the waits within delayWindow and, if there are any, of the
+// jobs that still wait. Jobs that have waited for a short time are left out, since it is not
+// known yet how long they will.
+func (d *queueDelay) typical(now definer.Instant, stillWaiting bool) time.Duration {
+	var waits []time.Duration
+	for _, sample := range d.started {
+		if now.Sub(sample.at) < delayWindow {
+			waits = append(waits, sample.wait)
+		}
+	}
+	if stillWaiting {
+		waits = append(waits, d.waiting...)
+	}
+	if len(waits) == 0 {
+		return 0
+	}
+	slices.Sort(waits)
+
+	return waits[(len(waits)-1)/2]
+}
+
+// observeDelays records how long the jobs wait whose steps are ready.
+func (ps *pass) observeDelays(steps []*step) {
+	p := ps.planner
+	for _, q := range p.queues {
+		q.delay.waiting = q.delay.waiting[:0]
+	}
+	for _, s := range steps {
+		j := s.job
+		if j.begun || s.urgency > urgencyLate || j.delay.lookedAt == ps.now {
+			continue
+		}
+		j.delay.look(j, ps.heldBack(s), ps.now)
+		d := &p.stats(j.Queue.Name).delay
+		d.service = j.Queue.Service
+		if wait := j.delay.waited - p.longestDecision(&j.Queue); wait > excessBacklog && !j.delay.held {
+			d.waiting = append(d.waiting, wait)
+		}
+	}
+}
+
+// heldBack reports whether something else than the load of the cell keeps s from starting:
+// the limit of its account, or a takeover.
+func (ps *pass) heldBack(s *step) bool {
+	if s.job.inherited && !ps.takeoverSettled {
+		return true
+	}
+	need := s.def.Need
+	if s.def.Gang {
+		need = need.Scale(int64(s.pendingCount))
+	}
+	account := ps.planner.account(s.job.Account)
+
+	return !account.withinLimit(need, ps.unconfirmed[account])
+}
+
+// recordDelay records the wait of a job that starts for the first time.
+func (p *Planner) recordDelay(s *step, now definer.Instant) {
+	j := s.job
+	if s.urgency > urgencyLate || j.delay.lookedAt == 0 {
+		return
+	}
+	j.delay.look(j, false, now)
+	wait := max(j.delay.waited-p.longestDecision(&j.Queue), 0)
+	p.stats(j.Queue.Name).delay.add(delaySample{now, wait})
+}
+
+// longestDecision returns the time of one decision about as many endpoints as a question
+// may name.
+func (p *Planner) longestDecision(q *definer.Queue) time.Duration {
+	if q.Policy == nil {
+		return 0
+	}
+
+	return q.Policy.Decide + time.Duration(min(len(p.ordered), maxAskedEndpoints))*q.Policy.Each
+}
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -51,6 +51,8 @@
 	clock   int64
 	runs    map[runKey]*run
 	used    modeler.Resources
+	// deferredMillis is what runs use that were started although they yield to useful work.
+	deferredMillis int64
 	// servingRuns counts the runs with a response time target, and fillingRuns those
 	// that use spare processor time.
 	servingRuns, fillingRuns int
@@ -123,6 +125,8 @@
 	confirmed bool
 	// adopted means that an endpoint listed the run and the owner did not know it.
 	adopted bool
+	// deferred means that the step exceeded a rate or was too late to be useful when the run was started.
+	deferred bool
 	// life is that of the endpoint when the run was started or adopted.
 	life int64
 }
@@ -291,6 +295,9 @@
 	r.life = e.life
 	e.runs[runKey{r.name, r.number}] = r
 	e.used = e.used.Add(r.need)
+	if r.deferred {
+		e.deferredMillis += r.need.Millis
+	}
 	if r.account == nil {
 		e.unknownRuns++
 
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -33,8 +33,9 @@
 	finalStored bool
 	// finalShown means that the final state has been shown to a caller.
 	finalShown bool
-	// begun means that a task of the job has been started.
+	// begun means that a task of the job has been started, and delay is how long it has waited for that.
 	begun bool
+	delay jobDelay
 	// standsSince is when the job was first seen to stand, or 0, and standNotedAt when a note last said why.
 	standsSince, standNotedAt definer.Instant
 }
@@ -149,16 +150,19 @@
 		return
 	}
 	j := p.newJob(definition, now, wall)
-	j.excess = p.account(j.Account).takeCredit(now)
+	j.excess = p.charge(j, now)
+	if !j.excess {
+		p.flowOf(j.Queue.Service).add(j, now)
+	}
 	p.note("accepted", j.ID, "account", j.Account, "queue", j.Queue.Name, "excess", j.excess)
 	p.advance(j, wall)
-	if p.backlog.work == nil {
+	if p.backlog.services == nil {
 		return
 	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if _, ready := p.readySteps[s]; ready {
-				p.backlog.add(s)
+				p.backlog.addAccepted(s, p.account(j.Account))
 			}
 		}
 	}
@@ -182,18 +186,24 @@
 // path of its steps' estimates times the queue's stretch, plus the queue's
 // target.
 func objective(j *definer.Job) time.Duration {
+	return time.Duration(float64(criticalPath(j))*max(j.Queue.Stretch, 1)) + j.Queue.Target
+}
+
+// criticalPath returns the longest time that steps take which depend on one another, by
+// their estimates.
+func criticalPath(j *definer.Job) time.Duration {
 	finish := make([]time.Duration, len(j.Steps))
-	var criticalPath time.Duration
+	var longest time.Duration
 	for i := range j.Steps {
 		var start time.Duration
 		for _, dependency := range j.Steps[i].After {
 			start = max(start, finish[dependency])
 		}
 		finish[i] = start + j.Steps[i].Estimate
-		criticalPath = max(criticalPath, finish[i])
+		longest = max(longest, finish[i])
 	}
 
-	return time.Duration(float64(criticalPath)*max(j.Queue.Stretch, 1)) + j.Queue.Target
+	return longest
 }
 
 // refill adds the credit that has accumulated since the last refill, up to
--- a/internal/cell/planner/load.go
+++ b/internal/cell/planner/load.go
@@ -27,6 +27,10 @@
 	// Steps and Gangs count the steps that wait, and those of them that are gangs.
 	Steps int `json:"steps"`
 	Gangs int `json:"gangs"`
+	// Delay is what its jobs have waited lately beyond one decision of their policy, in milliseconds.
+	Delay int64 `json:"delay"`
+	// Deferred is what work waits for that yields to useful work.
+	Deferred int64 `json:"deferred"`
 }
 
 // noteLoad notes what uses the cell and what waits for it, once in each loadInterval.
@@ -86,10 +90,16 @@
 		load := of(s.job)
 		load.Steps++
 		load.Waiting += s.need().Scale(int64(s.pendingCount)).Millis
+		if s.urgency > urgencyLate {
+			load.Deferred += s.need().Scale(int64(s.pendingCount)).Millis
+		}
 		if s.def.Gang {
 			load.Gangs++
 		}
 	}
+	for name, load := range loads {
+		load.Delay = p.stats(name).delay.typical(p.now, true).Milliseconds()
+	}
 
 	return loads
 }
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -94,11 +94,13 @@
 	slices.SortFunc(steps, (*step).compare)
 	ps.restoreReservations(steps)
 	ps.countGangQuestions(steps)
+	ps.observeDelays(steps)
 	urgent, _ := slices.BinarySearchFunc(steps, urgencyMissed, func(s *step, urgency int) int { return cmp.Compare(s.urgency, urgency) })
 	for _, s := range steps[:urgent] {
 		ps.place(s)
 	}
 	ps.prefetchInTurn()
+	ps.findDeferredRoom(steps[:urgent])
 	ps.placeInTurn(steps[urgent:])
 	ps.askForGangs()
 	ps.noteLoad()
@@ -440,12 +442,13 @@
 	p := ps.planner
 	s := t.step
 	r := &run{task: t, name: t.name(), number: number, endpoint: e, need: s.need(), account: p.account(s.job.Account),
-		sentAt: ps.now, progressedAt: ps.now, checkpoint: t.checkpoint}
+		sentAt: ps.now, progressedAt: ps.now, checkpoint: t.checkpoint, deferred: s.urgency > urgencyLate}
 	t.run, t.lastRun = r, number
 	e.addRun(r)
 	// A start order extends the lease of every run on the endpoint.
 	e.lastSent = ps.now
 	if !s.job.begun {
+		p.recordDelay(s, ps.now)
 		s.job.begun = true
 		p.note("first start", s.job.ID, "waited", ps.now.Sub(s.job.accepted), "endpoint", e.ID)
 	}
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -81,6 +81,13 @@
 	withoutDetails int
 	// backlog is the last result of measureBacklog.
 	backlog backlog
+	// deferred holds the room for work that yields, as the last round found it, for the services in which useful
+	// work waited.
+	deferred map[string]*deferredRoom
+	// flows holds the mean of the accepted work of each service.
+	flows map[string]flow
+	// admitted holds the admitted jobs that are being stored, and whether they exceed the rate of their account.
+	admitted map[string]bool
 	// rounds counts the rounds of placement.
 	rounds int
 	// lastRound is when the last round of placement began.
@@ -135,6 +142,8 @@
 	// credit is the account's token bucket in jobs; it refills at weight jobs per second.
 	credit     float64
 	creditedAt definer.Instant
+	// promised is when the last refused caller was told to return for a token.
+	promised definer.Instant
 	// active counts the account's jobs that are not final.
 	active int
 }
@@ -147,6 +156,8 @@
 	durationRatio float64
 	// ticketReservationsFrom is when gangs that ask for tickets may reserve room again.
 	ticketReservationsFrom definer.Instant
+	// delay is what jobs have waited lately.
+	delay queueDelay
 }
 
 // Command is an action that the caller has to carry out.
@@ -221,7 +232,7 @@
 	return &Planner{
 		settings: settings, tableEnd: settings.Term, config: &definer.Configuration{}, jobs: map[string]*job{},
 		endpoints: map[string]*endpoint{}, accounts: map[string]*account{}, queues: map[string]*queueStats{},
-		readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{},
+		readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{}, admitted: map[string]bool{}, flows: map[string]flow{},
 		unusedListings: map[string]unusedListing{}, jobsOfService: map[string]int{},
 		changedEndpoints: map[string]struct{}{}, unacknowledged: map[*endpoint]struct{}{}, listingEnds: map[*endpoint]struct{}{},
 	}
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -356,6 +356,9 @@
 	}
 	delete(r.endpoint.runs, key)
 	r.endpoint.used = r.endpoint.used.Sub(r.need)
+	if r.deferred {
+		r.endpoint.deferredMillis -= r.need.Millis
+	}
 	if r.account == nil {
 		r.endpoint.unknownRuns--
 
--- a/internal/cell/planner/standing.go
+++ b/internal/cell/planner/standing.go
@@ -39,6 +39,7 @@
 	standPerEndpoint standReason = "limit of the step for each endpoint"
 	standTickets     standReason = "tickets have expired"
 	standNoTurn      standReason = "no turn in this round"
+	standYields      standReason = "room is left to useful work"
 	standHeldBack    standReason = "tasks are held back"
 )
 
@@ -267,12 +268,21 @@
 	case view.ticketPlaces < wanted:
 		return standTickets
 	case s.turnAt != ps.now:
-		return standNoTurn
+		return ps.turnReason(s)
 	default:
 		return standHeldBack
 	}
 }
 
+// turnReason returns why s had no turn in the round.
+func (ps *pass) turnReason(s *step) standReason {
+	if s.urgency > urgencyLate && ps.mustYield(s) {
+		return standYields
+	}
+
+	return standNoTurn
+}
+
 // askingReason returns the reason that lies in what the policy has answered so far, or
 // an empty reason.
 func (s *step) askingReason(view endpointView, now definer.Instant) standReason {
--- a/internal/cell/planner/turn.go
+++ b/internal/cell/planner/turn.go
@@ -42,6 +42,9 @@
 	slices.SortStableFunc(others, func(a, b *step) int { return cmp.Compare(a.queuedSince, b.queuedSince) })
 	// The steps that have no turn keep their reservations.
 	for _, s := range deferrable {
+		if ps.mustYield(s) {
+			s.dropReservation()
+		}
 		ps.held.add(s)
 	}
 	ps.placeFirst(holders)
@@ -73,14 +76,15 @@
 		if turns == 0 || looks == 0 {
 			return
 		}
-		if ps.cannotAct(s) {
+		if ps.cannotAct(s) || ps.mustYield(s) {
 			continue
 		}
 		looks--
 		s.queuedSince = ps.now
 		ps.held.remove(s)
-		commands := len(p.commands)
+		commands, pending := len(p.commands), s.pendingCount
 		ps.place(s)
+		ps.useDeferred(s, pending-s.pendingCount)
 		if len(p.commands) > commands {
 			turns--
 		}
