--- a/internal/measure/simulator/simulator_test.go
+++ b/internal/measure/simulator/simulator_test.go
@@ -55,3 +55,30 @@
 		t.Errorf("%d and %d questions, %v and %v earned", first.Questions, second.Questions, first.Classes[0].Earned, second.Classes[0].Earned)
 	}
 }
+
+// TestHotAccountsLeaveRoom guards against the burst of an account, and of two, that is
+// accepted while gangs wait and takes their room, against jobs of it that are accepted and
+// not served, and against refusals while nothing waits.
+func TestHotAccountsLeaveRoom(t *testing.T) {
+	const endpoints = 350
+	simulate := func(load float64, hot int) *Result {
+		return Run(Options{
+			Seed: 2, Endpoints: endpoints, Instances: 30, Classes: Mix(endpoints, load), Duration: 18 * time.Second, DrainTime: 10 * time.Second,
+			Accounts: 20, LimitFactor: 1.9, Round: 15 * time.Millisecond, RateFactor: 1.5, Hot: hot, HotFactor: 7, HotClass: SmallClass,
+			HotFrom: 8 * time.Second, HotUntil: 16 * time.Second,
+		})
+	}
+	calm := simulate(0.3, 1)
+	if small := &calm.Classes[SmallClass]; small.HotRefused > 0 || small.HotUseful < small.Hot*98/100 {
+		t.Errorf("calm cell: %d of %d jobs of the hot account are refused and %d served", small.HotRefused, small.Hot, small.HotUseful)
+	}
+	for hot := 1; hot <= 2; hot++ {
+		small := &simulate(0.8, hot).Classes[SmallClass]
+		if small.HotRefused < small.Hot/4 {
+			t.Errorf("%d hot accounts: %d of %d jobs are refused while gangs wait", hot, small.HotRefused, small.Hot)
+		}
+		if accepted := small.Hot - small.HotRefused; small.HotUseful < accepted*95/100 {
+			t.Errorf("%d hot accounts: %d of %d accepted jobs are served", hot, small.HotUseful, accepted)
+		}
+	}
+}
