--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -54,6 +54,8 @@
 	clock   int64
 	runs    map[runKey]*run
 	used    modeler.Resources
+	// deferredMillis is what runs use that were started although they yield to useful work.
+	deferredMillis int64
 	// servingRuns counts the runs with a response time target, and fillingRuns those
 	// that use spare processor time.
 	servingRuns, fillingRuns int
@@ -135,6 +137,8 @@
 	// beganAt is when the run is known to have begun its work, or 0, and stoodSince since when it stood still
 	// when it was stopped for that, or 0.
 	beganAt, stoodSince definer.Instant
+	// deferred means that the step exceeded a rate or was too late to be useful when the run was started.
+	deferred bool
 	// life is that of the endpoint when the run was started or adopted.
 	life int64
 }
@@ -304,6 +308,9 @@
 	r.life = e.life
 	e.runs[runKey{r.name, r.number}] = r
 	e.used = e.used.Add(r.need)
+	if r.deferred {
+		e.deferredMillis += r.need.Millis
+	}
 	if r.account == nil {
 		e.unknownRuns++
 
