Hold amounts of resources for a waiting gang, not whole endpoints

The gang now has a plan: endpoints and the number of tasks on each, chosen by when runs there are expected to end. It holds the resources of the planned tasks; others use the rest, also other gangs. All gangs but a sole one hold at most an eighth of a service's capacity. Preemption stops only as many runs as the planned tasks need, the last ones first, in a fixed order, so that a simulated cell is reproducible.

--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -17,8 +17,10 @@
 	// round is the last round of placement in which the endpoint was usable, and room its free resources then.
 	round int
 	room  modeler.Resources
-	// reservedFor is the waiting gang that the endpoint is reserved for in this round of placement, or nil.
+	// reservedFor is the first waiting gang that holds room on the endpoint in this round of placement, or nil, and
+	// holds is the room of all such gangs, in the order in which they hold it.
 	reservedFor *step
+	holds       []hold
 	// listed means that the endpoint list contains the endpoint, and unlistedAt is when its entry was removed, or 0.
 	listed     bool
 	unlistedAt definer.Instant
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
@@ -21,7 +22,7 @@
 	account := p.account(s.job.Account)
 	if !account.withinLimit(s.def.Need.Scale(int64(len(pending))), ps.unconfirmed[account]) {
 		ps.lacks(s, lackLimit)
-		s.dropReservation()
+		s.plan = gangPlan{}
 
 		return
 	}
@@ -35,7 +36,7 @@
 	if taskCapacity(s, candidates) < len(pending) {
 		// The admitted endpoints are too small for the gang even when they are empty.
 		ps.lacks(s, lackAdmission)
-		s.dropReservation()
+		s.plan = gangPlan{}
 		ps.explore(s, len(pending))
 
 		return
@@ -55,7 +56,7 @@
 	}
 	ps.noteGangStart(s, number, assigned)
 	s.gangRun, s.gangSince = number, ps.now
-	s.dropReservation()
+	s.plan = gangPlan{}
 	s.wait.begin()
 	for i, t := range pending {
 		ps.start(t, assigned[i], number)
@@ -77,8 +78,8 @@
 		ps.lacks(s, lackRoom)
 	}
 	switch {
-	case s.admission.askBlocked(ps.now) && len(s.reserved) > 0 && (!hasRoom || ps.mayReserveForTickets(s)):
-		// The reserved endpoints stay reserved until the policy has answered about them.
+	case s.admission.askBlocked(ps.now) && s.plan.exists() && (!hasRoom || ps.mayReserveForTickets(s)):
+		// The room stays held until the policy has answered.
 		ps.held.add(s)
 	case hasRoom:
 		ps.renewTickets(s, candidates, count)
@@ -139,7 +140,7 @@
 func (ps *pass) waitForRoom(s *step, candidates []*endpoint, count int) {
 	p := ps.planner
 	if ps.now < s.wait.mayReserveAt || ps.waitingGangs >= ps.limit(waitingGangShare) {
-		s.dropReservation()
+		s.plan = gangPlan{}
 
 		return
 	}
@@ -148,7 +149,7 @@
 		s.wait.question = gangQuestionNone
 		p.ask(s, p.endpointsToAsk(s, s.admission.filterUnasked(ps.candidates(s)), count), ps.now)
 	}
-	ps.reserveEndpoints(s, candidates, count)
+	ps.reserve(s, candidates, count)
 }
 
 // admittedTo returns the endpoints that candidates returns and, if s has a placement
@@ -200,11 +201,7 @@
 
 // roomFor returns the number of tasks of s that have room on e beside what is taken there.
 func roomFor(s *step, e *endpoint, taken map[*endpoint]modeler.Resources) int {
-	if !availableTo(e, s) {
-		return 0
-	}
-
-	return tasksFitting(s, e.free().Sub(taken[e]), s.def.PerEndpoint)
+	return tasksFitting(s, e.availableTo(s).Sub(taken[e]), s.def.PerEndpoint)
 }
 
 // totalRoom returns the number of tasks of s that have room on the candidates, or some
@@ -305,41 +302,36 @@
 		!r.task.step.def.LongRunning && r.task.step.job.Queue.Priority > s.job.Queue.Priority
 }
 
-// preemptibleUsage returns the resources of the runs on e that may be stopped
-// for the gang.
-func preemptibleUsage(s *step, e *endpoint) modeler.Resources {
-	var total modeler.Resources
+// preemptibleRuns returns the runs on e that may be stopped for the gang, those that began
+// last first.
+func preemptibleRuns(s *step, e *endpoint) []*run {
+	var runs []*run
 	for _, r := range e.runs {
 		if preemptibleFor(s, r) {
-			total = total.Add(r.need)
+			runs = append(runs, r)
 		}
 	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(b.sentAt, a.sentAt), cmp.Compare(a.name.Job, b.name.Job), cmp.Compare(a.name.Step, b.name.Step), cmp.Compare(a.name.Index, b.name.Index))
+	})
 
-	return total
+	return runs
 }
 
-// preempt stops preemptible runs on the reserved endpoints until the gang fits there.
-func (ps *pass) preempt(s *step, count int) {
+// preempt stops preemptible runs on the endpoints of the plan until the planned tasks fit there.
+func (ps *pass) preempt(s *step) {
 	p := ps.planner
 	stopped := 0
-	for _, e := range s.reserved {
-		fits := tasksFitting(s, e.free(), s.def.PerEndpoint)
-		room := e.free()
-		for _, r := range e.runs {
-			if fits >= count {
+	for _, part := range s.plan.parts {
+		room := part.endpoint.availableTo(s)
+		for _, r := range preemptibleRuns(s, part.endpoint) {
+			if tasksFitting(s, room, s.def.PerEndpoint) >= part.tasks {
 				break
 			}
-			if !preemptibleFor(s, r) {
-				continue
-			}
 			room = room.Add(r.need)
-			fits = tasksFitting(s, room, s.def.PerEndpoint)
 			stopped++
 			p.stopRun(r)
 		}
-		if count -= fits; count <= 0 {
-			break
-		}
 	}
-	p.note("preempted for a gang", s.job.ID, "step", s.index, "stopped", stopped, "waited", ps.now.Sub(s.reservedSince))
+	p.note("preempted for a gang", s.job.ID, "step", s.index, "stopped", stopped, "waited", ps.now.Sub(s.plan.since))
 }
--- /dev/null
+++ b/internal/cell/planner/gang_plan.go
@@ -0,0 +1,249 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+const (
+	// stopTime is how long a run is expected to occupy its room after its stop was sent.
+	stopTime = 300 * time.Millisecond
+	// overdueTime is the remaining time that is expected of a run which has outlasted its estimate.
+	overdueTime = 500 * time.Millisecond
+	// unknownRunTime is the remaining time that is expected of a run of an unknown task.
+	unknownRunTime = 5 * time.Second
+)
+
+// gangPlan is where a waiting gang is to start. The room of its tasks there is held: other
+// work may use the rest of the endpoints.
+type gangPlan struct {
+	// parts holds each endpoint of the plan once.
+	parts []planPart
+	// since is when the plan was made, and startsAt when its room is expected to be free.
+	since, startsAt definer.Instant
+	// preempted means that runs have been preempted for the plan.
+	preempted bool
+}
+
+// planPart is the number of tasks of a gang that are planned on an endpoint, and when
+// their room is expected to be free.
+type planPart struct {
+	endpoint *endpoint
+	tasks    int
+	freeAt   definer.Instant
+}
+
+// exists reports whether the plan holds room.
+func (g *gangPlan) exists() bool { return len(g.parts) > 0 }
+
+// tasks returns the number of planned tasks.
+func (g *gangPlan) tasks() int {
+	total := 0
+	for _, part := range g.parts {
+		total += part.tasks
+	}
+
+	return total
+}
+
+// add plans more tasks on an endpoint.
+func (g *gangPlan) add(e *endpoint, tasks int, freeAt definer.Instant) {
+	g.startsAt = max(g.startsAt, freeAt)
+	for i := range g.parts {
+		if part := &g.parts[i]; part.endpoint == e {
+			part.tasks += tasks
+			part.freeAt = max(part.freeAt, freeAt)
+
+			return
+		}
+	}
+	g.parts = append(g.parts, planPart{e, tasks, freeAt})
+}
+
+// hold is the room on an endpoint that is held for a gang.
+type hold struct {
+	step   *step
+	amount modeler.Resources
+}
+
+// hold holds the room of the gang's plan in this round.
+func (ps *pass) hold(s *step) {
+	s.yields = true
+	if usage := ps.services[s.job.Queue.Service]; usage != nil {
+		s.yields = !usage.busy()
+	}
+	for _, part := range s.plan.parts {
+		part.endpoint.hold(s, s.need().Scale(int64(part.tasks)))
+	}
+}
+
+// hold holds an amount for the gang, in place of what it has held on e in this round.
+func (e *endpoint) hold(s *step, amount modeler.Resources) {
+	if e.reservedFor == nil {
+		e.reservedFor = s
+	}
+	for i := range e.holds {
+		if e.holds[i].step == s {
+			e.holds[i].amount = amount
+
+			return
+		}
+	}
+	e.holds = append(e.holds, hold{s, amount})
+}
+
+// availableTo returns the free resources of e that s may use: those that are not held, or
+// are held for s, for a gang behind s, for a gang of a less urgent queue, or for one whose
+// service has much room.
+func (e *endpoint) availableTo(s *step) modeler.Resources {
+	return e.free().Sub(e.heldFrom(s))
+}
+
+// heldFrom returns the resources of e that are held from s.
+func (e *endpoint) heldFrom(s *step) modeler.Resources {
+	var held modeler.Resources
+	for i := range e.holds {
+		h := &e.holds[i]
+		if h.step == s {
+			break
+		}
+		if !h.step.plan.exists() || h.step.yields || s.job.Queue.Priority < h.step.job.Queue.Priority {
+			continue
+		}
+		held = held.Add(h.amount)
+	}
+
+	return held
+}
+
+// heldIdle returns the free resources of e that are held.
+func (e *endpoint) heldIdle() modeler.Resources {
+	var held modeler.Resources
+	for i := range e.holds {
+		held = held.Add(e.holds[i].amount)
+	}
+
+	return held.Min(e.free())
+}
+
+// planValid reports whether the endpoints of the gang's plan are usable and large enough
+// for it beside what is held there for the gangs in front.
+func (ps *pass) planValid(s *step, count int) bool {
+	if s.plan.tasks() != count {
+		return false
+	}
+	for _, part := range s.plan.parts {
+		e := part.endpoint
+		if !ps.isUsable(s, e) || tasksFitting(s, e.reclaimable().Sub(e.heldFrom(s)), s.def.PerEndpoint) < part.tasks {
+			return false
+		}
+	}
+
+	return true
+}
+
+// reclaimable returns the resources of e that are or become free: all but those of
+// long-running tasks.
+func (e *endpoint) reclaimable() modeler.Resources {
+	room := e.Capacity
+	for _, r := range e.runs {
+		if r.task != nil && r.task.step.def.LongRunning {
+			room = room.Sub(r.need)
+		}
+	}
+
+	return room
+}
+
+// planGang returns the plan with which a gang is expected to start first, or an empty one.
+// A partial plan could deadlock: two gangs would each wait for the other's room.
+func (ps *pass) planGang(s *step, candidates []*endpoint, count int) gangPlan {
+	var parts []planPart
+	for _, e := range candidates {
+		parts = ps.appendParts(parts, s, e)
+	}
+	slices.SortStableFunc(parts, func(a, b planPart) int { return cmp.Compare(a.freeAt, b.freeAt) })
+	plan := gangPlan{since: ps.now, startsAt: ps.now}
+	for _, part := range parts {
+		tasks := min(part.tasks, count)
+		plan.add(part.endpoint, tasks, part.freeAt)
+		if count -= tasks; count == 0 {
+			return plan
+		}
+	}
+
+	return gangPlan{}
+}
+
+// appendParts appends when how many more tasks of s are expected to fit on e.
+func (ps *pass) appendParts(parts []planPart, s *step, e *endpoint) []planPart {
+	held := e.heldFrom(s)
+	most := tasksFitting(s, e.reclaimable().Sub(held), s.def.PerEndpoint)
+	if most <= 0 {
+		return parts
+	}
+	room := e.free().Sub(held)
+	fits := 0
+	if now := min(tasksFitting(s, room, s.def.PerEndpoint), most); now > 0 {
+		parts = append(parts, planPart{e, now, ps.now})
+		fits = now
+	}
+	if fits == most {
+		return parts
+	}
+	for _, end := range ps.expectedEnds(s, e) {
+		room = room.Add(end.need)
+		if now := min(tasksFitting(s, room, s.def.PerEndpoint), most); now > fits {
+			parts = append(parts, planPart{e, now - fits, end.at})
+			fits = now
+		}
+	}
+
+	return parts
+}
+
+// expectedEnd is when a run is expected to release its resources.
+type expectedEnd struct {
+	at   definer.Instant
+	need modeler.Resources
+}
+
+// expectedEnds returns when the runs on e are expected to end, in that order. Those that
+// may be preempted for the gang end after preemptDelay at the latest.
+func (ps *pass) expectedEnds(s *step, e *endpoint) []expectedEnd {
+	ends := make([]expectedEnd, 0, len(e.runs))
+	for _, r := range e.runs {
+		if at, finite := ps.expectedEnd(s, r); finite {
+			ends = append(ends, expectedEnd{at, r.need})
+		}
+	}
+	slices.SortFunc(ends, func(a, b expectedEnd) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.need.Millis, b.need.Millis), cmp.Compare(a.need.Memory, b.need.Memory))
+	})
+
+	return ends
+}
+
+// expectedEnd returns when a run is expected to end, and false if it does not end by
+// itself. A run that is overdue may end at any time.
+func (ps *pass) expectedEnd(s *step, r *run) (at definer.Instant, finite bool) {
+	if r.task == nil {
+		return ps.now.Add(unknownRunTime), true
+	}
+	if r.task.step.def.LongRunning {
+		return 0, false
+	}
+	if r.phase == phaseStopping || r.phase == phaseStopped {
+		return ps.now.Add(stopTime), true
+	}
+	remaining := max(ps.planner.remainingTime(r, ps.now), overdueTime)
+	if preemptibleFor(s, r) {
+		remaining = min(remaining, preemptDelay+stopTime)
+	}
+
+	return ps.now.Add(remaining), true
+}
--- /dev/null
+++ b/internal/cell/planner/gang_plan_test.go
@@ -0,0 +1,28 @@
+package planner
+
+import (
+	"testing"
+	"time"
+)
+
+// TestOthersUseRestOfHeldEndpoint guards against a gang that keeps whole endpoints from
+// other work although its tasks need only a part of each.
+func TestOthersUseRestOfHeldEndpoint(t *testing.T) {
+	g := newGangCell(t, 2)
+	gang := g.gang("a")
+	gang.Queue.Policy = nil
+	gang.Steps[0].Count, gang.Steps[0].PerEndpoint, gang.Steps[0].Need.Millis = 2, 1, 8000
+	g.accept(gang)
+	g.runUntil(time.Second)
+	for range 2 {
+		g.freeOne(0)
+	}
+	g.acceptSmall("b00")
+	g.runUntil(2 * time.Second)
+	if at, started := g.startedAt["b00"]; started {
+		t.Fatalf("the held room is used by other work at %v", at)
+	}
+	g.freeOne(0)
+	g.runUntil(3 * time.Second)
+	g.requireStarts(1, 2500*time.Millisecond)
+}
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -66,13 +66,10 @@
 	wait      gangWait
 	// waited is for the log.
 	waited waitRecord
-	// reserved are the endpoints that have been reserved for the waiting gang since reservedSince.
-	reserved      []*endpoint
-	reservedSince definer.Instant
-	// yields means that other steps may use the reserved endpoints in this round.
+	// plan is where the waiting gang is to start, or empty.
+	plan gangPlan
+	// yields means that other steps may use the held room in this round.
 	yields bool
-	// preempted means that runs on the reserved endpoints have been preempted for the gang.
-	preempted bool
 	// remainingPath is the estimated time from the start of the step to the end of its
 	// occurrence, along the longest chain of dependent steps.
 	remainingPath time.Duration
--- a/internal/cell/planner/load.go
+++ b/internal/cell/planner/load.go
@@ -47,7 +47,7 @@
 		capacity, free = capacity.Add(e.Capacity), free.Add(e.free())
 		if e.reservedFor != nil {
 			reservedEndpoints++
-			reserved = reserved.Add(e.free())
+			reserved = reserved.Add(e.heldIdle())
 		}
 	}
 	p.note("load", "", "usable", len(ps.usable), "capacity", capacity.Millis, "free", free.Millis, "reserved", reservedEndpoints, "reserved free", reserved.Millis,
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -12,8 +12,8 @@
 const (
 	// reservingGangShare bounds the gangs that may reserve endpoints, as a share of the usable endpoints.
 	reservingGangShare = 1.0 / 36
-	// reservedShare bounds the endpoints that are reserved for more than one gang, as a share of the usable endpoints.
-	reservedShare = 1.0 / 8
+	// heldShare bounds the room that is held for more than one gang, as a share of the capacity of a service.
+	heldShare = 1.0 / 8
 	// waitingGangShare bounds the gangs without room that ask about further endpoints or reserve some, as a share
 	// of the usable endpoints.
 	waitingGangShare = 1.0 / 12
@@ -127,8 +127,8 @@
 	// tickets.
 	explorations, renewals gangQuestions
 	claimed                map[*endpoint]modeler.Resources
-	// busy holds the services of which at least busyShare is in use.
-	busy map[string]bool
+	// services holds the usage of the services.
+	services map[string]*serviceUsage
 	// leftOut holds the steps that prefetchShare keeps from requesting tickets.
 	leftOut []*step
 	// scratch is the reused buffer for lists of candidates.
@@ -142,9 +142,9 @@
 func (ps *pass) findUsable() {
 	p := ps.planner
 	ps.usable = make([]*endpoint, 0, len(p.ordered))
-	ps.findBusyServices()
+	ps.measureServices()
 	for _, e := range p.ordered {
-		e.reservedFor = nil
+		e.reservedFor, e.holds = nil, e.holds[:0]
 		switch {
 		case e.usable(ps.now, p.settings.Freshness):
 			ps.usable = append(ps.usable, e)
@@ -282,7 +282,7 @@
 		if e.room.Millis < need.Millis {
 			break
 		}
-		if e.Service != service || !availableTo(e, s) || !need.Fits(e.free()) {
+		if e.Service != service || !need.Fits(e.availableTo(s)) {
 			continue
 		}
 		fits = true
@@ -374,14 +374,6 @@
 	return s.def.PerEndpoint == 0 || s.placed[e] < s.def.PerEndpoint
 }
 
-// availableTo reports whether s may use e: e is not reserved, is reserved for s, for a
-// gang of a less urgent queue, or for one whose service has much room.
-func availableTo(e *endpoint, s *step) bool {
-	holder := e.reservedFor
-
-	return holder == nil || holder == s || holder.yields || s.job.Queue.Priority < holder.job.Queue.Priority
-}
-
 // chooseEndpoint returns the endpoint with the highest score for a task, or nil when
 // none fits. The endpoint on which the task's last run failed comes last; waits means
 // that it is the only one with room, and that the task waits for another one.
@@ -390,7 +382,7 @@
 	var failed *endpoint
 	bestScore := 0.0
 	for _, e := range ready {
-		if !need.Fits(e.free()) || !s.belowEndpointLimit(e) || !availableTo(e, s) {
+		if !s.belowEndpointLimit(e) || !need.Fits(e.availableTo(s)) {
 			continue
 		}
 		if t.avoids(e) {
--- a/internal/cell/planner/reservation.go
+++ b/internal/cell/planner/reservation.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
@@ -10,7 +9,7 @@
 )
 
 const (
-	// maxReservation is how long a gang reserves endpoints at a time, and the pause until
+	// maxReservation is how long a gang holds room at a time, and the pause until
 	// it does so again after the first time. The pause doubles each time, up to
 	// maxReservationDoublings times, so that the gangs behind have their turn.
 	maxReservation          = 20 * time.Second
@@ -29,39 +28,39 @@
 // other work away. Below it, work would stand beside room that the gang can't use either.
 const busyShare = 0.5
 
-// findBusyServices records the services whose reservations hold in this round.
-func (ps *pass) findBusyServices() {
-	type usage struct{ used, capacity modeler.Resources }
-	services := map[string]usage{}
+// serviceUsage is the usage of a service in a round.
+type serviceUsage struct{ used, capacity modeler.Resources }
+
+// busy reports whether holds keep other work away.
+func (u *serviceUsage) busy() bool { return u.used.DominantShare(u.capacity) >= busyShare }
+
+// measureServices records the usage of the services.
+func (ps *pass) measureServices() {
+	ps.services = map[string]*serviceUsage{}
 	for _, e := range ps.planner.ordered {
-		if e.listed {
-			u := services[e.Service]
-			services[e.Service] = usage{u.used.Add(e.used), u.capacity.Add(e.Capacity)}
+		if !e.listed {
+			continue
 		}
-	}
-	ps.busy = make(map[string]bool, len(services))
-	for name, u := range services {
-		ps.busy[name] = u.used.DominantShare(u.capacity) >= busyShare
+		u := ps.services[e.Service]
+		if u == nil {
+			u = &serviceUsage{}
+			ps.services[e.Service] = u
+		}
+		u.used, u.capacity = u.used.Add(e.used), u.capacity.Add(e.Capacity)
 	}
 }
 
-// reserve reserves e for the gang in this round.
-func (ps *pass) reserve(e *endpoint, s *step) {
-	e.reservedFor = s
-	s.yields = !ps.busy[s.job.Queue.Service]
-}
+// dropReservation releases the room that is held for the gang.
+func (s *step) dropReservation() { s.plan = gangPlan{} }
 
-// dropReservation releases the endpoints that are reserved for the gang.
-func (s *step) dropReservation() { s.reserved, s.reservedSince, s.preempted = nil, 0, false }
-
-// restoreReservations renews the reservations that the first waiting gangs had
-// in the last round. The gangs beyond reservingGangShare or reservedShare lose theirs,
-// because they would keep endpoints idle, and so do those whose account may not run them, which
-// may have no turn in this round, and those that have had one for maxReservation.
+// restoreReservations renews the holds that the first waiting gangs had in the last
+// round. The gangs beyond reservingGangShare or heldShare lose theirs, because they would
+// keep room idle, and so do those whose account may not run them, which may have no turn
+// in this round, and those that have had one for maxReservation.
 func (ps *pass) restoreReservations(steps []*step) {
 	var held reservations
 	for _, s := range steps {
-		if len(s.reserved) == 0 {
+		if !s.plan.exists() {
 			s.wait.holdsSince = 0
 
 			continue
@@ -79,17 +78,13 @@
 
 			continue
 		}
-		if !held.mayAdd(ps, len(s.reserved)) {
+		if !held.mayAdd(ps, s, s.plan.tasks()) {
 			s.dropReservation()
 
 			continue
 		}
 		held.add(s)
-		for _, e := range s.reserved {
-			if e.reservedFor == nil {
-				ps.reserve(e, s)
-			}
-		}
+		ps.hold(s)
 	}
 }
 
@@ -100,25 +95,43 @@
 	return account.withinLimit(s.def.Need.Scale(int64(s.pendingCount)), ps.unconfirmed[account])
 }
 
-// reservations counts the gangs that reserve endpoints, and these endpoints.
-type reservations struct{ gangs, endpoints int }
-
-// add counts the reservation of a gang, if it has one.
-func (r *reservations) add(s *step) {
-	r.gangs += min(len(s.reserved), 1)
-	r.endpoints += len(s.reserved)
+// reservations counts the gangs that hold room, and by service the room that they hold.
+type reservations struct {
+	gangs int
+	room  map[string]modeler.Resources
 }
 
+// add counts the hold of a gang, if it has one.
+func (r *reservations) add(s *step) { r.count(s, 1) }
+
 // remove reverts add.
-func (r *reservations) remove(s *step) {
-	r.gangs -= min(len(s.reserved), 1)
-	r.endpoints -= len(s.reserved)
+func (r *reservations) remove(s *step) { r.count(s, -1) }
+
+func (r *reservations) count(s *step, sign int) {
+	if !s.plan.exists() {
+		return
+	}
+	if r.room == nil {
+		r.room = map[string]modeler.Resources{}
+	}
+	r.gangs += sign
+	service := s.job.Queue.Service
+	r.room[service] = r.room[service].Add(s.need().Scale(int64(sign * s.plan.tasks())))
 }
 
-// mayAdd reports whether one more gang may reserve the number of endpoints. A sole gang
-// may reserve as many as it needs.
-func (r *reservations) mayAdd(ps *pass, endpoints int) bool {
-	return r.gangs == 0 || r.gangs < ps.limit(reservingGangShare) && r.endpoints+endpoints <= ps.limit(reservedShare)
+// mayAdd reports whether one more gang may hold the room of a number of tasks. A sole
+// gang may hold as much as it needs.
+func (r *reservations) mayAdd(ps *pass, s *step, tasks int) bool {
+	if r.gangs == 0 {
+		return true
+	}
+	usage := ps.services[s.job.Queue.Service]
+	if usage == nil || r.gangs >= ps.limit(reservingGangShare) {
+		return false
+	}
+	room := r.room[s.job.Queue.Service].Add(s.need().Scale(int64(tasks)))
+
+	return room.DominantShare(usage.capacity) <= heldShare
 }
 
 // endReservation ends the reservation of a gang that has not started within
@@ -130,23 +143,23 @@
 	s.wait.reservations++
 }
 
-// reserveAssigned reserves the endpoints in assigned, each once, for a gang that asks for
-// tickets for them, if it may reserve any. A gang beyond the rate of its account may not.
+// reserveAssigned holds the room in assigned for a gang that asks for tickets for it, if
+// it may hold any. A gang beyond the rate of its account may not.
 func (ps *pass) reserveAssigned(s *step, assigned []*endpoint) {
-	since := s.reservedSince
+	since := s.plan.since
 	s.dropReservation()
-	wanted := distinct(assigned)
-	if s.job.excess || !ps.held.mayAdd(ps, len(wanted)) || !ps.mayReserveForTickets(s) {
+	if s.job.excess || !ps.held.mayAdd(ps, s, len(assigned)) || !ps.mayReserveForTickets(s) {
 		return
 	}
-	s.reserved = wanted
-	for _, e := range wanted {
-		ps.reserve(e, s)
+	if since == 0 {
+		since = ps.now
 	}
-	if s.reservedSince = since; since == 0 {
-		s.reservedSince = ps.now
+	s.plan = gangPlan{since: since, startsAt: ps.now}
+	for _, e := range assigned {
+		s.plan.add(e, 1, ps.now)
 	}
 	ps.held.add(s)
+	ps.hold(s)
 }
 
 // distinct returns the endpoints, each once.
@@ -180,92 +193,27 @@
 	return true
 }
 
-// reserveEndpoints reserves endpoints until the gang fits on them. The same
-// endpoints stay reserved from round to round, so that they become free. After
-// preemptDelay it preempts less urgent runs there.
-func (ps *pass) reserveEndpoints(s *step, candidates []*endpoint, count int) {
-	if s.job.excess || !ps.held.mayAdd(ps, 1) {
+// reserve holds room until the gang fits there. The plan stays the same from round to
+// round, so that the room becomes free. After preemptDelay the gang preempts less urgent
+// runs there.
+func (ps *pass) reserve(s *step, candidates []*endpoint, count int) {
+	if s.job.excess || !ps.held.mayAdd(ps, s, count) {
 		s.dropReservation()
 
 		return
 	}
-	if !ps.reservationValid(s, count) {
-		s.reserved = ps.chooseReservation(s, candidates, count)
-		s.reservedSince, s.preempted = ps.now, false
+	if !ps.planValid(s, count) {
+		s.plan = ps.planGang(s, candidates, count)
 	}
-	if len(s.reserved) == 0 {
+	if !s.plan.exists() {
 		s.wait.mayReserveAt = ps.now.Add(reservationRetryPause)
 
 		return
 	}
-	if !ps.held.mayAdd(ps, len(s.reserved)) {
-		s.dropReservation()
-
-		return
-	}
 	ps.held.add(s)
-	for _, e := range s.reserved {
-		ps.reserve(e, s)
+	ps.hold(s)
+	if !s.plan.preempted && ps.now.Sub(s.plan.since) > preemptDelay {
+		s.plan.preempted = true
+		ps.preempt(s)
 	}
-	if !s.preempted && ps.now.Sub(s.reservedSince) > preemptDelay {
-		s.preempted = true
-		ps.preempt(s, count)
-	}
-}
-
-// reservationValid reports whether the reserved endpoints are usable and large
-// enough for the gang.
-func (ps *pass) reservationValid(s *step, count int) bool {
-	total := 0
-	for _, e := range s.reserved {
-		if holder := e.reservedFor; holder != nil && holder != s || !ps.isUsable(s, e) {
-			return false
-		}
-		total += tasksFitting(s, e.reclaimable(), s.def.PerEndpoint)
-	}
-
-	return total >= count
-}
-
-// reclaimable returns the resources of e that are or become free: all but those of
-// long-running tasks.
-func (e *endpoint) reclaimable() modeler.Resources {
-	room := e.Capacity
-	for _, r := range e.runs {
-		if r.task != nil && r.task.step.def.LongRunning {
-			room = room.Sub(r.need)
-		}
-	}
-
-	return room
-}
-
-// chooseReservation returns endpoints that can hold a gang, or nil. It prefers
-// those with the most resources that are free or used by preemptible runs.
-func (ps *pass) chooseReservation(s *step, candidates []*endpoint, count int) []*endpoint {
-	type option struct {
-		endpoint *endpoint
-		fits     int
-	}
-	var options []option
-	for _, e := range candidates {
-		if holder := e.reservedFor; holder == nil || holder == s {
-			options = append(options, option{e, tasksFitting(s, e.free().Add(preemptibleUsage(s, e)), s.def.PerEndpoint)})
-		}
-	}
-	sort.SliceStable(options, func(a, b int) bool { return options[a].fits > options[b].fits })
-	var chosen []*endpoint
-	for _, o := range options {
-		room := tasksFitting(s, o.endpoint.reclaimable(), s.def.PerEndpoint)
-		if room == 0 {
-			continue
-		}
-		chosen = append(chosen, o.endpoint)
-		if count -= room; count <= 0 {
-			return chosen
-		}
-	}
-
-	// A partial reservation could deadlock: two gangs would each wait for the other's endpoints.
-	return nil
 }
--- a/internal/cell/planner/standing.go
+++ b/internal/cell/planner/standing.go
@@ -207,15 +207,15 @@
 			continue
 		}
 		view.admitted++
-		places := tasksFitting(s, e.free(), s.def.PerEndpoint)
+		places := tasksFitting(s, e.availableTo(s), s.def.PerEndpoint)
 		switch {
-		case places <= 0:
+		case tasksFitting(s, e.free(), s.def.PerEndpoint) <= 0:
 			continue
 		case !s.belowEndpointLimit(e):
 			view.atLimit++
 
 			continue
-		case !availableTo(e, s):
+		case places <= 0:
 			view.reserved++
 
 			continue
--- a/internal/cell/planner/ticket.go
+++ b/internal/cell/planner/ticket.go
@@ -14,7 +14,7 @@
 		case answer == nil || !answer.admitted:
 		case answer.validFor(e, ps.now):
 			ready = append(ready, e)
-		case s.belowEndpointLimit(e) && availableTo(e, s):
+		case s.belowEndpointLimit(e) && s.need().Fits(e.availableTo(s)):
 			expired = true
 		}
 	}
@@ -48,7 +48,7 @@
 			break
 		}
 		answer := s.admission.answer(e)
-		if answer != nil && answer.admitted && !answer.validFor(e, ps.now) && s.belowEndpointLimit(e) && availableTo(e, s) {
+		if answer != nil && answer.admitted && !answer.validFor(e, ps.now) && s.belowEndpointLimit(e) && s.need().Fits(e.availableTo(s)) {
 			expired = append(expired, e)
 		}
 	}
