Ask for a waiting gang's tickets so that they arrive with its room

A gang asked for tickets once its room was free. The room stood idle for the decision, or was taken, and the tickets of the first answer had expired.

A gang with a plan now asks for tickets for the planned endpoints and four spare ones so that the answer is expected a third of the validity before the room is free; the wait for an answer beyond the decision time is averaged by queue. The plan stays held while the question is out, and is dropped when one of its endpoints is no longer usable. With room, the hold lasts twice the expected time of an answer, from 2 s up to the question's total time.

--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -222,6 +222,7 @@
 		return
 	}
 	s.admission.answeredAt = now
+	p.stats(j.Queue.Name).observeAnswer(now.Sub(s.admission.askedAt) - question.DecisionTime)
 	values := make(map[string]string, len(answer.Tickets))
 	for _, t := range answer.Tickets {
 		values[t.Endpoint] = t.Value
@@ -243,6 +244,12 @@
 	q.admissionRate = max(q.admissionRate, 0.05)
 }
 
+// observeAnswer adds the time from a question to its answer, beyond the decision time, to
+// the moving average.
+func (q *queueStats) observeAnswer(wait time.Duration) {
+	q.questionWait += time.Duration(admissionGain * float64(max(wait, 0)-q.questionWait))
+}
+
 // filterUnasked returns the endpoints that the policy has not answered about.
 func (a *admission) filterUnasked(endpoints []*endpoint) []*endpoint {
 	var result []*endpoint
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -22,7 +22,7 @@
 	account := p.account(s.job.Account)
 	if !account.withinLimit(s.def.Need.Scale(int64(len(pending))), ps.unconfirmed[account]) {
 		ps.lacks(s, lackLimit)
-		s.plan = gangPlan{}
+		s.dropReservation()
 
 		return
 	}
@@ -36,7 +36,7 @@
 	if taskCapacity(s, candidates) < len(pending) {
 		// The admitted endpoints are too small for the gang even when they are empty.
 		ps.lacks(s, lackAdmission)
-		s.plan = gangPlan{}
+		s.dropReservation()
 		ps.explore(s, len(pending))
 
 		return
@@ -56,7 +56,7 @@
 	}
 	ps.noteGangStart(s, number, assigned)
 	s.gangRun, s.gangSince = number, ps.now
-	s.plan = gangPlan{}
+	s.dropReservation()
 	s.wait.begin()
 	for i, t := range pending {
 		ps.start(t, assigned[i], number)
@@ -80,7 +80,12 @@
 	switch {
 	case s.admission.askBlocked(ps.now) && s.plan.exists() && (!hasRoom || ps.mayReserveForTickets(s)):
 		// The room stays held until the policy has answered.
-		ps.held.add(s)
+		if !ps.planValid(s, count) {
+			s.dropReservation()
+
+			return
+		}
+		ps.keepPlan(s)
 	case hasRoom:
 		ps.renewTickets(s, candidates, count)
 	default:
@@ -140,7 +145,7 @@
 func (ps *pass) waitForRoom(s *step, candidates []*endpoint, count int) {
 	p := ps.planner
 	if ps.now < s.wait.mayReserveAt || ps.waitingGangs >= ps.limit(waitingGangShare) {
-		s.plan = gangPlan{}
+		s.dropReservation()
 
 		return
 	}
@@ -150,6 +155,7 @@
 		p.ask(s, p.endpointsToAsk(s, s.admission.filterUnasked(ps.candidates(s)), count), ps.now)
 	}
 	ps.reserve(s, candidates, count)
+	ps.askAhead(s)
 }
 
 // admittedTo returns the endpoints that candidates returns and, if s has a placement
--- a/internal/cell/planner/gang_plan.go
+++ b/internal/cell/planner/gang_plan.go
@@ -9,6 +9,13 @@
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
+// maxSpares is how many endpoints beside those of the plan a question for its tickets names.
+const maxSpares = 4
+
+// earlyAnswerShare is how long before the room is free the tickets should arrive, as a share
+// of their validity.
+const earlyAnswerShare = 1.0 / 3
+
 const (
 	// stopTime is how long a run is expected to occupy its room after its stop was sent.
 	stopTime = 300 * time.Millisecond
@@ -25,6 +32,8 @@
 	parts []planPart
 	// since is when the plan was made, and startsAt when its room is expected to be free.
 	since, startsAt definer.Instant
+	// spares are further endpoints on which room is expected next.
+	spares []*endpoint
 	// preempted means that runs have been preempted for the plan.
 	preempted bool
 }
@@ -64,6 +73,53 @@
 	g.parts = append(g.parts, planPart{e, tasks, freeAt})
 }
 
+// has reports whether tasks are planned on an endpoint.
+func (g *gangPlan) has(e *endpoint) bool {
+	return slices.ContainsFunc(g.parts, func(part planPart) bool { return part.endpoint == e })
+}
+
+// addSpare adds an endpoint that may replace one of the plan.
+func (g *gangPlan) addSpare(e *endpoint) {
+	if !g.has(e) && !slices.Contains(g.spares, e) {
+		g.spares = append(g.spares, e)
+	}
+}
+
+// endpoints returns the endpoints of the plan and the spare ones.
+func (g *gangPlan) endpoints() []*endpoint {
+	endpoints := make([]*endpoint, 0, len(g.parts)+len(g.spares))
+	for _, part := range g.parts {
+		endpoints = append(endpoints, part.endpoint)
+	}
+
+	return append(endpoints, g.spares...)
+}
+
+// askAhead asks for tickets for a gang's plan so that the answer arrives just before the
+// room is free.
+func (ps *pass) askAhead(s *step) {
+	if s.job.Queue.Policy == nil || !s.plan.exists() || s.admission.askBlocked(ps.now) {
+		return
+	}
+	policy := s.job.Queue.Policy
+	endpoints := s.plan.endpoints()
+	lead := questionCost(policy, len(endpoints)) + ps.planner.stats(s.job.Queue.Name).questionWait + time.Duration(earlyAnswerShare*float64(policy.Validity))
+	if ps.now.Add(lead) < s.plan.startsAt || ps.hasTicketsUntil(s, max(s.plan.startsAt, ps.now.Add(lead))) {
+		return
+	}
+	ps.renew(s, endpoints)
+}
+
+// hasTicketsUntil reports whether the tickets for the endpoints of the plan are valid at
+// the given time.
+func (ps *pass) hasTicketsUntil(s *step, at definer.Instant) bool {
+	return !slices.ContainsFunc(s.plan.parts, func(part planPart) bool {
+		answer := s.admission.answer(part.endpoint)
+
+		return answer == nil || !answer.validFor(part.endpoint, at)
+	})
+}
+
 // hold is the room on an endpoint that is held for a gang.
 type hold struct {
 	step   *step
@@ -169,14 +225,22 @@
 	slices.SortStableFunc(parts, func(a, b planPart) int { return cmp.Compare(a.freeAt, b.freeAt) })
 	plan := gangPlan{since: ps.now, startsAt: ps.now}
 	for _, part := range parts {
+		if count == 0 {
+			if plan.addSpare(part.endpoint); len(plan.spares) == maxSpares {
+				break
+			}
+
+			continue
+		}
 		tasks := min(part.tasks, count)
 		plan.add(part.endpoint, tasks, part.freeAt)
-		if count -= tasks; count == 0 {
-			return plan
-		}
+		count -= tasks
+	}
+	if count > 0 {
+		return gangPlan{}
 	}
 
-	return gangPlan{}
+	return plan
 }
 
 // appendParts appends when how many more tasks of s are expected to fit on e.
--- a/internal/cell/planner/gang_plan_test.go
+++ b/internal/cell/planner/gang_plan_test.go
@@ -26,3 +26,25 @@
 	g.runUntil(3 * time.Second)
 	g.requireStarts(1, 2500*time.Millisecond)
 }
+
+// TestTicketsArriveWithRoom guards against a gang that asks for tickets only when its room
+// is free, so that the room stands idle while the policy decides.
+func TestTicketsArriveWithRoom(t *testing.T) {
+	g := newGangCell(t, 2)
+	short := simpleStep(4)
+	short.Estimate = 5 * time.Second
+	g.free(0, 0)
+	g.accept(g.job("short", short))
+	g.runUntil(20 * time.Millisecond)
+	g.admits = func(_ string, endpoint int) bool { return endpoint == 0 }
+	g.accept(g.gang("b00"))
+	// The tickets of the first answer expire long before the room is free.
+	g.runUntil(4980 * time.Millisecond)
+	before := g.asks
+	if before < 2 {
+		t.Errorf("%d questions before the room is free, want one for tickets", before)
+	}
+	g.free(0, 0)
+	g.runUntil(6 * time.Second)
+	g.requireStarts(1, 5100*time.Millisecond)
+}
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -145,6 +145,8 @@
 	admissionRate float64
 	// durationRatio is the mean ratio of run times to their estimates.
 	durationRatio float64
+	// questionWait is the mean time from a question to its answer, beyond the decision time.
+	questionWait time.Duration
 	// ticketReservationsFrom is when gangs that ask for tickets may reserve room again.
 	ticketReservationsFrom definer.Instant
 }
--- a/internal/cell/planner/reservation.go
+++ b/internal/cell/planner/reservation.go
@@ -14,8 +14,8 @@
 	// maxReservationDoublings times, so that the gangs behind have their turn.
 	maxReservation          = 20 * time.Second
 	maxReservationDoublings = 10
-	// maxTicketReservation is how long a gang reserves room while it asks for tickets.
-	maxTicketReservation = 2 * time.Second
+	// minTicketReservation is how long a gang may hold room at least while it asks for tickets.
+	minTicketReservation = 2 * time.Second
 	// ticketReservationPause is how long the gangs of a queue reserve no room while they
 	// ask for tickets after one of them did so in vain.
 	ticketReservationPause = 10 * time.Second
@@ -174,8 +174,22 @@
 	return result
 }
 
+// ticketTime returns how long a gang may hold room while it asks for tickets: for twice the
+// time in which its policy is expected to answer, so that the room is there when the answer
+// arrives.
+func (ps *pass) ticketTime(s *step) time.Duration {
+	policy := s.job.Queue.Policy
+	if policy == nil {
+		return minTicketReservation
+	}
+
+	cost := questionCost(policy, len(s.plan.parts)+maxSpares)
+
+	return max(minTicketReservation, min(2*(cost+ps.planner.stats(s.job.Queue.Name).questionWait), QuestionTime(cost)))
+}
+
 // mayReserveForTickets reports whether a gang may reserve room while it asks for tickets:
-// for maxTicketReservation, and not while the gangs of its queue do so in vain.
+// for ticketTime, and not while the gangs of its queue do so in vain.
 func (ps *pass) mayReserveForTickets(s *step) bool {
 	queue := ps.planner.stats(s.job.Queue.Name)
 	switch {
@@ -183,7 +197,7 @@
 		return false
 	case s.wait.ticketsSince == 0:
 		s.wait.ticketsSince = ps.now
-	case ps.now.Sub(s.wait.ticketsSince) > maxTicketReservation:
+	case ps.now.Sub(s.wait.ticketsSince) > ps.ticketTime(s):
 		s.wait.ticketsSince = 0
 		queue.ticketReservationsFrom = ps.now.Add(ticketReservationPause)
 
@@ -210,10 +224,15 @@
 
 		return
 	}
-	ps.held.add(s)
-	ps.hold(s)
+	ps.keepPlan(s)
 	if !s.plan.preempted && ps.now.Sub(s.plan.since) > preemptDelay {
 		s.plan.preempted = true
 		ps.preempt(s)
 	}
 }
+
+// keepPlan holds the room of a gang's plan in this round.
+func (ps *pass) keepPlan(s *step) {
+	ps.held.add(s)
+	ps.hold(s)
+}
