Let inherited gangs ask their policies before a takeover is settled

After a change of owner inherited gangs waited until all endpoints had answered and asked their policies only then, all at once, so that their first starts came a decision of the policy later.

An inherited gang of which no task is known to run now asks while the takeover is not settled, within the bounds on questions about gangs. It still starts nothing, and holds no room.

--- a/internal/cell/planner/gang_ask.go
+++ b/internal/cell/planner/gang_ask.go
@@ -146,6 +146,17 @@
 	}
 }
 
+// askDuringTakeover lets an inherited gang of which no task is known to run ask about
+// endpoints while it may not start, so that it is ready once the takeover is settled.
+func (ps *pass) askDuringTakeover(s *step) {
+	if s.admission.askBlocked(ps.now) || s.gangRun != 0 || s.pendingCount == 0 || s.pendingCount != s.tasksLeft {
+		return
+	}
+	if s.job.Queue.Policy != nil && taskCapacity(s, ps.admittedTo(s)) < s.pendingCount {
+		ps.explore(s, s.pendingCount)
+	}
+}
+
 // renew lets a gang ask for tickets for the endpoints at the end of the round.
 func (ps *pass) renew(s *step, endpoints []*endpoint) {
 	if !s.admission.askBlocked(ps.now) {
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -181,6 +181,7 @@
 	if s.job.inherited && !ps.takeoverSettled {
 		if s.def.Gang {
 			ps.lacks(s, lackTakeover)
+			ps.askDuringTakeover(s)
 		}
 
 		return
--- a/internal/cell/planner/takeover_test.go
+++ b/internal/cell/planner/takeover_test.go
@@ -136,3 +136,29 @@
 		t.Errorf("starts %+v once the table has grown, want one with run 2", c.started)
 	}
 }
+
+// TestInheritedGangAsksBeforeTakeoverIsSettled guards against gangs that all ask their
+// policies at once when a takeover is settled, and wait for the answers then.
+func TestInheritedGangAsksBeforeTakeoverIsSettled(t *testing.T) {
+	step := simpleStep(2)
+	step.Gang = true
+	job := newCell(t, 0).job("a", step)
+	job.Queue.Policy = gangPolicy
+	c := restoredCell(t, job, Progress{})
+	c.listEndpoint("e000")
+	c.listEndpoint("e001")
+	c.plan()
+	if len(c.asked) != 1 {
+		t.Fatalf("%d questions before the takeover is settled, want 1", len(c.asked))
+	}
+	c.planAndRun()
+	if len(c.running["e000"])+len(c.running["e001"]) != 0 {
+		t.Fatal("inherited gang started before all endpoints had answered")
+	}
+	c.listEndpoint("e002")
+	c.storeProgress()
+	c.plan()
+	if len(c.started) != 2 {
+		t.Errorf("%d tasks started once the takeover is settled, want 2", len(c.started))
+	}
+}
