Let work that ends before a gang's plan begins run in its held room

Held room stood idle until the last of it was free. A task now may run there if its expected end, by the estimate and the mean ratio of run times of its queue, lies 200 ms before the expected start of the plan. Steps of different run times therefore no longer share the searches of a round that found no room. The score is lowered only for room that is held, no longer for the rest of the endpoint: urgent work went to slower endpoints for it.

--- a/internal/cell/planner/gang_plan.go
+++ b/internal/cell/planner/gang_plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -17,6 +18,10 @@
 const earlyAnswerShare = 1.0 / 3
 
 const (
+	// shortestClass is the run time up to which steps are of the first class of runTimeClass, and maxBackfillTime
+	// that from which they are of the last one: plans rarely begin later.
+	shortestClass   = 500 * time.Millisecond
+	maxBackfillTime = 8 * time.Second
 	// stopTime is how long a run is expected to occupy its room after its stop was sent.
 	stopTime = 300 * time.Millisecond
 	// overdueTime is the remaining time that is expected of a run which has outlasted its estimate.
@@ -167,7 +172,7 @@
 		if h.step == s {
 			break
 		}
-		if !h.step.plan.exists() || h.step.yields || s.job.Queue.Priority < h.step.job.Queue.Priority {
+		if !h.step.plan.exists() || h.step.yields || s.job.Queue.Priority < h.step.job.Queue.Priority || s.endsBefore(h.step) {
 			continue
 		}
 		held = held.Add(h.amount)
@@ -176,16 +181,37 @@
 	return held
 }
 
-// heldIdle returns the free resources of e that are held.
-func (e *endpoint) heldIdle() modeler.Resources {
+// endsBefore reports whether a task of s that starts in this round is expected to be over
+// before the room of the gang's plan is free, so that it may run in held room. Gangs and
+// long-running tasks never do.
+func (s *step) endsBefore(gang *step) bool {
+	return !s.def.Gang && !s.def.LongRunning && s.endsAt != 0 && s.endsAt <= gang.plan.startsAt
+}
+
+// expectedTime returns the expected run time of a task of s at an endpoint of mean speed.
+func (p *Planner) expectedTime(s *step) time.Duration {
+	return time.Duration(float64(s.def.Estimate) * p.stats(s.job.Queue.Name).durationRatio)
+}
+
+// runTimeClass returns a number that grows with the logarithm of the expected run time.
+// Steps of different classes find different room beside the plans of gangs.
+func runTimeClass(expected time.Duration) int {
+	return bits.Len64(uint64(max(min(expected, maxBackfillTime), 0) / shortestClass))
+}
+
+// held returns the resources of e that are held for gangs.
+func (e *endpoint) held() modeler.Resources {
 	var held modeler.Resources
 	for i := range e.holds {
 		held = held.Add(e.holds[i].amount)
 	}
 
-	return held.Min(e.free())
+	return held
 }
 
+// heldIdle returns the free resources of e that are held.
+func (e *endpoint) heldIdle() modeler.Resources { return e.held().Min(e.free()) }
+
 // planValid reports whether the endpoints of the gang's plan are usable and large enough
 // for it beside what is held there for the gangs in front.
 func (ps *pass) planValid(s *step, count int) bool {
--- a/internal/cell/planner/gang_plan_test.go
+++ b/internal/cell/planner/gang_plan_test.go
@@ -48,3 +48,30 @@
 	g.runUntil(6 * time.Second)
 	g.requireStarts(1, 5100*time.Millisecond)
 }
+
+// TestShortWorkRunsInHeldRoom guards against held room that stands idle although work that
+// is over before the gang's plan begins could use it, and against work that delays the gang.
+func TestShortWorkRunsInHeldRoom(t *testing.T) {
+	for name, backfill := range map[string]struct {
+		estimate time.Duration
+		starts   bool
+	}{"short": {time.Second, true}, "long": {10 * time.Second, false}} {
+		t.Run(name, func(t *testing.T) {
+			g := newGangCell(t, 2)
+			g.free(0, 1)
+			other := simpleStep(6)
+			other.Estimate = 4 * time.Second
+			g.accept(g.job("other", other))
+			g.runUntil(100 * time.Millisecond)
+			g.acceptWide("a", 2)
+			g.runUntil(200 * time.Millisecond)
+			small := simpleStep(1)
+			small.Estimate = backfill.estimate
+			g.accept(g.job("b00", small))
+			g.runUntil(2 * time.Second)
+			if _, starts := g.startedAt["b00"]; starts != backfill.starts {
+				t.Errorf("work of %v started in held room: %v, want %v", backfill.estimate, starts, backfill.starts)
+			}
+		})
+	}
+}
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -74,8 +74,12 @@
 	// occurrence, along the longest chain of dependent steps.
 	remainingPath time.Duration
 	// urgency and overShare are computed anew in each round of placement.
-	urgency   int
-	overShare bool
+	urgency int
+	// endsAt is when a task that starts in this round is expected to be over, and runTimeClass the class of its
+	// run time.
+	endsAt       definer.Instant
+	runTimeClass int
+	overShare    bool
 	// turnAt is when a round of placement last considered the step.
 	turnAt definer.Instant
 	// queuedSince is when the step last had its turn among the deferrable ones or those that request tickets in
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -19,9 +19,12 @@
 	waitingGangShare = 1.0 / 12
 	// preemptDelay is how long a gang waits with reserved endpoints before less urgent runs are preempted for it.
 	preemptDelay = 800 * time.Millisecond
-	// reservedPenalty lowers the score of reserved endpoints, so that more urgent work
-	// uses them only when no other endpoint fits.
+	// reservedPenalty lowers the score of held room, so that more urgent work uses it only
+	// when no other endpoint fits.
 	reservedPenalty = 4.0
+	// backfillMargin is how long before the start of a plan a task in its held room has to be over: the owner learns
+	// of the end with the next report.
+	backfillMargin = 200 * time.Millisecond
 )
 
 // maxActivityGap is the time between two calls of CheckSuspension above which the
@@ -89,6 +92,8 @@
 	for s := range p.readySteps {
 		s.overShare = p.account(s.job.Account).exceedsShare(fair)
 		s.urgency = s.urgencyAt(now)
+		expected := p.expectedTime(s)
+		s.endsAt, s.runTimeClass = now.Add(expected+backfillMargin), runTimeClass(expected)
 		steps = append(steps, s)
 	}
 	slices.SortFunc(steps, (*step).compare)
@@ -215,11 +220,13 @@
 
 // group is a set of steps that may use the same endpoints, reservations included.
 type group struct {
-	service  string
-	priority int
+	service                string
+	priority, runTimeClass int
 }
 
-func groupOf(s *step) group { return group{s.job.Queue.Service, s.job.Queue.Priority} }
+func groupOf(s *step) group {
+	return group{s.job.Queue.Service, s.job.Queue.Priority, s.runTimeClass}
+}
 
 // lacksRoom reports whether an earlier search of this round found no room for
 // needs no larger than those of s. The result holds for the whole round, because
@@ -392,7 +399,7 @@
 			continue
 		}
 		score := s.score(e, need)
-		if holder := e.reservedFor; holder != nil && holder != s {
+		if e.reservedFor != nil && e.reservedFor != s && !need.Fits(e.free().Sub(e.held())) {
 			score -= reservedPenalty
 		}
 		if best == nil || score > bestScore {
