--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -14,8 +14,8 @@
 const admittedCapacityFactor = 4
 
 // placeGang starts all tasks of a gang at once. A gang that has room but no tickets asks
-// for them, and the first gangs without room reserve endpoints. The others wait, and
-// start when there is room beside the reserved endpoints.
+// for them, and the first gangs without room hold room by a plan. The others wait, and
+// start when there is room beside what is held.
 func (ps *pass) placeGang(s *step, pending []*task) {
 	p := ps.planner
 	policy := s.job.Queue.Policy
--- a/internal/cell/planner/waiting.go
+++ b/internal/cell/planner/waiting.go
@@ -24,7 +24,7 @@
 	lackAdmission
 	// lackRoom means that the admitted endpoints have too little room.
 	lackRoom
-	// lackReserved means that they would have enough without the reservations of other gangs.
+	// lackReserved means that they would have enough without the room that is held for other gangs.
 	lackReserved
 	// lackTickets means that there is room on admitted endpoints, but not with valid tickets.
 	lackTickets
@@ -94,6 +94,9 @@
 		"queue", s.job.Queue.Name, "step", s.index, "run", number, "tasks", len(endpoints), "endpoints", len(distinct(endpoints)),
 		"urgency", s.urgency, "waited", ps.now.Sub(w.since),
 	}, w.args()...)}
+	if s.plan.exists() {
+		note.Args = append(note.Args, "plan age", ps.now.Sub(s.plan.since), "plan late", ps.now.Sub(s.plan.startsAt))
+	}
 	for lacked, spent := range w.spent {
 		if spent > 0 {
 			note.Latencies = append(note.Latencies, Latency{Name: "gang lacked " + lackNames[lacked], Time: spent})
