--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -12,16 +12,19 @@
 const (
 	// reservingGangShare bounds the gangs that may reserve endpoints, as a share of the usable endpoints.
 	reservingGangShare = 1.0 / 36
-	// reservedShare bounds the endpoints that are reserved for more than one gang, as a share of the usable endpoints.
-	reservedShare = 1.0 / 8
+	// heldShare bounds the room that is held for more than one gang, as a share of the capacity of a service.
+	heldShare = 1.0 / 8
 	// waitingGangShare bounds the gangs without room that ask about further endpoints or reserve some, as a share
 	// of the usable endpoints.
 	waitingGangShare = 1.0 / 12
 	// preemptDelay is how long a gang waits with reserved endpoints before less urgent runs are preempted for it.
 	preemptDelay = 800 * time.Millisecond
-	// reservedPenalty lowers the score of reserved endpoints, so that more urgent work
-	// uses them only when no other endpoint fits.
+	// reservedPenalty lowers the score of held room, so that more urgent work uses it only
+	// when no other endpoint fits.
 	reservedPenalty = 4.0
+	// backfillMargin is how long before the start of a plan a task in its held room has to be over: the owner learns
+	// of the end with the next report.
+	backfillMargin = 200 * time.Millisecond
 )
 
 // maxActivityGap is the time between two calls of CheckSuspension above which the
@@ -91,6 +94,8 @@
 	for s := range p.readySteps {
 		s.overShare = p.account(s.job.Account).exceedsShare(fair)
 		s.urgency = p.urgencyAt(s, now)
+		longest := p.likelyLongest(s, now)
+		s.endsAt, s.runTimeClass = now.Add(longest+backfillMargin), runTimeClass(longest)
 		steps = append(steps, s)
 	}
 	slices.SortFunc(steps, (*step).compare)
@@ -132,8 +137,8 @@
 	// tickets.
 	explorations, renewals gangQuestions
 	claimed                map[*endpoint]modeler.Resources
-	// busy holds the services of which at least busyShare is in use.
-	busy map[string]bool
+	// services holds the usage of the services.
+	services map[string]*serviceUsage
 	// leftOut holds the steps that prefetchShare keeps from requesting tickets.
 	leftOut []*step
 	// scratch is the reused buffer for lists of candidates.
@@ -147,9 +152,9 @@
 func (ps *pass) findUsable() {
 	p := ps.planner
 	ps.usable = make([]*endpoint, 0, len(p.ordered))
-	ps.findBusyServices()
+	ps.measureServices()
 	for _, e := range p.ordered {
-		e.reservedFor = nil
+		e.reservedFor, e.holds = nil, e.holds[:0]
 		switch {
 		case e.usable(ps.now, p.settings.Freshness):
 			ps.usable = append(ps.usable, e)
@@ -187,6 +192,7 @@
 	if s.job.inherited && !ps.takeoverSettled {
 		if s.def.Gang {
 			ps.lacks(s, lackTakeover)
+			ps.askDuringTakeover(s)
 		}
 
 		return
@@ -220,11 +226,13 @@
 
 // group is a set of steps that may use the same endpoints, reservations included.
 type group struct {
-	service  string
-	priority int
+	service                string
+	priority, runTimeClass int
 }
 
-func groupOf(s *step) group { return group{s.job.Queue.Service, s.job.Queue.Priority} }
+func groupOf(s *step) group {
+	return group{s.job.Queue.Service, s.job.Queue.Priority, s.runTimeClass}
+}
 
 // lacksRoom reports whether an earlier search of this round found no room for
 // needs no larger than those of s. The result holds for the whole round, because
@@ -288,7 +296,7 @@
 		if e.room.Millis < need.Millis {
 			break
 		}
-		if e.Service != service || !availableTo(e, s) || !need.Fits(e.free()) {
+		if e.Service != service || !need.Fits(e.availableTo(s)) {
 			continue
 		}
 		fits = true
@@ -381,14 +389,6 @@
 	return s.def.PerEndpoint == 0 || s.placed[e] < s.def.PerEndpoint
 }
 
-// availableTo reports whether s may use e: e is not reserved, is reserved for s, for a
-// gang of a less urgent queue, or for one whose service has much room.
-func availableTo(e *endpoint, s *step) bool {
-	holder := e.reservedFor
-
-	return holder == nil || holder == s || holder.yields || s.job.Queue.Priority < holder.job.Queue.Priority
-}
-
 // chooseEndpoint returns the endpoint with the highest score for a task, or nil when
 // none fits. The endpoint on which the task's last run failed comes last, and so do those on
 // which the task would fall behind; waits means that these are the only ones with room, and
@@ -398,7 +398,7 @@
 	var failed, behind *endpoint
 	bestScore := 0.0
 	for _, e := range ready {
-		if !need.Fits(e.free()) || !s.belowEndpointLimit(e) || !availableTo(e, s) {
+		if !s.belowEndpointLimit(e) || !need.Fits(e.availableTo(s)) {
 			continue
 		}
 		if t.avoids(e) {
@@ -414,7 +414,7 @@
 			continue
 		}
 		score := s.score(e, need, wish)
-		if holder := e.reservedFor; holder != nil && holder != s {
+		if e.reservedFor != nil && e.reservedFor != s && !need.Fits(e.free().Sub(e.held())) {
 			score -= reservedPenalty + wish.span()
 		}
 		if best == nil || score > bestScore {
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -163,6 +163,8 @@
 type queueStats struct {
 	// admissionRate is the share of the endpoints that the queue's policy admits.
 	admissionRate float64
+	// questionWait is the mean time from a question to its answer, beyond the decision time.
+	questionWait time.Duration
 	// ticketReservationsFrom is when gangs that ask for tickets may reserve room again.
 	ticketReservationsFrom definer.Instant
 	// delay is what jobs have waited lately.
--- a/internal/cell/planner/zone.go
+++ b/internal/cell/planner/zone.go
@@ -130,14 +130,12 @@
 		return
 	}
 	for _, s := range steps {
-		if slices.ContainsFunc(s.reserved, (*endpoint).isCordoned) {
+		if slices.ContainsFunc(s.plan.parts, func(part planPart) bool { return part.endpoint.cordoned }) {
 			s.dropReservation()
 		}
 	}
 }
 
-func (e *endpoint) isCordoned() bool { return e.cordoned }
-
 // needsCordoned reports whether the usable endpoints can't hold the tasks of s even when
 // they are empty, and could together with the cordoned ones.
 func (ps *pass) needsCordoned(s *step) bool {
--- a/internal/cell/planner/zone_test.go
+++ b/internal/cell/planner/zone_test.go
@@ -185,7 +185,7 @@
 	c.plan()
 	var reserved []*endpoint
 	for s := range c.planner.readySteps {
-		reserved = append(reserved, s.reserved...)
+		reserved = append(reserved, s.plannedOn()...)
 	}
 	if len(reserved) != 1 {
 		t.Fatalf("%d endpoints reserved, want 1", len(reserved))
@@ -194,12 +194,22 @@
 	c.evacuate(from.Zone)
 	c.plan()
 	for s := range c.planner.readySteps {
-		if len(s.reserved) != 1 || s.reserved[0] == from {
-			t.Errorf("endpoints reserved in the round after the evacuation: %d, want another one", len(s.reserved))
+		if held := s.plannedOn(); len(held) != 1 || held[0] == from {
+			t.Errorf("endpoints reserved in the round after the evacuation: %d, want another one", len(held))
 		}
 	}
 }
 
+// plannedOn returns the endpoints on which room is held for the gang.
+func (s *step) plannedOn() []*endpoint {
+	var endpoints []*endpoint
+	for _, part := range s.plan.parts {
+		endpoints = append(endpoints, part.endpoint)
+	}
+
+	return endpoints
+}
+
 // TestGangWithQuestionReleasesEvacuatedEndpoints guards against a reservation that a gang keeps
 // in an evacuated zone until its policy has answered.
 func TestGangWithQuestionReleasesEvacuatedEndpoints(t *testing.T) {
@@ -220,12 +230,13 @@
 	c.advance(2 * time.Second)
 	c.plan()
 	for s := range c.planner.readySteps {
-		if len(s.reserved) != 1 || len(c.asked) != 1 || len(c.started) != 0 {
-			t.Fatalf("%d endpoints reserved, %d questions, %d starts, want 1, 1, 0", len(s.reserved), len(c.asked), len(c.started))
+		held := s.plannedOn()
+		if len(held) != 1 || len(c.asked) != 1 || len(c.started) != 0 {
+			t.Fatalf("%d endpoints reserved, %d questions, %d starts, want 1, 1, 0", len(held), len(c.asked), len(c.started))
 		}
-		c.evacuate(s.reserved[0].Zone)
+		c.evacuate(held[0].Zone)
 		c.plan()
-		if slices.ContainsFunc(s.reserved, (*endpoint).isCordoned) {
+		if slices.ContainsFunc(s.plannedOn(), func(e *endpoint) bool { return e.cordoned }) {
 			t.Error("the gang keeps an endpoint in the evacuated zone reserved")
 		}
 	}
@@ -239,7 +250,7 @@
 	c.accept(c.job("filler", simpleStep(4)))
 	c.planAndRun()
 	ps := &pass{planner: c.planner, now: c.now}
-	if ps.findBusyServices(); !ps.busy["service"] {
+	if ps.measureServices(); !ps.services["service"].busy() {
 		t.Error("a service whose usable capacity is all in use does not count as busy")
 	}
 }
