Store which endpoints a costly policy has admitted for waiting steps

A new owner knew no answers of the policies, so all waiting gangs asked about all endpoints again and waited 7 to 12 s for first answers in overloaded cells. Admissions do not change, so those of steps that wait are now part of the progress record; only tickets are asked for again.

--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -226,6 +226,7 @@
 	for _, t := range answer.Tickets {
 		values[t.Endpoint] = t.Value
 	}
+	admittedBefore := len(s.admission.admitted)
 	expires := answer.Arrived.Add(j.Queue.Policy.Validity)
 	for _, endpointID := range question.Endpoints {
 		e := p.endpoints[endpointID]
@@ -238,6 +239,7 @@
 	if len(answer.Tickets) > 0 {
 		s.admission.validUntil = max(s.admission.validUntil, expires)
 	}
+	p.recordAdmitted(s, admittedBefore)
 	q := p.stats(j.Queue.Name)
 	q.admissionRate += admissionGain * (float64(len(answer.Tickets))/float64(max(len(question.Endpoints), 1)) - q.admissionRate)
 	q.admissionRate = max(q.admissionRate, 0.05)
--- a/internal/cell/planner/progress.go
+++ b/internal/cell/planner/progress.go
@@ -13,6 +13,8 @@
 	Due   int            `msgpack:",omitempty"`
 	Begun bool           `msgpack:",omitempty"`
 	Tasks []TaskProgress `msgpack:",omitempty"`
+	// Answers holds the answers of the placement policy for steps that wait.
+	Answers []StepAnswers `msgpack:",omitempty"`
 }
 
 // TaskProgress is the stored progress of a task that has been started.
@@ -181,6 +183,7 @@
 			WrittenOff: t.writtenOff, Failed: t.failed, Checkpoint: t.checkpoint,
 		})
 	}
+	progress.Answers = j.storedAnswers()
 
 	return progress
 }
@@ -223,6 +226,7 @@
 		}
 	}
 	p.advance(j, wall)
+	p.restoreAnswers(j, progress.Answers)
 }
 
 // RestoreFinal adds a final job from the store.
