--- a/internal/cell/leader/zones_test.go
+++ b/internal/cell/leader/zones_test.go
@@ -18,7 +18,7 @@
 )
 
 // zoneStore is a store of which only the operators' table can be read, in pages of one
-// record. Reads fail while it is cut.
+// record. Reads fail while it is cut, and the table grows after the first page.
 type zoneStore struct {
 	definer.Store
 	mu      sync.Mutex
@@ -32,6 +32,9 @@
 	if s.cut {
 		return definer.Page{}, errors.New("cut")
 	}
+	if after != "" {
+		s.records = append(s.records, definer.Record{Key: "a", Value: []byte("1")})
+	}
 	page := definer.Page{End: int64(len(s.records))}
 	for _, record := range s.records {
 		if record.Key > after && len(page.Records) == 0 {
@@ -70,8 +73,9 @@
 
 // evacuated returns the zones that the planner knows to be evacuated.
 func (l *Leader) evacuated() []string {
-	zones := []string{}
-	for _, status := range l.planner.EvacuatedZones() {
+	statuses := l.planner.EvacuatedZones()
+	zones := make([]string, 0, len(statuses))
+	for _, status := range statuses {
 		zones = append(zones, status.Zone)
 	}
 
@@ -110,6 +114,9 @@
 	if l.planAndExecute(ctx, definer.Now()); l.nextPlan == 0 {
 		t.Fatal("no round after the evacuated zones were read")
 	}
+	if l.zones.offset != 3 {
+		t.Errorf("the set is as of offset %d, want 3, the end of the table when the first page was read", l.zones.offset)
+	}
 	l.Evacuate(definer.Evacuations{Offset: 2, Zones: []string{"a"}})
 	l.applyMessages(ctx)
 	if diff := cmp.Diff([]string{"a", "b"}, l.evacuated()); diff != "" {
--- a/internal/cell/planner/zone_test.go
+++ b/internal/cell/planner/zone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -34,14 +35,13 @@
 
 // zonesStarted returns the zones in which tasks were started since the last call, sorted.
 func (c *testCell) zonesStarted() []string {
-	var zones []string
+	zones := map[string]bool{}
 	for _, start := range c.started {
-		zones = append(zones, start.Target.Zone)
+		zones[start.Target.Zone] = true
 	}
 	c.started = nil
-	slices.Sort(zones)
 
-	return slices.Compact(zones)
+	return slices.Sorted(maps.Keys(zones))
 }
 
 // hasNote reports whether the planner has noted the event, with the argument if it is not nil.
