Count runs of unknown zone before the last run in a zone is noted

An endpoint that only the state table names has no zone until its entry of the list is read, so a new owner could say that a zone is empty while a run there was not counted. A later owner on another instance is tested to have the zones of its elector.

go test -race -count=1 -run 'Evacuat|Zone|Inherited' ./internal/cell/{planner,receiver}: ok

--- a/internal/cell/planner/zone.go
+++ b/internal/cell/planner/zone.go
@@ -100,8 +100,8 @@
 		}
 	}
 	p.countZones()
-	if p.listReadAt == 0 || !p.takeoverSettled() {
-		// Runs may not be known yet.
+	if p.listReadAt == 0 || !p.takeoverSettled() || slices.ContainsFunc(p.ordered, (*endpoint).runsInUnknownZone) {
+		// There may be runs that are not counted.
 		return
 	}
 	for name, zone := range p.zones {
@@ -112,6 +112,10 @@
 	}
 }
 
+// runsInUnknownZone reports whether e has runs and the owner has not read its entry of the
+// endpoint list, which names its zone.
+func (e *endpoint) runsInUnknownZone() bool { return len(e.runs) > 0 && !e.listed && e.Zone == "" }
+
 // moveLongRunning stops the long-running tasks on a cordoned endpoint, so that they start
 // again elsewhere.
 func (p *Planner) moveLongRunning(e *endpoint) {
--- a/internal/cell/planner/zone_test.go
+++ b/internal/cell/planner/zone_test.go
@@ -171,6 +171,24 @@
 	}
 }
 
+// TestRunsOfInheritedEndpointCount guards against a note that the last run in a zone has ended
+// while an endpoint of which only the state table is known, without its zone, has one.
+func TestRunsOfInheritedEndpointCount(t *testing.T) {
+	c := newZonedCell(t, 3)
+	c.accept(c.job("a", simpleStep(1)))
+	c.planner.RestoreEndpoint("e900", c.listing("e900"))
+	c.born["e900"] = 1
+	c.running["e900"] = []definer.RunningTask{{Task: definer.TaskName{Job: "a"}, Run: 1}}
+	c.evacuate("a")
+	if c.advance(time.Second); c.hasNote("last run in evacuated zone has ended", nil) {
+		t.Error("a note says that the last run has ended although the zone of a run is not known")
+	}
+	c.listInZone("e900", "b")
+	if c.advance(time.Second); !c.hasNote("last run in evacuated zone has ended", "a") {
+		t.Error("no note says that the last run has ended once the zone of the other run is known")
+	}
+}
+
 // TestGangReleasesEvacuatedEndpoints guards against a gang that keeps its reservation in an
 // evacuated zone and never starts.
 func TestGangReleasesEvacuatedEndpoints(t *testing.T) {
--- a/internal/cell/receiver/zones_test.go
+++ b/internal/cell/receiver/zones_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 )
 
@@ -29,7 +31,7 @@
 }
 
 // TestOwnerFollowsEvacuations guards against evacuations that reach the instance of the owner and
-// not the owner, and against a zone that stays out of use when it was taken back.
+// not the owner or a later one, and against a zone that stays out of use when it was taken back.
 func TestOwnerFollowsEvacuations(t *testing.T) {
 	_, endpoints, nodes := newCell(t, 100*time.Millisecond)
 	owner, others := awaitOwner(t, nodes...)
@@ -39,9 +41,15 @@
 		others[0].submit(t, id, 4)
 		others[0].awaitDone(t, id, 10*time.Second)
 	}
+	for _, other := range others {
+		other.elector.Evacuate(definer.Evacuations{Offset: 100, Zones: []string{"e0", "e2", "e3"}})
+	}
+	owner.kill()
+	others[0].submit(t, "c", 4)
+	others[0].awaitDone(t, "c", 15*time.Second)
 	endpoints.mu.Lock()
 	defer endpoints.mu.Unlock()
-	if endpoints.startsOn["e3"] != 4 || endpoints.startsOn["e0"] != 4 {
-		t.Errorf("starts by endpoint %v, want 4 on e3 and then 4 on e0", endpoints.startsOn)
+	if diff := cmp.Diff(map[string]int{"e0": 4, "e1": 4, "e3": 4}, endpoints.startsOn); diff != "" {
+		t.Errorf("starts by endpoint (-want +got):\n%s", diff)
 	}
 }
