--- a/internal/cell/planner/admit_test.go
+++ b/internal/cell/planner/admit_test.go
@@ -175,8 +175,8 @@
 }
 
 // TestYieldingWorkIsBounded guards against accepted work beyond a rate that takes the room
-// for which a gang collects, against such work that makes no progress meanwhile, and against
-// room that stays idle when no useful work waits.
+// for which a gang collects, against such work that makes no progress meanwhile, against more
+// of it that is accepted then, and against room that stays idle when no useful work waits.
 func TestYieldingWorkIsBounded(t *testing.T) {
 	const endpoints = 40
 	for _, tt := range []struct {
@@ -198,6 +198,9 @@
 		if len(c.started) != tt.want {
 			t.Errorf("gang waits %v: %d tasks beyond the rate started on room for %d, want %d", tt.gangWaits, len(c.started), endpoints*4, tt.want)
 		}
+		if refused := c.hotRefusal() != nil; refused != tt.gangWaits {
+			t.Errorf("gang waits %v: one more job beyond the rate is refused: %v", tt.gangWaits, refused)
+		}
 	}
 }
 
