Bound held room in every round, and let gangs with a plan keep it

A gang whose question was out kept its hold without regard to the bound on held room, so that with another gang in front two held 0.17 of a cell idle for a round. A hold that was dropped in a round stayed on its endpoints until the next one. And gangs that retried in vain each 250 ms used up the places of those that wait for room, so that a gang behind them lost its plan.

The bound now holds there too, a dropped hold ends at once, and a gang with a plan needs no place. TestHeldRoomIsBoundedUnderLoad found the first; it replays batch that fills the gaps, gangs at 3.5 a second and a burst.

--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -80,7 +80,7 @@
 	switch {
 	case s.admission.askBlocked(ps.now) && s.plan.exists() && (!hasRoom || ps.mayReserveForTickets(s)):
 		// The room stays held until the policy has answered.
-		if !ps.planValid(s, count) {
+		if !ps.planValid(s, count) || !ps.held.mayAdd(ps, s, count) {
 			s.dropReservation()
 
 			return
@@ -144,7 +144,7 @@
 // some of them.
 func (ps *pass) waitForRoom(s *step, candidates []*endpoint, count int) {
 	p := ps.planner
-	if ps.now < s.wait.mayReserveAt || ps.waitingGangs >= ps.limit(waitingGangShare) {
+	if ps.now < s.wait.mayReserveAt || ps.waitingGangs >= ps.limit(waitingGangShare) && !s.plan.exists() {
 		s.dropReservation()
 
 		return
--- a/internal/cell/planner/gang_plan.go
+++ b/internal/cell/planner/gang_plan.go
@@ -157,6 +157,18 @@
 	e.holds = append(e.holds, hold{s, amount})
 }
 
+// release ends what the gang holds on e.
+func (e *endpoint) release(s *step) {
+	e.holds = slices.DeleteFunc(e.holds, func(h hold) bool { return h.step == s })
+	switch {
+	case e.reservedFor != s:
+	case len(e.holds) > 0:
+		e.reservedFor = e.holds[0].step
+	default:
+		e.reservedFor = nil
+	}
+}
+
 // availableTo returns the free resources of e that s may use: those that are not held, or
 // are held for s, for a gang behind s, for a gang of a less urgent queue, or for one whose
 // service has much room.
@@ -172,7 +184,7 @@
 		if h.step == s {
 			break
 		}
-		if !h.step.plan.exists() || h.step.yields || s.job.Queue.Priority < h.step.job.Queue.Priority || s.endsBefore(h.step) {
+		if h.step.yields || s.job.Queue.Priority < h.step.job.Queue.Priority || s.endsBefore(h.step) {
 			continue
 		}
 		held = held.Add(h.amount)
--- a/internal/cell/planner/gang_plan_test.go
+++ b/internal/cell/planner/gang_plan_test.go
@@ -1,8 +1,14 @@
 package planner
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
 // TestOthersUseRestOfHeldEndpoint guards against a gang that keeps whole endpoints from
@@ -78,3 +84,65 @@
 		})
 	}
 }
+
+// endDue ends the runs that have taken as long as estimated.
+func (g *gangCell) endDue() {
+	for _, e := range g.planner.ordered {
+		var due []*run
+		for _, r := range e.runs {
+			if r.task.step.job.ID != "filler" && g.now.Sub(r.sentAt) >= r.task.step.def.Estimate {
+				due = append(due, r)
+			}
+		}
+		for _, r := range due {
+			g.endRun(e.ID, r.name, r.number, definer.EndDone)
+		}
+	}
+}
+
+// TestHeldRoomIsBoundedUnderLoad guards against gangs that together hold much of a cell
+// idle: batch work fills each gap just before gangs arrive, 3.5 a second and then eight at
+// once, and their policy takes 1.3 s and admits a quarter of the endpoints.
+func TestHeldRoomIsBoundedUnderLoad(t *testing.T) {
+	const endpoints = 48
+	g := newGangCell(t, endpoints)
+	g.free(0, endpoints-1)
+	policy := &definer.Policy{Decide: 540 * time.Millisecond, Each: 7700 * time.Microsecond, Validity: 1500 * time.Millisecond}
+	g.admits = func(job string, endpoint int) bool { return xxhash.Sum64String(fmt.Sprint(job, endpoint))%4 == 0 }
+	batch, gangs := 0, 0
+	gang := func() {
+		job := g.gang(fmt.Sprintf("b%02d", gangs))
+		job.Queue.Policy, job.Steps[0].Estimate = policy, time.Second
+		job.Steps[0].Count, job.Steps[0].Need.Millis = 20, 4500
+		g.accept(job)
+		gangs++
+	}
+	for end := 20 * time.Millisecond; end < 20*time.Second; end += 20 * time.Millisecond {
+		if end%(100*time.Millisecond) == 0 {
+			job := g.job(fmt.Sprintf("c%03d", batch), simpleStep(4))
+			job.Queue.Priority, job.Queue.Name = 2, "batch"
+			g.accept(job)
+			batch++
+		}
+		if end%(280*time.Millisecond) == 0 && end < 6*time.Second {
+			gang()
+		}
+		for end == 6*time.Second && gangs < 29 {
+			gang()
+		}
+		g.runUntil(end)
+		g.endDue()
+		var idle, capacity modeler.Resources
+		holders := map[*step]bool{}
+		for _, e := range g.planner.ordered {
+			idle, capacity = idle.Add(e.heldIdle()), capacity.Add(e.Capacity)
+			for _, h := range e.holds {
+				holders[h.step] = true
+			}
+		}
+		if share := idle.DominantShare(capacity); len(holders) > 1 && share > heldShare {
+			t.Fatalf("%d gangs hold %.2f of the cell idle at %v, want %.3f at most", len(holders), share, end, heldShare)
+		}
+	}
+	g.requireStarts(gangs, 20*time.Second)
+}
--- a/internal/cell/planner/reservation.go
+++ b/internal/cell/planner/reservation.go
@@ -51,7 +51,12 @@
 }
 
 // dropReservation releases the room that is held for the gang.
-func (s *step) dropReservation() { s.plan = gangPlan{} }
+func (s *step) dropReservation() {
+	for _, part := range s.plan.parts {
+		part.endpoint.release(s)
+	}
+	s.plan = gangPlan{}
+}
 
 // restoreReservations renews the holds that the first waiting gangs had in the last
 // round. The gangs beyond reservingGangShare or heldShare lose theirs, because they would
@@ -217,6 +222,7 @@
 		return
 	}
 	if !ps.planValid(s, count) {
+		s.dropReservation()
 		s.plan = ps.planGang(s, candidates, count)
 	}
 	if !s.plan.exists() {
