Let patient work leave room to urgent work that waits

Batch work with much slack filled each gap in a full cell, so that gangs and short tasks waited for it to end. A step that can wait without missing its objective now starts after late work, and leaves room that more urgent work is likely to need, beyond a quarter of the capacity for its queue.

--- a/internal/cell/planner/delay.go
+++ b/internal/cell/planner/delay.go
@@ -90,7 +90,7 @@
 		if j.begun || s.urgency > urgencyLate || j.delay.lookedAt == ps.now {
 			continue
 		}
-		j.delay.look(j, ps.heldBack(s), ps.now)
+		j.delay.look(j, ps.heldBack(s) || ps.isPatient(s), ps.now)
 		d := &p.stats(j.Queue.Name).delay
 		d.service = j.Queue.Service
 		if wait := j.delay.waited - p.longestDecision(&j.Queue); wait > excessBacklog && !j.delay.held {
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -104,9 +104,7 @@
 	ps.countGangQuestions(steps)
 	ps.observeDelays(steps)
 	urgent, _ := slices.BinarySearchFunc(steps, urgencyMissed, func(s *step, urgency int) int { return cmp.Compare(s.urgency, urgency) })
-	for _, s := range steps[:urgent] {
-		ps.place(s)
-	}
+	ps.placeUseful(steps[:urgent])
 	ps.prefetchInTurn()
 	ps.findDeferredRoom(steps[:urgent])
 	ps.placeInTurn(steps[urgent:])
@@ -456,6 +454,7 @@
 		deferred: s.urgency > urgencyLate}
 	t.run, t.lastRun = r, number
 	e.addRun(r)
+	p.stats(s.job.Queue.Name).running += r.need.Millis
 	p.recordStart(s, e)
 	// A start order extends the lease of every run on the endpoint.
 	e.lastSent = ps.now
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -169,6 +169,8 @@
 	ticketReservationsFrom definer.Instant
 	// delay is what jobs have waited lately.
 	delay queueDelay
+	// running is the millicores that the runs of the queue use.
+	running int64
 }
 
 // Command is an action that the caller has to carry out.
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -183,6 +183,9 @@
 		r.need, r.account = t.step.need(), p.account(t.step.job.Account)
 	}
 	e.addRun(r)
+	if t != nil {
+		p.stats(t.step.job.Queue.Name).running += r.need.Millis
+	}
 	p.noteListedOverlap(r, now)
 	if t == nil || !p.mayContinue(t, row.Run) {
 		p.note("unexpected run", row.Task.Job, "endpoint", e.ID, "step", row.Task.Step, "index", row.Task.Index, "run", row.Run)
@@ -363,6 +366,7 @@
 		return
 	}
 	s := r.task.step
+	p.stats(s.job.Queue.Name).running -= r.need.Millis
 	if r.task.activeRuns--; r.task.activeRuns == 0 && !r.task.done {
 		s.pendingCount++
 	}
--- a/internal/cell/planner/zone_test.go
+++ b/internal/cell/planner/zone_test.go
@@ -220,7 +220,7 @@
 
 // plannedOn returns the endpoints on which room is held for the gang.
 func (s *step) plannedOn() []*endpoint {
-	var endpoints []*endpoint
+	endpoints := make([]*endpoint, 0, len(s.plan.parts))
 	for _, part := range s.plan.parts {
 		endpoints = append(endpoints, part.endpoint)
 	}
