--- a/internal/cell/estimator/distribution.go
+++ b/internal/cell/estimator/distribution.go
@@ -20,8 +20,8 @@
 	levelFactor = 2
 	// maxSampleWeight is the weight of a sample from which the weights are scaled down.
 	maxSampleWeight = 1 << 20
-	// beyond is the factor between a censored run that took longer than all samples, and what it counts as.
-	beyond = 1.5
+	// censoredFactor is the factor by which a censored run that exceeds all samples is extended.
+	censoredFactor = 1.5
 	// quartileWidth is the distance of the quartiles of a normal distribution of deviation 1.
 	quartileWidth = 1.349
 	medianRank    = 0.5
@@ -90,7 +90,7 @@
 	from := ratioMapping.Index(ratio) + 1
 	above := d.weightFrom(from)
 	if above <= 0 {
-		d.bins.AddWithCount(ratioMapping.Index(min(ratio*beyond, maxRatio)), weight)
+		d.bins.AddWithCount(ratioMapping.Index(min(ratio*censoredFactor, maxRatio)), weight)
 
 		return
 	}
--- a/internal/cell/estimator/speed.go
+++ b/internal/cell/estimator/speed.go
@@ -11,10 +11,10 @@
 	speedDrift = 0.0015
 	// meanGain is the least weight of an endpoint that a run has shown in the moving average of the speeds of its service.
 	meanGain = 0.02
-	// meanPull is the share of that average which is taken from a speed with each run.
-	meanPull = 0.1
-	// maxSurprise is the distance from what was expected, in standard deviations, up to which a run counts.
-	maxSurprise = 2.0
+	// meanCorrection is the share of that average which is taken from a speed with each run.
+	meanCorrection = 0.1
+	// maxDeviations is the distance from what was expected, in standard deviations, up to which a run counts.
+	maxDeviations = 2.0
 	// minSpeed and maxSpeed bound the speeds.
 	minSpeed, maxSpeed = 0.1, 5.0
 	// initialWithinStep is the variance of the logarithms of the ratios of one step before any was seen, minWithinStep
@@ -128,9 +128,9 @@
 func (s *speed) update(observed, noise float64) {
 	s.variance += speedDrift
 	total := s.variance + noise
-	limit := maxSurprise * math.Sqrt(total)
+	limit := maxDeviations * math.Sqrt(total)
 	gain := s.variance / total
-	s.log += gain*min(max(observed-s.log, -limit), limit) - meanPull*s.mean.log
+	s.log += gain*min(max(observed-s.log, -limit), limit) - meanCorrection*s.mean.log
 	s.variance *= 1 - gain
 	s.log = min(max(s.log, math.Log(minSpeed)), math.Log(maxSpeed))
 	s.mean.add(s.log)
@@ -166,7 +166,7 @@
 		variance := e.withinStep(r.Key.Queue)
 		deviation := ratio - s.mean
 		// The mean of n runs has a variance of its own.
-		seen := min(deviation*deviation*float64(s.runs)/float64(s.runs+1), maxSurprise*maxSurprise*variance)
+		seen := min(deviation*deviation*float64(s.runs)/float64(s.runs+1), maxDeviations*maxDeviations*variance)
 		e.withinSteps[r.Key.Queue] = max(variance+withinStepGain*(seen-variance), minWithinStep)
 	}
 	s.runs++
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -266,7 +266,7 @@
 
 // planAndExecute runs a placement round if one is due and executes the planner's commands.
 func (l *Leader) planAndExecute(ctx context.Context, now definer.Instant) {
-	if !l.draining && now >= l.nextPlan && l.knowsZones(ctx, now) {
+	if !l.draining && now >= l.nextPlan && l.evacuationsCurrent(ctx, now) {
 		l.planRound(now)
 	}
 	for _, note := range l.planner.Notes() {
--- a/internal/cell/leader/zones.go
+++ b/internal/cell/leader/zones.go
@@ -34,17 +34,17 @@
 
 // Evacuate passes the evacuated zones to the owner.
 func (l *Leader) Evacuate(evacuations definer.Evacuations) {
-	l.post(zonesMsg{evacuations: evacuations})
+	l.post(evacuationsMsg{evacuations: evacuations})
 }
 
-// zonesMsg reports the evacuated zones.
-type zonesMsg struct {
+// evacuationsMsg reports the evacuated zones.
+type evacuationsMsg struct {
 	evacuations definer.Evacuations
 	// readAt is when the owner's own read began, or 0 if the set comes from the elector.
 	readAt definer.Instant
 }
 
-func (m zonesMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
+func (m evacuationsMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
 	if m.readAt != 0 {
 		l.zones.reading, l.zones.readAt = false, m.readAt
 	}
@@ -59,13 +59,13 @@
 func (l *Leader) readZones(ctx context.Context) {
 	if l.settings.Evacuation > 0 && !l.zones.reading {
 		l.zones.reading = true
-		l.spawn(ctx, &zonesRead{leader: l})
+		l.spawn(ctx, &evacuationsRead{leader: l})
 	}
 }
 
-// knowsZones reports whether the owner may begin a round: it has read the evacuated zones since its claim and since it
+// evacuationsCurrent reports whether the owner may begin a round: it has read the evacuated zones since its claim and since it
 // was last suspended. What it knew before may be out of date by more than the bound of an evacuation.
-func (l *Leader) knowsZones(ctx context.Context, now definer.Instant) bool {
+func (l *Leader) evacuationsCurrent(ctx context.Context, now definer.Instant) bool {
 	switch {
 	case l.settings.Evacuation <= 0:
 		return true
@@ -93,16 +93,16 @@
 	l.metrics.SetGauges(evacuatedRunsGauge, values)
 }
 
-// zonesRead reads the evacuated zones and retries until it succeeds.
-type zonesRead struct{ leader *Leader }
+// evacuationsRead reads the evacuated zones and retries until it succeeds.
+type evacuationsRead struct{ leader *Leader }
 
-func (r *zonesRead) run(ctx context.Context) {
+func (r *evacuationsRead) run(ctx context.Context) {
 	failed := false
 	for ctx.Err() == nil {
 		began := definer.Now()
 		evacuations, err := r.read(ctx)
 		if err == nil {
-			r.leader.post(zonesMsg{evacuations: evacuations, readAt: began})
+			r.leader.post(evacuationsMsg{evacuations: evacuations, readAt: began})
 
 			return
 		}
@@ -116,7 +116,7 @@
 
 // read reads the newest record of each key. The set is as of the end of the table when the first page was read; later
 // changes follow from the elector.
-func (r *zonesRead) read(ctx context.Context) (definer.Evacuations, error) {
+func (r *evacuationsRead) read(ctx context.Context) (definer.Evacuations, error) {
 	set := definer.NewEvacuationSet(r.leader.decoder)
 	var offset int64
 	after := ""
@@ -140,7 +140,7 @@
 	return set.AsOf(offset), nil
 }
 
-func (r *zonesRead) readPage(ctx context.Context, after string) (definer.Page, error) {
+func (r *evacuationsRead) readPage(ctx context.Context, after string) (definer.Page, error) {
 	callCtx, cancel := definer.WithStallTimeout(ctx, zonesTimeout)
 	defer cancel()
 
--- a/internal/cell/leader/zones_test.go
+++ b/internal/cell/leader/zones_test.go
@@ -86,7 +86,7 @@
 func (l *Leader) awaitZones(ctx context.Context, timeout time.Duration) bool {
 	for until := definer.Now().Add(timeout); definer.Now() < until; time.Sleep(time.Millisecond) {
 		l.applyMessages(ctx)
-		if l.knowsZones(ctx, definer.Now()) {
+		if l.evacuationsCurrent(ctx, definer.Now()) {
 			return true
 		}
 	}
@@ -127,7 +127,7 @@
 	if diff := cmp.Diff([]string{"b"}, l.evacuated()); diff != "" {
 		t.Errorf("zones after a newer set (-want +got):\n%s", diff)
 	}
-	if l := zonedOwner(nil, 0); !l.knowsZones(ctx, definer.Now()) {
+	if l := zonedOwner(nil, 0); !l.evacuationsCurrent(ctx, definer.Now()) {
 		t.Error("an owner waits for zones in a deployment without evacuations")
 	}
 }
@@ -149,10 +149,10 @@
 	now := definer.Now()
 	l.planner.CheckSuspension(now.Add(-2 * time.Second))
 	l.planner.CheckSuspension(now)
-	if l.knowsZones(ctx, now) {
+	if l.evacuationsCurrent(ctx, now) {
 		t.Fatal("the owner begins a round after a suspension before it has read the zones again")
 	}
-	if !l.knowsZones(ctx, now.Add(maxZonesWait)) {
+	if !l.evacuationsCurrent(ctx, now.Add(maxZonesWait)) {
 		t.Error("an owner without the store does not go on with the zones that it knows")
 	}
 	store.setCut(false)
--- a/internal/cell/planner/admit_test.go
+++ b/internal/cell/planner/admit_test.go
@@ -223,7 +223,7 @@
 		t.Errorf("100 callers return at %d different times", len(times))
 	}
 	a := account{weight: 2}
-	first, second := a.nextTurn(definer.Instant(time.Hour)), a.nextTurn(definer.Instant(time.Hour))
+	first, second := a.reserveToken(definer.Instant(time.Hour)), a.reserveToken(definer.Instant(time.Hour))
 	if first != 500*time.Millisecond || second != time.Second {
 		t.Errorf("callers of an account of 2 jobs a second get turns after %v and %v", first, second)
 	}
@@ -235,22 +235,22 @@
 	const capacity = 16000
 	now := definer.Instant(time.Hour)
 	urgent := &job{Job: definer.Job{Steps: []definer.Step{{Count: 4, Need: modeler.Resources{Millis: 8000}, Estimate: time.Second}}}}
-	f := flow{}
+	f := acceptedLoad{}
 	for range 4 {
 		f.add(urgent, now)
 		now = now.Add(time.Second)
 	}
-	if left := f.beside(1, capacity, now); left < capacity/2 {
+	if left := f.remaining(1, capacity, now); left < capacity/2 {
 		t.Errorf("%d of %d millicores are left after 4 s of twice the capacity", left, capacity)
 	}
 	for range 60 {
 		f.add(urgent, now)
 		now = now.Add(time.Second)
 	}
-	if left := f.beside(1, capacity, now); left != capacity*flowFloor {
+	if left := f.remaining(1, capacity, now); left != capacity*minRemainingShare {
 		t.Errorf("%d of %d millicores are left after a minute of twice the capacity", left, capacity)
 	}
-	if left := f.beside(0, capacity, now); left != capacity {
+	if left := f.remaining(0, capacity, now); left != capacity {
 		t.Errorf("%d of %d millicores are left for work of the same priority", left, capacity)
 	}
 }
--- a/internal/cell/planner/backlog.go
+++ b/internal/cell/planner/backlog.go
@@ -28,13 +28,13 @@
 
 // Admit decides whether a job may be accepted; nil means yes, and the job is charged to
 // its account until Accept or Withdraw. A job beyond its account's rate is refused while
-// work within the rates waits. Every job is refused that would be done too late to be
-// useful.
+// work within the rates waits, or accepted work beyond them. Every job is refused that
+// would be done too late to be useful.
 func (p *Planner) Admit(j *definer.Job, now definer.Instant) *Refusal {
 	a := p.account(j.Account)
 	if a.overRate(now) {
 		if wait := p.excessDelay(j.Queue.Service, now); wait > excessBacklog {
-			return &Refusal{Reason: refusalOverRate, RetryAfter: retryAfter(j, max(a.nextTurn(now), wait-excessBacklog)), Delay: wait}
+			return &Refusal{Reason: refusalOverRate, RetryAfter: retryAfter(j, max(a.reserveToken(now), wait-excessBacklog)), Delay: wait}
 		}
 	}
 	if refusal := p.refuseUseless(j, a, now); refusal != nil {
@@ -90,7 +90,7 @@
 	allowed := lateFactor*objective(j) - shortestRun(j)
 	if load := b.services[j.Queue.Service]; load != nil {
 		ahead := load.ahead(j.Queue.Priority)
-		capacity := p.flowOf(j.Queue.Service).beside(j.Queue.Priority, load.millis, now)
+		capacity := p.acceptedLoadOf(j.Queue.Service).remaining(j.Queue.Priority, load.millis, now)
 		wait := ahead.wait(load.free(), capacity)
 		if load.millis == 0 {
 			wait = p.waitForZones(float64(ahead.work), now)
--- a/internal/cell/planner/bench_test.go
+++ b/internal/cell/planner/bench_test.go
@@ -99,7 +99,7 @@
 		for n, e := range c.planner.ordered {
 			e.lastAnswered = c.now
 			if differ {
-				of := c.planner.paceOf(e.Service)
+				of := c.planner.speedsOf(e.Service)
 				e.speed, of.varied, of.top = thirds(n), true, fastSpeed
 			}
 		}
--- a/internal/cell/planner/delay.go
+++ b/internal/cell/planner/delay.go
@@ -15,23 +15,23 @@
 )
 
 // jobDelay is the time for which a job has waited for its first start while neither its
-// account's limit nor a takeover kept it from starting.
+// account's limit, a takeover nor its own patience kept it from starting.
 type jobDelay struct {
 	waited   time.Duration
 	lookedAt definer.Instant
-	held     bool
+	blocked  bool
 }
 
-// look adds the time since the last look, unless the job was held then. held is whether it
-// is held from now on. A job that an earlier owner accepted has waited since the first look.
-func (d *jobDelay) look(j *job, held bool, now definer.Instant) {
+// look adds the time since the last look, unless the job was blocked then. blocked is whether it
+// is blocked from now on. A job that an earlier owner accepted has waited since the first look.
+func (d *jobDelay) look(j *job, blocked bool, now definer.Instant) {
 	switch {
-	case d.lookedAt != 0 && !d.held:
+	case d.lookedAt != 0 && !d.blocked:
 		d.waited += now.Sub(d.lookedAt)
-	case d.lookedAt == 0 && !j.inherited && !held:
+	case d.lookedAt == 0 && !j.inherited && !blocked:
 		d.waited = now.Sub(j.accepted)
 	}
-	d.lookedAt, d.held = now, held
+	d.lookedAt, d.blocked = now, blocked
 }
 
 // delaySample is the wait of a job, less one decision of its policy, at its first start.
@@ -90,18 +90,18 @@
 		if j.begun || s.urgency > urgencyLate || j.delay.lookedAt == ps.now {
 			continue
 		}
-		j.delay.look(j, ps.heldBack(s) || ps.isPatient(s), ps.now)
+		j.delay.look(j, ps.isBlocked(s) || ps.isPatient(s), ps.now)
 		d := &p.stats(j.Queue.Name).delay
 		d.service = j.Queue.Service
-		if wait := j.delay.waited - p.longestDecision(&j.Queue); wait > excessBacklog && !j.delay.held {
+		if wait := j.delay.waited - p.longestDecision(&j.Queue); wait > excessBacklog && !j.delay.blocked {
 			d.waiting = append(d.waiting, wait)
 		}
 	}
 }
 
-// heldBack reports whether something else than the load of the cell keeps s from starting:
+// isBlocked reports whether something else than the load of the cell keeps s from starting:
 // the limit of its account, or a takeover.
-func (ps *pass) heldBack(s *step) bool {
+func (ps *pass) isBlocked(s *step) bool {
 	if s.job.inherited && !ps.takeoverSettled {
 		return true
 	}
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -18,10 +18,10 @@
 	// round is the last round of placement in which the endpoint was usable, and room its free resources then.
 	round int
 	room  modeler.Resources
-	// reservedFor is the first waiting gang that holds room on the endpoint in this round of placement, or nil, and
-	// holds is the room of all such gangs, in the order in which they hold it.
-	reservedFor *step
-	holds       []hold
+	// reservedFor is the first waiting gang that reserves room on the endpoint in this round of placement, or nil, and
+	// reservations is the room of all such gangs, in the order in which they reserve it.
+	reservedFor  *step
+	reservations []reservation
 	// listed means that the endpoint list contains the endpoint, and unlistedAt is when its entry was removed, or 0.
 	listed     bool
 	unlistedAt definer.Instant
@@ -136,9 +136,9 @@
 	predicted estimator.Prediction
 	// resumed means that the run continues from a checkpoint.
 	resumed bool
-	// beganAt is when the run is known to have begun its work, or 0, and stoodSince since when it stood still
+	// beganAt is when the run is known to have begun its work, or 0, and stalledSince since when it stood still
 	// when it was stopped for that, or 0.
-	beganAt, stoodSince definer.Instant
+	beganAt, stalledSince definer.Instant
 	// deferred means that the step exceeded a rate or was too late to be useful when the run was started.
 	deferred bool
 	// life is that of the endpoint when the run was started or adopted.
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -80,12 +80,12 @@
 	switch {
 	case s.admission.askBlocked(ps.now) && s.plan.exists() && (!hasRoom || ps.mayReserveForTickets(s)):
 		// The room stays held until the policy has answered.
-		if !ps.planValid(s, count) || !ps.held.mayAdd(ps, s, count) {
+		if !ps.planValid(s, count) || !ps.reserved.mayAdd(ps, s, count) {
 			s.dropReservation()
 
 			return
 		}
-		ps.keepPlan(s)
+		ps.reservePlan(s)
 	case hasRoom:
 		ps.renewTickets(s, candidates, count)
 	default:
@@ -131,7 +131,7 @@
 	}
 	assigned := ps.assignEndpoints(s, count, candidates, others)
 	if assigned == nil {
-		ps.held.add(s)
+		ps.reserved.add(s)
 
 		return
 	}
@@ -255,9 +255,9 @@
 // speed, it uses such of like speed.
 func (ps *pass) assignByScore(s *step, count int, candidates []*endpoint, fit func(*endpoint) int) []*endpoint {
 	need := s.need()
-	wish := ps.planner.preferenceOf(s)
-	ordered := append([]*endpoint(nil), wish.likeSpeeds(s, count, candidates, fit)...)
-	sort.SliceStable(ordered, func(a, b int) bool { return s.score(ordered[a], need, wish) > s.score(ordered[b], need, wish) })
+	pref := ps.planner.preferenceOf(s)
+	ordered := append([]*endpoint(nil), pref.similarSpeeds(s, count, candidates, fit)...)
+	sort.SliceStable(ordered, func(a, b int) bool { return s.score(ordered[a], need, pref) > s.score(ordered[b], need, pref) })
 	var assigned []*endpoint
 	for _, e := range ordered {
 		for range min(fit(e), count-len(assigned)) {
--- a/internal/cell/planner/gang_ask.go
+++ b/internal/cell/planner/gang_ask.go
@@ -59,8 +59,8 @@
 	fullSince definer.Instant
 	// ticketsSince is since when the gang reserves that room while it asks for tickets, or 0.
 	ticketsSince definer.Instant
-	// holdsSince is since when endpoints have been reserved for the gang, or 0.
-	holdsSince definer.Instant
+	// reservedSince is since when endpoints have been reserved for the gang, or 0.
+	reservedSince definer.Instant
 	// reservations counts the reservations that ended after maxReservation, and
 	// mayReserveAt is when the gang may reserve endpoints again.
 	reservations int
--- a/internal/cell/planner/gang_breadth.go
+++ b/internal/cell/planner/gang_breadth.go
@@ -36,7 +36,7 @@
 // room waits for another one.
 func (p *Planner) gangEndpointsToAsk(s *step, candidates []*endpoint, count int) []*endpoint {
 	rate := p.stats(s.job.Queue.Name).admissionRate
-	candidates = p.likeSpeedsFirst(s, shuffleWithRoom(s, candidates), int(askedRoomFactor*float64(count)/rate))
+	candidates = p.similarSpeedsFirst(s, shuffleWithRoom(s, candidates), int(askedRoomFactor*float64(count)/rate))
 	spare := time.Duration(questionTimeShare * float64(p.freeQuestionTime))
 	room, capacity, least := 0, 0, 0
 	for i, e := range candidates {
--- a/internal/cell/planner/gang_plan.go
+++ b/internal/cell/planner/gang_plan.go
@@ -125,45 +125,45 @@
 	})
 }
 
-// hold is the room on an endpoint that is held for a gang.
-type hold struct {
+// reservation is the room on an endpoint that is reserved for a gang.
+type reservation struct {
 	step   *step
 	amount modeler.Resources
 }
 
-// hold holds the room of the gang's plan in this round.
-func (ps *pass) hold(s *step) {
+// reserveParts reserves the room of the gang's plan in this round.
+func (ps *pass) reserveParts(s *step) {
 	s.yields = true
 	if usage := ps.services[s.job.Queue.Service]; usage != nil {
 		s.yields = !usage.busy()
 	}
 	for _, part := range s.plan.parts {
-		part.endpoint.hold(s, s.need().Scale(int64(part.tasks)))
+		part.endpoint.reserve(s, s.need().Scale(int64(part.tasks)))
 	}
 }
 
-// hold holds an amount for the gang, in place of what it has held on e in this round.
-func (e *endpoint) hold(s *step, amount modeler.Resources) {
+// reserve reserves an amount for the gang, in place of what it has reserved on e in this round.
+func (e *endpoint) reserve(s *step, amount modeler.Resources) {
 	if e.reservedFor == nil {
 		e.reservedFor = s
 	}
-	for i := range e.holds {
-		if e.holds[i].step == s {
-			e.holds[i].amount = amount
+	for i := range e.reservations {
+		if e.reservations[i].step == s {
+			e.reservations[i].amount = amount
 
 			return
 		}
 	}
-	e.holds = append(e.holds, hold{s, amount})
+	e.reservations = append(e.reservations, reservation{s, amount})
 }
 
-// release ends what the gang holds on e.
+// release ends what the gang reserves on e.
 func (e *endpoint) release(s *step) {
-	e.holds = slices.DeleteFunc(e.holds, func(h hold) bool { return h.step == s })
+	e.reservations = slices.DeleteFunc(e.reservations, func(r reservation) bool { return r.step == s })
 	switch {
 	case e.reservedFor != s:
-	case len(e.holds) > 0:
-		e.reservedFor = e.holds[0].step
+	case len(e.reservations) > 0:
+		e.reservedFor = e.reservations[0].step
 	default:
 		e.reservedFor = nil
 	}
@@ -173,14 +173,14 @@
 // are held for s, for a gang behind s, for a gang of a less urgent queue, or for one whose
 // service has much room.
 func (e *endpoint) availableTo(s *step) modeler.Resources {
-	return e.free().Sub(e.heldFrom(s))
+	return e.free().Sub(e.reservedFrom(s))
 }
 
-// heldFrom returns the resources of e that are held from s.
-func (e *endpoint) heldFrom(s *step) modeler.Resources {
+// reservedFrom returns the resources of e that are held from s.
+func (e *endpoint) reservedFrom(s *step) modeler.Resources {
 	var held modeler.Resources
-	for i := range e.holds {
-		h := &e.holds[i]
+	for i := range e.reservations {
+		h := &e.reservations[i]
 		if h.step == s {
 			break
 		}
@@ -206,18 +206,18 @@
 	return bits.Len64(uint64(max(min(expected, maxBackfillTime), 0) / shortestClass))
 }
 
-// held returns the resources of e that are held for gangs.
-func (e *endpoint) held() modeler.Resources {
+// reserved returns the resources of e that are reserved for gangs.
+func (e *endpoint) reserved() modeler.Resources {
 	var held modeler.Resources
-	for i := range e.holds {
-		held = held.Add(e.holds[i].amount)
+	for i := range e.reservations {
+		held = held.Add(e.reservations[i].amount)
 	}
 
 	return held
 }
 
-// heldIdle returns the free resources of e that are held.
-func (e *endpoint) heldIdle() modeler.Resources { return e.held().Min(e.free()) }
+// reservedIdle returns the free resources of e that are held.
+func (e *endpoint) reservedIdle() modeler.Resources { return e.reserved().Min(e.free()) }
 
 // planValid reports whether the endpoints of the gang's plan are usable and large enough
 // for it beside what is held there for the gangs in front.
@@ -227,7 +227,7 @@
 	}
 	for _, part := range s.plan.parts {
 		e := part.endpoint
-		if !ps.isUsable(s, e) || tasksFitting(s, e.reclaimable().Sub(e.heldFrom(s)), s.def.PerEndpoint) < part.tasks {
+		if !ps.isUsable(s, e) || tasksFitting(s, e.reclaimable().Sub(e.reservedFrom(s)), s.def.PerEndpoint) < part.tasks {
 			return false
 		}
 	}
@@ -278,7 +278,7 @@
 
 // appendParts appends when how many more tasks of s are expected to fit on e.
 func (ps *pass) appendParts(parts []planPart, s *step, e *endpoint) []planPart {
-	held := e.heldFrom(s)
+	held := e.reservedFrom(s)
 	most := tasksFitting(s, e.reclaimable().Sub(held), s.def.PerEndpoint)
 	if most <= 0 {
 		return parts
--- a/internal/cell/planner/gang_plan_test.go
+++ b/internal/cell/planner/gang_plan_test.go
@@ -135,13 +135,13 @@
 		var idle, capacity modeler.Resources
 		holders := map[*step]bool{}
 		for _, e := range g.planner.ordered {
-			idle, capacity = idle.Add(e.heldIdle()), capacity.Add(e.Capacity)
-			for _, h := range e.holds {
+			idle, capacity = idle.Add(e.reservedIdle()), capacity.Add(e.Capacity)
+			for _, h := range e.reservations {
 				holders[h.step] = true
 			}
 		}
-		if share := idle.DominantShare(capacity); len(holders) > 1 && share > heldShare {
-			t.Fatalf("%d gangs hold %.2f of the cell idle at %v, want %.3f at most", len(holders), share, end, heldShare)
+		if share := idle.DominantShare(capacity); len(holders) > 1 && share > reservedShare {
+			t.Fatalf("%d gangs hold %.2f of the cell idle at %v, want %.3f at most", len(holders), share, end, reservedShare)
 		}
 	}
 	g.requireStarts(gangs, 20*time.Second)
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -161,7 +161,7 @@
 	j := p.newJob(definition, now, wall)
 	j.excess = p.charge(j, now)
 	if !j.excess {
-		p.flowOf(j.Queue.Service).add(j, now)
+		p.acceptedLoadOf(j.Queue.Service).add(j, now)
 	}
 	p.note("accepted", j.ID, "account", j.Account, "queue", j.Queue.Name, "excess", j.excess)
 	p.advance(j, wall)
--- a/internal/cell/planner/learn.go
+++ b/internal/cell/planner/learn.go
@@ -10,8 +10,8 @@
 type Learning struct {
 	// Order is the order of waiting work by the slack to its objective.
 	Order bool
-	// Remaining is the remaining time of runs on endpoints that leave, and the time without
-	// progress after which a run counts as standing still.
+	// Remaining is the remaining time of runs, for endpoints that leave and the plans of gangs, the expected end of
+	// tasks in reserved room, and the time without progress after which a run counts as standing still.
 	Remaining bool
 	// Speed is the speed of endpoints in placement.
 	Speed bool
@@ -37,15 +37,15 @@
 	return estimator.Key{Queue: s.job.Queue.Name, Account: s.job.Account, Image: s.def.Image, Shape: estimator.ShapeOf(s.def.Need.Millis, s.def.Gang)}
 }
 
-// learnDone learns from a run that has done its work, unless the time of its end or its
+// learnFinished learns from a run that has done its work, unless the time of its end or its
 // beginning is not known or it resumed from a checkpoint: it then took at least as long as was seen.
-func (p *Planner) learnDone(r *run, now definer.Instant) {
+func (p *Planner) learnFinished(r *run, now definer.Instant) {
 	until, seen := p.endOf(r, now)
 	p.learn(r, until, !seen || r.adopted || r.resumed)
 }
 
-// learnCut learns from a run that was stopped, failed or was lost, and was seen until the given time.
-func (p *Planner) learnCut(r *run, until definer.Instant) {
+// learnCensored learns from a run that was stopped, failed or was lost, and was seen until the given time.
+func (p *Planner) learnCensored(r *run, until definer.Instant) {
 	if r.phase == phaseStopping || r.phase == phaseStopped {
 		until = min(until, r.stopSentAt)
 	}
@@ -58,8 +58,8 @@
 // before, or if the run stood still.
 func (p *Planner) endOf(r *run, now definer.Instant) (until definer.Instant, seen bool) {
 	switch previous := r.endpoint.previousReport; {
-	case r.stoodSince != 0:
-		return min(now, r.stoodSince), false
+	case r.stalledSince != 0:
+		return min(now, r.stalledSince), false
 	case previous != 0 && now.Sub(previous) >= p.settings.Freshness:
 		return previous, false
 	default:
@@ -150,7 +150,7 @@
 	if until == p.now {
 		until = r.endpoint.previousReport
 	}
-	p.learnCut(r, until)
+	p.learnCensored(r, until)
 }
 
 // Learned returns how many keys and endpoints something is known of.
--- a/internal/cell/planner/learn_test.go
+++ b/internal/cell/planner/learn_test.go
@@ -117,7 +117,7 @@
 	if got := c.planner.remainingTime(r, c.now.Add(time.Second)); got < 800*time.Millisecond || got > 1500*time.Millisecond {
 		t.Errorf("after 1 s of 2 s, %v remain", got)
 	}
-	if got := c.planner.likelyLongest(r.task.step, c.now); got < 1800*time.Millisecond || got > 2500*time.Millisecond {
+	if got := c.planner.highRunTime(r.task.step, c.now); got < 1800*time.Millisecond || got > 2500*time.Millisecond {
 		t.Errorf("a run of 2 s takes %v at most", got)
 	}
 }
--- a/internal/cell/planner/load.go
+++ b/internal/cell/planner/load.go
@@ -51,11 +51,11 @@
 		capacity, free = capacity.Add(e.Capacity), free.Add(e.free())
 		if e.reservedFor != nil {
 			reservedEndpoints++
-			reserved = reserved.Add(e.heldIdle())
+			reserved = reserved.Add(e.reservedIdle())
 		}
 	}
 	p.note("load", "", "usable", len(ps.usable), "capacity", capacity.Millis, "free", free.Millis, "reserved", reservedEndpoints, "reserved free", reserved.Millis,
-		"gangs reserving", ps.held.gangs, "gangs without room", ps.waitingGangs, "explorations", ps.explorations.out, "renewals", ps.renewals.out,
+		"gangs reserving", ps.reserved.gangs, "gangs without room", ps.waitingGangs, "explorations", ps.explorations.out, "renewals", ps.renewals.out,
 		"rounds", record.rounds, "longest gap", record.longestGap, "queues", p.queueLoads())
 	*record = roundRecord{notedAt: ps.now}
 }
--- a/internal/cell/planner/patience.go
+++ b/internal/cell/planner/patience.go
@@ -82,7 +82,7 @@
 	rooms := map[string]*patientRoom{}
 	accountRoom := map[*account]int64{}
 	for _, s := range steps {
-		if s.pendingCount == 0 || ps.heldBack(s) || s.wait.leavesRoom(ps.now) {
+		if s.pendingCount == 0 || ps.isBlocked(s) || s.wait.leavesRoom(ps.now) {
 			continue
 		}
 		service := s.job.Queue.Service
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -12,8 +12,8 @@
 const (
 	// reservingGangShare bounds the gangs that may reserve endpoints, as a share of the usable endpoints.
 	reservingGangShare = 1.0 / 36
-	// heldShare bounds the room that is held for more than one gang, as a share of the capacity of a service.
-	heldShare = 1.0 / 8
+	// reservedShare bounds the room that is held for more than one gang, as a share of the capacity of a service.
+	reservedShare = 1.0 / 8
 	// waitingGangShare bounds the gangs without room that ask about further endpoints or reserve some, as a share
 	// of the usable endpoints.
 	waitingGangShare = 1.0 / 12
@@ -94,7 +94,7 @@
 	for s := range p.readySteps {
 		s.overShare = p.account(s.job.Account).exceedsShare(fair)
 		s.urgency = p.urgencyAt(s, now)
-		longest := p.likelyLongest(s, now)
+		longest := p.highRunTime(s, now)
 		s.endsAt, s.runTimeClass = now.Add(longest+backfillMargin), runTimeClass(longest)
 		steps = append(steps, s)
 	}
@@ -126,9 +126,9 @@
 	// quarantined holds the endpoints that soleUsable reports, and all these and the usable ones, if a step needs
 	// them, in the order of usable.
 	quarantined, all []*endpoint
-	// held counts the reservations, waitingGangs the gangs that wait for room, and prefetched the
+	// reserved counts the reservations, waitingGangs the gangs that wait for room, and prefetched the
 	// steps that request tickets before there is room.
-	held         reservations
+	reserved     reservationTotals
 	waitingGangs int
 	prefetched   int
 	// explorations and renewals are the questions about gangs, and claimed is the room for which gangs ask for
@@ -152,7 +152,7 @@
 	ps.usable = make([]*endpoint, 0, len(p.ordered))
 	ps.measureServices()
 	for _, e := range p.ordered {
-		e.reservedFor, e.holds = nil, e.holds[:0]
+		e.reservedFor, e.reservations = nil, e.reservations[:0]
 		switch {
 		case e.usable(ps.now, p.settings.Freshness):
 			ps.usable = append(ps.usable, e)
@@ -358,7 +358,7 @@
 		return s.pendingCount, !account.withinLimit(s.def.Need, ps.unconfirmed[account])
 	}
 	pending := p.withoutExpired(s.pending())
-	wish := p.preferenceOf(s)
+	pref := p.preferenceOf(s)
 	waiting := 0
 	for i, t := range pending {
 		if !account.withinLimit(s.def.Need, ps.unconfirmed[account]) {
@@ -368,7 +368,7 @@
 		if !p.mayGive(number) {
 			continue
 		}
-		best, waits := ps.chooseEndpoint(s, t, ready, wish)
+		best, waits := ps.chooseEndpoint(s, t, ready, pref)
 		switch {
 		case waits:
 			waiting++
@@ -391,7 +391,7 @@
 // none fits. The endpoint on which the task's last run failed comes last, and so do those on
 // which the task would fall behind; waits means that these are the only ones with room, and
 // that the task waits for another one.
-func (ps *pass) chooseEndpoint(s *step, t *task, ready []*endpoint, wish preference) (best *endpoint, waits bool) {
+func (ps *pass) chooseEndpoint(s *step, t *task, ready []*endpoint, pref preference) (best *endpoint, waits bool) {
 	need := s.need()
 	var failed, behind *endpoint
 	bestScore := 0.0
@@ -404,16 +404,16 @@
 
 			continue
 		}
-		if wish.fallsBehind(e) {
+		if pref.fallsBehind(e) {
 			if behind == nil || e.speed > behind.speed {
 				behind = e
 			}
 
 			continue
 		}
-		score := s.score(e, need, wish)
-		if e.reservedFor != nil && e.reservedFor != s && !need.Fits(e.free().Sub(e.held())) {
-			score -= reservedPenalty + wish.span()
+		score := s.score(e, need, pref)
+		if e.reservedFor != nil && e.reservedFor != s && !need.Fits(e.free().Sub(e.reserved())) {
+			score -= reservedPenalty + pref.scoreRange()
 		}
 		if best == nil || score > bestScore {
 			best, bestScore = e, score
@@ -423,7 +423,7 @@
 	case best != nil:
 		return best, false
 	case behind != nil:
-		if ps.waitsForSpeed(s, wish) {
+		if ps.waitsForSpeed(s, pref) {
 			return nil, true
 		}
 
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -88,13 +88,13 @@
 	withoutDetails int
 	// backlog is the last result of measureBacklog.
 	backlog backlog
-	// paces holds the speeds of the endpoints by service.
-	paces map[string]*pace
+	// speeds holds the speeds of the endpoints by service.
+	speeds map[string]*serviceSpeeds
 	// deferred holds the room for work that yields, as the last round found it, for the services in which useful
 	// work waited.
 	deferred map[string]*deferredRoom
 	// flows holds the mean of the accepted work of each service.
-	flows map[string]flow
+	acceptedLoads map[string]acceptedLoad
 	// admitted holds the admitted jobs that are being stored, and whether they exceed the rate of their account.
 	admitted map[string]bool
 	// rounds counts the rounds of placement.
@@ -153,8 +153,8 @@
 	// credit is the account's token bucket in jobs; it refills at weight jobs per second.
 	credit     float64
 	creditedAt definer.Instant
-	// promised is when the last refused caller was told to return for a token.
-	promised definer.Instant
+	// reservedUntil is when the last refused caller was told to return for a token.
+	reservedUntil definer.Instant
 	// active counts the account's jobs that are not final.
 	active int
 }
@@ -246,7 +246,7 @@
 	return &Planner{
 		settings: settings, tableEnd: settings.Term, config: &definer.Configuration{}, jobs: map[string]*job{},
 		endpoints: map[string]*endpoint{}, accounts: map[string]*account{}, queues: map[string]*queueStats{},
-		paces: map[string]*pace{}, readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{}, admitted: map[string]bool{}, flows: map[string]flow{},
+		speeds: map[string]*serviceSpeeds{}, readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{}, admitted: map[string]bool{}, acceptedLoads: map[string]acceptedLoad{},
 		unusedListings: map[string]unusedListing{}, jobsOfService: map[string]int{},
 		estimator: estimator.New(), changedEndpoints: map[string]struct{}{}, unacknowledged: map[*endpoint]struct{}{}, listingEnds: map[*endpoint]struct{}{},
 	}
--- a/internal/cell/planner/predict.go
+++ b/internal/cell/planner/predict.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// likelyLongest returns the 0.9 quantile of the run time of a task of s on an endpoint of speed 1.
-func (p *Planner) likelyLongest(s *step, now definer.Instant) time.Duration {
+// highRunTime returns the 0.9 quantile of the run time of a task of s on an endpoint of speed 1.
+func (p *Planner) highRunTime(s *step, now definer.Instant) time.Duration {
 	if !p.settings.Learn.Remaining {
 		return s.def.Estimate
 	}
@@ -58,7 +58,7 @@
 	return time.Duration(p.prediction(s, now).High * float64(s.def.Estimate))
 }
 
-// highRank is the quantile of the run times where something is drained.
+// highRank is the quantile that bounds a run time.
 const highRank = 0.9
 
 // remainingTime returns the time that a run still needs at most in nine cases of ten, from its
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -146,7 +146,7 @@
 		// A member that has finished its part, or whose gang is not complete yet, waits for the other members.
 		return
 	}
-	limit := max(minStallTimeout, time.Duration(stallEstimateShare*float64(p.likelyLongest(t.step, now))))
+	limit := max(minStallTimeout, time.Duration(stallEstimateShare*float64(p.highRunTime(t.step, now))))
 	if now.Sub(r.progressedAt) < limit {
 		return
 	}
@@ -155,7 +155,7 @@
 		"percent", r.percent, "for", now.Sub(r.progressedAt))
 	e.beginQuarantine(now)
 	t.avoidEndpoint(e, now)
-	r.stoodSince = r.progressedAt
+	r.stalledSince = r.progressedAt
 	p.stopRun(r)
 }
 
@@ -262,7 +262,7 @@
 		p.runFailed(r, row, now)
 	case definer.EndStopped, definer.EndLapsed, definer.EndBroken, definer.EndAlone:
 		if row.End != definer.EndAlone {
-			p.learnCut(r, now)
+			p.learnCensored(r, now)
 		}
 		if row.End == definer.EndAlone || row.End == definer.EndLapsed {
 			p.note("run ended", row.Task.Job, "how", string(row.End), "endpoint", e.ID, "step", row.Task.Step, "index", row.Task.Index, "run", row.Run)
@@ -282,7 +282,7 @@
 
 		return
 	}
-	p.learnDone(r, now)
+	p.learnFinished(r, now)
 	if !s.def.Gang {
 		if t.run != nil && t.run != r {
 			p.stopRun(t.run)
@@ -305,7 +305,7 @@
 	t := r.task
 	s := t.step
 	j := s.job
-	p.learnCut(r, now)
+	p.learnCensored(r, now)
 	if r.endpoint.recordFailure(j.ID, now) {
 		p.note("endpoint in quarantine", "", "endpoint", r.endpoint.ID, "for", r.endpoint.quarantine)
 	}
--- a/internal/cell/planner/reservation.go
+++ b/internal/cell/planner/reservation.go
@@ -59,14 +59,14 @@
 }
 
 // restoreReservations renews the holds that the first waiting gangs had in the last
-// round. The gangs beyond reservingGangShare or heldShare lose theirs, because they would
+// round. The gangs beyond reservingGangShare or reservedShare lose theirs, because they would
 // keep room idle, and so do those whose account may not run them, which may have no turn
 // in this round, and those that have had one for maxReservation.
 func (ps *pass) restoreReservations(steps []*step) {
-	var held reservations
+	var reserved reservationTotals
 	for _, s := range steps {
 		if !s.plan.exists() {
-			s.wait.holdsSince = 0
+			s.wait.reservedSince = 0
 
 			continue
 		}
@@ -75,21 +75,21 @@
 
 			continue
 		}
-		if s.wait.holdsSince == 0 {
-			s.wait.holdsSince = ps.now
+		if s.wait.reservedSince == 0 {
+			s.wait.reservedSince = ps.now
 		}
-		if ps.now.Sub(s.wait.holdsSince) > maxReservation {
+		if ps.now.Sub(s.wait.reservedSince) > maxReservation {
 			s.endReservation(ps.now)
 
 			continue
 		}
-		if !held.mayAdd(ps, s, s.plan.tasks()) {
+		if !reserved.mayAdd(ps, s, s.plan.tasks()) {
 			s.dropReservation()
 
 			continue
 		}
-		held.add(s)
-		ps.hold(s)
+		reserved.add(s)
+		ps.reserveParts(s)
 	}
 }
 
@@ -100,19 +100,19 @@
 	return account.withinLimit(s.def.Need.Scale(int64(s.pendingCount)), ps.unconfirmed[account])
 }
 
-// reservations counts the gangs that hold room, and by service the room that they hold.
-type reservations struct {
+// reservationTotals counts the gangs that reserve room, and by service the room that they reserve.
+type reservationTotals struct {
 	gangs int
 	room  map[string]modeler.Resources
 }
 
-// add counts the hold of a gang, if it has one.
-func (r *reservations) add(s *step) { r.count(s, 1) }
+// add counts the reservation of a gang, if it has one.
+func (r *reservationTotals) add(s *step) { r.count(s, 1) }
 
 // remove reverts add.
-func (r *reservations) remove(s *step) { r.count(s, -1) }
+func (r *reservationTotals) remove(s *step) { r.count(s, -1) }
 
-func (r *reservations) count(s *step, sign int) {
+func (r *reservationTotals) count(s *step, sign int) {
 	if !s.plan.exists() {
 		return
 	}
@@ -126,7 +126,7 @@
 
 // mayAdd reports whether one more gang may hold the room of a number of tasks. A sole
 // gang may hold as much as it needs.
-func (r *reservations) mayAdd(ps *pass, s *step, tasks int) bool {
+func (r *reservationTotals) mayAdd(ps *pass, s *step, tasks int) bool {
 	if r.gangs == 0 {
 		return true
 	}
@@ -136,14 +136,14 @@
 	}
 	room := r.room[s.job.Queue.Service].Add(s.need().Scale(int64(tasks)))
 
-	return room.DominantShare(usage.capacity) <= heldShare
+	return room.DominantShare(usage.capacity) <= reservedShare
 }
 
 // endReservation ends the reservation of a gang that has not started within
 // maxReservation, and begins the pause until its next one.
 func (s *step) endReservation(now definer.Instant) {
 	s.dropReservation()
-	s.wait.holdsSince = 0
+	s.wait.reservedSince = 0
 	s.wait.mayReserveAt = now.Add(maxReservation << min(s.wait.reservations, maxReservationDoublings))
 	s.wait.reservations++
 }
@@ -153,7 +153,7 @@
 func (ps *pass) reserveAssigned(s *step, assigned []*endpoint) {
 	since := s.plan.since
 	s.dropReservation()
-	if s.job.excess || !ps.held.mayAdd(ps, s, len(assigned)) || !ps.mayReserveForTickets(s) {
+	if s.job.excess || !ps.reserved.mayAdd(ps, s, len(assigned)) || !ps.mayReserveForTickets(s) {
 		return
 	}
 	if since == 0 {
@@ -163,8 +163,8 @@
 	for _, e := range assigned {
 		s.plan.add(e, 1, ps.now)
 	}
-	ps.held.add(s)
-	ps.hold(s)
+	ps.reserved.add(s)
+	ps.reserveParts(s)
 }
 
 // distinct returns the endpoints, each once.
@@ -216,7 +216,7 @@
 // round, so that the room becomes free. After preemptDelay the gang preempts less urgent
 // runs there.
 func (ps *pass) reserve(s *step, candidates []*endpoint, count int) {
-	if s.job.excess || !ps.held.mayAdd(ps, s, count) {
+	if s.job.excess || !ps.reserved.mayAdd(ps, s, count) {
 		s.dropReservation()
 
 		return
@@ -230,15 +230,15 @@
 
 		return
 	}
-	ps.keepPlan(s)
+	ps.reservePlan(s)
 	if !s.plan.preempted && ps.now.Sub(s.plan.since) > preemptDelay {
 		s.plan.preempted = true
 		ps.preempt(s)
 	}
 }
 
-// keepPlan holds the room of a gang's plan in this round.
-func (ps *pass) keepPlan(s *step) {
-	ps.held.add(s)
-	ps.hold(s)
+// reservePlan holds the room of a gang's plan in this round.
+func (ps *pass) reservePlan(s *step) {
+	ps.reserved.add(s)
+	ps.reserveParts(s)
 }
--- a/internal/cell/planner/retry.go
+++ b/internal/cell/planner/retry.go
@@ -32,13 +32,13 @@
 	return time.Duration(float64(base) * (1 + spread))
 }
 
-// nextTurn returns the time until the account's token bucket has a token for one more of
+// reserveToken returns the time until the account's token bucket has a token for one more of
 // the callers that were refused, each of whom is given the next one.
-func (a *account) nextTurn(now definer.Instant) time.Duration {
+func (a *account) reserveToken(now definer.Instant) time.Duration {
 	interval := time.Duration(float64(time.Second) / a.weight)
 	first := now.Add(time.Duration((1 - a.credit) * float64(interval)))
 	last := now.Add(maxRetryAfter)
-	a.promised = min(max(first, a.promised.Add(interval)), last)
+	a.reservedUntil = min(max(first, a.reservedUntil.Add(interval)), last)
 
-	return a.promised.Sub(now)
+	return a.reservedUntil.Sub(now)
 }
--- a/internal/cell/planner/speed.go
+++ b/internal/cell/planner/speed.go
@@ -22,19 +22,18 @@
 	// speedsPerRanking is how often the speed of an endpoint changes on average between two rankings. Speeds that
 	// differ by chance only have mostly been replaced by then.
 	speedsPerRanking = 4
-	// speedWeight weighs the speed against packing: the risk of a task that barely meets its objective on an endpoint
-	// and does so with a margin on another one differs by a multiple of packingWeight.
+	// speedWeight weighs the score of a speed against packing.
 	speedWeight = 20.0
 	// speedPrice is the risk that a task takes to leave an endpoint of the mean speed to others.
 	speedPrice = 0.06
-	// likeSpeedRatio is the ratio up to which the speeds of the members of a gang count as alike.
-	likeSpeedRatio = 1.1
+	// similarSpeedRatio is the ratio up to which the speeds of the members of a gang count as alike.
+	similarSpeedRatio = 1.1
 	// speedNoteInterval is the time between two notes about the speeds that the queues got.
 	speedNoteInterval = 10 * time.Second
 )
 
-// pace describes the speeds of the usable endpoints of a service.
-type pace struct {
+// serviceSpeeds describes the speeds of the usable endpoints of a service.
+type serviceSpeeds struct {
 	service string
 	// mean is their mean speed in this round, and count their number.
 	mean  float64
@@ -63,13 +62,13 @@
 // the fastest: an endpoint that was among them by chance has a usual speed by then.
 func (ps *pass) measureSpeeds() {
 	p := ps.planner
-	for _, pace := range p.paces {
-		pace.mean, pace.count = 0, 0
+	for _, service := range p.speeds {
+		service.mean, service.count = 0, 0
 	}
-	var of *pace
+	var of *serviceSpeeds
 	for _, e := range ps.usable {
 		if of == nil || of.service != e.Service {
-			of = p.paceOf(e.Service)
+			of = p.speedsOf(e.Service)
 		}
 		of.mean += e.speed
 		of.count++
@@ -78,31 +77,31 @@
 			of.changes++
 		}
 	}
-	for _, pace := range p.paces {
-		if pace.count == 0 {
+	for _, service := range p.speeds {
+		if service.count == 0 {
 			continue
 		}
-		pace.mean /= float64(pace.count)
-		if pace.changes >= speedsPerRanking*pace.count {
-			ps.rank(pace)
+		service.mean /= float64(service.count)
+		if service.changes >= speedsPerRanking*service.count {
+			ps.rank(service)
 		}
-		ps.noteSpeeds(pace)
+		ps.noteSpeeds(service)
 	}
 }
 
-// paceOf returns the pace of a service.
-func (p *Planner) paceOf(service string) *pace {
-	of := p.paces[service]
+// speedsOf returns the speeds of a service.
+func (p *Planner) speedsOf(service string) *serviceSpeeds {
+	of := p.speeds[service]
 	if of == nil {
-		of = &pace{service: service, mean: 1, starts: map[string]*startedSpeeds{}}
-		p.paces[service] = of
+		of = &serviceSpeeds{service: service, mean: 1, starts: map[string]*startedSpeeds{}}
+		p.speeds[service] = of
 	}
 
 	return of
 }
 
 // rank judges whether the endpoints of a service differ in speed, and ranks them anew.
-func (ps *pass) rank(of *pace) {
+func (ps *pass) rank(of *serviceSpeeds) {
 	slow, fast := ps.meanSpeed(of.slowest), ps.meanSpeed(of.fastest)
 	if varied := slow > 0 && fast >= minSpeedRatio*slow; varied != of.varied {
 		of.varied = varied
@@ -134,7 +133,7 @@
 }
 
 // noteSpeeds notes, once in each speedNoteInterval, what speeds the queues got.
-func (ps *pass) noteSpeeds(of *pace) {
+func (ps *pass) noteSpeeds(of *serviceSpeeds) {
 	if ps.now.Sub(of.notedAt) < speedNoteInterval {
 		return
 	}
@@ -151,7 +150,7 @@
 
 // recordStart counts a start on e.
 func (p *Planner) recordStart(s *step, e *endpoint) {
-	of := p.paceOf(e.Service)
+	of := p.speedsOf(e.Service)
 	if !of.varied {
 		return
 	}
@@ -165,37 +164,37 @@
 }
 
 // relative returns the speed of e as a multiple of the mean.
-func (of *pace) relative(e *endpoint) float64 { return e.speed / of.mean }
+func (of *serviceSpeeds) relative(e *endpoint) float64 { return e.speed / of.mean }
 
 // preference is the speed that the tasks of a step prefer in a round.
 type preference struct {
-	// pace is that of the service, or nil if the endpoints do not differ in speed; tasks then prefer fast ones.
-	pace *pace
-	// fits is the time that the rest of the job has to meet its objective, as a multiple of what it is expected to
-	// need at the mean speed, and useful the same for the time until the job is useless.
-	fits, useful float64
+	// speeds are those of the service, or nil if the endpoints do not differ in speed; tasks then prefer fast ones.
+	speeds *serviceSpeeds
+	// slack is the time that the rest of the job has to meet its objective, as a multiple of what it is expected to
+	// need at the mean speed, and uselessSlack the same for the time until the job is useless.
+	slack, uselessSlack float64
 }
 
 // preferenceOf returns the preference of a step. A job that misses its objective counts as
 // having time until it is useless, and a useless one, or one beyond the rate of its account,
 // as having all the time.
 func (p *Planner) preferenceOf(s *step) preference {
-	of := p.paces[s.job.Queue.Service]
+	of := p.speeds[s.job.Queue.Service]
 	expected := s.remainingPath
 	if of == nil || !of.varied || expected <= 0 || s.def.LongRunning {
 		return preference{}
 	}
 	j := s.job
 	useless := j.accepted.Add(lateFactor * j.deadline.Sub(j.accepted))
-	fits := func(end definer.Instant) float64 {
+	slackUntil := func(end definer.Instant) float64 {
 		return (end.Sub(p.now) - reportingSlack).Seconds() / expected.Seconds()
 	}
-	w := preference{pace: of, fits: fits(j.deadline), useful: fits(useless)}
-	if w.fits*of.top < outOfReach {
-		w.fits = w.useful
+	w := preference{speeds: of, slack: slackUntil(j.deadline), uselessSlack: slackUntil(useless)}
+	if w.slack*of.top < outOfReach {
+		w.slack = w.uselessSlack
 	}
-	if w.useful*of.top < outOfReach || j.excess {
-		w.fits, w.useful = unlimitedSlack, unlimitedSlack
+	if w.uselessSlack*of.top < outOfReach || j.excess {
+		w.slack, w.uselessSlack = unlimitedSlack, unlimitedSlack
 	}
 
 	return w
@@ -209,20 +208,26 @@
 	unlimitedSlack = 1e3
 )
 
-// score rates the speed of an endpoint. The score is between 0 and -span, except that
+// score rates the speed of an endpoint. The score is between 0 and -scoreRange, except that
 // without a preference it is the speed.
 func (w preference) score(e *endpoint) float64 {
-	if w.pace == nil {
+	if w.speeds == nil {
 		return e.speed
 	}
-	speed := w.pace.relative(e)
+	speed := w.speeds.relative(e)
 
-	return -speedWeight * (lateRisk(w.fits*speed) + speedPrice*speed)
+	return speedScore(w.slack*speed, speed)
 }
 
-// span returns how far the scores of speeds may be apart where speeds differ.
-func (w preference) span() float64 {
-	if w.pace == nil {
+// speedScore rates a speed by the risk that work misses its objective, if it has the given
+// multiple of its expected time, and by the price of the speed.
+func speedScore(multiple, speed float64) float64 {
+	return -speedWeight * (lateRisk(multiple) + speedPrice*speed)
+}
+
+// scoreRange returns the largest difference between the scores of two speeds where speeds differ.
+func (w preference) scoreRange() float64 {
+	if w.speeds == nil {
 		return 0
 	}
 
@@ -243,16 +248,16 @@
 // fallsBehind reports whether a task on e is expected to end when its job is useless,
 // although it would meet its objective at the mean speed.
 func (w preference) fallsBehind(e *endpoint) bool {
-	return w.pace != nil && w.fits >= 1 && w.useful*w.pace.relative(e) < 1
+	return w.speeds != nil && w.slack >= 1 && w.uselessSlack*w.speeds.relative(e) < 1
 }
 
 // waitsForSpeed reports whether the tasks of s wait for another endpoint than those on
 // which they would fall behind: a usable one may run them.
-func (ps *pass) waitsForSpeed(s *step, wish preference) bool {
+func (ps *pass) waitsForSpeed(s *step, pref preference) bool {
 	need := s.need()
 
 	return slices.ContainsFunc(ps.usable, func(e *endpoint) bool {
-		return need.Fits(e.Capacity) && !wish.fallsBehind(e) && s.eligible(e)
+		return need.Fits(e.Capacity) && !pref.fallsBehind(e) && s.eligible(e)
 	})
 }
 
@@ -260,13 +265,13 @@
 // are those with about the preferred speed, the others as they come, so that a step may use
 // other endpoints without a second question.
 func (p *Planner) suitedFirst(s *step, candidates []*endpoint, count int) []*endpoint {
-	wish := p.preferenceOf(s)
-	if wish.pace == nil || count >= len(candidates) {
+	pref := p.preferenceOf(s)
+	if pref.speeds == nil || count >= len(candidates) {
 		return candidates
 	}
 	best := candidates[0]
 	for _, e := range candidates {
-		if wish.score(e) > wish.score(best) {
+		if pref.score(e) > pref.score(best) {
 			best = e
 		}
 	}
@@ -282,12 +287,12 @@
 	return append(suited, others...)
 }
 
-// likeSpeeds returns those of the endpoints among which a gang of count tasks is assigned.
+// similarSpeeds returns those of the endpoints among which a gang of count tasks is assigned.
 // The gang runs at the pace of its slowest member: of all ranges of speed that have room for
 // it, the one with the best score is chosen, the speed of which is rated by its slowest
 // endpoint and its price by the mean. It returns all endpoints where speeds do not differ.
-func (w preference) likeSpeeds(s *step, count int, endpoints []*endpoint, fit func(*endpoint) int) []*endpoint {
-	if w.pace == nil {
+func (w preference) similarSpeeds(s *step, count int, endpoints []*endpoint, fit func(*endpoint) int) []*endpoint {
+	if w.speeds == nil {
 		return endpoints
 	}
 	type option struct {
@@ -300,7 +305,7 @@
 	options := make([]option, 0, len(endpoints))
 	for _, e := range endpoints {
 		if room := min(fit(e), count); room > 0 {
-			options = append(options, option{e, room, w.pace.relative(e), s.fitness(e, need, w.span())})
+			options = append(options, option{e, room, w.speeds.relative(e), s.fitness(e, need, w.scoreRange())})
 		}
 	}
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.speed, b.speed) })
@@ -317,7 +322,7 @@
 			break
 		}
 		o := &options[begin]
-		score := others/float64(room) - speedWeight*(lateRisk(w.fits*o.speed)+speedPrice*speeds/float64(room))
+		score := others/float64(room) + speedScore(w.slack*o.speed, speeds/float64(room))
 		if first < 0 || score > bestScore {
 			bestScore, first, last = score, begin, end
 		}
@@ -329,22 +334,22 @@
 		return endpoints
 	}
 	var alike []*endpoint
-	for i := first; i < len(options) && (i < last || options[i].speed <= likeSpeedRatio*options[first].speed); i++ {
+	for i := first; i < len(options) && (i < last || options[i].speed <= similarSpeedRatio*options[first].speed); i++ {
 		alike = append(alike, options[i].endpoint)
 	}
 
 	return alike
 }
 
-// likeSpeedsFirst returns the candidates for a question about a gang, those of like speed
+// similarSpeedsFirst returns the candidates for a question about a gang, those of like speed
 // that suit it and have room for count tasks first. If those with room have too little, the
 // order stays.
-func (p *Planner) likeSpeedsFirst(s *step, candidates []*endpoint, count int) []*endpoint {
-	wish := p.preferenceOf(s)
-	if wish.pace == nil {
+func (p *Planner) similarSpeedsFirst(s *step, candidates []*endpoint, count int) []*endpoint {
+	pref := p.preferenceOf(s)
+	if pref.speeds == nil {
 		return candidates
 	}
-	alike := wish.likeSpeeds(s, count, candidates, func(e *endpoint) int { return tasksFitting(s, e.free(), s.def.PerEndpoint) })
+	alike := pref.similarSpeeds(s, count, candidates, func(e *endpoint) int { return tasksFitting(s, e.free(), s.def.PerEndpoint) })
 	if len(alike) == len(candidates) {
 		return candidates
 	}
@@ -363,8 +368,8 @@
 
 // score rates an endpoint for a task of s. Proximity to the data weighs most, then speed,
 // then tight packing; recent failures lower the score.
-func (s *step) score(e *endpoint, need modeler.Resources, wish preference) float64 {
-	return wish.score(e) + s.fitness(e, need, wish.span())
+func (s *step) score(e *endpoint, need modeler.Resources, pref preference) float64 {
+	return pref.score(e) + s.fitness(e, need, pref.scoreRange())
 }
 
 // fitness is the part of the score that does not depend on the speed. span is how far the
--- a/internal/cell/planner/speed_test.go
+++ b/internal/cell/planner/speed_test.go
@@ -199,7 +199,7 @@
 				c.accept(c.batchJob(fmt.Sprintf("round-%d", round), definer.Step{Count: 1, Need: modeler.Resources{Millis: 1}, Estimate: time.Second}))
 				c.plan()
 			}
-			if got := c.planner.paceOf("service").varied; got != test.want {
+			if got := c.planner.speedsOf("service").varied; got != test.want {
 				t.Errorf("the speeds differ: %v, want %v", got, test.want)
 			}
 		})
@@ -248,7 +248,7 @@
 func TestQueueOnSlowEndpointsTeachesTheirSpeed(t *testing.T) {
 	c := newCell(t, 9)
 	c.learnSpeeds(thirds)
-	mean := c.planner.paceOf("service").mean
+	mean := c.planner.speedsOf("service").mean
 	for n := range 60 {
 		c.accept(c.batchJob(fmt.Sprintf("batch-%d", n), simpleStep(1)))
 		c.plan()
--- a/internal/cell/planner/turn.go
+++ b/internal/cell/planner/turn.go
@@ -45,7 +45,7 @@
 		if ps.mustYield(s) {
 			s.dropReservation()
 		}
-		ps.held.add(s)
+		ps.reserved.add(s)
 	}
 	ps.placeFirst(holders)
 	ps.placeFirst(others)
@@ -81,7 +81,7 @@
 		}
 		looks--
 		s.queuedSince = ps.now
-		ps.held.remove(s)
+		ps.reserved.remove(s)
 		commands, pending := len(p.commands), s.pendingCount
 		ps.place(s)
 		ps.useDeferred(s, pending-s.pendingCount)
--- a/internal/cell/planner/yield.go
+++ b/internal/cell/planner/yield.go
@@ -4,8 +4,7 @@
 
 // deferredShare bounds what work that exceeds a rate or has become useless uses of the
 // capacity of a service while useful work waits there, unless there is more free than that
-// work can use. A service that is sized for a load of 0.8 has a fifth to spare; this leaves
-// three quarters of it to bursts of useful work, and the deferred work still gets done.
+// work can use. It is above 0 because accepted work has to be done in the end.
 const deferredShare = 1.0 / 20
 
 // deferredRoom is the room of a service for steps that yield to useful work.
@@ -31,7 +30,7 @@
 	ps.planner.deferred = map[string]*deferredRoom{}
 	accountRoom := map[*account]int64{}
 	for _, s := range useful {
-		if s.pendingCount == 0 || ps.heldBack(s) || s.wait.leavesRoom(ps.now) {
+		if s.pendingCount == 0 || ps.isBlocked(s) || s.wait.leavesRoom(ps.now) {
 			continue
 		}
 		if wanted := ps.wantedBy(s, accountRoom); wanted > 0 {
--- a/internal/cell/planner/zone.go
+++ b/internal/cell/planner/zone.go
@@ -152,7 +152,7 @@
 	}
 	pool = slices.Clone(pool)
 	for _, e := range ps.planner.ordered {
-		if e.isHeldByZone() {
+		if e.isUsableButCordoned() {
 			pool = append(pool, e)
 		}
 	}
@@ -164,12 +164,12 @@
 // without an end in sight while all endpoints are in evacuated zones. A new owner that has
 // not read the whole endpoint list does not know that yet.
 func (p *Planner) waitForZones(work float64, now definer.Instant) time.Duration {
-	if work == 0 || p.listReadAt == 0 || now.Sub(p.listReadAt) < listingLag || !slices.ContainsFunc(p.ordered, (*endpoint).isHeldByZone) {
+	if work == 0 || p.listReadAt == 0 || now.Sub(p.listReadAt) < listingLag || !slices.ContainsFunc(p.ordered, (*endpoint).isUsableButCordoned) {
 		return 0
 	}
 
 	return math.MaxInt64
 }
 
-// isHeldByZone reports whether e would take work if its zone were not evacuated.
-func (e *endpoint) isHeldByZone() bool { return e.cordoned && e.listed && !e.Draining }
+// isUsableButCordoned reports whether e would take work if its zone were not evacuated.
+func (e *endpoint) isUsableButCordoned() bool { return e.cordoned && e.listed && !e.Draining }
