--- a/internal/cell/planner/admission.go
+++ b/internal/cell/planner/admission.go
@@ -222,10 +222,12 @@
 		return
 	}
 	s.admission.answeredAt = now
+	p.stats(j.Queue.Name).observeAnswer(now.Sub(s.admission.askedAt) - question.DecisionTime)
 	values := make(map[string]string, len(answer.Tickets))
 	for _, t := range answer.Tickets {
 		values[t.Endpoint] = t.Value
 	}
+	admittedBefore := len(s.admission.admitted)
 	expires := answer.Arrived.Add(j.Queue.Policy.Validity)
 	for _, endpointID := range question.Endpoints {
 		e := p.endpoints[endpointID]
@@ -238,11 +240,18 @@
 	if len(answer.Tickets) > 0 {
 		s.admission.validUntil = max(s.admission.validUntil, expires)
 	}
+	p.recordAdmitted(s, admittedBefore)
 	q := p.stats(j.Queue.Name)
 	q.admissionRate += admissionGain * (float64(len(answer.Tickets))/float64(max(len(question.Endpoints), 1)) - q.admissionRate)
 	q.admissionRate = max(q.admissionRate, 0.05)
 }
 
+// observeAnswer adds the time from a question to its answer, beyond the decision time, to
+// the moving average.
+func (q *queueStats) observeAnswer(wait time.Duration) {
+	q.questionWait += time.Duration(admissionGain * float64(max(wait, 0)-q.questionWait))
+}
+
 // filterUnasked returns the endpoints that the policy has not answered about.
 func (a *admission) filterUnasked(endpoints []*endpoint) []*endpoint {
 	var result []*endpoint
@@ -270,5 +279,5 @@
 		want = max(want, int(policy.Decide/policy.Each))
 	}
 
-	return candidates[:min(want, len(candidates))]
+	return p.suitedFirst(s, candidates, want)[:min(want, len(candidates))]
 }
--- a/internal/cell/planner/endpoint.go
+++ b/internal/cell/planner/endpoint.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/estimator"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
@@ -17,8 +18,10 @@
 	// round is the last round of placement in which the endpoint was usable, and room its free resources then.
 	round int
 	room  modeler.Resources
-	// reservedFor is the waiting gang that the endpoint is reserved for in this round of placement, or nil.
-	reservedFor *step
+	// reservedFor is the first waiting gang that reserves room on the endpoint in this round of placement, or nil, and
+	// reservations is the room of all such gangs, in the order in which they reserve it.
+	reservedFor  *step
+	reservations []reservation
 	// listed means that the endpoint list contains the endpoint, and unlistedAt is when its entry was removed, or 0.
 	listed     bool
 	unlistedAt definer.Instant
@@ -53,6 +56,8 @@
 	clock   int64
 	runs    map[runKey]*run
 	used    modeler.Resources
+	// deferredMillis is what runs use that were started although they yield to useful work.
+	deferredMillis int64
 	// servingRuns counts the runs with a response time target, and fillingRuns those
 	// that use spare processor time.
 	servingRuns, fillingRuns int
@@ -78,8 +83,10 @@
 	quarantine                      time.Duration
 	// pausedUntil is when starts are allowed again after one that was not accepted.
 	pausedUntil definer.Instant
-	// speed is the mean ratio of expected to actual run times.
-	speed float64
+	// reportedAt is when the last report arrived, and previousReport when the one before that did.
+	reportedAt, previousReport definer.Instant
+	// speed is the learned speed, of which 1 is the mean, and countedSpeed its value in the last round.
+	speed, countedSpeed float64
 }
 
 // runKey identifies a run on an endpoint.
@@ -125,6 +132,15 @@
 	confirmed bool
 	// adopted means that an endpoint listed the run and the owner did not know it.
 	adopted bool
+	// predicted is the prediction for the run when it was started.
+	predicted estimator.Prediction
+	// resumed means that the run continues from a checkpoint.
+	resumed bool
+	// beganAt is when the run is known to have begun its work, or 0, and stalledSince since when it stood still
+	// when it was stopped for that, or 0.
+	beganAt, stalledSince definer.Instant
+	// deferred means that the step exceeded a rate or was too late to be useful when the run was started.
+	deferred bool
 	// life is that of the endpoint when the run was started or adopted.
 	life int64
 }
@@ -155,6 +171,7 @@
 // removeEndpoint removes an endpoint and frees its slot.
 func (p *Planner) removeEndpoint(e *endpoint) {
 	delete(p.endpoints, e.ID)
+	p.estimator.Forget(e.ID)
 	delete(p.changedEndpoints, e.ID)
 	delete(p.listingEnds, e)
 	delete(p.unacknowledged, e)
@@ -293,6 +310,9 @@
 	r.life = e.life
 	e.runs[runKey{r.name, r.number}] = r
 	e.used = e.used.Add(r.need)
+	if r.deferred {
+		e.deferredMillis += r.need.Millis
+	}
 	if r.account == nil {
 		e.unknownRuns++
 
@@ -324,6 +344,7 @@
 	if r.task != nil && r.task.run == r {
 		r.task.writtenOff = max(r.task.writtenOff, r.number)
 	}
+	p.learnLost(r)
 	p.release(r)
 	p.requeue(r, r.checkpoint)
 }
--- a/internal/cell/planner/gang.go
+++ b/internal/cell/planner/gang.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
@@ -13,8 +14,8 @@
 const admittedCapacityFactor = 4
 
 // placeGang starts all tasks of a gang at once. A gang that has room but no tickets asks
-// for them, and the first gangs without room reserve endpoints. The others wait, and
-// start when there is room beside the reserved endpoints.
+// for them, and the first gangs without room hold room by a plan. The others wait, and
+// start when there is room beside what is held.
 func (ps *pass) placeGang(s *step, pending []*task) {
 	p := ps.planner
 	policy := s.job.Queue.Policy
@@ -77,9 +78,14 @@
 		ps.lacks(s, lackRoom)
 	}
 	switch {
-	case s.admission.askBlocked(ps.now) && len(s.reserved) > 0 && (!hasRoom || ps.mayReserveForTickets(s)):
-		// The reserved endpoints stay reserved until the policy has answered about them.
-		ps.held.add(s)
+	case s.admission.askBlocked(ps.now) && s.plan.exists() && (!hasRoom || ps.mayReserveForTickets(s)):
+		// The room stays held until the policy has answered.
+		if !ps.planValid(s, count) || !ps.reserved.mayAdd(ps, s, count) {
+			s.dropReservation()
+
+			return
+		}
+		ps.reservePlan(s)
 	case hasRoom:
 		ps.renewTickets(s, candidates, count)
 	default:
@@ -125,7 +131,7 @@
 	}
 	assigned := ps.assignEndpoints(s, count, candidates, others)
 	if assigned == nil {
-		ps.held.add(s)
+		ps.reserved.add(s)
 
 		return
 	}
@@ -138,7 +144,7 @@
 // some of them.
 func (ps *pass) waitForRoom(s *step, candidates []*endpoint, count int) {
 	p := ps.planner
-	if ps.now < s.wait.mayReserveAt || ps.waitingGangs >= ps.limit(waitingGangShare) {
+	if ps.now < s.wait.mayReserveAt || ps.waitingGangs >= ps.limit(waitingGangShare) && !s.plan.exists() {
 		s.dropReservation()
 
 		return
@@ -148,7 +154,8 @@
 		s.wait.question = gangQuestionNone
 		p.ask(s, p.endpointsToAsk(s, s.admission.filterUnasked(ps.candidates(s)), count), ps.now)
 	}
-	ps.reserveEndpoints(s, candidates, count)
+	ps.reserve(s, candidates, count)
+	ps.askAhead(s)
 }
 
 // admittedTo returns the endpoints that candidates returns and, if s has a placement
@@ -200,11 +207,7 @@
 
 // roomFor returns the number of tasks of s that have room on e beside what is taken there.
 func roomFor(s *step, e *endpoint, taken map[*endpoint]modeler.Resources) int {
-	if !availableTo(e, s) {
-		return 0
-	}
-
-	return tasksFitting(s, e.free().Sub(taken[e]), s.def.PerEndpoint)
+	return tasksFitting(s, e.availableTo(s).Sub(taken[e]), s.def.PerEndpoint)
 }
 
 // totalRoom returns the number of tasks of s that have room on the candidates, or some
@@ -240,19 +243,21 @@
 	}
 	fit := func(e *endpoint) int { return roomFor(s, e, taken) }
 	if s.def.SameRack {
-		if assigned := assignInOneRack(s, count, candidates, fit); assigned != nil {
+		if assigned := ps.assignInOneRack(s, count, candidates, fit); assigned != nil {
 			return assigned
 		}
 	}
 
-	return assignByScore(s, count, candidates, fit)
+	return ps.assignByScore(s, count, candidates, fit)
 }
 
-// assignByScore fills the endpoints with the highest scores first.
-func assignByScore(s *step, count int, candidates []*endpoint, fit func(*endpoint) int) []*endpoint {
+// assignByScore fills the endpoints with the highest scores first. Where endpoints differ in
+// speed, it uses such of like speed.
+func (ps *pass) assignByScore(s *step, count int, candidates []*endpoint, fit func(*endpoint) int) []*endpoint {
 	need := s.need()
-	ordered := append([]*endpoint(nil), candidates...)
-	sort.SliceStable(ordered, func(a, b int) bool { return s.score(ordered[a], need) > s.score(ordered[b], need) })
+	pref := ps.planner.preferenceOf(s)
+	ordered := append([]*endpoint(nil), pref.similarSpeeds(s, count, candidates, fit)...)
+	sort.SliceStable(ordered, func(a, b int) bool { return s.score(ordered[a], need, pref) > s.score(ordered[b], need, pref) })
 	var assigned []*endpoint
 	for _, e := range ordered {
 		for range min(fit(e), count-len(assigned)) {
@@ -268,7 +273,7 @@
 
 // assignInOneRack assigns all tasks to the first rack, by name, that has room
 // for them. It returns nil when there is none.
-func assignInOneRack(s *step, count int, candidates []*endpoint, fit func(*endpoint) int) []*endpoint {
+func (ps *pass) assignInOneRack(s *step, count int, candidates []*endpoint, fit func(*endpoint) int) []*endpoint {
 	racks := map[string][]*endpoint{}
 	var names []string
 	for _, e := range candidates {
@@ -280,7 +285,7 @@
 	}
 	sort.Strings(names)
 	for _, name := range names {
-		if assigned := assignByScore(s, count, racks[name], fit); assigned != nil {
+		if assigned := ps.assignByScore(s, count, racks[name], fit); assigned != nil {
 			return assigned
 		}
 	}
@@ -305,41 +310,36 @@
 		!r.task.step.def.LongRunning && r.task.step.job.Queue.Priority > s.job.Queue.Priority
 }
 
-// preemptibleUsage returns the resources of the runs on e that may be stopped
-// for the gang.
-func preemptibleUsage(s *step, e *endpoint) modeler.Resources {
-	var total modeler.Resources
+// preemptibleRuns returns the runs on e that may be stopped for the gang, those that began
+// last first.
+func preemptibleRuns(s *step, e *endpoint) []*run {
+	var runs []*run
 	for _, r := range e.runs {
 		if preemptibleFor(s, r) {
-			total = total.Add(r.need)
+			runs = append(runs, r)
 		}
 	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(b.sentAt, a.sentAt), cmp.Compare(a.name.Job, b.name.Job), cmp.Compare(a.name.Step, b.name.Step), cmp.Compare(a.name.Index, b.name.Index))
+	})
 
-	return total
+	return runs
 }
 
-// preempt stops preemptible runs on the reserved endpoints until the gang fits there.
-func (ps *pass) preempt(s *step, count int) {
+// preempt stops preemptible runs on the endpoints of the plan until the planned tasks fit there.
+func (ps *pass) preempt(s *step) {
 	p := ps.planner
 	stopped := 0
-	for _, e := range s.reserved {
-		fits := tasksFitting(s, e.free(), s.def.PerEndpoint)
-		room := e.free()
-		for _, r := range e.runs {
-			if fits >= count {
+	for _, part := range s.plan.parts {
+		room := part.endpoint.availableTo(s)
+		for _, r := range preemptibleRuns(s, part.endpoint) {
+			if tasksFitting(s, room, s.def.PerEndpoint) >= part.tasks {
 				break
 			}
-			if !preemptibleFor(s, r) {
-				continue
-			}
 			room = room.Add(r.need)
-			fits = tasksFitting(s, room, s.def.PerEndpoint)
 			stopped++
 			p.stopRun(r)
 		}
-		if count -= fits; count <= 0 {
-			break
-		}
 	}
-	p.note("preempted for a gang", s.job.ID, "step", s.index, "stopped", stopped, "waited", ps.now.Sub(s.reservedSince))
+	p.note("preempted for a gang", s.job.ID, "step", s.index, "stopped", stopped, "waited", ps.now.Sub(s.plan.since))
 }
--- a/internal/cell/planner/gang_ask.go
+++ b/internal/cell/planner/gang_ask.go
@@ -59,8 +59,8 @@
 	fullSince definer.Instant
 	// ticketsSince is since when the gang reserves that room while it asks for tickets, or 0.
 	ticketsSince definer.Instant
-	// holdsSince is since when endpoints have been reserved for the gang, or 0.
-	holdsSince definer.Instant
+	// reservedSince is since when endpoints have been reserved for the gang, or 0.
+	reservedSince definer.Instant
 	// reservations counts the reservations that ended after maxReservation, and
 	// mayReserveAt is when the gang may reserve endpoints again.
 	reservations int
@@ -146,6 +146,17 @@
 	}
 }
 
+// askDuringTakeover lets an inherited gang of which no task is known to run ask about
+// endpoints while it may not start, so that it is ready once the takeover is settled.
+func (ps *pass) askDuringTakeover(s *step) {
+	if s.admission.askBlocked(ps.now) || s.gangRun != 0 || s.pendingCount == 0 || s.pendingCount != s.tasksLeft {
+		return
+	}
+	if s.job.Queue.Policy != nil && taskCapacity(s, ps.admittedTo(s)) < s.pendingCount {
+		ps.explore(s, s.pendingCount)
+	}
+}
+
 // renew lets a gang ask for tickets for the endpoints at the end of the round.
 func (ps *pass) renew(s *step, endpoints []*endpoint) {
 	if !s.admission.askBlocked(ps.now) {
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/estimator"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
@@ -33,8 +34,9 @@
 	finalStored bool
 	// finalShown means that the final state has been shown to a caller.
 	finalShown bool
-	// begun means that a task of the job has been started.
+	// begun means that a task of the job has been started, and delay is how long it has waited for that.
 	begun bool
+	delay jobDelay
 	// standsSince is when the job was first seen to stand, or 0, and standNotedAt when a note last said why.
 	standsSince, standNotedAt definer.Instant
 }
@@ -44,6 +46,8 @@
 	number    int
 	steps     []*step
 	stepsLeft int
+	// predictedAt is when the predictions for the steps were made, or 0.
+	predictedAt definer.Instant
 }
 
 // step is one step of an occurrence.
@@ -66,19 +70,25 @@
 	wait      gangWait
 	// waited is for the log.
 	waited waitRecord
-	// reserved are the endpoints that have been reserved for the waiting gang since reservedSince.
-	reserved      []*endpoint
-	reservedSince definer.Instant
-	// yields means that other steps may use the reserved endpoints in this round.
+	// plan is where the waiting gang is to start, or empty.
+	plan gangPlan
+	// yields means that other steps may use the held room in this round.
 	yields bool
-	// preempted means that runs on the reserved endpoints have been preempted for the gang.
-	preempted bool
 	// remainingPath is the estimated time from the start of the step to the end of its
 	// occurrence, along the longest chain of dependent steps.
 	remainingPath time.Duration
+	// learned is about the finished runs of the step, learnedRun the last run of the gang that was learned from, and
+	// predicted the prediction for its runs.
+	learned    estimator.Step
+	predicted  estimator.Prediction
+	learnedRun int
 	// urgency and overShare are computed anew in each round of placement.
-	urgency   int
-	overShare bool
+	urgency int
+	// endsAt is when a task that starts in this round is expected to be over, and runTimeClass the class of its
+	// run time.
+	endsAt       definer.Instant
+	runTimeClass int
+	overShare    bool
 	// turnAt is when a round of placement last considered the step.
 	turnAt definer.Instant
 	// queuedSince is when the step last had its turn among the deferrable ones or those that request tickets in
@@ -149,16 +159,19 @@
 		return
 	}
 	j := p.newJob(definition, now, wall)
-	j.excess = p.account(j.Account).takeCredit(now)
+	j.excess = p.charge(j, now)
+	if !j.excess {
+		p.acceptedLoadOf(j.Queue.Service).add(j, now)
+	}
 	p.note("accepted", j.ID, "account", j.Account, "queue", j.Queue.Name, "excess", j.excess)
 	p.advance(j, wall)
-	if p.backlog.work == nil {
+	if p.backlog.services == nil {
 		return
 	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if _, ready := p.readySteps[s]; ready {
-				p.backlog.add(s)
+				p.backlog.addAccepted(s, p.account(j.Account))
 			}
 		}
 	}
@@ -182,18 +195,24 @@
 // path of its steps' estimates times the queue's stretch, plus the queue's
 // target.
 func objective(j *definer.Job) time.Duration {
+	return time.Duration(float64(criticalPath(j))*max(j.Queue.Stretch, 1)) + j.Queue.Target
+}
+
+// criticalPath returns the longest time that steps take which depend on one another, by
+// their estimates.
+func criticalPath(j *definer.Job) time.Duration {
 	finish := make([]time.Duration, len(j.Steps))
-	var criticalPath time.Duration
+	var longest time.Duration
 	for i := range j.Steps {
 		var start time.Duration
 		for _, dependency := range j.Steps[i].After {
 			start = max(start, finish[dependency])
 		}
 		finish[i] = start + j.Steps[i].Estimate
-		criticalPath = max(criticalPath, finish[i])
+		longest = max(longest, finish[i])
 	}
 
-	return time.Duration(float64(criticalPath)*max(j.Queue.Stretch, 1)) + j.Queue.Target
+	return longest
 }
 
 // refill adds the credit that has accumulated since the last refill, up to
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -12,16 +12,19 @@
 const (
 	// reservingGangShare bounds the gangs that may reserve endpoints, as a share of the usable endpoints.
 	reservingGangShare = 1.0 / 36
-	// reservedShare bounds the endpoints that are reserved for more than one gang, as a share of the usable endpoints.
+	// reservedShare bounds the room that is held for more than one gang, as a share of the capacity of a service.
 	reservedShare = 1.0 / 8
 	// waitingGangShare bounds the gangs without room that ask about further endpoints or reserve some, as a share
 	// of the usable endpoints.
 	waitingGangShare = 1.0 / 12
 	// preemptDelay is how long a gang waits with reserved endpoints before less urgent runs are preempted for it.
 	preemptDelay = 800 * time.Millisecond
-	// reservedPenalty lowers the score of reserved endpoints, so that more urgent work
-	// uses them only when no other endpoint fits.
+	// reservedPenalty lowers the score of held room, so that more urgent work uses it only
+	// when no other endpoint fits.
 	reservedPenalty = 4.0
+	// backfillMargin is how long before the start of a plan a task in its held room has to be over: the owner learns
+	// of the end with the next report.
+	backfillMargin = 200 * time.Millisecond
 )
 
 // maxActivityGap is the time between two calls of CheckSuspension above which the
@@ -59,6 +62,7 @@
 	p.expireLeases(now)
 	p.evacuate(now)
 	p.clearZones(now)
+	p.noteRunTimes(now)
 
 	return p.expire(now)
 }
@@ -89,18 +93,20 @@
 	steps := make([]*step, 0, len(p.readySteps))
 	for s := range p.readySteps {
 		s.overShare = p.account(s.job.Account).exceedsShare(fair)
-		s.urgency = s.urgencyAt(now)
+		s.urgency = p.urgencyAt(s, now)
+		longest := p.highRunTime(s, now)
+		s.endsAt, s.runTimeClass = now.Add(longest+backfillMargin), runTimeClass(longest)
 		steps = append(steps, s)
 	}
 	slices.SortFunc(steps, (*step).compare)
 	ps.dropCordonedReservations(steps)
 	ps.restoreReservations(steps)
 	ps.countGangQuestions(steps)
+	ps.observeDelays(steps)
 	urgent, _ := slices.BinarySearchFunc(steps, urgencyMissed, func(s *step, urgency int) int { return cmp.Compare(s.urgency, urgency) })
-	for _, s := range steps[:urgent] {
-		ps.place(s)
-	}
+	ps.placeUseful(steps[:urgent])
 	ps.prefetchInTurn()
+	ps.findDeferredRoom(steps[:urgent])
 	ps.placeInTurn(steps[urgent:])
 	ps.askForGangs()
 	ps.noteLoad()
@@ -120,17 +126,17 @@
 	// quarantined holds the endpoints that soleUsable reports, and all these and the usable ones, if a step needs
 	// them, in the order of usable.
 	quarantined, all []*endpoint
-	// held counts the reservations, waitingGangs the gangs that wait for room, and prefetched the
+	// reserved counts the reservations, waitingGangs the gangs that wait for room, and prefetched the
 	// steps that request tickets before there is room.
-	held         reservations
+	reserved     reservationTotals
 	waitingGangs int
 	prefetched   int
 	// explorations and renewals are the questions about gangs, and claimed is the room for which gangs ask for
 	// tickets.
 	explorations, renewals gangQuestions
 	claimed                map[*endpoint]modeler.Resources
-	// busy holds the services of which at least busyShare is in use.
-	busy map[string]bool
+	// services holds the usage of the services.
+	services map[string]*serviceUsage
 	// leftOut holds the steps that prefetchShare keeps from requesting tickets.
 	leftOut []*step
 	// scratch is the reused buffer for lists of candidates.
@@ -144,9 +150,9 @@
 func (ps *pass) findUsable() {
 	p := ps.planner
 	ps.usable = make([]*endpoint, 0, len(p.ordered))
-	ps.findBusyServices()
+	ps.measureServices()
 	for _, e := range p.ordered {
-		e.reservedFor = nil
+		e.reservedFor, e.reservations = nil, e.reservations[:0]
 		switch {
 		case e.usable(ps.now, p.settings.Freshness):
 			ps.usable = append(ps.usable, e)
@@ -158,6 +164,7 @@
 		e.round, e.room = p.rounds, e.free()
 	}
 	sortByRoom(ps.usable)
+	ps.measureSpeeds()
 }
 
 // sortByRoom sorts endpoints by their free processors at the beginning of the round,
@@ -183,6 +190,7 @@
 	if s.job.inherited && !ps.takeoverSettled {
 		if s.def.Gang {
 			ps.lacks(s, lackTakeover)
+			ps.askDuringTakeover(s)
 		}
 
 		return
@@ -216,11 +224,13 @@
 
 // group is a set of steps that may use the same endpoints, reservations included.
 type group struct {
-	service  string
-	priority int
+	service                string
+	priority, runTimeClass int
 }
 
-func groupOf(s *step) group { return group{s.job.Queue.Service, s.job.Queue.Priority} }
+func groupOf(s *step) group {
+	return group{s.job.Queue.Service, s.job.Queue.Priority, s.runTimeClass}
+}
 
 // lacksRoom reports whether an earlier search of this round found no room for
 // needs no larger than those of s. The result holds for the whole round, because
@@ -284,7 +294,7 @@
 		if e.room.Millis < need.Millis {
 			break
 		}
-		if e.Service != service || !availableTo(e, s) || !need.Fits(e.free()) {
+		if e.Service != service || !need.Fits(e.availableTo(s)) {
 			continue
 		}
 		fits = true
@@ -348,6 +358,7 @@
 		return s.pendingCount, !account.withinLimit(s.def.Need, ps.unconfirmed[account])
 	}
 	pending := p.withoutExpired(s.pending())
+	pref := p.preferenceOf(s)
 	waiting := 0
 	for i, t := range pending {
 		if !account.withinLimit(s.def.Need, ps.unconfirmed[account]) {
@@ -357,7 +368,7 @@
 		if !p.mayGive(number) {
 			continue
 		}
-		best, waits := ps.chooseEndpoint(s, t, ready)
+		best, waits := ps.chooseEndpoint(s, t, ready, pref)
 		switch {
 		case waits:
 			waiting++
@@ -376,23 +387,16 @@
 	return s.def.PerEndpoint == 0 || s.placed[e] < s.def.PerEndpoint
 }
 
-// availableTo reports whether s may use e: e is not reserved, is reserved for s, for a
-// gang of a less urgent queue, or for one whose service has much room.
-func availableTo(e *endpoint, s *step) bool {
-	holder := e.reservedFor
-
-	return holder == nil || holder == s || holder.yields || s.job.Queue.Priority < holder.job.Queue.Priority
-}
-
 // chooseEndpoint returns the endpoint with the highest score for a task, or nil when
-// none fits. The endpoint on which the task's last run failed comes last; waits means
-// that it is the only one with room, and that the task waits for another one.
-func (ps *pass) chooseEndpoint(s *step, t *task, ready []*endpoint) (best *endpoint, waits bool) {
+// none fits. The endpoint on which the task's last run failed comes last, and so do those on
+// which the task would fall behind; waits means that these are the only ones with room, and
+// that the task waits for another one.
+func (ps *pass) chooseEndpoint(s *step, t *task, ready []*endpoint, pref preference) (best *endpoint, waits bool) {
 	need := s.need()
-	var failed *endpoint
+	var failed, behind *endpoint
 	bestScore := 0.0
 	for _, e := range ready {
-		if !need.Fits(e.free()) || !s.belowEndpointLimit(e) || !availableTo(e, s) {
+		if !s.belowEndpointLimit(e) || !need.Fits(e.availableTo(s)) {
 			continue
 		}
 		if t.avoids(e) {
@@ -400,17 +404,32 @@
 
 			continue
 		}
-		score := s.score(e, need)
-		if holder := e.reservedFor; holder != nil && holder != s {
-			score -= reservedPenalty
+		if pref.fallsBehind(e) {
+			if behind == nil || e.speed > behind.speed {
+				behind = e
+			}
+
+			continue
+		}
+		score := s.score(e, need, pref)
+		if e.reservedFor != nil && e.reservedFor != s && !need.Fits(e.free().Sub(e.reserved())) {
+			score -= reservedPenalty + pref.scoreRange()
 		}
 		if best == nil || score > bestScore {
 			best, bestScore = e, score
 		}
 	}
 	switch {
-	case best != nil || failed == nil:
+	case best != nil:
 		return best, false
+	case behind != nil:
+		if ps.waitsForSpeed(s, pref) {
+			return nil, true
+		}
+
+		return behind, false
+	case failed == nil:
+		return nil, false
 	case ps.mustAvoid(t, failed):
 		return nil, true
 	default:
@@ -418,17 +437,6 @@
 	}
 }
 
-// score rates an endpoint for a task of s. Proximity to the data weighs most,
-// then speed, then tight packing; recent failures lower the score.
-func (s *step) score(e *endpoint, need modeler.Resources) float64 {
-	score := e.speed + packingWeight*need.Add(e.used).DominantShare(e.Capacity) - failureWeight*float64(e.consecutiveFailures)
-	if s.def.DataRack != "" && !e.Label(s.def.DataRack) {
-		score -= remoteDataPenalty
-	}
-
-	return score
-}
-
 const (
 	// packingWeight, failureWeight and remoteDataPenalty weigh packing, failures and
 	// distance from the data against speed.
@@ -442,12 +450,16 @@
 	p := ps.planner
 	s := t.step
 	r := &run{task: t, name: t.name(), number: number, endpoint: e, need: s.need(), account: p.account(s.job.Account),
-		sentAt: ps.now, progressedAt: ps.now, checkpoint: t.checkpoint}
+		sentAt: ps.now, progressedAt: ps.now, checkpoint: t.checkpoint, resumed: t.checkpoint != "", predicted: *p.prediction(s, ps.now),
+		deferred: s.urgency > urgencyLate}
 	t.run, t.lastRun = r, number
 	e.addRun(r)
+	p.stats(s.job.Queue.Name).running += r.need.Millis
+	p.recordStart(s, e)
 	// A start order extends the lease of every run on the endpoint.
 	e.lastSent = ps.now
 	if !s.job.begun {
+		p.recordDelay(s, ps.now)
 		s.job.begun = true
 		p.note("first start", s.job.ID, "waited", ps.now.Sub(s.job.accepted), "endpoint", e.ID)
 	}
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/estimator"
 	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
 )
 
@@ -20,6 +21,8 @@
 	Lease time.Duration
 	// Freshness is the maximum age of an endpoint's last answered renewal for tasks to be started there.
 	Freshness time.Duration
+	// Learn selects what learned run times are used for.
+	Learn Learning
 }
 
 const (
@@ -54,6 +57,8 @@
 	freeSlots []int
 	accounts  map[string]*account
 	queues    map[string]*queueStats
+	// estimator learns from the runs that end.
+	estimator *estimator.Estimator
 	// readySteps holds the steps that have tasks to start.
 	readySteps map[*step]struct{}
 	// scheduled holds the jobs with occurrences that are not due yet.
@@ -83,6 +88,15 @@
 	withoutDetails int
 	// backlog is the last result of measureBacklog.
 	backlog backlog
+	// speeds holds the speeds of the endpoints by service.
+	speeds map[string]*serviceSpeeds
+	// deferred holds the room for work that yields, as the last round found it, for the services in which useful
+	// work waited.
+	deferred map[string]*deferredRoom
+	// flows holds the mean of the accepted work of each service.
+	acceptedLoads map[string]acceptedLoad
+	// admitted holds the admitted jobs that are being stored, and whether they exceed the rate of their account.
+	admitted map[string]bool
 	// rounds counts the rounds of placement.
 	rounds int
 	// lastRound is when the last round of placement began.
@@ -123,6 +137,8 @@
 	questions        int
 	freeQuestionTime time.Duration
 	notes            []Note
+	// runTimes is about the runs that ended since the last note about run times.
+	runTimes runTimesRecord
 	// roundsNoted is about the rounds since the last note about the load.
 	roundsNoted roundRecord
 }
@@ -137,6 +153,8 @@
 	// credit is the account's token bucket in jobs; it refills at weight jobs per second.
 	credit     float64
 	creditedAt definer.Instant
+	// reservedUntil is when the last refused caller was told to return for a token.
+	reservedUntil definer.Instant
 	// active counts the account's jobs that are not final.
 	active int
 }
@@ -145,10 +163,14 @@
 type queueStats struct {
 	// admissionRate is the share of the endpoints that the queue's policy admits.
 	admissionRate float64
-	// durationRatio is the mean ratio of run times to their estimates.
-	durationRatio float64
+	// questionWait is the mean time from a question to its answer, beyond the decision time.
+	questionWait time.Duration
 	// ticketReservationsFrom is when gangs that ask for tickets may reserve room again.
 	ticketReservationsFrom definer.Instant
+	// delay is what jobs have waited lately.
+	delay queueDelay
+	// running is the millicores that the runs of the queue use.
+	running int64
 }
 
 // Command is an action that the caller has to carry out.
@@ -208,8 +230,9 @@
 	Args  []any
 	// Warn means that the note may show a fault.
 	Warn bool
-	// Latencies are for the metrics.
+	// Latencies are for the metrics, and so are Counts, by the name of the counter.
 	Latencies []Latency
+	Counts    map[string]int64
 }
 
 // Latency is a measured time, under the name of its histogram.
@@ -223,9 +246,9 @@
 	return &Planner{
 		settings: settings, tableEnd: settings.Term, config: &definer.Configuration{}, jobs: map[string]*job{},
 		endpoints: map[string]*endpoint{}, accounts: map[string]*account{}, queues: map[string]*queueStats{},
-		readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{},
+		speeds: map[string]*serviceSpeeds{}, readySteps: map[*step]struct{}{}, scheduled: map[*job]struct{}{}, admitted: map[string]bool{}, acceptedLoads: map[string]acceptedLoad{},
 		unusedListings: map[string]unusedListing{}, jobsOfService: map[string]int{},
-		changedEndpoints: map[string]struct{}{}, unacknowledged: map[*endpoint]struct{}{}, listingEnds: map[*endpoint]struct{}{},
+		estimator: estimator.New(), changedEndpoints: map[string]struct{}{}, unacknowledged: map[*endpoint]struct{}{}, listingEnds: map[*endpoint]struct{}{},
 	}
 }
 
@@ -272,7 +295,7 @@
 func (p *Planner) stats(queue string) *queueStats {
 	q := p.queues[queue]
 	if q == nil {
-		q = &queueStats{admissionRate: initialAdmission, durationRatio: 1}
+		q = &queueStats{admissionRate: initialAdmission}
 		p.queues[queue] = q
 	}
 
--- a/internal/cell/planner/turn.go
+++ b/internal/cell/planner/turn.go
@@ -42,7 +42,10 @@
 	slices.SortStableFunc(others, func(a, b *step) int { return cmp.Compare(a.queuedSince, b.queuedSince) })
 	// The steps that have no turn keep their reservations.
 	for _, s := range deferrable {
-		ps.held.add(s)
+		if ps.mustYield(s) {
+			s.dropReservation()
+		}
+		ps.reserved.add(s)
 	}
 	ps.placeFirst(holders)
 	ps.placeFirst(others)
@@ -73,14 +76,15 @@
 		if turns == 0 || looks == 0 {
 			return
 		}
-		if ps.cannotAct(s) {
+		if ps.cannotAct(s) || ps.mustYield(s) {
 			continue
 		}
 		looks--
 		s.queuedSince = ps.now
-		ps.held.remove(s)
-		commands := len(p.commands)
+		ps.reserved.remove(s)
+		commands, pending := len(p.commands), s.pendingCount
 		ps.place(s)
+		ps.useDeferred(s, pending-s.pendingCount)
 		if len(p.commands) > commands {
 			turns--
 		}
--- a/internal/cell/planner/zone.go
+++ b/internal/cell/planner/zone.go
@@ -100,8 +100,8 @@
 		}
 	}
 	p.countZones()
-	if p.listReadAt == 0 || !p.takeoverSettled() {
-		// Runs may not be known yet.
+	if p.listReadAt == 0 || !p.takeoverSettled() || slices.ContainsFunc(p.ordered, (*endpoint).runsInUnknownZone) {
+		// There may be runs that are not counted.
 		return
 	}
 	for name, zone := range p.zones {
@@ -112,6 +112,10 @@
 	}
 }
 
+// runsInUnknownZone reports whether e has runs and the owner has not read its entry of the
+// endpoint list, which names its zone.
+func (e *endpoint) runsInUnknownZone() bool { return len(e.runs) > 0 && !e.listed && e.Zone == "" }
+
 // moveLongRunning stops the long-running tasks on a cordoned endpoint, so that they start
 // again elsewhere.
 func (p *Planner) moveLongRunning(e *endpoint) {
@@ -130,14 +134,12 @@
 		return
 	}
 	for _, s := range steps {
-		if slices.ContainsFunc(s.reserved, (*endpoint).isCordoned) {
+		if slices.ContainsFunc(s.plan.parts, func(part planPart) bool { return part.endpoint.cordoned }) {
 			s.dropReservation()
 		}
 	}
 }
 
-func (e *endpoint) isCordoned() bool { return e.cordoned }
-
 // needsCordoned reports whether the usable endpoints can't hold the tasks of s even when
 // they are empty, and could together with the cordoned ones.
 func (ps *pass) needsCordoned(s *step) bool {
@@ -150,7 +152,7 @@
 	}
 	pool = slices.Clone(pool)
 	for _, e := range ps.planner.ordered {
-		if e.isHeldByZone() {
+		if e.isUsableButCordoned() {
 			pool = append(pool, e)
 		}
 	}
@@ -162,12 +164,12 @@
 // without an end in sight while all endpoints are in evacuated zones. A new owner that has
 // not read the whole endpoint list does not know that yet.
 func (p *Planner) waitForZones(work float64, now definer.Instant) time.Duration {
-	if work == 0 || p.listReadAt == 0 || now.Sub(p.listReadAt) < listingLag || !slices.ContainsFunc(p.ordered, (*endpoint).isHeldByZone) {
+	if work == 0 || p.listReadAt == 0 || now.Sub(p.listReadAt) < listingLag || !slices.ContainsFunc(p.ordered, (*endpoint).isUsableButCordoned) {
 		return 0
 	}
 
 	return math.MaxInt64
 }
 
-// isHeldByZone reports whether e would take work if its zone were not evacuated.
-func (e *endpoint) isHeldByZone() bool { return e.cordoned && e.listed && !e.Draining }
+// isUsableButCordoned reports whether e would take work if its zone were not evacuated.
+func (e *endpoint) isUsableButCordoned() bool { return e.cordoned && e.listed && !e.Draining }
--- a/internal/cell/planner/zone_test.go
+++ b/internal/cell/planner/zone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -34,14 +35,13 @@
 
 // zonesStarted returns the zones in which tasks were started since the last call, sorted.
 func (c *testCell) zonesStarted() []string {
-	var zones []string
+	zones := map[string]bool{}
 	for _, start := range c.started {
-		zones = append(zones, start.Target.Zone)
+		zones[start.Target.Zone] = true
 	}
 	c.started = nil
-	slices.Sort(zones)
 
-	return slices.Compact(zones)
+	return slices.Sorted(maps.Keys(zones))
 }
 
 // hasNote reports whether the planner has noted the event, with the argument if it is not nil.
@@ -171,6 +171,24 @@
 	}
 }
 
+// TestRunsOfInheritedEndpointCount guards against a note that the last run in a zone has ended
+// while an endpoint of which only the state table is known, without its zone, has one.
+func TestRunsOfInheritedEndpointCount(t *testing.T) {
+	c := newZonedCell(t, 3)
+	c.accept(c.job("a", simpleStep(1)))
+	c.planner.RestoreEndpoint("e900", c.listing("e900"))
+	c.born["e900"] = 1
+	c.running["e900"] = []definer.RunningTask{{Task: definer.TaskName{Job: "a"}, Run: 1}}
+	c.evacuate("a")
+	if c.advance(time.Second); c.hasNote("last run in evacuated zone has ended", nil) {
+		t.Error("a note says that the last run has ended although the zone of a run is not known")
+	}
+	c.listInZone("e900", "b")
+	if c.advance(time.Second); !c.hasNote("last run in evacuated zone has ended", "a") {
+		t.Error("no note says that the last run has ended once the zone of the other run is known")
+	}
+}
+
 // TestGangReleasesEvacuatedEndpoints guards against a gang that keeps its reservation in an
 // evacuated zone and never starts.
 func TestGangReleasesEvacuatedEndpoints(t *testing.T) {
@@ -185,7 +203,7 @@
 	c.plan()
 	var reserved []*endpoint
 	for s := range c.planner.readySteps {
-		reserved = append(reserved, s.reserved...)
+		reserved = append(reserved, s.plannedOn()...)
 	}
 	if len(reserved) != 1 {
 		t.Fatalf("%d endpoints reserved, want 1", len(reserved))
@@ -194,12 +212,22 @@
 	c.evacuate(from.Zone)
 	c.plan()
 	for s := range c.planner.readySteps {
-		if len(s.reserved) != 1 || s.reserved[0] == from {
-			t.Errorf("endpoints reserved in the round after the evacuation: %d, want another one", len(s.reserved))
+		if held := s.plannedOn(); len(held) != 1 || held[0] == from {
+			t.Errorf("endpoints reserved in the round after the evacuation: %d, want another one", len(held))
 		}
 	}
 }
 
+// plannedOn returns the endpoints on which room is held for the gang.
+func (s *step) plannedOn() []*endpoint {
+	endpoints := make([]*endpoint, 0, len(s.plan.parts))
+	for _, part := range s.plan.parts {
+		endpoints = append(endpoints, part.endpoint)
+	}
+
+	return endpoints
+}
+
 // TestGangWithQuestionReleasesEvacuatedEndpoints guards against a reservation that a gang keeps
 // in an evacuated zone until its policy has answered.
 func TestGangWithQuestionReleasesEvacuatedEndpoints(t *testing.T) {
@@ -220,12 +248,13 @@
 	c.advance(2 * time.Second)
 	c.plan()
 	for s := range c.planner.readySteps {
-		if len(s.reserved) != 1 || len(c.asked) != 1 || len(c.started) != 0 {
-			t.Fatalf("%d endpoints reserved, %d questions, %d starts, want 1, 1, 0", len(s.reserved), len(c.asked), len(c.started))
+		held := s.plannedOn()
+		if len(held) != 1 || len(c.asked) != 1 || len(c.started) != 0 {
+			t.Fatalf("%d endpoints reserved, %d questions, %d starts, want 1, 1, 0", len(held), len(c.asked), len(c.started))
 		}
-		c.evacuate(s.reserved[0].Zone)
+		c.evacuate(held[0].Zone)
 		c.plan()
-		if slices.ContainsFunc(s.reserved, (*endpoint).isCordoned) {
+		if slices.ContainsFunc(s.plannedOn(), func(e *endpoint) bool { return e.cordoned }) {
 			t.Error("the gang keeps an endpoint in the evacuated zone reserved")
 		}
 	}
@@ -239,7 +268,7 @@
 	c.accept(c.job("filler", simpleStep(4)))
 	c.planAndRun()
 	ps := &pass{planner: c.planner, now: c.now}
-	if ps.findBusyServices(); !ps.busy["service"] {
+	if ps.measureServices(); !ps.services["service"].busy() {
 		t.Error("a service whose usable capacity is all in use does not count as busy")
 	}
 }
--- a/internal/cell/recorder/recorder.go
+++ b/internal/cell/recorder/recorder.go
@@ -111,6 +111,9 @@
 	m.gauges[group] = values
 }
 
+// Add adds a number to a counter.
+func (m *Metrics) Add(name string, number int64) { m.counters.Add(name, number) }
+
 // Observe adds a latency to a histogram.
 func (m *Metrics) Observe(name string, latency time.Duration) {
 	m.mu.Lock()
