--- a/internal/cell/planner/delay.go
+++ b/internal/cell/planner/delay.go
@@ -93,7 +93,7 @@
 		j.delay.look(j, ps.isBlocked(s) || ps.isPatient(s), ps.now)
 		d := &p.stats(j.Queue.Name).delay
 		d.service = j.Queue.Service
-		if wait := j.delay.waited - p.longestDecision(&j.Queue); wait > excessBacklog && !j.delay.blocked {
+		if wait := p.waitBeyondDecision(j); wait > excessBacklog && !j.delay.blocked {
 			d.waiting = append(d.waiting, wait)
 		}
 	}
@@ -105,13 +105,12 @@
 	if s.job.inherited && !ps.takeoverSettled {
 		return true
 	}
-	need := s.def.Need
 	if s.def.Gang {
-		need = need.Scale(int64(s.pendingCount))
+		return !ps.withinLimit(s)
 	}
 	account := ps.planner.account(s.job.Account)
 
-	return !account.withinLimit(need, ps.unconfirmed[account])
+	return !account.withinLimit(s.def.Need, ps.unconfirmed[account])
 }
 
 // recordDelay records the wait of a job that starts for the first time.
@@ -121,10 +120,15 @@
 		return
 	}
 	j.delay.look(j, false, now)
-	wait := max(j.delay.waited-p.longestDecision(&j.Queue), 0)
+	wait := max(p.waitBeyondDecision(j), 0)
 	p.stats(j.Queue.Name).delay.add(delaySample{now, wait})
 }
 
+// waitBeyondDecision returns the wait of a job less one decision of its policy.
+func (p *Planner) waitBeyondDecision(j *job) time.Duration {
+	return j.delay.waited - p.longestDecision(&j.Queue)
+}
+
 // longestDecision returns the time of one decision about as many endpoints as a question
 // may name.
 func (p *Planner) longestDecision(q *definer.Queue) time.Duration {
--- a/internal/cell/planner/patience.go
+++ b/internal/cell/planner/patience.go
@@ -80,16 +80,8 @@
 // findPatientRooms returns the rooms of the services in which steps wait.
 func (ps *pass) findPatientRooms(steps []*step) map[string]*patientRoom {
 	rooms := map[string]*patientRoom{}
-	accountRoom := map[*account]int64{}
-	for _, s := range steps {
-		if s.pendingCount == 0 || ps.isBlocked(s) || s.wait.leavesRoom(ps.now) {
-			continue
-		}
-		service := s.job.Queue.Service
-		if rooms[service] == nil {
-			rooms[service] = &patientRoom{wanted: map[int]int64{}}
-		}
-		rooms[service].wanted[s.job.Queue.Priority] += ps.wantedBy(s, accountRoom)
+	for service, wanted := range ps.wantedRoom(steps) {
+		rooms[service] = &patientRoom{wanted: wanted}
 	}
 	for _, e := range ps.usable {
 		if room := rooms[e.Service]; room != nil {
--- a/internal/cell/planner/yield.go
+++ b/internal/cell/planner/yield.go
@@ -28,18 +28,12 @@
 // their turn. Services without useful work that waits are left out.
 func (ps *pass) findDeferredRoom(useful []*step) {
 	ps.planner.deferred = map[string]*deferredRoom{}
-	accountRoom := map[*account]int64{}
-	for _, s := range useful {
-		if s.pendingCount == 0 || ps.isBlocked(s) || s.wait.leavesRoom(ps.now) {
-			continue
-		}
-		if wanted := ps.wantedBy(s, accountRoom); wanted > 0 {
-			service := s.job.Queue.Service
-			if ps.planner.deferred[service] == nil {
-				ps.planner.deferred[service] = &deferredRoom{}
-			}
-			ps.planner.deferred[service].wanted += wanted
+	for service, byPriority := range ps.wantedRoom(useful) {
+		room := &deferredRoom{}
+		for _, wanted := range byPriority {
+			room.wanted += wanted
 		}
+		ps.planner.deferred[service] = room
 	}
 	if len(ps.planner.deferred) == 0 {
 		return
@@ -53,6 +47,29 @@
 	}
 }
 
+// wantedRoom returns, by service and priority, the room that the waiting steps are likely to
+// need. Services in which none waits are left out.
+func (ps *pass) wantedRoom(steps []*step) map[string]map[int]int64 {
+	services := map[string]map[int]int64{}
+	accountRoom := map[*account]int64{}
+	for _, s := range steps {
+		if s.pendingCount == 0 || ps.isBlocked(s) || s.wait.leavesRoom(ps.now) {
+			continue
+		}
+		wanted := ps.wantedBy(s, accountRoom)
+		if wanted <= 0 {
+			continue
+		}
+		service := s.job.Queue.Service
+		if services[service] == nil {
+			services[service] = map[int]int64{}
+		}
+		services[service][s.job.Queue.Priority] += wanted
+	}
+
+	return services
+}
+
 // leavesRoom reports whether a gang has reserved endpoints for maxReservation in vain and
 // leaves the room to others until it may reserve some again.
 func (w *gangWait) leavesRoom(now definer.Instant) bool {
