--- a/review/rig2/executor.go
+++ b/review/rig2/executor.go
@@ -33,9 +33,11 @@
 	mu        sync.Mutex
 	born      time.Time
 	darkUntil time.Time
-	token     int64
-	leaseEnd  time.Duration
-	running   map[string]*taskRun
+	// unhealthyUntil is until when the executor refuses starts with 503.
+	unhealthyUntil time.Time
+	token          int64
+	leaseEnd       time.Duration
+	running        map[string]*taskRun
 	// highest holds the highest run of each task that was stopped or has ended.
 	highest map[string]int
 	ends    []end
@@ -110,6 +112,21 @@
 
 func (e *executor) isDark() bool { return time.Now().Before(e.darkUntil) }
 
+func (e *executor) isIdle() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return len(e.running) == 0
+}
+
+// makeUnhealthy makes the executor refuse starts for unhealthyTime.
+func (e *executor) makeUnhealthy() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unhealthyUntil = time.Now().Add(unhealthyTime)
+	e.rig.log("%s is unhealthy for %v", e.id, unhealthyTime)
+}
+
 // crash ends all runs. The executor is silent for darkTime and then starts again under its id.
 func (e *executor) crash() {
 	e.mu.Lock()
@@ -233,6 +250,9 @@
 	if run := e.running[o.Task]; run != nil && run.number == o.Run {
 		return http.StatusOK, ""
 	}
+	if time.Now().Before(e.unhealthyUntil) {
+		return http.StatusServiceUnavailable, ""
+	}
 	e.renew(o.Until)
 	if o.Run <= e.highest[o.Task] {
 		return http.StatusConflict, "old"
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -19,6 +19,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -35,11 +36,11 @@
 	startTime        = 20 * time.Second
 
 	contactTime = 4 * time.Second
-	ackTime     = 5 * time.Second
 	cancelTime  = 3 * time.Second
-	applyTime   = 3 * time.Second
 	visibleTime = 3 * time.Second
 	finishTime  = 14 * time.Second
+	// pendingAge is how old a number of pending jobs may be.
+	pendingAge = 2 * time.Second
 	// standTime is how long a job may have nothing running beside capacity for it.
 	standTime = 3 * time.Second
 
@@ -69,7 +70,6 @@
 	began     time.Time
 	nodes     []*node
 	executors []*executor
-	version   int
 
 	mu     sync.Mutex
 	record *os.File
@@ -157,7 +157,7 @@
 
 // start starts the stand-ins and the entry instances, and waits until all are ready and in touch.
 func (r *rig) start() error {
-	r.configure("queue")
+	r.configure()
 	for n := range executors {
 		e := newExecutor(r, n)
 		var err error
@@ -380,13 +380,12 @@
 	prefixLookups = "/l/"
 )
 
-// configure publishes a version of the configuration in which the route of prefixQueue has the name.
-func (r *rig) configure(name string) {
-	r.version += 3
+// configure publishes the configuration.
+func (r *rig) configure() {
 	data, err := json.Marshal(map[string]any{
-		"version": r.version,
+		"version": 3,
 		"routes": []map[string]any{
-			{"name": name, "host": hostName, "path-prefix": prefixQueue, "service": "work", "priority": 1, "max-attempts": 3, "stretch": 3, "target-latency-ms": 3000},
+			{"name": "queue", "host": hostName, "path-prefix": prefixQueue, "service": "work", "priority": 1, "max-attempts": 3, "stretch": 3, "target-latency-ms": 3000},
 			{"name": "lookups", "host": hostName, "path-prefix": prefixLookups, "service": "work", "priority": 0, "max-attempts": 4, "stretch": 1.5, "target-latency-ms": 600},
 		},
 		"services": []map[string]any{{"name": "work", "enforces-capacity": false}},
@@ -408,7 +407,8 @@
 // step is a step of a job.
 type step = map[string]any
 
-// call sends a request about a job to an entry instance. The status is 0 without an answer.
+// call sends a request about a job, or about a queue if the id is empty, to an entry instance. It returns the state of
+// the job, or the number of pending jobs. The status is 0 without an answer.
 func (r *rig) call(method string, j job, body any) (status int, state string) {
 	var reader io.Reader = http.NoBody
 	if body != nil {
@@ -435,12 +435,28 @@
 	}
 	defer response.Body.Close()
 	var reply struct {
-		State string `json:"state"`
+		State   string `json:"state"`
+		Pending *int   `json:"pending"`
 	}
 	_ = json.NewDecoder(response.Body).Decode(&reply)
-	r.log("%s %s%s to %s -> %d %s", method, j.prefix, j.id, n.name, response.StatusCode, reply.State)
+	state = reply.State
+	if reply.Pending != nil {
+		state = fmt.Sprint(*reply.Pending)
+	}
+	r.log("%s %s%s to %s -> %d %s", method, j.prefix, j.id, n.name, response.StatusCode, state)
+
+	return response.StatusCode, state
+}
+
+// pending returns the number of pending jobs of a queue, or -1 without an answer.
+func (r *rig) pending(prefix string) int {
+	_, text := r.call(http.MethodGet, job{prefix: prefix}, nil)
+	number, err := strconv.Atoi(text)
+	if err != nil {
+		return -1
+	}
 
-	return response.StatusCode, reply.State
+	return number
 }
 
 // submit hands a job in and repeats that until it is accepted, for acceptTime at most.
