--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the second review start. It needs the standard library only.
+# Builds the stand-ins and the clients that the scripts of the second review start. It needs no network: they use the
+# standard library only and are a module of their own, which CI does not see.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-go build -buildvcs=false -tags review2 -o target/review2/rig2 ./review/rig2
+cd "$(dirname "$0")/rig2"
+GOTOOLCHAIN=local GOWORK=off GOPROXY=off go build -buildvcs=false -o ../../target/review2/rig2 .
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -1,5 +1,3 @@
-//go:build review2
-
 // Command rig2 plays a case of the second review: entry instances as processes of
 // their own, started with the command of the deploy file, against stand-ins of the
 // users' platform on loopback addresses. It writes record.txt into the folder of the
@@ -37,6 +35,7 @@
 
 	contactTime = 4 * time.Second
 	cancelTime  = 3 * time.Second
+	applyTime   = 3 * time.Second
 	visibleTime = 3 * time.Second
 	finishTime  = 14 * time.Second
 	// pendingAge is how old a number of pending jobs may be.
@@ -70,6 +69,7 @@
 	began     time.Time
 	nodes     []*node
 	executors []*executor
+	version   int
 
 	mu     sync.Mutex
 	record *os.File
@@ -157,7 +157,7 @@
 
 // start starts the stand-ins and the entry instances, and waits until all are ready and in touch.
 func (r *rig) start() error {
-	r.configure()
+	r.configure("queue")
 	for n := range executors {
 		e := newExecutor(r, n)
 		var err error
@@ -380,12 +380,13 @@
 	prefixLookups = "/l/"
 )
 
-// configure publishes the configuration.
-func (r *rig) configure() {
+// configure publishes a version of the configuration in which the route of prefixQueue has the name.
+func (r *rig) configure(name string) {
+	r.version += 3
 	data, err := json.Marshal(map[string]any{
-		"version": 3,
+		"version": r.version,
 		"routes": []map[string]any{
-			{"name": "queue", "host": hostName, "path-prefix": prefixQueue, "service": "work", "priority": 1, "max-attempts": 3, "stretch": 3, "target-latency-ms": 3000},
+			{"name": name, "host": hostName, "path-prefix": prefixQueue, "service": "work", "priority": 1, "max-attempts": 3, "stretch": 3, "target-latency-ms": 3000},
 			{"name": "lookups", "host": hostName, "path-prefix": prefixLookups, "service": "work", "priority": 0, "max-attempts": 4, "stretch": 1.5, "target-latency-ms": 600},
 		},
 		"services": []map[string]any{{"name": "work", "enforces-capacity": false}},
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -1,5 +1,3 @@
-//go:build review2
-
 package main
 
 import (
