Log what an acknowledged cancellation and a count of pending jobs rest on

"cancellation acknowledged" now has the offset of the append, its number of records, and whether the progress of the job was left to a later append.

"pending jobs counted" has the pending and the begun jobs of the queue.

--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -51,6 +51,8 @@
 type cancellation struct {
 	id      string
 	waiters []chan *forwarder.Reply
+	// left means that the batch which the cancellation is part of does not hold the job's progress.
+	left bool
 }
 
 // confirmation is a reply that is only true while this instance owns the cell, or
@@ -160,6 +162,9 @@
 	for i := range b.snapshots {
 		add(journaler.EncodeProgress(b.snapshots[i])...)
 	}
+	for _, c := range b.cancellations {
+		c.left = l.planner.IsDirty(c.id)
+	}
 	if len(b.records) == 0 {
 		j.heartbeats++
 		claim := l.settings.Claim
@@ -301,6 +306,7 @@
 	}
 	for _, c := range b.cancellations {
 		l.planner.CancelStored(c.id, now)
+		l.logger.Info("cancellation acknowledged", "job", c.id, "term", l.settings.Term, "at", b.offset, "records", len(b.records), "left to a later append", c.left)
 		for _, waiter := range c.waiters {
 			waiter <- &forwarder.Reply{Outcome: forwarder.OutcomeDone}
 		}
--- a/internal/cell/leader/requests.go
+++ b/internal/cell/leader/requests.go
@@ -180,7 +180,9 @@
 }
 
 func (m countMsg) apply(_ context.Context, l *Leader, _ definer.Instant) {
-	m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeDone, Count: l.planner.Pending(m.queue)}
+	counts := l.planner.CountJobs(m.queue)
+	l.logger.Info("pending jobs counted", "queue", m.queue, "term", l.settings.Term, "pending", counts.Pending, "begun", counts.Begun)
+	m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeDone, Count: counts.Pending}
 }
 
 // HandOver waits for the outstanding append and start calls, ends the ownership
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -465,16 +465,26 @@
 	p.note("final state shown", id, "state", string(j.state))
 }
 
-// Pending returns the number of jobs of a queue of which no task has been started.
-func (p *Planner) Pending(queue string) int {
-	count := 0
+// JobCounts counts the jobs of a queue that are neither final nor being cancelled.
+type JobCounts struct {
+	// Pending jobs have no task that has been started, Begun jobs have one.
+	Pending, Begun int
+}
+
+// CountJobs counts the jobs of a queue.
+func (p *Planner) CountJobs(queue string) JobCounts {
+	var counts JobCounts
 	for _, j := range p.jobs {
-		if j.Queue.Name == queue && !j.state.Final() && !j.begun && !j.cancelling {
-			count++
+		switch {
+		case j.Queue.Name != queue || j.state.Final() || j.cancelling:
+		case j.begun:
+			counts.Begun++
+		default:
+			counts.Pending++
 		}
 	}
 
-	return count
+	return counts
 }
 
 // need returns the resources that a task of s takes on an endpoint. A filling
--- a/internal/cell/planner/progress.go
+++ b/internal/cell/planner/progress.go
@@ -87,6 +87,13 @@
 	return snapshots, ends
 }
 
+// IsDirty reports whether a job has progress that Dirty has not returned yet.
+func (p *Planner) IsDirty(id string) bool {
+	j := p.jobs[id]
+
+	return j != nil && j.change != 0
+}
+
 // reportedEnd is the highest number of the ends in a report, and the last change
 // number after the report was processed: once that change is stored, so are the ends.
 type reportedEnd struct {
