Acknowledge a cancel only once an append holds its job

What callers saw: a cancel that was answered with success was lost when all instances were killed right after it.

Cause: a batch took all waiting cancellations and confirmations, and their callers were answered when it was appended. What makes them last is the progress of their jobs, of which Dirty returns some 8,000 tasks a batch and leaves the rest to the next ones. A job with many started tasks that changes all the time fills a batch by itself. So the answer came one append too early. The same holds for progress of an earlier owner, which was confirmed as stored, and for a cancel of a job whose end is not stored yet.

Change: a cancellation, and a confirmation that names jobs, becomes part of a batch once the progress of its jobs is part of it or of an earlier one. Jobs that are final or being cancelled come first in Dirty: their progress has no tasks, callers wait for them, and they don't wait any more until larger jobs have been stored one append after the other.

TestAcknowledgementsAreStored shows for each path what the next owner knows when the caller is answered.

--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,12 +48,11 @@
 	received definer.Instant
 }
 
-// cancellation is a cancelled job whose cancellation is waiting to be appended.
+// cancellation is a cancelled job whose cancellation is waiting to be appended, as the progress of the job.
 type cancellation struct {
-	id      string
-	waiters []chan *forwarder.Reply
-	// left means that the batch which the cancellation is part of does not hold the job's progress.
-	left bool
+	id       string
+	waiters  []chan *forwarder.Reply
+	received definer.Instant
 }
 
 // confirmation is a reply that is only true while this instance owns the cell, or
@@ -60,6 +60,8 @@
 type confirmation struct {
 	waiter chan *forwarder.Reply
 	reply  *forwarder.Reply
+	// jobs are those whose progress the reply rests on.
+	jobs []string
 }
 
 // journal holds the changes to append to the state table and the batch being appended.
@@ -71,7 +73,7 @@
 	// submissionsByID also holds the submissions of the batch being appended.
 	submissionsByID map[string]*submission
 	cancellations   map[string]*cancellation
-	// confirmations are the replies that wait for the next batch.
+	// confirmations are the replies that wait for a batch.
 	confirmations []confirmation
 	jobsToRemove  []string
 	outstanding   bool
@@ -152,19 +154,12 @@
 		add(journaler.EncodeJob(&s.job))
 		b.submissions = append(b.submissions, s)
 	}
-	for id, c := range j.cancellations {
-		b.cancellations = append(b.cancellations, c)
-		delete(j.cancellations, id)
-	}
-	b.confirmations, j.confirmations = j.confirmations, nil
 	b.snapshots, b.ends = l.planner.Dirty()
 	b.lives = l.planner.Lives()
 	for i := range b.snapshots {
 		add(journaler.EncodeProgress(b.snapshots[i])...)
 	}
-	for _, c := range b.cancellations {
-		c.left = l.planner.IsDirty(c.id)
-	}
+	b.cancellations, b.confirmations = j.takeStored(l.planner.IsDirty)
 	if len(b.records) == 0 {
 		j.heartbeats++
 		claim := l.settings.Claim
@@ -180,6 +175,30 @@
 	return b
 }
 
+// takeStored removes and returns the cancellations and confirmations whose progress is part of this batch or of an earlier
+// one. Progress that is left to a later batch could be lost after the reply: a restart would undo an acknowledged cancel.
+func (j *journal) takeStored(isDirty func(id string) bool) (cancellations []*cancellation, confirmations []confirmation) {
+	for id, c := range j.cancellations {
+		if !isDirty(id) {
+			cancellations = append(cancellations, c)
+			delete(j.cancellations, id)
+		}
+	}
+	var waiting []confirmation
+	for _, c := range j.confirmations {
+		// A job that changes again after its progress was taken does not hold up the reply.
+		c.jobs = slices.DeleteFunc(c.jobs, func(id string) bool { return !isDirty(id) })
+		if len(c.jobs) > 0 {
+			waiting = append(waiting, c)
+		} else {
+			confirmations = append(confirmations, c)
+		}
+	}
+	j.confirmations = waiting
+
+	return cancellations, confirmations
+}
+
 // learnedRecords returns the records of the parts of the learned run times that next returns, up to maxLearnedBatch.
 // The part that exceeds it goes to left.
 func learnedRecords(next func() (estimator.Shard, bool), left func(estimator.Shard)) []definer.Record {
@@ -306,7 +325,7 @@
 	}
 	for _, c := range b.cancellations {
 		l.planner.CancelStored(c.id, now)
-		l.logger.Info("cancellation acknowledged", "job", c.id, "term", l.settings.Term, "at", b.offset, "records", len(b.records), "left to a later append", c.left)
+		l.logger.Info("cancellation stored", "job", c.id, "term", l.settings.Term, "at", b.offset, "records", len(b.records), "took", now.Sub(c.received).String())
 		for _, waiter := range c.waiters {
 			waiter <- &forwarder.Reply{Outcome: forwarder.OutcomeDone}
 		}
--- a/internal/cell/leader/requests.go
+++ b/internal/cell/leader/requests.go
@@ -73,16 +73,18 @@
 }
 
 func (m inheritMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
+	jobs := make([]string, len(m.progress.Observations))
 	for i := range m.progress.Observations {
+		jobs[i] = m.progress.Observations[i].ID
 		l.planner.Inherit(m.progress.Observations[i], m.progress.Term, now)
 	}
-	l.confirm(m.reply, &forwarder.Reply{Outcome: forwarder.OutcomeDone})
+	l.confirm(m.reply, &forwarder.Reply{Outcome: forwarder.OutcomeDone}, jobs...)
 }
 
-// confirm gives a reply after the next append, or OutcomeNotOwner if the ownership
-// ends first.
-func (l *Leader) confirm(waiter chan *forwarder.Reply, reply *forwarder.Reply) {
-	l.journal.confirmations = append(l.journal.confirmations, confirmation{waiter: waiter, reply: reply})
+// confirm gives a reply after an append, and once the progress of the jobs that it rests
+// on is stored, or OutcomeNotOwner if the ownership ends first.
+func (l *Leader) confirm(waiter chan *forwarder.Reply, reply *forwarder.Reply, jobs ...string) {
+	l.journal.confirmations = append(l.journal.confirmations, confirmation{waiter: waiter, reply: reply, jobs: jobs})
 }
 
 // denyJob replies that there is no such job. Only an append shows that no newer
@@ -126,7 +128,7 @@
 	reply  chan *forwarder.Reply
 }
 
-func (m cancelMsg) apply(_ context.Context, l *Leader, _ definer.Instant) {
+func (m cancelMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
 	id := m.lookup.Job
 	state, queue, known := l.planner.State(id)
 	if !known || queue != m.lookup.Queue {
@@ -143,7 +145,7 @@
 	l.planner.Cancel(id)
 	c := l.journal.cancellations[id]
 	if c == nil {
-		c = &cancellation{id: id}
+		c = &cancellation{id: id, received: now}
 		l.journal.cancellations[id] = c
 	}
 	c.waiters = append(c.waiters, m.reply)
--- /dev/null
+++ b/internal/cell/leader/stored_test.go
@@ -0,0 +1,278 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/journaler"
+	"gitlab.com/greengagewall/greengagewall/internal/cell/planner"
+	"gitlab.com/greengagewall/greengagewall/internal/domain/modeler"
+)
+
+// manyTasks is more tasks than the progress in one batch has.
+const manyTasks = 8100
+
+// storedCell is an owner whose appends the test writes to the state table. It records what the table holds when a
+// caller is answered.
+type storedCell struct {
+	*testing.T
+	owner   *Leader
+	table   *journaler.State
+	now     definer.Instant
+	callers []caller
+	appends int
+	record  strings.Builder
+}
+
+// caller is a caller that waits for its reply about jobs.
+type caller struct {
+	name  string
+	jobs  []string
+	reply chan *forwarder.Reply
+}
+
+// newStoredCell returns a cell with two jobs of many started tasks, and the given jobs with one task each.
+func newStoredCell(t *testing.T, jobs ...string) *storedCell {
+	t.Helper()
+	c := &storedCell{T: t, table: journaler.NewState(), now: definer.Now()}
+	progress := planner.Progress{Due: 1, Tasks: make([]planner.TaskProgress, manyTasks)}
+	for n := range progress.Tasks {
+		progress.Tasks[n] = planner.TaskProgress{Index: n, LastRun: 1}
+	}
+	for _, id := range []string{"large", "large2"} {
+		c.table.Jobs[id] = testJob(id, manyTasks)
+		c.table.Progress[id] = &planner.Snapshot{ID: id, Queue: "queue", Account: "account", Progress: progress}
+	}
+	for _, id := range jobs {
+		c.table.Jobs[id] = testJob(id, 1)
+	}
+	c.owner = owner(1, c.table, c.now)
+
+	return c
+}
+
+// manyJobs returns as many ids as one batch has no room for.
+func manyJobs() []string {
+	jobs := make([]string, manyTasks)
+	for n := range jobs {
+		jobs[n] = fmt.Sprintf("a%04d", n)
+	}
+
+	return jobs
+}
+
+func testJob(id string, tasks int) *definer.Job {
+	step := definer.Step{Count: tasks, Need: modeler.Resources{Millis: 1000}}
+
+	return &definer.Job{ID: id, Account: "account", Queue: definer.Queue{Name: "queue", Service: "service", MaxAttempts: 1}, Steps: []definer.Step{step}}
+}
+
+// change makes the progress of jobs differ from the table.
+func (c *storedCell) change(jobs ...string) {
+	for _, id := range jobs {
+		c.owner.planner.Inherit(planner.Observation{ID: id}, 0, c.now)
+	}
+}
+
+// cancel asks for jobs to be cancelled, each as a caller of its own.
+func (c *storedCell) cancel(jobs ...string) {
+	for _, id := range jobs {
+		c.request("cancel", []string{id}, func(reply chan *forwarder.Reply) message {
+			return cancelMsg{lookup: forwarder.Lookup{Job: id, Queue: "queue"}, reply: reply}
+		})
+	}
+}
+
+// inherit passes on what an earlier owner has learned.
+func (c *storedCell) inherit(observations ...planner.Observation) {
+	jobs := make([]string, len(observations))
+	for i := range observations {
+		jobs[i] = observations[i].ID
+	}
+	c.request("progress of an earlier owner", jobs, func(reply chan *forwarder.Reply) message {
+		return inheritMsg{progress: &forwarder.UnstoredProgress{Observations: observations}, reply: reply}
+	})
+}
+
+func (c *storedCell) request(name string, jobs []string, message func(chan *forwarder.Reply) message) {
+	reply := make(chan *forwarder.Reply, 1)
+	message(reply).apply(context.Background(), c.owner, c.now)
+	c.callers = append(c.callers, caller{name, jobs, reply})
+}
+
+// begin begins an append; end writes it to the table and answers it.
+func (c *storedCell) begin() *batch {
+	b := c.owner.journal.newBatch(c.owner, c.now)
+	c.owner.journal.outstanding, c.owner.journal.current = true, b
+
+	return b
+}
+
+func (c *storedCell) end(b *batch) {
+	for _, record := range b.records {
+		if err := c.table.Apply(record); err != nil {
+			c.Fatal(err)
+		}
+	}
+	appendedMsg{batch: b, reply: definer.AppendReply{Appended: true}}.apply(context.Background(), c.owner, c.now)
+	c.appends++
+	c.noteReplies(fmt.Sprintf("append %d", c.appends))
+}
+
+func (c *storedCell) append() { c.end(c.begin()) }
+
+// appendUntilAnswered appends until all callers have their replies.
+func (c *storedCell) appendUntilAnswered() {
+	for c.appends < 9 && len(c.callers) > 0 {
+		c.append()
+	}
+}
+
+var outcomeNames = map[forwarder.Outcome]string{
+	forwarder.OutcomeDone: "done", forwarder.OutcomeMissing: "missing", forwarder.OutcomeNotOwner: "not the owner", forwarder.OutcomeRefused: "refused",
+}
+
+// noteReplies records the replies given by now, and the jobs as an owner shows them that only knows the table.
+func (c *storedCell) noteReplies(when string) {
+	next := owner(1000, c.table, c.now)
+	answered := map[string]int{}
+	var lines []string
+	waiting := c.callers[:0]
+	for _, w := range c.callers {
+		select {
+		case reply := <-w.reply:
+			line := fmt.Sprintf("%s: %s of %s answered", when, w.name, strings.Join(w.jobs, ", "))
+			if len(c.callers) > maxNamedCallers {
+				line = fmt.Sprintf("%s: %s answered", when, w.name)
+			}
+			line += " " + outcomeNames[reply.Outcome] + ", next owner:"
+			for _, id := range w.jobs {
+				line += " " + c.shown(next, id) + ";"
+			}
+			if answered[line]++; answered[line] == 1 {
+				lines = append(lines, line)
+			}
+		default:
+			waiting = append(waiting, w)
+		}
+	}
+	c.callers = waiting
+	for _, line := range lines {
+		fmt.Fprintf(&c.record, "%s (%d)\n", line, answered[line])
+	}
+	fmt.Fprintf(&c.record, "%s: %d not answered\n", when, len(waiting))
+}
+
+// maxNamedCallers is how many callers the record names one by one.
+const maxNamedCallers = 9
+
+// shown returns the state of a job at an owner and, while it is not final, the last run that the table knows.
+func (c *storedCell) shown(l *Leader, id string) string {
+	state, _, known := l.planner.State(id)
+	if !known || state.Final() {
+		return string(state)
+	}
+	lastRun := 0
+	if snapshot := c.table.Progress[id]; snapshot != nil {
+		for _, task := range snapshot.Progress.Tasks {
+			lastRun = max(lastRun, task.LastRun)
+		}
+	}
+
+	return fmt.Sprintf("not final, last run %d", lastRun)
+}
+
+// TestAcknowledgementsAreStored guards against acknowledgements that a restart of all instances undoes: an append that
+// does not hold what it acknowledges (review/7, an acknowledged cancel of a job that the next owner ran on).
+func TestAcknowledgementsAreStored(t *testing.T) {
+	for name, play := range map[string]func(*testing.T) *storedCell{
+		"cancel-beside-large-job": func(t *testing.T) *storedCell {
+			c := newStoredCell(t, "a")
+			c.change("large")
+			c.cancel("a")
+			c.appendUntilAnswered()
+
+			return c
+		},
+		"cancel-repeated": func(t *testing.T) *storedCell {
+			c := newStoredCell(t, "a")
+			c.cancel("a")
+			first := c.begin()
+			c.change("large")
+			c.cancel("a")
+			c.end(first)
+			c.appendUntilAnswered()
+
+			return c
+		},
+		"cancel-of-ended-job": func(t *testing.T) *storedCell {
+			c := newStoredCell(t, "a")
+			c.change("large")
+			c.owner.planner.Inherit(planner.Observation{ID: "a", Tasks: []planner.ObservedTask{{Done: true, LastRun: 1}}}, 0, c.now)
+			c.cancel("a")
+			c.appendUntilAnswered()
+
+			return c
+		},
+		"cancel-of-many": func(t *testing.T) *storedCell {
+			jobs := manyJobs()
+			c := newStoredCell(t, jobs...)
+			c.cancel(jobs...)
+			c.appendUntilAnswered()
+
+			return c
+		},
+		"cancel-at-hand-over": func(t *testing.T) *storedCell {
+			jobs := manyJobs()
+			c := newStoredCell(t, jobs...)
+			c.cancel(jobs...)
+			c.append()
+			c.owner.refuseAll()
+			c.noteReplies("hand-over")
+			c.owner, c.appends = c.nextOwner(), 0
+			c.cancel(jobs...)
+			c.appendUntilAnswered()
+
+			return c
+		},
+		"progress-of-earlier-owner": func(t *testing.T) *storedCell {
+			c := newStoredCell(t, "a", "b")
+			c.change("large")
+			c.inherit(planner.Observation{ID: "a", Tasks: []planner.ObservedTask{{LastRun: 7}}}, planner.Observation{ID: "b", Cancelled: true})
+			c.appendUntilAnswered()
+
+			return c
+		},
+		"progress-of-large-jobs": func(t *testing.T) *storedCell {
+			c := newStoredCell(t)
+			c.inherit(planner.Observation{ID: "large"}, planner.Observation{ID: "large2"})
+			for c.appends < 4 {
+				c.append()
+				c.change("large", "large2")
+			}
+
+			return c
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			goldie.New(t).Assert(t, name, []byte(play(t).record.String()))
+		})
+	}
+}
+
+// nextOwner returns an owner that knows the table and what the owner before it could not store.
+func (c *storedCell) nextOwner() *Leader {
+	unstored := c.owner.collectUnstored()
+	next := owner(c.owner.Term()+100, c.table, c.now)
+	for i := range unstored {
+		next.planner.Inherit(unstored[i], c.owner.Term(), c.now)
+	}
+
+	return next
+}
--- a/internal/cell/planner/progress.go
+++ b/internal/cell/planner/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"slices"
 	"time"
 
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
@@ -45,7 +46,7 @@
 
 // markDirty records that the stored progress of a job is out of date.
 func (p *Planner) markDirty(j *job) {
-	if j.change != 0 {
+	if j.isDirty() {
 		return
 	}
 	p.changes++
@@ -54,29 +55,19 @@
 }
 
 // Dirty returns the progress of jobs that have changed since it was last returned,
-// those that changed first first, and, for each endpoint with ends that are not
-// acknowledged, the highest number of an end that this and earlier progress
-// includes. Further jobs follow in the next call.
+// and, for each endpoint with ends that are not acknowledged, the highest number of
+// an end that this and earlier progress includes. Further jobs follow in the next
+// call. Jobs that are final or being cancelled come first, since callers wait for
+// them and their progress has no tasks, then those that changed first.
 func (p *Planner) Dirty() ([]Snapshot, map[string]int64) {
-	var snapshots []Snapshot
-	returned, tasks := 0, 0
+	c := collection{planner: p}
+	c.add(p.dirty, (*job).isEnding)
+	c.add(p.dirty, (*job).isDirty)
+	p.dirty = slices.DeleteFunc(p.dirty, func(j *job) bool { return !j.isDirty() })
 	through := p.changes
-	for _, j := range p.dirty {
-		if tasks >= maxDirtyTasks {
-			through = j.change - 1
-
-			break
-		}
-		returned++
-		j.change = 0
-		if p.jobs[j.ID] != j {
-			continue
-		}
-		snapshot := Snapshot{ID: j.ID, Queue: j.Queue.Name, Account: j.Account, Progress: j.progress()}
-		tasks += 1 + len(snapshot.Progress.Tasks)
-		snapshots = append(snapshots, snapshot)
+	if len(p.dirty) > 0 {
+		through = p.dirty[0].change - 1
 	}
-	p.dirty = append([]*job(nil), p.dirty[returned:]...)
 	ends := make(map[string]int64, len(p.unacknowledged))
 	for e := range p.unacknowledged {
 		if number := e.endsThrough(through); number > e.acknowledgedEnd {
@@ -84,14 +75,46 @@
 		}
 	}
 
-	return snapshots, ends
+	return c.snapshots, ends
+}
+
+// collection collects the progress of jobs until it has that of maxDirtyTasks tasks.
+type collection struct {
+	planner   *Planner
+	snapshots []Snapshot
+	tasks     int
+}
+
+// add adds the progress of the dirty jobs that are selected, which are not dirty any more then.
+func (c *collection) add(jobs []*job, selected func(*job) bool) {
+	for _, j := range jobs {
+		if c.tasks >= maxDirtyTasks {
+			return
+		}
+		if !j.isDirty() || !selected(j) {
+			continue
+		}
+		j.change = 0
+		if c.planner.jobs[j.ID] != j {
+			continue
+		}
+		snapshot := Snapshot{ID: j.ID, Queue: j.Queue.Name, Account: j.Account, Progress: j.progress()}
+		c.tasks += 1 + len(snapshot.Progress.Tasks)
+		c.snapshots = append(c.snapshots, snapshot)
+	}
 }
 
+// isDirty reports whether the stored progress of j is out of date.
+func (j *job) isDirty() bool { return j.change != 0 }
+
+// isEnding reports whether j is final or being cancelled.
+func (j *job) isEnding() bool { return j.state.Final() || j.cancelling }
+
 // IsDirty reports whether a job has progress that Dirty has not returned yet.
 func (p *Planner) IsDirty(id string) bool {
 	j := p.jobs[id]
 
-	return j != nil && j.change != 0
+	return j != nil && j.isDirty()
 }
 
 // reportedEnd is the highest number of the ends in a report, and the last change
