Cancel a job that is being stored in place of denying it

What callers saw: a DELETE that arrives while the POST of its job is being stored, for example from a client that has given the POST up, was answered 410 (no such job) after the append that stored the job. The job then ran.

Cause: the owner looks for the job among the stored ones only. The reply waits for an append, which shows that no newer owner has accepted the job, but not that this owner doesn't.

Change: the cancel waits with the submission. Once the job is stored it is cancelled, before a round of placement can start it, and the reply follows the append that holds that. When the submission is refused the reply is "no such job", and the next owner is asked when the ownership ends.

Evidence: TestAcknowledgementsAreStored, cancel-of-unstored-job.

--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -46,6 +46,8 @@
 	job      definer.Job
 	waiters  []chan *forwarder.Reply
 	received definer.Instant
+	// cancels are the requests to cancel the job that arrived before it was stored.
+	cancels []cancelMsg
 }
 
 // cancellation is a cancelled job whose cancellation is waiting to be appended, as the progress of the job.
@@ -299,14 +301,14 @@
 	reply definer.AppendReply
 }
 
-func (m appendedMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
+func (m appendedMsg) apply(ctx context.Context, l *Leader, now definer.Instant) {
 	b := m.batch
 	l.journal.outstanding = false
 	if !m.reply.Appended {
 		l.logger.Warn("another owner has appended", "at", b.offset, "end", m.reply.End, "term", l.settings.Term)
 		for _, s := range b.submissions {
 			delete(l.journal.submissionsByID, s.job.ID)
-			s.answer(&forwarder.Reply{Outcome: forwarder.OutcomeNotOwner})
+			s.passOn()
 		}
 		l.cancel(ErrSuperseded)
 
@@ -322,6 +324,7 @@
 		delete(l.journal.submissionsByID, s.job.ID)
 		l.planner.Accept(s.job, now, wall)
 		s.answer(&forwarder.Reply{Outcome: forwarder.OutcomeDone})
+		s.applyCancels(ctx, l, now)
 	}
 	for _, c := range b.cancellations {
 		l.planner.CancelStored(c.id, now)
@@ -355,9 +358,25 @@
 	}
 }
 
+// applyCancels applies the requests to cancel the job once it is stored or refused.
+func (s *submission) applyCancels(ctx context.Context, l *Leader, now definer.Instant) {
+	for _, c := range s.cancels {
+		c.apply(ctx, l, now)
+	}
+}
+
+// passOn answers all callers that wait for the submission that the ownership ends.
+func (s *submission) passOn() {
+	reply := &forwarder.Reply{Outcome: forwarder.OutcomeNotOwner}
+	s.answer(reply)
+	for _, c := range s.cancels {
+		c.reply <- reply
+	}
+}
+
 // refuseStale refuses submissions whose append has not begun within
 // submissionTimeout. They are not part of any batch, so their jobs never run.
-func (j *journal) refuseStale(l *Leader, now definer.Instant) {
+func (j *journal) refuseStale(ctx context.Context, l *Leader, now definer.Instant) {
 	kept := j.submissions[:0]
 	for _, s := range j.submissions {
 		if now.Sub(s.received) < submissionTimeout {
@@ -369,6 +388,7 @@
 		delete(j.submissionsByID, s.job.ID)
 		l.planner.Withdraw(&s.job)
 		s.answer(&forwarder.Reply{Outcome: forwarder.OutcomeRefused, RetryAfter: storeRetryAfter})
+		s.applyCancels(ctx, l, now)
 	}
 	j.submissions = kept
 }
@@ -378,7 +398,7 @@
 // from the next owner.
 func (l *Leader) refuseAll() {
 	for _, s := range l.journal.submissions {
-		s.answer(&forwarder.Reply{Outcome: forwarder.OutcomeNotOwner})
+		s.passOn()
 	}
 	l.journal.submissions = nil
 	for _, c := range l.journal.cancellations {
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -236,7 +236,7 @@
 			l.journal.jobsToRemove = append(l.journal.jobsToRemove, l.planner.Tick(now, time.Now())...)
 			l.reportZones()
 			l.renewDue(ctx, now)
-			l.journal.refuseStale(l, now)
+			l.journal.refuseStale(ctx, l, now)
 			if l.planner.HasMajority(now) || !l.planner.HasEndpoints() {
 				lastQuorum = now
 			} else if now.Sub(lastQuorum) > quorumTimeout+l.settings.Planner.LeaseBound() {
--- a/internal/cell/leader/requests.go
+++ b/internal/cell/leader/requests.go
@@ -130,6 +130,12 @@
 
 func (m cancelMsg) apply(_ context.Context, l *Leader, now definer.Instant) {
 	id := m.lookup.Job
+	if s := l.journal.submissionsByID[id]; s != nil && s.job.Queue.Name == m.lookup.Queue {
+		// The job may be stored before the reply that there is none.
+		s.cancels = append(s.cancels, m)
+
+		return
+	}
 	state, queue, known := l.planner.State(id)
 	if !known || queue != m.lookup.Queue {
 		l.denyJob(m.reply)
--- a/internal/cell/leader/stored_test.go
+++ b/internal/cell/leader/stored_test.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// submit submits a job with one task.
+func (c *storedCell) submit(id string) {
+	c.request("submission", []string{id}, func(reply chan *forwarder.Reply) message {
+		return submitMsg{job: *testJob(id, 1), reply: reply}
+	})
+}
+
 // inherit passes on what an earlier owner has learned.
 func (c *storedCell) inherit(observations ...planner.Observation) {
 	jobs := make([]string, len(observations))
@@ -175,7 +182,10 @@
 // shown returns the state of a job at an owner and, while it is not final, the last run that the table knows.
 func (c *storedCell) shown(l *Leader, id string) string {
 	state, _, known := l.planner.State(id)
-	if !known || state.Final() {
+	switch {
+	case !known:
+		return "unknown"
+	case state.Final():
 		return string(state)
 	}
 	lastRun := 0
@@ -241,6 +251,37 @@
 
 			return c
 		},
+		"cancel-of-unstored-job": func(t *testing.T) *storedCell {
+			c := newStoredCell(t)
+			c.submit("a")
+			c.cancel("a")
+			first := c.begin()
+			c.submit("b")
+			c.cancel("a", "b")
+			c.end(first)
+			c.appendUntilAnswered()
+
+			return c
+		},
+		"cancel-of-refused-job": func(t *testing.T) *storedCell {
+			c := newStoredCell(t)
+			c.submit("a")
+			c.cancel("a")
+			c.owner.journal.refuseStale(context.Background(), c.owner, c.now.Add(submissionTimeout))
+			c.noteReplies("store does not answer")
+			c.appendUntilAnswered()
+
+			return c
+		},
+		"cancel-of-unstored-job-at-hand-over": func(t *testing.T) *storedCell {
+			c := newStoredCell(t)
+			c.submit("a")
+			c.cancel("a")
+			c.owner.refuseAll()
+			c.noteReplies("hand-over")
+
+			return c
+		},
 		"progress-of-earlier-owner": func(t *testing.T) *storedCell {
 			c := newStoredCell(t, "a", "b")
 			c.change("large")
