Count a job as pending until an endpoint has started one of its tasks

What callers saw: GET of a queue answered 0 pending jobs while 12 accepted jobs had not begun.

Cause: a job counted as begun from the round of placement that ordered its first start, and nothing took that back when the start was refused or not answered. The flag is stored, so a restart and a hand-over kept the wrong count. It is not only the count that rests on it:

- A job whose start was refused was shown as running.
- Its wait ended with the order.
Admission then took work beyond a rate for welcome while work within the rates had waited for seconds.
- The other way round, a job whose task ran and ended under an earlier owner counted as pending at the next one, as did one that had begun and whose progress had not changed since.

Change: a job begins once an endpoint shows that it started a task: by the answer to a start, or by listing the run or an end of it. That is stored with the next append, which it does not cause by itself, and is part of what is passed on at a hand-over. The wait of the job and the line "first start" end at the same moment.

--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -34,7 +34,7 @@
 	finalStored bool
 	// finalShown means that the final state has been shown to a caller.
 	finalShown bool
-	// begun means that a task of the job has been started, and delay is how long it has waited for that.
+	// begun means that an endpoint has started a task of the job, and delay is how long the job has waited for that.
 	begun bool
 	delay jobDelay
 	// standsSince is when the job was first seen to stand, or 0, and standNotedAt when a note last said why.
@@ -467,7 +467,7 @@
 
 // JobCounts counts the jobs of a queue that are neither final nor being cancelled.
 type JobCounts struct {
-	// Pending jobs have no task that has been started, Begun jobs have one.
+	// Pending jobs have no task that an endpoint has started, Begun jobs have one.
 	Pending, Begun int
 }
 
--- a/internal/cell/planner/observation.go
+++ b/internal/cell/planner/observation.go
@@ -15,7 +15,9 @@
 	ID string
 	// Cancelled means that a caller has asked for the job to be cancelled.
 	Cancelled bool
-	Tasks     []ObservedTask
+	// Begun means that an endpoint has started a task of the job.
+	Begun bool
+	Tasks []ObservedTask
 }
 
 // ObservedTask is what an owner has learned about a task.
@@ -38,6 +40,7 @@
 // Unstored returns what the planner has learned about the jobs whose stored
 // record is out of date.
 func (p *Planner) Unstored() []Observation {
+	p.markBegun()
 	observations := make([]Observation, 0, len(p.dirty))
 	for _, j := range p.dirty {
 		observations = append(observations, j.observation())
@@ -47,7 +50,7 @@
 }
 
 func (j *job) observation() Observation {
-	observation := Observation{ID: j.ID, Cancelled: j.cancelling || j.state == definer.JobCancelled}
+	observation := Observation{ID: j.ID, Cancelled: j.cancelling || j.state == definer.JobCancelled, Begun: j.begun}
 	for t := range j.startedTasks() {
 		observation.Tasks = append(observation.Tasks, ObservedTask{
 			Occurrence: t.step.occurrence.number, Step: t.step.index, Index: t.index, Done: t.done, LastRun: t.lastRun,
@@ -67,6 +70,9 @@
 	}
 	p.note("progress inherited", j.ID, "from term", term, "cancelled", observation.Cancelled, "tasks", len(observation.Tasks))
 	p.markDirty(j)
+	if observation.Begun {
+		p.jobBegun(j)
+	}
 	for i := range observation.Tasks {
 		p.inheritTask(j, &observation.Tasks[i], now)
 	}
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -458,11 +458,6 @@
 	p.recordStart(s, e)
 	// A start order extends the lease of every run on the endpoint.
 	e.lastSent = ps.now
-	if !s.job.begun {
-		p.recordDelay(s, ps.now)
-		s.job.begun = true
-		p.note("first start", s.job.ID, "waited", ps.now.Sub(s.job.accepted), "endpoint", e.ID)
-	}
 	p.emit(StartCmd{
 		Target: e.target(),
 		Order: definer.StartOrder{
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -65,6 +65,8 @@
 	scheduled map[*job]struct{}
 	// dirty holds the jobs whose stored progress is out of date, in the order of their change numbers.
 	dirty []*job
+	// begunJobs holds the jobs that have begun and whose stored progress may not say so.
+	begunJobs []*job
 	// changes is the last change number that was given.
 	changes uint64
 	// changedEndpoints holds the ids of the endpoints whose records in the state table are out of date.
--- a/internal/cell/planner/progress.go
+++ b/internal/cell/planner/progress.go
@@ -60,6 +60,7 @@
 // call. Jobs that are final or being cancelled come first, since callers wait for
 // them and their progress has no tasks, then those that changed first.
 func (p *Planner) Dirty() ([]Snapshot, map[string]int64) {
+	p.markBegun()
 	c := collection{planner: p}
 	c.add(p.dirty, (*job).isEnding)
 	c.add(p.dirty, (*job).isDirty)
--- a/internal/cell/planner/report.go
+++ b/internal/cell/planner/report.go
@@ -121,6 +121,7 @@
 		r = p.adopt(e, row, now)
 	}
 	r.confirmed = true
+	p.runBegun(r, now)
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
 	}
@@ -196,7 +197,6 @@
 	s := t.step
 	t.run = r
 	p.raiseLastRun(t, row.Run)
-	s.job.begun = true
 	if s.def.Gang {
 		s.gangRun, s.gangSince = row.Run, now
 	}
@@ -237,8 +237,12 @@
 	t := p.task(row.Task)
 	p.noteEndedOverlap(e, r, row, now)
 	if r != nil {
+		p.runBegun(r, now)
 		p.release(r)
 	}
+	if t != nil {
+		p.jobBegun(t.step.job)
+	}
 	if t == nil || t.done {
 		if r != nil {
 			p.requeue(r, row.Checkpoint)
@@ -444,6 +448,7 @@
 			r.phase, r.progressedAt, r.beganAt = phaseRunning, now, now
 		}
 		r.answeredAt, r.confirmed = now, true
+		p.runBegun(r, now)
 	case definer.VerdictUnknown:
 		e.recordUnansweredStart(r, now)
 		if r.phase == phaseSent {
