Confirm a count of pending jobs after a suspension

An owner that was suspended answers before it knows whether a newer owner has taken over meanwhile, and its count is as old as the suspension.

Change: the count is given like the state of a job: if the owner was suspended since its last append, after the next one, and by the next owner if there is one. The two share answerAsOwner.

Evidence: TestSuspendedOwnerShowsNoOldState now asks both questions; before the change it fails with "count given by an owner that was suspended and has not appended since".

--- a/internal/cell/leader/requests.go
+++ b/internal/cell/leader/requests.go
@@ -170,15 +170,22 @@
 		return
 	}
 	reply := &forwarder.Reply{Outcome: forwarder.OutcomeDone, State: state}
-	switch {
-	case state.Final():
-		l.planner.ShowFinal(m.lookup.Job)
-		m.reply <- reply
-	case l.planner.SuspendedSince(l.ownedAt):
-		// A newer owner may have shown a later state.
-		l.confirm(m.reply, reply)
-	default:
-		m.reply <- reply
+	if !state.Final() {
+		l.answerAsOwner(m.reply, reply)
+
+		return
+	}
+	l.planner.ShowFinal(m.lookup.Job)
+	m.reply <- reply
+}
+
+// answerAsOwner gives a reply that is out of date if a newer owner has taken over. After a
+// suspension only an append shows that there is none.
+func (l *Leader) answerAsOwner(waiter chan *forwarder.Reply, reply *forwarder.Reply) {
+	if l.planner.SuspendedSince(l.ownedAt) {
+		l.confirm(waiter, reply)
+	} else {
+		waiter <- reply
 	}
 }
 
@@ -190,7 +197,7 @@
 func (m countMsg) apply(_ context.Context, l *Leader, _ definer.Instant) {
 	counts := l.planner.CountJobs(m.queue)
 	l.logger.Info("pending jobs counted", "queue", m.queue, "term", l.settings.Term, "pending", counts.Pending, "begun", counts.Begun)
-	m.reply <- &forwarder.Reply{Outcome: forwarder.OutcomeDone, Count: counts.Pending}
+	l.answerAsOwner(m.reply, &forwarder.Reply{Outcome: forwarder.OutcomeDone, Count: counts.Pending})
 }
 
 // HandOver waits for the outstanding append and start calls, ends the ownership
--- a/internal/cell/leader/suspend_test.go
+++ b/internal/cell/leader/suspend_test.go
@@ -14,31 +14,45 @@
 )
 
 // TestSuspendedOwnerShowsNoOldState guards against a job that is shown as running
-// after a newer owner has shown it as completed (seen once in the fault soak).
+// after a newer owner has shown it as completed (seen once in the fault soak), and
+// against a count of pending jobs that is as old as the suspension.
 func TestSuspendedOwnerShowsNoOldState(t *testing.T) {
 	settings := Settings{Planner: planner.Settings{Lease: 3 * time.Second, Freshness: time.Second}}
 	l := New(settings, nil, nil, nil, nil, &definer.Configuration{}, hclog.NewNullLogger(), recorder.NewMetrics())
 	now := definer.Now()
 	job := definer.Job{ID: "job", Queue: definer.Queue{Name: "queue"}, Steps: []definer.Step{{Count: 1}}}
 	l.planner.Accept(job, now, time.Now())
-	query := func() chan *forwarder.Reply {
+	ask := func(m func(reply chan *forwarder.Reply) message) chan *forwarder.Reply {
 		reply := make(chan *forwarder.Reply, 1)
-		queryMsg{lookup: forwarder.Lookup{Job: "job", Queue: "queue"}, reply: reply}.apply(context.Background(), l, now)
+		m(reply).apply(context.Background(), l, now)
 
 		return reply
 	}
+	questions := map[string]func(reply chan *forwarder.Reply) message{
+		"state": func(reply chan *forwarder.Reply) message {
+			return queryMsg{lookup: forwarder.Lookup{Job: "job", Queue: "queue"}, reply: reply}
+		},
+		"count": func(reply chan *forwarder.Reply) message { return countMsg{queue: "queue", reply: reply} },
+	}
 	l.planner.CheckSuspension(now)
-	if len(query()) != 1 {
-		t.Error("no reply of an owner that was not suspended")
+	for name, question := range questions {
+		if len(ask(question)) != 1 {
+			t.Errorf("no %s given by an owner that was not suspended", name)
+		}
 	}
 	now = now.Add(4 * time.Second)
 	l.planner.CheckSuspension(now)
-	reply := query()
-	if len(reply) != 0 {
-		t.Error("state shown by an owner that was suspended and has not appended since")
+	replies := map[string]chan *forwarder.Reply{}
+	for name, question := range questions {
+		replies[name] = ask(question)
+		if len(replies[name]) != 0 {
+			t.Errorf("%s given by an owner that was suspended and has not appended since", name)
+		}
 	}
 	l.refuseAll()
-	if len(reply) != 1 || (<-reply).Outcome != forwarder.OutcomeNotOwner {
-		t.Error("the end of the ownership does not pass the question on to the next owner")
+	for name, reply := range replies {
+		if len(reply) != 1 || (<-reply).Outcome != forwarder.OutcomeNotOwner {
+			t.Errorf("the end of the ownership does not pass the question for a %s on to the next owner", name)
+		}
 	}
 }
