--- a/internal/cell/planner/world_calls_test.go
+++ b/internal/cell/planner/world_calls_test.go
@@ -219,6 +219,9 @@
 			switch {
 			case known:
 				c.accepted, c.state = true, state
+				if state == definer.JobRunning {
+					w.checkBegun(c.job.ID)
+				}
 			case !slices.Contains(o.submissions, c) && (o.outstanding == nil || !slices.Contains(o.outstanding.submissions, c)):
 				o.submissions = append(o.submissions, c)
 			}
--- a/internal/cell/planner/world_state_test.go
+++ b/internal/cell/planner/world_state_test.go
@@ -219,6 +219,16 @@
 	}
 }
 
+// checkBegun checks that an endpoint has started a task of a job that counts as begun.
+func (w *world) checkBegun(job string) {
+	for task, h := range w.tasks {
+		if task.Job == job && len(h.starts) > 0 {
+			return
+		}
+	}
+	w.violate("begun", definer.TaskName{Job: job}, "the job is shown as running, and no endpoint has started a task of it")
+}
+
 // reply is an endpoint's answer to an order.
 type reply struct {
 	verdict definer.Verdict
--- a/internal/cell/planner/world_test.go
+++ b/internal/cell/planner/world_test.go
@@ -46,9 +46,9 @@
 )
 
 // TestNoOverlapInSimulatedCell guards against two runs of a task at the same time,
-// a start after an acknowledged end, a run number that is given twice, and jobs
-// that are never completed, under random faults of owners, endpoints, the network
-// and the store.
+// a start after an acknowledged end, a run number that is given twice, jobs that
+// count as begun before they have, and jobs that are never completed, under random
+// faults of owners, endpoints, the network and the store.
 func TestNoOverlapInSimulatedCell(t *testing.T) {
 	first, last := seedRange(t)
 	kinds := faultKinds()
