--- a/internal/cell/leader/stored_test.go
+++ b/internal/cell/leader/stored_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sebdah/goldie/v2"
 
@@ -121,19 +122,73 @@
 	return b
 }
 
-func (c *storedCell) end(b *batch) {
-	for _, record := range b.records {
+func (c *storedCell) end(b *batch) { c.endThrough(b, &faultyStore{}) }
+
+// endThrough ends an append to a store with faults.
+func (c *storedCell) endThrough(b *batch, store *faultyStore) {
+	store.end = b.offset
+	reply, err := Append(context.Background(), store, b.offset, b.records)
+	if err != nil {
+		c.Fatal(err)
+	}
+	for _, record := range store.records {
 		if err := c.table.Apply(record); err != nil {
 			c.Fatal(err)
 		}
 	}
-	appendedMsg{batch: b, reply: definer.AppendReply{Appended: true}}.apply(context.Background(), c.owner, c.now)
+	appendedMsg{batch: b, reply: reply}.apply(context.Background(), c.owner, c.now)
 	c.appends++
 	c.noteReplies(fmt.Sprintf("append %d", c.appends))
 }
 
 func (c *storedCell) append() { c.end(c.begin()) }
 
+// storeFault is what happens to an append.
+type storeFault int
+
+const (
+	faultNone storeFault = iota
+	// faultRefused refuses the append, faultLost loses it, and faultAnswerLost loses its answer.
+	faultRefused
+	faultLost
+	faultAnswerLost
+)
+
+// faultyStore is the end of the state table. The first appends to it have the faults.
+type faultyStore struct {
+	definer.Store
+	faults  []storeFault
+	end     int64
+	records []definer.Record
+}
+
+// Append implements definer.Store.
+func (s *faultyStore) Append(_ context.Context, _ definer.Table, _ int64, records []definer.Record) (definer.AppendReply, error) {
+	fault := faultNone
+	if len(s.faults) > 0 {
+		fault, s.faults = s.faults[0], s.faults[1:]
+	}
+	switch fault {
+	case faultRefused:
+		return definer.AppendReply{}, &definer.RefusedError{Reason: "test"}
+	case faultLost:
+		return definer.AppendReply{}, context.DeadlineExceeded
+	case faultNone, faultAnswerLost:
+	}
+	s.end += int64(len(records))
+	s.records = records
+	if fault == faultAnswerLost {
+		return definer.AppendReply{}, context.DeadlineExceeded
+	}
+
+	return definer.AppendReply{Appended: true, End: s.end}, nil
+}
+
+// Read implements definer.Store.
+func (s *faultyStore) Read(context.Context, definer.Table, int64, int, time.Duration) (definer.Tail, error) {
+	return definer.Tail{Records: s.records, End: s.end}, nil
+}
+
 // appendUntilAnswered appends until all callers have their replies.
 func (c *storedCell) appendUntilAnswered() {
 	for c.appends < 9 && len(c.callers) > 0 {
@@ -251,6 +306,16 @@
 
 			return c
 		},
+		"cancel-through-faulty-store": func(t *testing.T) *storedCell {
+			c := newStoredCell(t, "a", "b", "c")
+			for n, fault := range []storeFault{faultRefused, faultLost, faultAnswerLost} {
+				c.change("large")
+				c.cancel(string(rune('a' + n)))
+				c.endThrough(c.begin(), &faultyStore{faults: []storeFault{fault}})
+			}
+
+			return c
+		},
 		"cancel-of-unstored-job": func(t *testing.T) *storedCell {
 			c := newStoredCell(t)
 			c.submit("a")
@@ -317,3 +382,32 @@
 
 	return next
 }
+
+// TestRunsOfCancelledJobAreStopped guards against a task of a cancelled job that runs on, or starts, under an owner that
+// knows of the cancel from the table only.
+func TestRunsOfCancelledJobAreStopped(t *testing.T) {
+	c := newStoredCell(t, "a")
+	c.cancel("a")
+	c.append()
+	next := owner(1000, c.table, c.now)
+	next.planner.UpdateListing(listing("e"), c.now)
+	next.planner.EndpointsStored([]definer.Listing{listing("e")}, nil)
+	running := []definer.RunningTask{{Task: definer.TaskName{Job: "a"}, Run: 1}}
+	next.planner.Report("e", c.now, c.now, definer.Report{Clock: 1, Born: 1, Running: running})
+	next.planner.Tick(c.now, time.Now())
+	next.planner.Plan(c.now)
+	stops := 0
+	for _, command := range next.planner.Commands() {
+		switch command := command.(type) {
+		case planner.StartCmd:
+			if command.Order.Task.Job == "a" {
+				t.Errorf("run %d of a cancelled job started", command.Order.Run)
+			}
+		case planner.StopCmd:
+			stops++
+		}
+	}
+	if stops != 1 {
+		t.Errorf("%d stops of the run of a cancelled job, want 1", stops)
+	}
+}
