--- a/internal/cell/leader/stored_test.go
+++ b/internal/cell/leader/stored_test.go
@@ -97,6 +97,14 @@
 	})
 }
 
+// query asks for the state of a job and records the reply.
+func (c *storedCell) query(when, id string) {
+	c.request("query", []string{id}, func(reply chan *forwarder.Reply) message {
+		return queryMsg{lookup: forwarder.Lookup{Job: id, Queue: "queue"}, reply: reply}
+	})
+	c.noteReplies(when)
+}
+
 // inherit passes on what an earlier owner has learned.
 func (c *storedCell) inherit(observations ...planner.Observation) {
 	jobs := make([]string, len(observations))
@@ -213,7 +221,7 @@
 			if len(c.callers) > maxNamedCallers {
 				line = fmt.Sprintf("%s: %s answered", when, w.name)
 			}
-			line += " " + outcomeNames[reply.Outcome] + ", next owner:"
+			line += " " + strings.TrimSpace(outcomeNames[reply.Outcome]+" "+string(reply.State)) + ", next owner:"
 			for _, id := range w.jobs {
 				line += " " + c.shown(next, id) + ";"
 			}
@@ -285,6 +293,20 @@
 
 			return c
 		},
+		"final-state": func(t *testing.T) *storedCell {
+			c := newStoredCell(t, "a", "b")
+			c.owner.planner.Inherit(planner.Observation{ID: "a", Tasks: []planner.ObservedTask{{Done: true, LastRun: 1}}}, 0, c.now)
+			c.cancel("b")
+			for _, id := range []string{"a", "b"} {
+				c.query("before the append", id)
+			}
+			c.append()
+			for _, id := range []string{"a", "b"} {
+				c.query("after it", id)
+			}
+
+			return c
+		},
 		"cancel-of-many": func(t *testing.T) *storedCell {
 			jobs := manyJobs()
 			c := newStoredCell(t, jobs...)
