--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -161,7 +161,7 @@
 	for i := range b.snapshots {
 		add(journaler.EncodeProgress(b.snapshots[i])...)
 	}
-	b.cancellations, b.confirmations = j.takeStored(l.planner.IsDirty)
+	b.cancellations, b.confirmations = j.takeAnswerable(l.planner.IsDirty)
 	if len(b.records) == 0 {
 		j.heartbeats++
 		claim := l.settings.Claim
@@ -177,9 +177,9 @@
 	return b
 }
 
-// takeStored removes and returns the cancellations and confirmations whose progress is part of this batch or of an earlier
+// takeAnswerable removes and returns the cancellations and confirmations whose progress is part of this batch or of an earlier
 // one. Progress that is left to a later batch could be lost after the reply: a restart would undo an acknowledged cancel.
-func (j *journal) takeStored(isDirty func(id string) bool) (cancellations []*cancellation, confirmations []confirmation) {
+func (j *journal) takeAnswerable(isDirty func(id string) bool) (cancellations []*cancellation, confirmations []confirmation) {
 	for id, c := range j.cancellations {
 		if !isDirty(id) {
 			cancellations = append(cancellations, c)
