--- a/internal/cell/leader/journal.go
+++ b/internal/cell/leader/journal.go
@@ -1,13 +1,9 @@
 package leader
 
 import (
-	"bytes"
 	"context"
-	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"gitlab.com/greengagewall/greengagewall/internal/cell/definer"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/estimator"
 	"gitlab.com/greengagewall/greengagewall/internal/cell/forwarder"
@@ -23,13 +19,6 @@
 	// heartbeatInterval is how often the owner appends a heartbeat when it has nothing else to append;
 	// without appends, other instances take over.
 	heartbeatInterval = 300 * time.Millisecond
-	// submissionTimeout is how long a submission may wait for its append to begin before it is refused.
-	submissionTimeout = 1200 * time.Millisecond
-	// appendTimeout bounds the time without progress of an append; if there is no answer, the outcome is read back.
-	appendTimeout = 600 * time.Millisecond
-	// readTimeout bounds the time without progress of a read-back, and appendRetryDelay is the delay after a failure.
-	readTimeout      = 600 * time.Millisecond
-	appendRetryDelay = 80 * time.Millisecond
 	// maxBatchSize is the size in bytes from which no more jobs are added to a batch; it is well below the
 	// store's limit for one call.
 	maxBatchSize = 512 << 10
@@ -37,35 +26,8 @@
 	// these in bytes.
 	learnedInterval = 10 * time.Second
 	maxLearnedBatch = 32 << 10
-	// storeRetryAfter is the retry delay given to callers whose submission was refused because of the store.
-	storeRetryAfter = time.Second
 )
 
-// submission is a job that is waiting to be appended.
-type submission struct {
-	job      definer.Job
-	waiters  []chan *forwarder.Reply
-	received definer.Instant
-	// cancels are the requests to cancel the job that arrived before it was stored.
-	cancels []cancelMsg
-}
-
-// cancellation is a cancelled job whose cancellation is waiting to be appended, as the progress of the job.
-type cancellation struct {
-	id       string
-	waiters  []chan *forwarder.Reply
-	received definer.Instant
-}
-
-// confirmation is a reply that is only true while this instance owns the cell, or
-// that rests on progress that is not stored yet. It is given after an append.
-type confirmation struct {
-	waiter chan *forwarder.Reply
-	reply  *forwarder.Reply
-	// jobs are those whose progress the reply rests on.
-	jobs []string
-}
-
 // journal holds the changes to append to the state table and the batch being appended.
 type journal struct {
 	// end is the offset of the next append.
@@ -177,30 +139,6 @@
 	return b
 }
 
-// takeAnswerable removes and returns the cancellations and confirmations whose progress is part of this batch or of an earlier
-// one. Progress that is left to a later batch could be lost after the reply: a restart would undo an acknowledged cancel.
-func (j *journal) takeAnswerable(isDirty func(id string) bool) (cancellations []*cancellation, confirmations []confirmation) {
-	for id, c := range j.cancellations {
-		if !isDirty(id) {
-			cancellations = append(cancellations, c)
-			delete(j.cancellations, id)
-		}
-	}
-	var waiting []confirmation
-	for _, c := range j.confirmations {
-		// A job that changes again after its progress was taken does not hold up the reply.
-		c.jobs = slices.DeleteFunc(c.jobs, func(id string) bool { return !isDirty(id) })
-		if len(c.jobs) > 0 {
-			waiting = append(waiting, c)
-		} else {
-			confirmations = append(confirmations, c)
-		}
-	}
-	j.confirmations = waiting
-
-	return cancellations, confirmations
-}
-
 // learnedRecords returns the records of the parts of the learned run times that next returns, up to maxLearnedBatch.
 // The part that exceeds it goes to left.
 func learnedRecords(next func() (estimator.Shard, bool), left func(estimator.Shard)) []definer.Record {
@@ -235,66 +173,6 @@
 	b.leader.post(appendedMsg{batch: b, reply: reply})
 }
 
-// Append appends records to the state table at an offset and retries until the
-// outcome is known. After an append without an answer it reads the offset back,
-// since at most one append can succeed there. It returns an error only when ctx
-// ends first.
-func Append(ctx context.Context, store definer.Store, offset int64, records []definer.Record) (definer.AppendReply, error) {
-	uncertain := false
-	for ctx.Err() == nil {
-		callCtx, cancel := definer.WithStallTimeout(ctx, appendTimeout)
-		reply, err := store.Append(callCtx, definer.TableState, offset, records)
-		cancel()
-		if err == nil && (reply.Appended || !uncertain) {
-			return reply, nil
-		}
-		if err != nil {
-			if refused := new(definer.RefusedError); errors.As(err, &refused) {
-				if !definer.Sleep(ctx, appendRetryDelay, nil) {
-					break
-				}
-
-				continue
-			}
-			uncertain = true
-		}
-		reply, known, err := readBack(ctx, store, offset, records)
-		if err == nil && known {
-			return reply, nil
-		}
-		if err != nil && !definer.Sleep(ctx, appendRetryDelay, nil) {
-			break
-		}
-	}
-
-	return definer.AppendReply{}, errors.Wrap(context.Cause(ctx), "append")
-}
-
-// readBack reads the record at the offset. The second result reports whether
-// the outcome of the append is known, that is, whether the offset is occupied.
-func readBack(ctx context.Context, store definer.Store, offset int64, records []definer.Record) (definer.AppendReply, bool, error) {
-	callCtx, cancel := definer.WithStallTimeout(ctx, readTimeout)
-	defer cancel()
-	tail, err := store.Read(callCtx, definer.TableState, offset, 1, 0)
-	if err != nil {
-		return definer.AppendReply{}, false, err
-	}
-	if tail.Truncated {
-		// The owner's own heartbeats are newer than truncated records, so another owner has appended since.
-		return definer.AppendReply{End: tail.End}, true, nil
-	}
-	if tail.End <= offset || len(tail.Records) == 0 {
-		return definer.AppendReply{}, false, nil
-	}
-	appended := tail.Records[0].Key == records[0].Key && bytes.Equal(tail.Records[0].Value, records[0].Value)
-	reply := definer.AppendReply{Appended: appended, End: tail.End}
-	if appended {
-		reply.End = offset + int64(len(records))
-	}
-
-	return reply, true, nil
-}
-
 // appendedMsg reports the outcome of an append.
 type appendedMsg struct {
 	batch *batch
@@ -351,64 +229,3 @@
 		}
 	}
 }
-
-func (s *submission) answer(reply *forwarder.Reply) {
-	for _, waiter := range s.waiters {
-		waiter <- reply
-	}
-}
-
-// applyCancels applies the requests to cancel the job once it is stored or refused.
-func (s *submission) applyCancels(ctx context.Context, l *Leader, now definer.Instant) {
-	for _, c := range s.cancels {
-		c.apply(ctx, l, now)
-	}
-}
-
-// passOn answers all callers that wait for the submission that the ownership ends.
-func (s *submission) passOn() {
-	reply := &forwarder.Reply{Outcome: forwarder.OutcomeNotOwner}
-	s.answer(reply)
-	for _, c := range s.cancels {
-		c.reply <- reply
-	}
-}
-
-// refuseStale refuses submissions whose append has not begun within
-// submissionTimeout. They are not part of any batch, so their jobs never run.
-func (j *journal) refuseStale(ctx context.Context, l *Leader, now definer.Instant) {
-	kept := j.submissions[:0]
-	for _, s := range j.submissions {
-		if now.Sub(s.received) < submissionTimeout {
-			kept = append(kept, s)
-
-			continue
-		}
-		l.logger.Warn("submission refused", "job", s.job.ID, "reason", "store does not answer", "store age", l.StoreAge().String())
-		delete(j.submissionsByID, s.job.ID)
-		l.planner.Withdraw(&s.job)
-		s.answer(&forwarder.Reply{Outcome: forwarder.OutcomeRefused, RetryAfter: storeRetryAfter})
-		s.applyCancels(ctx, l, now)
-	}
-	j.submissions = kept
-}
-
-// refuseAll answers the callers whose submissions, cancellations or confirmations
-// are not part of a batch when the ownership ends. The others learn the outcome
-// from the next owner.
-func (l *Leader) refuseAll() {
-	for _, s := range l.journal.submissions {
-		s.passOn()
-	}
-	l.journal.submissions = nil
-	for _, c := range l.journal.cancellations {
-		for _, waiter := range c.waiters {
-			waiter <- &forwarder.Reply{Outcome: forwarder.OutcomeNotOwner}
-		}
-	}
-	clear(l.journal.cancellations)
-	for _, c := range l.journal.confirmations {
-		c.waiter <- &forwarder.Reply{Outcome: forwarder.OutcomeNotOwner}
-	}
-	l.journal.confirmations = nil
-}
