End a job's wait with the order of its first run

The time to the answer is no wait for room: on an owner whose starts take 0.3 s to be answered, all such work would have been refused.

Change: while the answer to a start is outstanding the job does not count as waiting, and its wait ends at the time of the order. Refused and unanswered starts leave it waiting, as before this commit.

Evidence: TestAnswerToStartIsNoWait fails before the change ("refused with "account is over its rate" after a wait of 500ms"); three mutations fail it or TestRefusedStartsCountAsWaiting.

--- a/internal/cell/planner/begin.go
+++ b/internal/cell/planner/begin.go
@@ -13,7 +13,7 @@
 	}
 	j := r.task.step.job
 	if !r.adopted {
-		p.recordDelay(r.task.step, now)
+		p.recordDelay(r)
 		p.note("first start", j.ID, "waited", now.Sub(j.accepted), "endpoint", r.endpoint.ID)
 	}
 	p.jobBegun(j)
@@ -22,7 +22,7 @@
 // jobBegun records that a task of j has been started.
 func (p *Planner) jobBegun(j *job) {
 	if !j.begun {
-		j.begun = true
+		j.begun, j.ordered = true, nil
 		p.begunJobs = append(p.begunJobs, j)
 	}
 }
--- a/internal/cell/planner/begin_test.go
+++ b/internal/cell/planner/begin_test.go
@@ -196,3 +196,26 @@
 		t.Errorf("refusal = %+v while a job has waited for 2 s, want one with the reason %q", refusal, refusalOverRate)
 	}
 }
+
+// TestAnswerToStartIsNoWait guards against work beyond a rate that is refused because endpoints take long to answer
+// starts: the wait that admission measures is for room.
+func TestAnswerToStartIsNoWait(t *testing.T) {
+	c := newAdmissionCell(t, 1)
+	// The endpoint has room for four of the tasks.
+	job := c.job("a", simpleStep(5))
+	job.Queue.Priority, job.Queue.Stretch, job.Queue.Target = 0, 1, 0
+	c.accept(job)
+	c.plan()
+	for range 25 {
+		c.now, c.wall = c.now.Add(20*time.Millisecond), c.wall.Add(20*time.Millisecond)
+		c.planner.Tick(c.now, c.wall)
+		c.planner.Plan(c.now)
+	}
+	if refusal := c.hotRefusal(); refusal != nil {
+		t.Errorf("refused with %q after a wait of %v, while starts are not answered yet", refusal.Reason, refusal.Delay)
+	}
+	c.run(c.started[0])
+	if refusal := c.hotRefusal(); refusal != nil {
+		t.Errorf("refused with %q after a wait of %v, although nothing waits for room", refusal.Reason, refusal.Delay)
+	}
+}
--- a/internal/cell/planner/delay.go
+++ b/internal/cell/planner/delay.go
@@ -87,7 +87,7 @@
 	}
 	for _, s := range steps {
 		j := s.job
-		if j.begun || s.urgency > urgencyLate || j.delay.lookedAt == ps.now {
+		if j.begun || j.isStarting() || s.urgency > urgencyLate || j.delay.lookedAt == ps.now {
 			continue
 		}
 		j.delay.look(j, ps.isBlocked(s) || ps.isPatient(s), ps.now)
@@ -113,12 +113,21 @@
 	return !account.withinLimit(s.def.Need, ps.unconfirmed[account])
 }
 
-// recordDelay records the wait of a job that starts for the first time.
-func (p *Planner) recordDelay(s *step, now definer.Instant) {
+// isStarting reports whether the answer to a start is outstanding. Such a job does not wait
+// for room.
+func (j *job) isStarting() bool {
+	return j.ordered != nil && j.ordered.phase == phaseSent && j.ordered.active()
+}
+
+// recordDelay records the wait of a job that has started for the first time, until its run
+// was ordered.
+func (p *Planner) recordDelay(r *run) {
+	s := r.task.step
 	j := s.job
 	if s.urgency > urgencyLate || j.delay.lookedAt == 0 {
 		return
 	}
+	now := max(r.sentAt, j.delay.lookedAt)
 	j.delay.look(j, false, now)
 	wait := max(p.waitBeyondDecision(j), 0)
 	p.stats(j.Queue.Name).delay.add(delaySample{now, wait})
--- a/internal/cell/planner/job.go
+++ b/internal/cell/planner/job.go
@@ -37,6 +37,8 @@
 	// begun means that an endpoint has started a task of the job, and delay is how long the job has waited for that.
 	begun bool
 	delay jobDelay
+	// ordered is the last run that was ordered to start before the job has begun, or nil.
+	ordered *run
 	// standsSince is when the job was first seen to stand, or 0, and standNotedAt when a note last said why.
 	standsSince, standNotedAt definer.Instant
 }
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -453,6 +453,9 @@
 		sentAt: ps.now, progressedAt: ps.now, checkpoint: t.checkpoint, resumed: t.checkpoint != "", predicted: *p.prediction(s, ps.now),
 		deferred: s.urgency > urgencyLate}
 	t.run, t.lastRun = r, number
+	if !s.job.begun {
+		s.job.ordered = r
+	}
 	e.addRun(r)
 	p.stats(s.job.Queue.Name).running += r.need.Millis
 	p.recordStart(s, e)
