--- a/review/rig3/executor.go
+++ b/review/rig3/executor.go
@@ -37,6 +37,7 @@
 	Fills        bool   `json:"fills,omitempty"`
 	After        []int  `json:"after,omitempty"`
 	MayMiss      int    `json:"may-miss,omitempty"`
+	Gang         bool   `json:"gang,omitempty"`
 
 	length time.Duration
 }
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -12,7 +12,7 @@
 )
 
 func main() {
-	cases := map[string]func(c *cell, trouble bool){"large": caseLarge, "lasting": caseLasting, "fills": caseFills, "kind": caseKind, "quota": caseQuota, "recurring": caseRecurring, "minutely": caseMinutely, "ids": caseIDs}
+	cases := map[string]func(c *cell, trouble bool){"large": caseLarge, "lasting": caseLasting, "fills": caseFills, "kind": caseKind, "quota": caseQuota, "recurring": caseRecurring, "minutely": caseMinutely, "ids": caseIDs, "failures": caseFailures, "renamed": caseRenamed, "held": caseHeld}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig3 CASE DIR, in the repository root")
 		os.Exit(2)
@@ -668,3 +668,125 @@
 }
 
 const visible = 3 * time.Second
+
+// caseFailures: tasks that last fail by themselves, one after the other, on one of the two executors of their kind;
+// the other one is full with a task that lasts. Without trouble, none fails.
+func caseFailures(c *cell, trouble bool) {
+	c.configure([]route{lookupRoute, {name: "night-reanalysis", prefix: "/night/", priority: 2, stretch: 4, target: 3000, attempts: 3}})
+	c.addExecutors(12, "a")
+	c.addExecutors(2, "b")
+	c.startEntries(3)
+	c.awaitReady(15 * time.Second)
+	time.Sleep(3 * time.Second)
+	disturbed := time.Time{}
+	stop := make(chan struct{})
+	var jobs []*job
+	for n, cpu := range []int{15000, 3000, 3000, 3000} {
+		j := c.newJob("/lookup/", &step{Count: 1, CPU: cpu, Mem: 2900, Estimate: 1000, LongRunning: true, Requires: "b"})
+		c.submit(n, j, "job that lasts")
+		c.awaitRunning(j, 10*time.Second)
+		jobs = append(jobs, j)
+	}
+	go c.watchLasting(stop, &disturbed, jobs...)
+	time.Sleep(8 * time.Second)
+	for n := range 6 {
+		if trouble && !c.fleet.failTask(taskName(jobs[1+n%3].id, 0, 0, 0)) {
+			c.log.printf("task %s is not at work", taskName(jobs[1+n%3].id, 0, 0, 0))
+		}
+		time.Sleep(13 * time.Second)
+	}
+	close(stop)
+	c.fleet.check()
+	c.conclude("LOST")
+}
+
+// caseRenamed: a configuration gives a route another name; host, path prefix and all else stay. Without trouble, it
+// changes only its version.
+func caseRenamed(c *cell, trouble bool) {
+	night := route{name: "night-reanalysis", prefix: "/night/", priority: 2, stretch: 4, target: 3000, attempts: 3}
+	c.configure([]route{lookupRoute, night})
+	c.addExecutors(14, "a")
+	c.startEntries(3)
+	c.awaitReady(15 * time.Second)
+	time.Sleep(3 * time.Second)
+	var jobs []*job
+	for n := range 10 {
+		j := c.newJob("/night/", &step{Count: 60, CPU: 980, Mem: 2800, Estimate: 2200, length: 2200 * time.Millisecond})
+		if n == 9 {
+			j = c.newJob("/night/", &step{Count: 4, CPU: 980, Mem: 2800, Estimate: 1000, LongRunning: true})
+		}
+		c.submit(n, j, "night job")
+		jobs = append(jobs, j)
+	}
+	time.Sleep(visible + time.Second)
+	if trouble {
+		night.name = "night-reanalysis-2"
+	}
+	c.configure([]route{lookupRoute, night})
+	c.log.printf("configuration %d: the route of /night/ is %s", c.version, night.name)
+	time.Sleep(configApply + time.Second)
+	for n, j := range jobs {
+		status, state := c.state(n, j)
+		c.fleet.mu.Lock()
+		done, running, all, _ := c.fleet.doneOf(j)
+		c.fleet.mu.Unlock()
+		c.log.printf("GET %s%s -> %d %s; %d of %d tasks done, %d running", j.route, j.id, status, state, done, all, running)
+		if status == 410 {
+			c.log.breach("LOST", "job %s%s, accepted at %.3f s and not cancelled: GET -> 410", j.route, j.id, j.accepted.Sub(c.log.began).Seconds())
+		}
+	}
+	last := jobs[9]
+	status, _ := c.call(0, "DELETE", last.route+last.id, nil)
+	time.Sleep(cancelTime + stopTime + time.Second)
+	c.fleet.mu.Lock()
+	_, running, _, _ := c.fleet.doneOf(last)
+	c.fleet.mu.Unlock()
+	c.log.printf("DELETE %s%s, a job that lasts -> %d; %v later %d of its tasks run", last.route, last.id, status, cancelTime+stopTime+time.Second, running)
+	if (status == 200 || status == 410) && running > 0 {
+		c.log.breach("UNASKED", "%d tasks of %s%s run longer than cancel_ms and stop-ms after the answer to its DELETE", running, last.route, last.id)
+	}
+	c.conclude("LOST", "UNASKED")
+}
+
+const (
+	configApply = 3 * time.Second
+	cancelTime  = 3 * time.Second
+	stopTime    = 900 * time.Millisecond
+)
+
+// caseHeld: tasks that last fail by themselves while a gang waits for the room that other work occupies. Without
+// trouble, there is no gang.
+func caseHeld(c *cell, trouble bool) {
+	c.configure([]route{
+		lookupRoute, {name: "plume-forecast", prefix: "/plume/", priority: 1, stretch: 2.2, target: 1200, attempts: 2},
+		{name: "night-reanalysis", prefix: "/night/", priority: 2, stretch: 4, target: 3000, attempts: 3},
+	})
+	c.addExecutors(14, "a")
+	c.startEntries(3)
+	c.awaitReady(15 * time.Second)
+	time.Sleep(3 * time.Second)
+	lasting := c.newJob("/night/", &step{Count: 4, CPU: 1000, Mem: 2900, Estimate: 1000, LongRunning: true})
+	c.submit(0, lasting, "job that lasts")
+	c.awaitRunning(lasting, 10*time.Second)
+	disturbed := time.Time{}
+	stop := make(chan struct{})
+	go c.watchLasting(stop, &disturbed, lasting)
+	batch := c.newJob("/plume/", &step{Count: 28, CPU: 6000, Mem: 8800, Estimate: 12000, AntiAffinity: 2, length: 12 * time.Second})
+	c.submit(1, batch, "batch job")
+	c.awaitRunning(batch, 10*time.Second)
+	if trouble {
+		gang := c.newJob("/plume/", &step{Count: 14, CPU: 7000, Mem: 8800, Estimate: 5000, Gang: true, AntiAffinity: 1, length: 5 * time.Second})
+		c.submit(2, gang, "gang")
+	}
+	time.Sleep(500 * time.Millisecond)
+	for index := range 4 {
+		if !c.fleet.failTask(taskName(lasting.id, 0, 0, index)) {
+			c.log.printf("task %d is not at work", index)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(20 * time.Second)
+	close(stop)
+	c.fleet.check()
+	c.conclude("LOST")
+}
