--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,4 +5,4 @@
 	echo "target/entry comes from the build of the deploy file, target/rig3 from review/build-3.sh" >&2
 	exit 2
 fi
-exec target/rig3 ids review/12
+exec target/rig3 minutely review/12
--- a/review/rig3/executor.go
+++ b/review/rig3/executor.go
@@ -40,6 +40,8 @@
 	Gang         bool   `json:"gang,omitempty"`
 
 	length time.Duration
+	// failAfter is when the tasks fail by themselves, if it is positive.
+	failAfter time.Duration
 }
 
 // taskRun is a run of a task on an executor.
@@ -98,6 +100,7 @@
 	jobs      map[string]*job
 	tasks     map[string]*task
 	starts    int
+	failures  int
 	// stopTime is how long a stop takes.
 	stopTime time.Duration
 	// onStart is called at each start, with the lock held.
@@ -240,7 +243,9 @@
 	if how == "done" {
 		e.fleet.tasks[r.task].done = true
 	}
-	if r.step.LongRunning || how == "lapsed" {
+	if r.step.failAfter > 0 {
+		e.fleet.failures++
+	} else if r.step.LongRunning || how == "lapsed" {
 		e.fleet.log.printf("executor %s: run %d of %s ends %s", e.id, r.run, r.task, how)
 	}
 	close(l.changed)
@@ -249,7 +254,7 @@
 
 // advance ends the runs whose work is done and those whose lease has run out.
 func (e *executor) advance(ctx context.Context, l *life) {
-	ticker := time.NewTicker(20 * time.Millisecond)
+	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
 	for {
 		select {
@@ -260,6 +265,11 @@
 		e.fleet.mu.Lock()
 		e.lapse(l)
 		for _, r := range l.running {
+			if r.step.failAfter > 0 && time.Since(r.began) >= r.step.failAfter {
+				e.finish(l, r, "failed")
+
+				continue
+			}
 			if !r.step.LongRunning && time.Since(r.began) >= r.step.length {
 				e.finish(l, r, "done")
 			}
@@ -395,7 +405,7 @@
 	if f.onStart != nil {
 		f.onStart(e, r)
 	}
-	if t.step.LongRunning || t.step.Fills {
+	if (t.step.LongRunning || t.step.Fills) && t.step.failAfter == 0 {
 		f.log.printf("executor %s starts run %d of %s", e.id, o.Run, o.Task)
 	}
 
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -12,7 +12,7 @@
 )
 
 func main() {
-	cases := map[string]func(c *cell, trouble bool){"large": caseLarge, "lasting": caseLasting, "fills": caseFills, "kind": caseKind, "quota": caseQuota, "recurring": caseRecurring, "minutely": caseMinutely, "ids": caseIDs, "failures": caseFailures, "renamed": caseRenamed, "held": caseHeld}
+	cases := map[string]func(c *cell, trouble bool){"large": caseLarge, "lasting": caseLasting, "fills": caseFills, "kind": caseKind, "quota": caseQuota, "recurring": caseRecurring, "minutely": caseMinutely, "ids": caseIDs, "failures": caseFailures, "renamed": caseRenamed, "held": caseHeld, "crashing": caseCrashing}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig3 CASE DIR, in the repository root")
 		os.Exit(2)
@@ -100,6 +100,9 @@
 	return done, running, all, waiting
 }
 
+// maxAsking bounds the time in which jobs are asked for, so that a script ends in time.
+const maxAsking = 4 * time.Second
+
 // checkEnd asks for all accepted jobs finish_s after the end of the traffic, and looks for 3 s
 // for jobs that stand.
 func (c *cell) checkEnd() {
@@ -132,7 +135,13 @@
 	slots := make(chan struct{}, 16)
 	var mu sync.Mutex
 	answers := map[string]int{}
+	asking := time.Now()
 	for n, j := range jobs {
+		if time.Since(asking) > maxAsking {
+			c.log.printf("%d jobs aren't asked for, since the answers take too long", len(jobs)-n)
+
+			break
+		}
 		group.Add(1)
 		slots <- struct{}{}
 		go func() {
@@ -159,7 +168,7 @@
 // handed in. Without trouble, the same tasks come as jobs that repeat six times.
 func caseRecurring(c *cell, trouble bool) {
 	const width, times, each = 60, 440, 6
-	c.night(48, func() []*job {
+	c.night(8*time.Second, 48, func() []*job {
 		jobs, repeats := (times+each-1)/each, each
 		if trouble {
 			jobs, repeats = 1, 100000
@@ -179,7 +188,7 @@
 // caseMinutely: a job that is due once a minute, whose first-ms is left out. Without trouble, it is due from now on.
 func caseMinutely(c *cell, trouble bool) {
 	go c.watchMemory()
-	c.night(28, func() []*job {
+	c.night(8*time.Second, 28, func() []*job {
 		j := c.newJob("/night/", &step{Count: 1, CPU: 980, Mem: 2800, Estimate: 300, length: 300 * time.Millisecond})
 		j.first, j.interval, j.repeats = time.UnixMilli(0), time.Minute, 1000000
 		if !trouble {
@@ -235,7 +244,7 @@
 // caseLarge: one large job. Without trouble, the same tasks come as 25 jobs.
 func caseLarge(c *cell, trouble bool) {
 	const tasks = 25000
-	c.night(48, func() []*job {
+	c.night(8*time.Second, 48, func() []*job {
 		jobs := 25
 		if trouble {
 			jobs = 1
@@ -249,20 +258,19 @@
 	})
 }
 
-// night hands jobs in among ordinary ones, which come for the given time, and checks that all jobs are done and all ends are taken note of.
-func (c *cell) night(seconds int, jobs func() []*job) {
+// night hands jobs in among ordinary ones, which come from settle before to the given time after them, and checks that all jobs are done and all ends are taken note of.
+func (c *cell) night(settle time.Duration, seconds int, jobs func() []*job) {
 	c.configure([]route{lookupRoute, {name: "night-reanalysis", prefix: "/night/", priority: 2, stretch: 4, target: 3000, attempts: 3}})
 	c.addExecutors(14, "a")
 	c.startEntries(3)
 	c.awaitReady(15 * time.Second)
-	time.Sleep(3 * time.Second)
 	stop := make(chan struct{})
 	var done sync.WaitGroup
 	done.Add(2)
 	go c.load(10, stop, c.ordinary, &done)
 	cancels := &cancels{}
 	go cancels.run(c, stop, &done)
-	time.Sleep(5 * time.Second)
+	time.Sleep(settle)
 	list := map[*job]bool{}
 	for n, j := range jobs() {
 		list[j] = true
@@ -277,7 +285,8 @@
 				ended++
 			}
 		}
-		c.log.printf("%d s: %d tasks of the night jobs have ended done; %d appends refused by the size", 4*(n+1), ended, c.store.refusals())
+		refused, largest := c.store.refusals()
+		c.log.printf("%d s: %d tasks of the night jobs have ended done, %d runs of jobs that last have failed; largest record %d bytes, %d appends refused by the size", 4*(n+1), ended, c.fleet.failures, largest, refused)
 		c.fleet.mu.Unlock()
 	}
 	close(stop)
@@ -375,11 +384,12 @@
 	}
 }
 
-func (s *store) refusals() int {
+// refusals returns how many appends were refused because of their size, and the size of the largest record.
+func (s *store) refusals() (refused, largest int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return s.refused
+	return s.refused, s.largest
 }
 
 // watchLasting checks that a task that lasts is started again, until stop is closed: not at
@@ -790,3 +800,19 @@
 	c.fleet.check()
 	c.conclude("LOST")
 }
+
+// caseCrashing: the tasks of a job that lasts fail as soon as they have started. Without trouble, they work on.
+func caseCrashing(c *cell, trouble bool) {
+	c.night(2*time.Second, 80, func() []*job {
+		var steps []*step
+		for range 4 {
+			s := &step{Count: 60, CPU: 100, Mem: 100, Estimate: 1000, LongRunning: true}
+			if trouble {
+				s.failAfter = time.Millisecond
+			}
+			steps = append(steps, s)
+		}
+
+		return []*job{c.newJob("/night/", steps...)}
+	})
+}
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -39,8 +39,8 @@
 	mu      sync.Mutex
 	topics  map[string]*topic
 	changed chan struct{}
-	// refused counts the appends that were refused because of their size.
-	refused int
+	// refused counts the appends that were refused because of their size, and largest is the size of the largest record.
+	refused, largest int
 }
 
 func newStore(log *journal) *store {
@@ -126,6 +126,9 @@
 
 			return
 		}
+		s.mu.Lock()
+		s.largest = max(s.largest, n)
+		s.mu.Unlock()
 		if n > recordBytes || size > callBytes {
 			s.refuseSize(name, n, size)
 			reply(w, http.StatusBadRequest, map[string]any{"reason": "size"})
