--- a/review/rig3/cell.go
+++ b/review/rig3/cell.go
@@ -108,6 +108,8 @@
 	root    string
 	// closed means that the case is over, and no process is started any more.
 	closed atomic.Bool
+	// over means that the traffic has ended, and clients don't try again.
+	over atomic.Bool
 	// twoTenants means that calls below /night/ come from another tenant.
 	twoTenants bool
 	// limit is the tenant's cap in thousandths of a core; 0 means none.
@@ -430,6 +432,9 @@
 	}
 	j.sentFirst = time.Now()
 	for try := range 5 {
+		if try > 0 && c.over.Load() {
+			return false
+		}
 		j.tries++
 		status, _ := c.call(first+try, http.MethodPost, j.route+j.id, body)
 		if what != "" {
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -101,7 +101,7 @@
 }
 
 // maxAsking bounds the time in which jobs are asked for, so that a script ends in time.
-const maxAsking = 4 * time.Second
+const maxAsking = 3 * time.Second
 
 // checkEnd asks for all accepted jobs finish_s after the end of the traffic, and looks for 3 s
 // for jobs that stand.
@@ -168,7 +168,7 @@
 // handed in. Without trouble, the same tasks come as jobs that repeat six times.
 func caseRecurring(c *cell, trouble bool) {
 	const width, times, each = 60, 440, 6
-	c.night(8*time.Second, 48, func() []*job {
+	c.night(10, 8*time.Second, 48, func() []*job {
 		jobs, repeats := (times+each-1)/each, each
 		if trouble {
 			jobs, repeats = 1, 100000
@@ -188,7 +188,7 @@
 // caseMinutely: a job that is due once a minute, whose first-ms is left out. Without trouble, it is due from now on.
 func caseMinutely(c *cell, trouble bool) {
 	go c.watchMemory()
-	c.night(8*time.Second, 28, func() []*job {
+	c.night(10, 8*time.Second, 28, func() []*job {
 		j := c.newJob("/night/", &step{Count: 1, CPU: 980, Mem: 2800, Estimate: 300, length: 300 * time.Millisecond})
 		j.first, j.interval, j.repeats = time.UnixMilli(0), time.Minute, 1000000
 		if !trouble {
@@ -244,7 +244,7 @@
 // caseLarge: one large job. Without trouble, the same tasks come as 25 jobs.
 func caseLarge(c *cell, trouble bool) {
 	const tasks = 25000
-	c.night(8*time.Second, 48, func() []*job {
+	c.night(10, 8*time.Second, 48, func() []*job {
 		jobs := 25
 		if trouble {
 			jobs = 1
@@ -258,8 +258,8 @@
 	})
 }
 
-// night hands jobs in among ordinary ones, which come from settle before to the given time after them, and checks that all jobs are done and all ends are taken note of.
-func (c *cell) night(settle time.Duration, seconds int, jobs func() []*job) {
+// night hands jobs in among ordinary ones, of which rate come a second, from settle before to the given time after them, and checks that all jobs are done and all ends are taken note of.
+func (c *cell) night(rate int, settle time.Duration, seconds int, jobs func() []*job) {
 	c.configure([]route{lookupRoute, {name: "night-reanalysis", prefix: "/night/", priority: 2, stretch: 4, target: 3000, attempts: 3}})
 	c.addExecutors(14, "a")
 	c.startEntries(3)
@@ -267,7 +267,7 @@
 	stop := make(chan struct{})
 	var done sync.WaitGroup
 	done.Add(2)
-	go c.load(10, stop, c.ordinary, &done)
+	go c.load(rate, stop, c.ordinary, &done)
 	cancels := &cancels{}
 	go cancels.run(c, stop, &done)
 	time.Sleep(settle)
@@ -290,6 +290,7 @@
 		c.fleet.mu.Unlock()
 	}
 	close(stop)
+	c.over.Store(true)
 	done.Wait()
 	c.log.printf("the traffic ends")
 	c.checkEnd()
@@ -803,9 +804,9 @@
 
 // caseCrashing: the tasks of a job that lasts fail as soon as they have started. Without trouble, they work on.
 func caseCrashing(c *cell, trouble bool) {
-	c.night(2*time.Second, 80, func() []*job {
+	c.night(30, time.Second, 88, func() []*job {
 		var steps []*step
-		for range 4 {
+		for range 3 {
 			s := &step{Count: 60, CPU: 100, Mem: 100, Estimate: 1000, LongRunning: true}
 			if trouble {
 				s.failAfter = time.Millisecond
